--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+PYTHON ?= .venv/bin/python
+FOLDER ?= examples/teranga-signes
+
+.PHONY: run test up generate format lint promises mutants bench bench-quick
+
+run: .venv/ready
+	$(PYTHON) -m standins.story $(FOLDER)
+
+test: .venv/ready
+	$(PYTHON) -m pytest
+
+up: .venv/ready
+	$(PYTHON) -m standins.deployment $(FOLDER)
+
+generate: .venv/ready
+	$(PYTHON) tools/generate.py
+
+format: .venv/ready
+	$(PYTHON) -m ruff format .
+
+lint: .venv/ready
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+
+.venv/ready: pyproject.toml
+	python3 -m venv .venv
+	.venv/bin/python -m pip install --quiet --disable-pip-version-check --editable '.[test]'
+	touch $@
--- /dev/null
+++ b/gypsumshift/__init__.py
@@ -0,0 +1,29 @@
+"""gypsumshift: a rollout service for reinforcement learning beside live serving."""
+
+from gypsumshift.client import (
+    AsyncClient,
+    AsyncTrainer,
+    Client,
+    Delivery,
+    RequestRejected,
+    Trainer,
+    call,
+)
+from gypsumshift.ledger import Group, Sample
+from gypsumshift.outcomes import Answered, NotRun, Outcome, Unknown
+
+__all__ = [
+    "Answered",
+    "AsyncClient",
+    "AsyncTrainer",
+    "Client",
+    "Delivery",
+    "Group",
+    "NotRun",
+    "Outcome",
+    "RequestRejected",
+    "Sample",
+    "Trainer",
+    "Unknown",
+    "call",
+]
--- /dev/null
+++ b/gypsumshift/admission.py
@@ -0,0 +1,291 @@
+"""Admission: which requests run on a backend server now, wait, or are refused.
+
+Classes go in strict order: client, internal, sample. Within a class workspaces
+share by weight (start-time fair queueing), within a workspace the more urgent
+goes first. While clients are about, the other classes leave some room free.
+"""
+
+import abc
+import collections
+import heapq
+import itertools
+from collections.abc import Callable
+
+import attrs
+
+from gypsumshift.clock import Clock
+from gypsumshift.generated.messages import RequestClass
+from gypsumshift.limits import Limit
+
+__all__ = ["Admission", "FairAdmission", "FifoAdmission", "Ticket"]
+
+RESERVE = 0.25
+CLIENTS_RECENT = 10.0
+DURATION_WEIGHT = 0.1
+LEAST_RETRY = 0.05
+MOST_RETRY = 30.0
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """One request before the backend server.
+
+    Attributes
+    ----------
+    workspace : str
+    request_class : RequestClass
+    deadline : float
+        By the monotonic clock, in seconds.
+    share : int
+        Weight of the workspace.
+    urgency : int
+        Lower goes first within the workspace.
+    decide : callable
+        Called once, with True when admitted or False when refused.
+    """
+
+    workspace: str
+    request_class: int
+    deadline: float
+    share: int = 10
+    urgency: int = 3
+    decide: Callable[[bool], None] = lambda admitted: None
+    offered: float = 0.0
+    admitted: float = 0.0
+    waiting: bool = False
+
+
+class Admission(abc.ABC):
+    """Decides who runs; the base counts, the heirs choose.
+
+    Parameters
+    ----------
+    limit : Limit
+        How many run at once.
+    queue : int
+        How many wait, at the most.
+    clock : Clock
+    """
+
+    def __init__(self, limit: Limit, queue: int, clock: Clock):
+        self.limit = limit
+        self.queue = queue
+        self.clock = clock
+        self.running = 0
+        self.waiting = 0
+        self.running_of = collections.Counter()
+        self.duration = 0.0
+        self.refused = 0
+
+    @abc.abstractmethod
+    def push(self, ticket: Ticket) -> None:
+        """Keep a waiting ticket."""
+
+    @abc.abstractmethod
+    def pop(self) -> Ticket | None:
+        """Take the next ticket that may run now; None where none may."""
+
+    @abc.abstractmethod
+    def evict_for(self, ticket: Ticket) -> Ticket | None:
+        """Take a waiting ticket that must yield to ``ticket`` in a full queue."""
+
+    @abc.abstractmethod
+    def ahead_of(self, ticket: Ticket) -> int:
+        """Return how many waiting tickets would run before this one."""
+
+    def offer(self, ticket: Ticket) -> float:
+        """Take a request; return 0, or seconds to come back after where refused."""
+        now = self.clock.monotonic()
+        ticket.offered = now
+        wait = self.estimate(ticket)
+        if now + wait > ticket.deadline:
+            return self.refuse(wait)
+        if self.waiting >= self.queue and self.running >= self.limit.value:
+            victim = self.evict_for(ticket)
+            if victim is None:
+                return self.refuse(wait)
+            self.waiting -= 1
+            victim.waiting = False
+            self.refused += 1
+            victim.decide(False)
+        ticket.waiting = True
+        self.waiting += 1
+        self.push(ticket)
+        self.admit()
+        return 0.0
+
+    def refuse(self, wait: float) -> float:
+        """Count a refusal; return when to come back."""
+        self.refused += 1
+        return min(max(wait, LEAST_RETRY), MOST_RETRY)
+
+    def estimate(self, ticket: Ticket) -> float:
+        """Return the seconds that a ticket would wait, from recent durations."""
+        free = self.limit.value - self.running
+        ahead = self.ahead_of(ticket)
+        if free > ahead:
+            return 0.0
+        return self.duration * (ahead + 1 - max(free, 0)) / self.limit.value
+
+    def admit(self) -> None:
+        """Let run what may run now."""
+        now = self.clock.monotonic()
+        while self.running < self.limit.value and (ticket := self.pop()):
+            self.waiting -= 1
+            ticket.waiting = False
+            if ticket.deadline <= now:
+                self.refused += 1
+                ticket.decide(False)
+                continue
+            self.running += 1
+            self.running_of[ticket.request_class] += 1
+            ticket.admitted = now
+            ticket.decide(True)
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Drop a waiting ticket whose caller gave up."""
+        if ticket.waiting:
+            ticket.waiting = False
+            self.waiting -= 1
+
+    def release(self, ticket: Ticket, ok: bool) -> None:
+        """Take back the place of a ticket that has run."""
+        took = self.clock.monotonic() - ticket.admitted
+        self.running -= 1
+        self.running_of[ticket.request_class] -= 1
+        if ok:
+            step = DURATION_WEIGHT if self.duration else 1.0
+            self.duration += step * (took - self.duration)
+        self.limit.learn(took, self.running + 1, ok)
+        self.admit()
+
+
+class FairAdmission(Admission):
+    """Classes in strict order, workspaces by weight, urgency within."""
+
+    def __init__(self, limit: Limit, queue: int, clock: Clock):
+        super().__init__(limit, queue, clock)
+        self.queues: dict[tuple[int, str], list] = {}
+        self.waiting_of = collections.Counter()
+        self.progress: dict[str, float] = {}
+        self.virtual = 0.0
+        self.order = itertools.count()
+        self.client_seen = float("-inf")
+
+    def push(self, ticket):
+        """Keep a waiting ticket."""
+        if ticket.request_class == RequestClass.CLIENT:
+            self.client_seen = self.clock.monotonic()
+        key = (ticket.request_class, ticket.workspace)
+        entry = (ticket.urgency, next(self.order), ticket)
+        heapq.heappush(self.queues.setdefault(key, []), entry)
+        self.waiting_of[ticket.request_class] += 1
+
+    def withdraw(self, ticket):
+        """Drop a waiting ticket whose caller gave up."""
+        if ticket.waiting:
+            self.waiting_of[ticket.request_class] -= 1
+        super().withdraw(ticket)
+
+    def pop(self):
+        """Take the next ticket that may run now; None where none may."""
+        for request_class in sorted({key[0] for key in self.queues}):
+            if not self.has_room(request_class):
+                continue
+            ticket = self.pop_class(request_class)
+            if ticket is not None:
+                return ticket
+        return None
+
+    def has_room(self, request_class: int) -> bool:
+        """Tell whether a class may take one more place."""
+        if request_class == RequestClass.CLIENT:
+            return True
+        if self.clock.monotonic() - self.client_seen > CLIENTS_RECENT:
+            return True
+        clients = self.running_of[RequestClass.CLIENT]
+        room = max(1, int(self.limit.value * (1 - RESERVE)))
+        return self.running - clients < room
+
+    def pop_class(self, request_class: int) -> Ticket | None:
+        """Take the next ticket of a class, from the workspace least served."""
+        while True:
+            names = [name for kind, name in self.queues if kind == request_class]
+            if not names:
+                return None
+            name = min(names, key=lambda n: max(self.progress.get(n, 0), self.virtual))
+            heap = self.queues[request_class, name]
+            ticket = heapq.heappop(heap)[2]
+            if not heap:
+                del self.queues[request_class, name]
+            if ticket.waiting:
+                self.waiting_of[request_class] -= 1
+                self.serve(ticket)
+                return ticket
+
+    def serve(self, ticket: Ticket) -> None:
+        """Charge a workspace for one place."""
+        start = max(self.progress.get(ticket.workspace, 0.0), self.virtual)
+        self.virtual = start
+        self.progress[ticket.workspace] = start + 1.0 / ticket.share
+        if len(self.progress) > 4 * (len(self.queues) + 64):
+            self.progress = {n: p for n, p in self.progress.items() if p > self.virtual}
+
+    def evict_for(self, ticket):
+        """Take a ticket of a lower class, or of the workspace that waits the most."""
+        crowd = collections.Counter()
+        for (request_class, name), heap in self.queues.items():
+            crowd[request_class, name] = sum(1 for item in heap if item[2].waiting)
+        lower = [key for key in crowd if key[0] > ticket.request_class and crowd[key]]
+        same = [key for key in crowd if key[0] == ticket.request_class]
+        own = crowd[ticket.request_class, ticket.workspace]
+        heavier = [key for key in same if crowd[key] > own + 1]
+        choice = max(
+            lower or heavier, key=lambda key: (key[0], crowd[key]), default=None
+        )
+        if choice is None:
+            return None
+        heap = self.queues[choice]
+        entry = max(item for item in heap if item[2].waiting)
+        heap.remove(entry)
+        heapq.heapify(heap)
+        if not heap:
+            del self.queues[choice]
+        self.waiting_of[choice[0]] -= 1
+        return entry[2]
+
+    def ahead_of(self, ticket):
+        """Return how many waiting tickets would run before this one, at the most."""
+        ahead = 0
+        for request_class, count in self.waiting_of.items():
+            if request_class <= ticket.request_class:
+                ahead += count
+        return ahead
+
+
+class FifoAdmission(Admission):
+    """First come, first served; the plain baseline."""
+
+    def __init__(self, limit: Limit, queue: int, clock: Clock):
+        super().__init__(limit, queue, clock)
+        self.line: collections.deque[Ticket] = collections.deque()
+
+    def push(self, ticket):
+        """Keep a waiting ticket."""
+        self.line.append(ticket)
+
+    def pop(self):
+        """Take the next ticket."""
+        while self.line:
+            ticket = self.line.popleft()
+            if ticket.waiting:
+                return ticket
+        return None
+
+    def evict_for(self, ticket):
+        """Nobody yields to a later one."""
+        return None
+
+    def ahead_of(self, ticket):
+        """Return how many tickets wait."""
+        return self.waiting
--- /dev/null
+++ b/gypsumshift/backend.py
@@ -0,0 +1,158 @@
+"""Backend: the backend server beside a sidecar, its state and its weights."""
+
+from gypsumshift import logs
+from gypsumshift.clock import Clock
+from gypsumshift.dialects import DIALECTS, Dialect, State
+from gypsumshift.events import Recorder
+from gypsumshift.fetch import Fetcher, FetchError
+from gypsumshift.generated.declarations import Pool
+from gypsumshift.members import rank
+from gypsumshift.outcomes import Committed, Conflict, Missing, Unavailable
+from gypsumshift.platforms import ABSENT, Tables, Write
+
+__all__ = ["Backend", "Fence", "wave_of"]
+
+STATE_TIMEOUT = 2.0
+LATE_ORDER_FACTOR = 5.0
+BACKENDS_TABLE = "backends"
+FENCE_PERIOD = 1.0
+
+log = logs.logger("backend")
+
+
+def wave_of(backend: str, mates: set[str], version: int, floor: float) -> int:
+    """Return the wave in which a backend server loads a version, from 0.
+
+    Parameters
+    ----------
+    backend : str
+    mates : set of str
+        The pool's backend servers, with or without this one.
+    version : int
+        Shuffles the order, so that no backend server is always the last.
+    floor : float
+        Share of the pool that keeps serving.
+    """
+    everyone = sorted(mates | {backend}, key=lambda name: rank(str(version), name))
+    size = max(1, int(len(everyone) * (1 - floor) + 1e-9))
+    return everyone.index(backend) // size
+
+
+class Backend:
+    """One backend server, as its sidecar asks and orders it.
+
+    Parameters
+    ----------
+    address : (str, int)
+    pool : Pool
+        Declaration of its pool.
+    fetcher : Fetcher
+    recorder : Recorder
+    name : str
+    """
+
+    def __init__(self, address, pool: Pool, fetcher: Fetcher, recorder, name: str):
+        self.address = address
+        self.pool = pool
+        self.fetcher = fetcher
+        self.recorder: Recorder = recorder
+        self.name = name
+        self.state = State(False)
+        self.swapping = False
+        self.failed_swaps = 0
+
+    @property
+    def dialect(self) -> Dialect:
+        """How it reports and takes orders."""
+        return DIALECTS[self.pool.dialect]
+
+    async def ask(self) -> State:
+        """Ask for its state now."""
+        try:
+            answer = await self.fetcher.fetch(
+                self.address, "GET", self.dialect.state_target, timeout=STATE_TIMEOUT
+            )
+            state = self.dialect.parse_state(answer.status, answer.body)
+        except FetchError:
+            state = State(False)
+        if state.healthy != self.state.healthy:
+            kind = "healthy" if state.healthy else "unhealthy"
+            self.recorder.note(kind, self.name, "by its own report")
+        self.state = state
+        return state
+
+    async def load_weights(self, version: int, fence: int) -> bool:
+        """Order it to load a version; return whether it then reports that version.
+
+        An order whose answer is late or lost counts for nothing: what it reports
+        afterwards decides.
+        """
+        order = self.dialect.load_order(self.pool.name, version, fence)
+        if order is None:
+            return True
+        self.swapping = True
+        self.recorder.note("load", self.name, f"version {version} fence {fence}")
+        try:
+            await self.fetcher.fetch(
+                self.address,
+                order.method,
+                order.target,
+                order.headers,
+                order.body,
+                self.pool.swap_allowance * LATE_ORDER_FACTOR,
+            )
+        except FetchError as error:
+            log.warning("An order to load version {} failed: {}.", version, error)
+        finally:
+            self.swapping = False
+        state = await self.ask()
+        loaded = state.version == version
+        self.failed_swaps = 0 if loaded else self.failed_swaps + 1
+        kind = "loaded" if loaded else "load-failed"
+        self.recorder.note(kind, self.name, f"version {version}")
+        return loaded
+
+
+class Fence:
+    """Right to give orders to one backend server, by the highest number.
+
+    Parameters
+    ----------
+    tables : Tables
+    backend : str
+    owner : str
+        Unique to this process: its name and incarnation.
+    clock : Clock
+    """
+
+    def __init__(self, tables: Tables, backend: str, owner: str, clock: Clock):
+        self.tables = tables
+        self.backend = backend
+        self.owner = owner
+        self.clock = clock
+        self.number = 0
+
+    async def take(self) -> int:
+        """Take the next number from the platform, waiting while it is down."""
+        while True:
+            row = await self.tables.read(BACKENDS_TABLE, self.backend)
+            if isinstance(row, Unavailable):
+                await self.clock.sleep(FENCE_PERIOD)
+                continue
+            if not isinstance(row, Missing) and row.value["owner"] == self.owner:
+                self.number = row.value["fence"]
+                return self.number
+            version = ABSENT if isinstance(row, Missing) else row.version
+            number = 1 if isinstance(row, Missing) else row.value["fence"] + 1
+            value = {"fence": number, "owner": self.owner}
+            write = Write(BACKENDS_TABLE, self.backend, value, version)
+            outcome = await self.tables.commit([write])
+            if not isinstance(outcome, (Committed, Conflict)):
+                await self.clock.sleep(FENCE_PERIOD)
+
+    async def deposed(self) -> bool:
+        """Tell whether the platform knows a newer owner; False while it is down."""
+        row = await self.tables.read(BACKENDS_TABLE, self.backend)
+        if isinstance(row, (Missing, Unavailable)):
+            return False
+        return row.value["fence"] > self.number
--- /dev/null
+++ b/gypsumshift/budgets.py
@@ -0,0 +1,31 @@
+"""Budgets: how many retries a workspace may cause."""
+
+__all__ = ["RetryBudget"]
+
+
+class RetryBudget:
+    """Retries as a share of the requests, with a burst after a quiet time.
+
+    Parameters
+    ----------
+    ratio : float
+        Retries earned by each request.
+    burst : int
+        Retries held at the most.
+    """
+
+    def __init__(self, ratio: float, burst: int):
+        self.ratio = ratio
+        self.burst = burst
+        self.left = float(burst)
+
+    def earn(self) -> None:
+        """Count a request."""
+        self.left = min(self.burst, self.left + self.ratio)
+
+    def spend(self) -> bool:
+        """Take one retry; return whether there was one left."""
+        if self.left < 1:
+            return False
+        self.left -= 1
+        return True
--- /dev/null
+++ b/gypsumshift/client.py
@@ -0,0 +1,338 @@
+"""Client: the Python face for callers and trainers, through any entry."""
+
+import asyncio
+import datetime
+import json
+import secrets
+import urllib.parse
+from collections.abc import AsyncIterator, Iterator
+
+import attrs
+import cattrs
+
+from gypsumshift.fetch import Fetched, Fetcher, FetchError
+from gypsumshift.ledger import Group, Sample
+from gypsumshift.outcomes import Answered, NotRun, Outcome, Unknown
+
+__all__ = [
+    "AsyncClient",
+    "AsyncTrainer",
+    "Client",
+    "Delivery",
+    "RequestRejected",
+    "Trainer",
+    "call",
+]
+
+DEFAULT_TIMEOUT = 30.0
+PULL_WAIT = 20.0
+PAUSE = 0.2
+PAUSE_MOST = 5.0
+UNSENT = datetime.timedelta(seconds=PAUSE)
+JSON_TYPE = ("content-type", "application/json")
+
+
+class RequestRejected(Exception):
+    """An entry rejected a trainer's request for good; its words say why."""
+
+
+@attrs.frozen
+class Delivery:
+    """One step as it was delivered.
+
+    Attributes
+    ----------
+    number : int
+        Number of the step, from 1.
+    version : int
+        Weight version of the trainer that staleness was checked against.
+    samples : list of Sample
+    """
+
+    number: int
+    version: int
+    samples: list[Sample]
+
+
+def split_urls(urls: str | list[str]) -> tuple[list[tuple[str, int]], str]:
+    """Return the addresses in the URLs of some entries, and their common path."""
+    parts = [
+        urllib.parse.urlsplit(url)
+        for url in ([urls] if isinstance(urls, str) else urls)
+    ]
+    addresses = [(part.hostname, part.port or 80) for part in parts]
+    return addresses, parts[0].path.rstrip("/")
+
+
+class AsyncClient:
+    """Calls models and services through any of several entries.
+
+    Parameters
+    ----------
+    urls : str or list of str
+        URLs of the entries, with the workspace as their path.
+    timeout : float, default=30
+        Seconds within which a call has its outcome.
+    """
+
+    def __init__(self, urls: str | list[str], timeout: float = DEFAULT_TIMEOUT):
+        self.addresses, self.path = split_urls(urls)
+        self.timeout = timeout
+        self.fetcher = Fetcher()
+        self.turn = 0
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self.fetcher.close()
+
+    def next_address(self) -> tuple[str, int]:
+        """Return the address of the entry to use now."""
+        return self.addresses[self.turn % len(self.addresses)]
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        *,
+        headers: dict[str, str] | None = None,
+        key: str | None = None,
+        unrepeatable: bool = False,
+        timeout: float | None = None,
+    ) -> Outcome:
+        """Call a model or service; return how that ended.
+
+        Parameters
+        ----------
+        method, path : str
+            The path behind the workspace.
+        body : bytes or JSON value, optional
+        headers : dict, optional
+        key : str, optional
+            Idempotency key. One is made up for requests that may not be
+            repeated, so that this method may try again safely.
+        unrepeatable : bool, default=False
+            Whether the request may not be run twice.
+        timeout : float, optional
+            Seconds within which the outcome is there.
+
+        Returns
+        -------
+        Answered, NotRun or Unknown
+        """
+        timeout = timeout or self.timeout
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        if unrepeatable and key is None:
+            key = secrets.token_hex(16)
+        data, fields = encoded(body)
+        fields += list((headers or {}).items())
+        if key:
+            fields.append(("idempotency-key", key))
+        if unrepeatable:
+            fields.append(("gypsumshift-unrepeatable", "?1"))
+        outcome: Outcome = NotRun("no time was left", UNSENT)
+        doubt: Unknown | None = None
+        while (left := deadline - loop.time()) > 0:
+            wait = ("prefer", f"wait={left:.3f}")
+            outcome = await self.once(method, path, [*fields, wait], data, left)
+            if isinstance(outcome, Answered):
+                return outcome
+            if isinstance(outcome, Unknown):
+                doubt = outcome
+                if not key and unrepeatable:
+                    return outcome
+            pause = PAUSE
+            if isinstance(outcome, NotRun):
+                pause = outcome.retry_after.total_seconds()
+            if loop.time() + pause >= deadline:
+                break
+            await asyncio.sleep(pause)
+        return doubt or outcome
+
+    async def once(self, method, path, headers, data, timeout) -> Outcome:
+        """Call through one entry, once; another entry is next after a failure."""
+        try:
+            answer = await self.fetcher.fetch(
+                self.next_address(), method, self.path + path, headers, data, timeout
+            )
+        except FetchError as error:
+            self.turn += 1
+            return Unknown(str(error)) if error.sent else NotRun(str(error), UNSENT)
+        return outcome_of(answer)
+
+
+def encoded(body: object) -> tuple[bytes, list[tuple[str, str]]]:
+    """Return a body as bytes, with the header fields that it needs."""
+    if body is None:
+        return b"", []
+    if isinstance(body, bytes):
+        return body, []
+    return json.dumps(body).encode(), [JSON_TYPE]
+
+
+def outcome_of(answer: Fetched) -> Outcome:
+    """Return the outcome that an entry's answer says."""
+    headers = tuple((k.decode(), v.decode("latin-1")) for k, v in answer.headers)
+    answered = Answered(answer.status, headers, answer.body)
+    if answered.header("content-type") != "application/problem+json":
+        return answered
+    try:
+        value = json.loads(answer.body)
+    except ValueError:
+        return Unknown("the entry's answer cannot be read")
+    if value.get("outcome") == "not run" and answer.status in (429, 503):
+        seconds = float(value.get("retry_after", PAUSE))
+        return NotRun(value.get("detail", ""), datetime.timedelta(seconds=seconds))
+    if value.get("outcome") == "unknown":
+        return Unknown(value.get("detail", ""))
+    return answered
+
+
+class AsyncTrainer:
+    """Feeds a trainer through any of several entries.
+
+    Parameters
+    ----------
+    urls : str or list of str
+        URLs of the trainer at the entries, such as
+        ``http://10.0.0.1:8000/clinics/trainers/scheduling-trainer``.
+    version : int, default=0
+        Weight version that the trainer trains on; `publish` moves it.
+    """
+
+    def __init__(self, urls: str | list[str], version: int = 0):
+        self.client = AsyncClient(urls)
+        self.version = version
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.client.__aexit__(*exc_info)
+
+    async def ask(self, method: str, path: str, body: object = None) -> dict:
+        """Ask until an entry answers; all requests of a trainer may be repeated."""
+        pause = PAUSE
+        while True:
+            outcome = await self.client.call(method, path, body)
+            if isinstance(outcome, Answered):
+                if outcome.status >= 400:
+                    raise RequestRejected(outcome.body.decode("utf-8", "replace"))
+                return json.loads(outcome.body)
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, PAUSE_MOST)
+
+    async def submit(self, groups: list[Group]) -> int:
+        """Submit groups; return how many were new. An id counts once, ever."""
+        wanted = ("id", "prompt", "samples", "max_tokens", "temperature")
+        value = [{name: getattr(group, name) for name in wanted} for group in groups]
+        answer = await self.ask("POST", "/groups", value)
+        return answer["accepted"]
+
+    async def step(self, number: int) -> Delivery:
+        """Return a step once it is complete; the same number, the same samples."""
+        query = f"?version={self.version}&wait={PULL_WAIT}"
+        answer = await self.ask("GET", f"/steps/{number}{query}")
+        samples = cattrs.structure(answer["samples"], list[Sample])
+        return Delivery(answer["step"], answer["version"], samples)
+
+    async def steps(self, start: int | None = None) -> AsyncIterator[Delivery]:
+        """Yield one step after another.
+
+        Parameters
+        ----------
+        start : int, optional
+            First step. Without it the last sealed step comes once more: pass the
+            number behind the last step that the checkpoint contains.
+        """
+        if start is None:
+            start = max(1, (await self.ask("GET", ""))["sealed"])
+        while True:
+            yield await self.step(start)
+            start += 1
+
+    async def publish(self, version: int, data: bytes) -> None:
+        """Publish the weights of a version, and train on it from now on."""
+        await self.ask("PUT", f"/weights/{version}", data)
+        self.version = max(self.version, version)
+
+
+class Blocking:
+    """Runs an asynchronous object on an event loop of its own."""
+
+    def __init__(self, inner):
+        self.inner = inner
+        self.runner = asyncio.Runner()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        self.runner.run(self.inner.__aexit__(*exc_info))
+        self.runner.close()
+
+
+class Client(Blocking):
+    """Calls models and services; see `AsyncClient`."""
+
+    def __init__(self, urls: str | list[str], timeout: float = DEFAULT_TIMEOUT):
+        super().__init__(AsyncClient(urls, timeout))
+
+    def call(self, method: str, path: str, body: object = None, **options) -> Outcome:
+        """Call a model or service; see `AsyncClient.call`."""
+        return self.runner.run(self.inner.call(method, path, body, **options))
+
+
+class Trainer(Blocking):
+    """Feeds a trainer; see `AsyncTrainer`."""
+
+    def __init__(self, urls: str | list[str], version: int = 0):
+        super().__init__(AsyncTrainer(urls, version))
+
+    @property
+    def version(self) -> int:
+        """Weight version that the trainer trains on."""
+        return self.inner.version
+
+    def submit(self, groups: list[Group]) -> int:
+        """Submit groups; return how many were new. An id counts once, ever."""
+        return self.runner.run(self.inner.submit(groups))
+
+    def step(self, number: int) -> Delivery:
+        """Return a step once it is complete; the same number, the same samples."""
+        return self.runner.run(self.inner.step(number))
+
+    def steps(self, start: int | None = None) -> Iterator[Delivery]:
+        """Yield one step after another; see `AsyncTrainer.steps`."""
+        steps = self.inner.steps(start)
+        while True:
+            yield self.runner.run(anext(steps))
+
+    def publish(self, version: int, data: bytes) -> None:
+        """Publish the weights of a version, and train on it from now on."""
+        self.runner.run(self.inner.publish(version, data))
+
+
+def call(url: str, method: str = "GET", body: object = None, **options) -> Outcome:
+    """Call a model or service at a full URL, once or with safe retries.
+
+    Parameters
+    ----------
+    url : str
+        URL of an entry, with workspace and path.
+    method : str, default='GET'
+    body : bytes or JSON value, optional
+    **options
+        As `AsyncClient.call` takes them.
+
+    Returns
+    -------
+    Answered, NotRun or Unknown
+    """
+    parts = urllib.parse.urlsplit(url)
+    path = f"?{parts.query}" if parts.query else ""
+    with Client(url.partition("?")[0]) as client:
+        return client.call(method, path, body, **options)
--- /dev/null
+++ b/gypsumshift/declarations.py
@@ -0,0 +1,203 @@
+"""Declarations: what operators declare, checked whole, with its references."""
+
+import pathlib
+
+import attrs
+
+from gypsumshift import documents
+from gypsumshift.generated.declarations import Parameters, Pool, Trainer
+from gypsumshift.outcomes import Invalid, Problem
+
+__all__ = ["Catalog", "load", "parse"]
+
+SCHEMA = "declarations.schema.json"
+SUFFIXES = (".json", ".jsonc", ".json5")
+SECTIONS = ("pools", "templates", "workspaces", "trainers")
+
+
+@attrs.frozen
+class Catalog:
+    """Declarations with their references resolved.
+
+    Attributes
+    ----------
+    source : dict
+        The declarations as plain JSON.
+    zones : tuple of str
+    pools, trainers : dict
+        By name.
+    workspaces : dict of str to Parameters
+        Effective parameters of each workspace.
+    """
+
+    source: dict = attrs.field(factory=dict)
+    zones: tuple[str, ...] = ()
+    pools: dict[str, Pool] = attrs.field(factory=dict)
+    workspaces: dict[str, Parameters] = attrs.field(factory=dict)
+    trainers: dict[str, Trainer] = attrs.field(factory=dict)
+
+
+def load(path: pathlib.Path) -> Catalog | Invalid:
+    """Return the declarations in a file, or in all files of a directory."""
+    if not path.is_dir():
+        files = [path]
+    else:
+        files = sorted(p for p in path.rglob("*") if p.suffix in SUFFIXES)
+    if not files:
+        what = f"no file with {' or '.join(SUFFIXES)}"
+        return Invalid((Problem(str(path), what, "write one"),))
+    values, problems = {}, []
+    for file in files:
+        value = documents.read(file)
+        if isinstance(value, Invalid):
+            problems += value.problems
+        else:
+            values[str(file)] = value
+    return Invalid(tuple(problems)) if problems else merge(values)
+
+
+def parse(value: object, name: str) -> Catalog | Invalid:
+    """Return the declarations in one value."""
+    return merge({name: value})
+
+
+def merge(values: dict[str, object]) -> Catalog | Invalid:
+    """Return the declarations of several files as one catalog."""
+    schema = documents.schema_of(SCHEMA)
+    problems = []
+    for name, value in values.items():
+        problems += documents.check(value, schema, name)
+    if problems:
+        return Invalid(tuple(problems))
+    checker = Checker()
+    for name, value in values.items():
+        checker.add(name, value)
+    return checker.finish()
+
+
+class Checker:
+    """Collects declarations of several files and checks their references."""
+
+    def __init__(self):
+        self.problems: list[Problem] = []
+        self.zones: list[str] = []
+        self.named = {section: {} for section in SECTIONS}
+        self.places: dict[tuple[str, str], str] = {}
+
+    def add(self, name: str, value: dict) -> None:
+        """Take the declarations of one file."""
+        for zone in value.get("zones", []):
+            if zone in self.zones:
+                self.complain(f"{name}: zones", f"{zone!r} stands twice", "drop one")
+            self.zones.append(zone)
+        for section in SECTIONS:
+            for number, item in enumerate(value.get(section, [])):
+                self.add_item(section, item, f"{name}: {section}[{number}]")
+
+    def add_item(self, section: str, item: dict, where: str) -> None:
+        """Take one named declaration."""
+        key = (section, item["name"])
+        if key in self.places:
+            what = f"the name {item['name']!r} is taken by {self.places[key]}"
+            self.complain(f"{where}.name", what, "choose another name")
+            return
+        self.places[key] = where
+        self.named[section][item["name"]] = item
+
+    def complain(self, where: str, what: str, mend: str) -> None:
+        """Note a problem."""
+        self.problems.append(Problem(where, what, mend))
+
+    def refer(self, section, name, where) -> bool:
+        """Check that a name is declared."""
+        if name in self.named[section]:
+            return True
+        known = ", ".join(self.named[section]) or "none is declared"
+        self.complain(where, f"no such {section[:-1]}: {name!r}", f"known: {known}")
+        return False
+
+    def finish(self) -> Catalog | Invalid:
+        """Check all references; return the catalog."""
+        self.check_pools()
+        workspaces = self.check_workspaces()
+        self.check_trainers()
+        if self.problems:
+            return Invalid(tuple(self.problems))
+        named = self.named
+        source = {"zones": self.zones}
+        source |= {section: list(named[section].values()) for section in SECTIONS}
+        return Catalog(
+            source=source,
+            zones=tuple(self.zones),
+            pools={n: documents.build(v, Pool) for n, v in named["pools"].items()},
+            workspaces=workspaces,
+            trainers={
+                n: documents.build(v, Trainer) for n, v in named["trainers"].items()
+            },
+        )
+
+    def check_pools(self) -> None:
+        """Check the zones of the pools."""
+        for name, pool in self.named["pools"].items():
+            where = self.places["pools", name]
+            for zone in pool.get("zones", []):
+                if zone not in self.zones:
+                    known = ", ".join(self.zones) or "none is declared"
+                    what = f"no such zone: {zone!r}"
+                    self.complain(f"{where}.zones", what, f"known: {known}")
+
+    def check_workspaces(self) -> dict[str, Parameters]:
+        """Check templates and workspaces; return the effective parameters."""
+        for name, template in self.named["templates"].items():
+            self.check_parameters(template, self.places["templates", name])
+            self.chain(name, f"{self.places['templates', name]}.extends")
+        effective = {}
+        for name, workspace in self.named["workspaces"].items():
+            where = self.places["workspaces", name]
+            self.check_parameters(workspace, where)
+            if not self.refer("templates", workspace["template"], f"{where}.template"):
+                continue
+            merged = {}
+            for template in reversed(self.chain(workspace["template"], None)):
+                merged |= template.get("parameters", {})
+            merged |= workspace.get("parameters", {})
+            effective[name] = documents.build(merged, Parameters)
+        return effective
+
+    def chain(self, name: str, where: str | None) -> list[dict]:
+        """Return a template and those it extends; complains where told a place."""
+        seen, found = [], []
+        while name:
+            if name in seen:
+                if where:
+                    path = " -> ".join([*seen, name])
+                    self.complain(where, f"a cycle: {path}", "break it")
+                break
+            if name not in self.named["templates"]:
+                if where and len(seen) == 1:
+                    self.refer("templates", name, where)
+                break
+            seen.append(name)
+            found.append(self.named["templates"][name])
+            name = found[-1].get("extends", "")
+        return found
+
+    def check_parameters(self, item: dict, where: str) -> None:
+        """Check the pools that parameters name."""
+        parameters = item.get("parameters", {})
+        pool = parameters.get("model_pool")
+        if pool:
+            self.refer("pools", pool, f"{where}.parameters.model_pool")
+        for service, pool in parameters.get("services", {}).items():
+            self.refer("pools", pool, f"{where}.parameters.services.{service}")
+
+    def check_trainers(self) -> None:
+        """Check the workspaces and pools of the trainers."""
+        for name, trainer in self.named["trainers"].items():
+            where = self.places["trainers", name]
+            self.refer("workspaces", trainer["workspace"], f"{where}.workspace")
+            if not self.refer("pools", trainer["pool"], f"{where}.pool"):
+                continue
+            if self.named["pools"][trainer["pool"]]["kind"] != "model":
+                what = f"the pool {trainer['pool']!r} serves no model"
+                self.complain(f"{where}.pool", what, "name a pool of kind model")
--- /dev/null
+++ b/gypsumshift/entry.py
@@ -0,0 +1,139 @@
+"""Entry: the process on an entry host, for callers, trainers and operators."""
+
+from gypsumshift import logs
+from gypsumshift.callers import Callers
+from gypsumshift.dispatch import Dispatcher
+from gypsumshift.generated.messages import Role
+from gypsumshift.generation import Generator
+from gypsumshift.members import rank
+from gypsumshift.operators import Operators
+from gypsumshift.process import Process
+from gypsumshift.server import Request, Response, Server, problem
+from gypsumshift.trainers import Trainers
+
+__all__ = ["Entry"]
+
+SIDECARS_PER_POOL = 16
+ENTRIES_GREETED = 2
+BALANCER_PAUSE = 1.0
+
+log = logs.logger("entry")
+
+
+class Entry(Process):
+    """Process on an entry host.
+
+    It holds nothing that may not be lost: requests under way are the sidecars',
+    what must last is the platform's.
+    """
+
+    role = Role.ENTRY
+
+    def __init__(self, settings, platform=None, clock=None):
+        super().__init__(settings, platform, clock)
+        self.dispatcher = Dispatcher(self)
+        self.callers = Callers(self, self.dispatcher)
+        self.trainers = Trainers(self)
+        self.operator_face = Operators(self)
+        self.generator = Generator(self, self.dispatcher)
+        self.front = Server(self.serve_caller)
+        self.front_address = ("", 0)
+
+    async def start(self) -> None:
+        """Listen and run the tasks."""
+        await super().start()
+        settings = self.settings
+        port = await self.front.listen(settings.host, settings.caller_port)
+        self.front_address = (settings.host, port)
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        await self.front.stop(0)
+        await super().stop()
+
+    async def drain(self, deadline: float) -> None:
+        """Leave: the balancer first, then finish all requests, then stop."""
+        if self.own.leaving:
+            return
+        self.own.leaving = True
+        self.recorder.note("leaving", self.own.name)
+        log.info("Leaves; finishes what runs.")
+        self.wake.set()
+        await self.generator.release()
+        await self.clock.sleep(BALANCER_PAUSE)
+        await self.front.stop(deadline)
+        self.stopped.set()
+
+    def revision_changed(self) -> None:
+        """Start drivers for new trainers."""
+        self.generator.follow()
+
+    # Whom it knows
+
+    def polls(self):
+        """Tell whether this entry is one of its zone's pollers."""
+        return self.chosen_poller(self.view.entries())
+
+    def correspondents(self):
+        """Return its subset of every pool's sidecars, and a few entries."""
+        chosen = []
+        pools = {known.member.pool for known in self.view.known.values()}
+        for pool in pools - {""}:
+            chosen += self.subset(pool)
+        entries = self.view.entries()
+        self.random.shuffle(entries)
+        chosen += entries[:ENTRIES_GREETED]
+        if not entries:
+            return super().correspondents() + [known.address for known in chosen]
+        return [known.address for known in chosen]
+
+    def subset(self, pool: str):
+        """Return the sidecars of a pool that this entry works with."""
+        sidecars = self.view.sidecars(pool)
+        name, zone = self.own.name, self.own.zone
+        sidecars.sort(
+            key=lambda known: (
+                known.member.zone != zone,
+                -rank(name, known.member.name),
+            )
+        )
+        return sidecars[:SIDECARS_PER_POOL]
+
+    # Requests
+
+    async def serve_caller(self, request: Request) -> Response:
+        """Answer one request of a caller or trainer."""
+        if request.path == "/health":
+            return self.health()
+        if not self.in_force.ready:
+            detail = "this entry has no revision yet"
+            return problem(503, "not run", detail, retry_after=1.0)
+        workspace, slash, rest = request.path.lstrip("/").partition("/")
+        if workspace not in self.in_force.catalog.workspaces:
+            return problem(404, "not run", f"there is no workspace {workspace!r}")
+        if rest.startswith("trainers/"):
+            rest = rest.removeprefix("trainers/")
+            return await self.trainers.serve(request, workspace, rest)
+        return await self.callers.serve(request, workspace, slash + rest)
+
+    async def serve_operator(self, request):
+        """Answer one request on the operators' port."""
+        response = await self.operator_face.serve(request)
+        return response or await super().serve_operator(request)
+
+    def figures(self):
+        """Return the figures that `status` and the scrape page show."""
+        figures = super().figures()
+        figures["waiting"] = sum(self.callers.waiting.values())
+        figures["caller_connections"] = len(self.front.connections)
+        for pool, router in self.dispatcher.routers.items():
+            figures[f"ejected.{pool}"] = router.ejected()
+        for name, budget in self.dispatcher.budgets.items():
+            figures[f"retry_budget.{name}"] = round(budget.left, 2)
+        for name, driver in self.generator.drivers.items():
+            figures[f"drives.{name}"] = int(driver.lease.held)
+            figures[f"groups_running.{name}"] = len(driver.running)
+        for name, idle in self.trainers.idle.items():
+            figures[f"idle_seconds.{name}"] = round(idle, 4)
+            figures[f"staleness.{name}"] = round(self.trainers.staleness[name], 3)
+        return figures
--- /dev/null
+++ b/gypsumshift/exchange.py
@@ -0,0 +1,185 @@
+"""Exchange: one request that a sidecar sends to its backend server."""
+
+import json
+
+import attrs
+
+from gypsumshift.dialects import Dialect
+from gypsumshift.fetch import Exchange, Fetcher, FetchError
+from gypsumshift.generated.messages import Head, Header, Span, Start
+from gypsumshift.labels import Labeller
+
+__all__ = ["Reply", "StreamReader", "forward", "passed_on", "versions"]
+
+EVENT_LIMIT = 1024 * 1024
+HOP_HEADERS = {
+    b"connection",
+    b"content-length",
+    b"host",
+    b"keep-alive",
+    b"proxy-connection",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+    b"authorization",
+    b"expect",
+}
+
+
+def passed_on(headers) -> list[tuple[bytes, bytes]]:
+    """Return the header fields that are passed on from one connection to another."""
+    return [(name, value) for name, value in headers if name.lower() not in HOP_HEADERS]
+
+
+@attrs.define
+class StreamReader:
+    """Reads the events of a stream to label its tokens.
+
+    Attributes
+    ----------
+    dialect : Dialect
+    labeller : Labeller
+    rest : bytes
+        Begin of an event that is not complete yet.
+    """
+
+    dialect: Dialect
+    labeller: Labeller
+    rest: bytes = b""
+
+    def feed(self, data: bytes) -> None:
+        """Take some bytes of the stream."""
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        if len(self.rest) > EVENT_LIMIT:
+            raise FetchError(f"an event exceeds {EVENT_LIMIT} bytes", True)
+        for line in lines:
+            if line.startswith(b"data:"):
+                self.take(line[5:].strip())
+
+    def take(self, data: bytes) -> None:
+        """Take the data of one event."""
+        if data == b"[DONE]":
+            return
+        try:
+            piece = self.dialect.piece(json.loads(data))
+        except (ValueError, AttributeError, TypeError):
+            self.labeller.bare = True
+            return
+        self.labeller.add(piece.tokens, piece.version)
+
+    @property
+    def needs_after(self) -> bool:
+        """Whether the version after the stream must be asked for."""
+        return self.labeller.bare
+
+    def spans(self, after: int | None) -> list[Span]:
+        """Return the spans of a finished stream; none where a version is in doubt."""
+        return self.labeller.finish(after) or []
+
+
+@attrs.define
+class WholeReader:
+    """Finds the weight versions that a whole answer may come from.
+
+    Attributes
+    ----------
+    dialect : Dialect
+    before : int or None
+        Version that the engine reported last before the answer.
+    body : bytes
+    """
+
+    dialect: Dialect
+    before: int | None
+    body: bytes = b""
+    needs_after = False
+
+    def feed(self, data: bytes) -> None:
+        """Take some bytes of the answer."""
+        if len(self.body) <= EVENT_LIMIT:
+            self.body += data
+
+    def spans(self, after: int | None) -> list[Span]:
+        """Return empty spans that name the versions; none where none is reported."""
+        try:
+            version = self.dialect.piece(json.loads(self.body)).version
+        except (ValueError, AttributeError, TypeError):
+            return []
+        if version is None:
+            return []
+        # Not being a sample, it may name one version too many, never one too few.
+        earlier = {self.before} - {None}
+        return [Span(0, 0, each) for each in sorted(earlier | {version})]
+
+
+@attrs.define
+class Reply:
+    """An answer under way from the backend server.
+
+    Attributes
+    ----------
+    exchange : Exchange
+    head : Head
+    reader : StreamReader or WholeReader
+        Finds the weight versions in it.
+    """
+
+    exchange: Exchange
+    head: Head
+    reader: "StreamReader | WholeReader"
+
+    async def chunks(self):
+        """Yield the body as it comes, and label it on the way."""
+        async for data in self.exchange.chunks():
+            self.reader.feed(data)
+            yield data
+
+
+async def forward(
+    fetcher: Fetcher,
+    address: tuple[str, int],
+    start: Start,
+    dialect: Dialect,
+    before: int | None,
+) -> Reply:
+    """Send a request to the backend server and read the head of its answer.
+
+    Parameters
+    ----------
+    fetcher : Fetcher
+    address : (str, int)
+    start : Start
+    dialect : Dialect
+    before : int or None
+        Weight version that the engine reported last.
+
+    Raises
+    ------
+    FetchError
+        ``sent`` tells whether the request may have run.
+    """
+    headers = passed_on((header.name, header.value) for header in start.headers)
+    exchange = await fetcher.open(
+        address,
+        start.method,
+        start.target,
+        headers,
+        start.body,
+        fresh=not start.repeatable,
+    )
+    fields = passed_on(exchange.headers)
+    head = Head(exchange.status, [Header(name, value) for name, value in fields])
+    reader = WholeReader(dialect, before)
+    if (
+        dict(exchange.headers)
+        .get(b"content-type", b"")
+        .startswith(b"text/event-stream")
+    ):
+        reader = StreamReader(dialect, Labeller(before))
+    return Reply(exchange, head, reader)
+
+
+def versions(spans: list[Span]) -> list[int]:
+    """Return the weight versions of some spans, in order, each once."""
+    return list(dict.fromkeys(span.version for span in spans))
--- /dev/null
+++ b/gypsumshift/fetch.py
@@ -0,0 +1,252 @@
+"""Fetch: HTTP/1.1 towards backend servers and the platform, by h11.
+
+One exchange owns its connection. A connection is used again only after both
+sides of an exchange ended cleanly and nothing unread is left on it.
+"""
+
+import asyncio
+import contextlib
+
+import attrs
+import h11
+
+__all__ = ["Exchange", "FetchError", "Fetcher", "Fetched"]
+
+READ_SIZE = 64 * 1024
+IDLE_PER_ADDRESS = 64
+CONNECT_TIMEOUT = 2.0
+BODY_LIMIT = 64 * 1024 * 1024
+
+
+class FetchError(Exception):
+    """An exchange failed.
+
+    Parameters
+    ----------
+    reason : str
+        What failed.
+    sent : bool
+        Whether any byte of the request may have reached the server.
+    """
+
+    def __init__(self, reason: str, sent: bool):
+        super().__init__(reason)
+        self.sent = sent
+
+
+@attrs.frozen
+class Fetched:
+    """A whole answer.
+
+    Attributes
+    ----------
+    status : int
+    headers : list of (bytes, bytes)
+    body : bytes
+    """
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class Wire:
+    """One connection with its HTTP state."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+        self.state = h11.Connection(h11.CLIENT)
+
+    def reusable(self) -> bool:
+        """Tell whether another exchange may follow on this connection."""
+        done = self.state.our_state is h11.DONE and self.state.their_state is h11.DONE
+        return done and not self.state.trailing_data[0] and self.untouched()
+
+    def untouched(self) -> bool:
+        """Tell whether nothing has come since the last exchange, no end either."""
+        buffered = getattr(self.reader, "_buffer", b"")
+        return not buffered and not self.reader.at_eof()
+
+    def close(self) -> None:
+        """Cut the connection."""
+        self.writer.transport.abort()
+
+
+class Exchange:
+    """One request and its answer as it comes.
+
+    Parameters
+    ----------
+    fetcher : Fetcher
+    address : (str, int)
+    wire : Wire
+    """
+
+    def __init__(self, fetcher, address, wire):
+        self.fetcher = fetcher
+        self.address = address
+        self.wire = wire
+        self.status = 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.whole = False
+
+    async def event(self):
+        """Return the next event of the answer."""
+        try:
+            while True:
+                event = self.wire.state.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self.wire.state.receive_data(await self.wire.reader.read(READ_SIZE))
+        except (h11.RemoteProtocolError, ConnectionError) as error:
+            raise FetchError(f"the answer broke: {error}", True) from error
+
+    async def read_head(self) -> None:
+        """Read up to the answer's header fields."""
+        event = await self.event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self.event()
+        if not isinstance(event, h11.Response):
+            raise FetchError("the connection closed before the answer", True)
+        self.status = event.status_code
+        self.headers = list(event.headers)
+
+    async def chunks(self):
+        """Yield the body as it comes; an unfinished body raises `FetchError`."""
+        while True:
+            event = await self.event()
+            if isinstance(event, h11.EndOfMessage):
+                self.whole = True
+                return
+            if not isinstance(event, h11.Data):
+                raise FetchError("the answer ended before its end", True)
+            yield bytes(event.data)
+
+    async def read(self) -> bytes:
+        """Return the whole body."""
+        parts = bytearray()
+        async for data in self.chunks():
+            parts += data
+            if len(parts) > BODY_LIMIT:
+                raise FetchError(f"the answer exceeds {BODY_LIMIT} bytes", True)
+        return bytes(parts)
+
+    def close(self) -> None:
+        """Give the connection back where it is clean, else cut it."""
+        self.fetcher.release(self)
+
+
+class Fetcher:
+    """HTTP client with idle connections per address; owns them all."""
+
+    def __init__(self):
+        self.idle: dict[tuple[str, int], list[Wire]] = {}
+
+    async def connect(self, address: tuple[str, int]) -> Wire:
+        """Open a connection; failing that, nothing was sent."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                return Wire(*await asyncio.open_connection(*address))
+        except (OSError, TimeoutError) as error:
+            reason = f"no connection to {address[0]}:{address[1]}: {error}"
+            raise FetchError(reason, False) from error
+
+    def take(self, address: tuple[str, int]) -> Wire | None:
+        """Return an idle connection that is still clean."""
+        wires = self.idle.get(address, [])
+        while wires:
+            wire = wires.pop()
+            if wire.untouched():
+                return wire
+            wire.close()
+        return None
+
+    async def open(
+        self,
+        address: tuple[str, int],
+        method: str,
+        target: str,
+        headers: list[tuple],
+        body: bytes = b"",
+        fresh: bool = False,
+    ) -> Exchange:
+        """Send a request and read the head of its answer.
+
+        Parameters
+        ----------
+        address : (str, int)
+            IP number and port.
+        method, target : str
+        headers : list of (name, value)
+            Without those about the connection and the length.
+        body : bytes
+        fresh : bool
+            Open a new connection: one that lay idle may turn out closed only
+            after the request was sent, which leaves its fate unknown.
+
+        Returns
+        -------
+        Exchange
+            The caller must close it.
+
+        Raises
+        ------
+        FetchError
+            ``sent`` tells whether the server may have seen the request.
+        """
+        wire = None if fresh else self.take(address)
+        if wire is None:
+            wire = await self.connect(address)
+        exchange = Exchange(self, address, wire)
+        fields = [("host", f"{address[0]}:{address[1]}"), *headers]
+        fields.append(("content-length", str(len(body))))
+        try:
+            request = h11.Request(method=method, target=target, headers=fields)
+            data = wire.state.send(request)
+        except h11.LocalProtocolError as error:
+            wire.close()
+            raise FetchError(f"the request is malformed: {error}", False) from error
+        if body:
+            data += wire.state.send(h11.Data(body))
+        data += wire.state.send(h11.EndOfMessage())
+        try:
+            wire.writer.write(data)
+            await wire.writer.drain()
+            await exchange.read_head()
+        except BaseException as error:
+            wire.close()
+            if isinstance(error, ConnectionError):
+                raise FetchError(f"the connection broke: {error}", True) from error
+            raise
+        return exchange
+
+    async def fetch(
+        self, address, method, target, headers=(), body=b"", timeout=10.0
+    ) -> Fetched:
+        """Send a request and return its whole answer, within ``timeout`` seconds."""
+        try:
+            async with asyncio.timeout(timeout):
+                exchange = await self.open(address, method, target, list(headers), body)
+                with contextlib.closing(exchange):
+                    content = await exchange.read()
+                    return Fetched(exchange.status, exchange.headers, content)
+        except TimeoutError as error:
+            raise FetchError("no answer in time", True) from error
+
+    def release(self, exchange: Exchange) -> None:
+        """Keep the connection of an exchange where it is clean, else cut it."""
+        wire = exchange.wire
+        wires = self.idle.setdefault(exchange.address, [])
+        if not wire.reusable() or len(wires) >= IDLE_PER_ADDRESS:
+            wire.close()
+            return
+        wire.state.start_next_cycle()
+        wires.append(wire)
+
+    def close(self) -> None:
+        """Cut all idle connections."""
+        for wires in self.idle.values():
+            for wire in wires:
+                wire.close()
+        self.idle.clear()
--- /dev/null
+++ b/gypsumshift/frames.py
@@ -0,0 +1,93 @@
+"""Frames: Thrift structs on TCP connections between the system's processes."""
+
+import asyncio
+import struct
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.protocol.TProtocol import TProtocolException
+from thrift.Thrift import TException
+from thrift.transport.TTransport import TMemoryBuffer
+
+from gypsumshift.events import HybridClock, Timestamp
+from gypsumshift.generated.messages import Body, Frame
+
+__all__ = ["FrameError", "FrameStream", "decode", "encode"]
+
+LENGTH = struct.Struct(">I")
+FRAME_LIMIT = 16 * 1024 * 1024
+DRAIN_ABOVE = 256 * 1024
+FACTORY = TCompactProtocolAcceleratedFactory()
+
+
+class FrameError(Exception):
+    """The peer does not speak the protocol, or the connection ended."""
+
+
+def encode(frame: Frame) -> bytes:
+    """Return a frame as bytes, without its length."""
+    buffer = TMemoryBuffer()
+    frame.write(FACTORY.getProtocol(buffer))
+    return buffer.getvalue()
+
+
+def decode(data: bytes) -> Frame:
+    """Return the frame in some bytes."""
+    frame = Frame()
+    try:
+        frame.read(FACTORY.getProtocol(TMemoryBuffer(data)))
+    except (TException, TProtocolException, EOFError, ValueError, TypeError) as error:
+        raise FrameError(f"not a frame: {error}") from error
+    except (MemoryError, OverflowError, IndexError, SystemError) as error:
+        raise FrameError(f"not a frame: {error}") from error
+    if not isinstance(frame.body, Body) or frame.exchange is None:
+        raise FrameError("a frame without its parts")
+    return frame
+
+
+class FrameStream:
+    """One connection as a stream of frames.
+
+    Parameters
+    ----------
+    reader : asyncio.StreamReader
+    writer : asyncio.StreamWriter
+    hybrid : HybridClock
+        Stamps what is sent and observes what comes.
+    """
+
+    def __init__(self, reader, writer, hybrid: HybridClock):
+        self.reader = reader
+        self.writer = writer
+        self.hybrid = hybrid
+
+    async def receive(self) -> tuple[int, Body]:
+        """Return the next frame's exchange and body."""
+        try:
+            (length,) = LENGTH.unpack(await self.reader.readexactly(LENGTH.size))
+            if length > FRAME_LIMIT:
+                raise FrameError(f"a frame of {length} bytes")
+            data = await self.reader.readexactly(length)
+        except (asyncio.IncompleteReadError, ConnectionError) as error:
+            raise FrameError("the connection ended") from error
+        frame = decode(data)
+        self.hybrid.observe(Timestamp(frame.time_us or 0, frame.tick or 0))
+        return frame.exchange, frame.body
+
+    def post(self, exchange: int, body: Body) -> None:
+        """Write a frame without waiting."""
+        stamp = self.hybrid.tick()
+        data = encode(Frame(exchange, body, stamp.time_us, stamp.tick))
+        self.writer.write(LENGTH.pack(len(data)) + data)
+
+    async def send(self, exchange: int, body: Body) -> None:
+        """Write a frame; wait while the peer is slow to read."""
+        self.post(exchange, body)
+        if self.writer.transport.get_write_buffer_size() > DRAIN_ABOVE:
+            try:
+                await self.writer.drain()
+            except ConnectionError as error:
+                raise FrameError("the connection ended") from error
+
+    def abort(self) -> None:
+        """Cut the connection."""
+        self.writer.transport.abort()
--- /dev/null
+++ b/gypsumshift/keys.py
@@ -0,0 +1,282 @@
+"""Keys: requests that may not be repeated, each run at most once per key.
+
+A row of the table service owns each key. It is claimed for one attempt at one
+sidecar before anything is sent, and handed to another attempt only after that
+sidecar has barred the first. Where neither can be told the answer is "unknown".
+"""
+
+import base64
+import hashlib
+
+import attrs
+
+from gypsumshift import logs
+from gypsumshift.attempts import new_attempt
+from gypsumshift.clock import Clock
+from gypsumshift.dispatch import Dispatcher, Job, Lost, Refusal, Whole, mark, not_run
+from gypsumshift.generated.messages import AttemptState, Head, Header
+from gypsumshift.members import Known
+from gypsumshift.outcomes import (
+    Committed,
+    Conflict,
+    Missing,
+    NotRun,
+    Unavailable,
+    Unknown,
+)
+from gypsumshift.platforms import ABSENT, Platform, Row, Write
+from gypsumshift.settings import parse_address
+
+__all__ = ["KeyOwner", "Mismatch", "Replayed"]
+
+KEYS_TABLE = "keys"
+CLAIMED = "claimed"
+DONE = "done"
+INLINE_LIMIT = 16 * 1024
+TRIES = 8
+SETTLE_TRIES = 4
+PAUSE = 0.1
+KEEP_TRIES = 120
+KEEP_PAUSE = 1.0
+
+log = logs.logger("keys")
+
+
+@attrs.frozen
+class Mismatch:
+    """The key came before with another request."""
+
+
+@attrs.frozen
+class Replayed:
+    """The answer that an earlier request with the same key got.
+
+    Attributes
+    ----------
+    whole : Whole
+    """
+
+    whole: Whole
+
+
+@attrs.frozen
+class Claim:
+    """Who runs the request of a key.
+
+    Attributes
+    ----------
+    digest : str
+        Of the request, to tell a reused key.
+    attempt : str
+    backend : str
+    address : str
+        Peer address of the sidecar.
+    incarnation : int
+        Of the sidecar.
+    time : str
+        When it was claimed, for people and the sweeper.
+    """
+
+    digest: str
+    attempt: str
+    backend: str
+    address: str
+    incarnation: int
+    time: str
+
+
+def digest_of(job: Job) -> str:
+    """Return a digest of what a request asks for."""
+    parts = (job.method.encode(), job.target.encode(), job.body)
+    return hashlib.sha256(b"\0".join(parts)).hexdigest()
+
+
+def row_key(workspace: str, key: str) -> str:
+    """Return the key of the row that owns a caller's key."""
+    return f"{workspace}/{hashlib.sha256(key.encode()).hexdigest()}"
+
+
+class KeyOwner:
+    """Runs requests with keys, at most once each, through any entry.
+
+    Parameters
+    ----------
+    platform : Platform
+    dispatcher : Dispatcher
+    clock : Clock
+    """
+
+    def __init__(self, platform: Platform, dispatcher: Dispatcher, clock: Clock):
+        self.tables = platform.tables
+        self.objects = platform.objects
+        self.dispatcher = dispatcher
+        self.clock = clock
+
+    async def run(self, key: str, job: Job):
+        """Run a request, or tell what became of it.
+
+        Returns
+        -------
+        Whole, Replayed, Mismatch, NotRun or Unknown
+        """
+        place = row_key(job.workspace, key)
+        digest = digest_of(job)
+        row: Row | None = None
+        refusal = Refusal(f"no backend server of {job.pool} is known here", 1.0)
+        for _ in range(TRIES):
+            known = self.dispatcher.router(job.pool).choose(job.avoid, job.affinity)
+            if known is None or job.deadline <= self.clock.monotonic():
+                return not_run(refusal) if row is None else await self.inspect(row, job)
+            claim = self.claim(known, digest)
+            taken = await self.take(place, claim, row)
+            if isinstance(taken, NotRun):
+                return taken
+            if isinstance(taken, Row):
+                if taken.value["digest"] != digest:
+                    return Mismatch()
+                result = await self.inspect(taken, job)
+                if not isinstance(result, Refusal):
+                    return result
+                row, refusal = taken, result
+                continue
+            row, result = await self.run_claim(place, claim, known, job)
+            if not isinstance(result, Refusal):
+                return result
+            refusal = result
+        return not_run(refusal)
+
+    def claim(self, known: Known, digest: str) -> Claim:
+        """Return a claim for a new attempt at a sidecar."""
+        host, port = known.address
+        return Claim(
+            digest=digest,
+            attempt=new_attempt(mark(known)),
+            backend=known.member.backend,
+            address=f"{host}:{port}",
+            incarnation=known.member.incarnation,
+            time=self.clock.now().isoformat(timespec="seconds"),
+        )
+
+    async def take(self, place: str, claim: Claim, row: Row | None):
+        """Claim a key, in place of ``row`` where that one was barred.
+
+        Returns
+        -------
+        Committed, Row (of whoever else owns it) or NotRun
+        """
+        expected = ABSENT if row is None else row.version
+        value = attrs.asdict(claim) | {"state": CLAIMED}
+        for _ in range(SETTLE_TRIES):
+            write = Write(KEYS_TABLE, place, value, expected)
+            outcome = await self.tables.commit([write])
+            if isinstance(outcome, Committed):
+                return outcome
+            if isinstance(outcome, Unavailable):
+                break
+            found = await self.tables.read(KEYS_TABLE, place)
+            if isinstance(found, Unavailable):
+                break
+            if isinstance(found, Missing):
+                expected = ABSENT
+                continue
+            if found.value["attempt"] == claim.attempt:
+                return Committed()
+            if found.version != expected:
+                return found
+        # Nothing of this attempt was sent, whatever became of the row.
+        return not_run(Refusal("the platform cannot be asked who owns the key", 1.0))
+
+    async def run_claim(self, place: str, claim: Claim, known: Known, job: Job):
+        """Run a claimed attempt; return the row to claim over, and the result."""
+        job.avoid.add(known.member.name)
+        result = await self.dispatcher.attempt(job, known, claim.attempt)
+        if isinstance(result, Lost):
+            result = await self.dispatcher.settle(known, result)
+        if isinstance(result, Whole):
+            self.dispatcher.process.spawn(self.keep(place, claim, result))
+        if not isinstance(result, Refusal):
+            return None, result
+        row = await self.tables.read(KEYS_TABLE, place)
+        if isinstance(row, Row) and row.value["attempt"] == claim.attempt:
+            return row, result
+        return None, not_run(result)
+
+    async def inspect(self, row: Row, job: Job):
+        """Tell what became of the attempt that owns a key; bars it where it can.
+
+        Returns
+        -------
+        Replayed, Unknown, or a Refusal where it never ran and never will
+        """
+        if row.value["state"] == DONE:
+            return await self.replay(row)
+        address = parse_address(row.value["address"])
+        while True:
+            reply = await self.dispatcher.ask_bar(
+                address, row.value["incarnation"], row.value["attempt"]
+            )
+            if reply.state == AttemptState.NEVER:
+                return Refusal("the attempt before was barred", 0.2)
+            if reply.state == AttemptState.DONE:
+                whole = Whole(reply.head, reply.body, row.value["backend"])
+                return Replayed(whole)
+            if reply.state == AttemptState.UNKNOWN:
+                return await self.last_look(row)
+            if self.clock.monotonic() + PAUSE >= job.deadline:
+                return Unknown("the request with this key still runs")
+            await self.clock.sleep(PAUSE)
+
+    async def last_look(self, row: Row):
+        """Read the row once more: its answer may have been kept meanwhile."""
+        found = await self.tables.read(row.table, row.key)
+        if isinstance(found, Row) and found.value["state"] == DONE:
+            return await self.replay(found)
+        return Unknown("the sidecar that ran the request with this key is gone")
+
+    async def keep(self, place: str, claim: Claim, whole: Whole) -> None:
+        """Keep the answer of a key, trying again while the platform is down."""
+        value = attrs.asdict(claim) | {"state": DONE, "status": whole.head.status}
+        value["headers"] = [
+            [header.name.decode("latin-1"), header.value.decode("latin-1")]
+            for header in whole.head.headers
+        ]
+        for _ in range(KEEP_TRIES):
+            if await self.try_keep(place, claim, whole, value):
+                return
+            await self.clock.sleep(KEEP_PAUSE)
+        log.warning("Gave up keeping the answer of attempt {}.", claim.attempt)
+
+    async def try_keep(self, place: str, claim: Claim, whole: Whole, value) -> bool:
+        """Keep an answer once; return whether there is nothing left to do."""
+        if len(whole.body) <= INLINE_LIMIT:
+            value["body"] = base64.b64encode(whole.body).decode()
+        else:
+            name = f"answers/{claim.attempt}"
+            put = await self.objects.put(name, whole.body)
+            if not isinstance(put, (Committed, Conflict)):
+                return False
+            value["object"] = name
+        row = await self.tables.read(KEYS_TABLE, place)
+        if isinstance(row, Unavailable):
+            return False
+        if isinstance(row, Missing) or row.value["attempt"] != claim.attempt:
+            return True
+        outcome = await self.tables.commit(
+            [Write(KEYS_TABLE, place, value, row.version)]
+        )
+        return isinstance(outcome, Committed)
+
+    async def replay(self, row: Row):
+        """Return the answer kept in a row."""
+        value = row.value
+        if "object" in value:
+            body = await self.objects.get(value["object"])
+            if not isinstance(body, bytes):
+                return Unknown("the request ran; its answer cannot be read now")
+        else:
+            body = base64.b64decode(value["body"])
+        headers = [
+            Header(name.encode("latin-1"), text.encode("latin-1"))
+            for name, text in value["headers"]
+        ]
+        return Replayed(Whole(Head(value["status"], headers), body, value["backend"]))
--- /dev/null
+++ b/gypsumshift/platforms.py
@@ -0,0 +1,181 @@
+"""Platforms: the table service, object store, weight store and host list.
+
+One abstract base class per service. An adapter is chosen by the scheme of the
+URL in the settings; to join another platform, write one module with the four
+classes and a function registered with `register`.
+"""
+
+import abc
+import importlib
+from collections.abc import Callable
+
+import attrs
+
+from gypsumshift.outcomes import Missing, Unavailable, Written
+
+__all__ = [
+    "Host",
+    "Hosts",
+    "Objects",
+    "Platform",
+    "Row",
+    "Tables",
+    "Weights",
+    "Write",
+    "connect",
+    "register",
+]
+
+ABSENT = 0
+
+
+@attrs.frozen
+class Row:
+    """One row of a table.
+
+    Attributes
+    ----------
+    table, key : str
+        Where it stands.
+    version : int
+        Grows with each write of the row, from 1.
+    value : dict
+        JSON object.
+    """
+
+    table: str
+    key: str
+    version: int
+    value: dict
+
+
+@attrs.frozen
+class Write:
+    """One part of a transaction.
+
+    Attributes
+    ----------
+    table, key : str
+        The row.
+    value : dict or None
+        New value; None deletes the row, or only checks it where ``check`` is set.
+    expected : int or None
+        Version that the row must have (0: absent); None sets no condition.
+    check : bool
+        Whether the row is only checked and left as it is.
+    """
+
+    table: str
+    key: str
+    value: dict | None = None
+    expected: int | None = None
+    check: bool = False
+
+
+@attrs.frozen
+class Host:
+    """One entry of the platform's list of hosts.
+
+    Attributes
+    ----------
+    name : str
+        Name of the process on it.
+    address : str
+        IP number and peer port.
+    zone : str
+        Availability zone.
+    leaving : bool
+        Whether the platform is about to take it away.
+    """
+
+    name: str
+    address: str
+    zone: str
+    leaving: bool = False
+
+
+class Tables(abc.ABC):
+    """Transactional table service."""
+
+    @abc.abstractmethod
+    async def read(self, table: str, key: str) -> Row | Missing | Unavailable:
+        """Return one row."""
+
+    @abc.abstractmethod
+    async def scan(self, table: str, prefix: str) -> list[Row] | Unavailable:
+        """Return the rows whose keys begin with ``prefix``, in the keys' order."""
+
+    @abc.abstractmethod
+    async def commit(self, writes: list[Write]) -> Written:
+        """Apply all writes, or none where a condition does not hold."""
+
+
+class Objects(abc.ABC):
+    """Object store."""
+
+    @abc.abstractmethod
+    async def put(self, name: str, data: bytes) -> Written:
+        """Store an object once; a conflict says that the name is taken."""
+
+    @abc.abstractmethod
+    async def get(self, name: str) -> bytes | Missing | Unavailable:
+        """Return an object's bytes."""
+
+    @abc.abstractmethod
+    async def delete(self, name: str) -> Written:
+        """Remove an object; removing what is not there succeeds."""
+
+
+class Weights(abc.ABC):
+    """Rate-limited store of model weights."""
+
+    @abc.abstractmethod
+    async def publish(self, pool: str, version: int, data: bytes) -> Written:
+        """Store the weights of one version once."""
+
+
+class Hosts(abc.ABC):
+    """Lagging list of live and leaving hosts."""
+
+    @abc.abstractmethod
+    async def announce(self, host: Host) -> Written:
+        """Put this process on the list."""
+
+    @abc.abstractmethod
+    async def list(self) -> list[Host] | Unavailable:
+        """Return the list, which may be old."""
+
+
+@attrs.frozen
+class Platform:
+    """The four services of the platform.
+
+    Attributes
+    ----------
+    tables : Tables
+    objects : Objects
+    weights : Weights
+    hosts : Hosts
+    """
+
+    tables: Tables
+    objects: Objects
+    weights: Weights
+    hosts: Hosts
+
+
+ADAPTERS: dict[str, Callable[[str], Platform]] = {}
+BUILT_IN = {"memory": "gypsumshift.memory", "http": "gypsumshift.remote"}
+
+
+def register(scheme: str, connector: Callable[[str], Platform]) -> None:
+    """Make URLs of ``scheme`` connect by ``connector``."""
+    ADAPTERS[scheme] = connector
+
+
+def connect(url: str) -> Platform:
+    """Return the platform behind a URL; a scheme nobody registered is a KeyError."""
+    scheme = url.partition(":")[0]
+    if scheme not in ADAPTERS and scheme in BUILT_IN:
+        importlib.import_module(BUILT_IN[scheme])
+    return ADAPTERS[scheme](url)
--- /dev/null
+++ b/gypsumshift/remote.py
@@ -0,0 +1,173 @@
+"""Remote: the platform's services over HTTP and JSON, as the stand-in speaks them."""
+
+import json
+import urllib.parse
+
+import attrs
+
+from gypsumshift import platforms
+from gypsumshift.fetch import Fetched, Fetcher, FetchError
+from gypsumshift.outcomes import (
+    Committed,
+    Conflict,
+    Missing,
+    Unavailable,
+    Unknown,
+    Written,
+)
+from gypsumshift.platforms import Host, Row
+
+__all__ = ["RemoteHosts", "RemoteObjects", "RemoteTables", "RemoteWeights", "connect"]
+
+READ_TIMEOUT = 2.0
+WRITE_TIMEOUT = 3.0
+JSON_HEADERS = [("content-type", "application/json")]
+
+
+def quoted(name: str) -> str:
+    """Return a name as one part of a path."""
+    return urllib.parse.quote(name, safe="")
+
+
+class Caller:
+    """Calls one platform over HTTP.
+
+    Parameters
+    ----------
+    address : (str, int)
+        IP number and port.
+    """
+
+    def __init__(self, address: tuple[str, int]):
+        self.address = address
+        self.fetcher = Fetcher()
+
+    async def read(self, target: str) -> bytes | Missing | Unavailable:
+        """Read something; reading has no unknown end."""
+        try:
+            answer = await self.fetcher.fetch(
+                self.address, "GET", target, timeout=READ_TIMEOUT
+            )
+        except FetchError as error:
+            return Unavailable(str(error))
+        if answer.status == 404:
+            return Missing()
+        if answer.status != 200:
+            return Unavailable(f"status {answer.status}")
+        return answer.body
+
+    async def read_json(self, target: str) -> object:
+        """Read something and parse it."""
+        data = await self.read(target)
+        return json.loads(data) if isinstance(data, bytes) else data
+
+    async def write(self, method: str, target: str, body: bytes = b"") -> Written:
+        """Write something; an answer that is lost leaves the outcome unknown."""
+        try:
+            answer = await self.fetcher.fetch(
+                self.address, method, target, JSON_HEADERS, body, WRITE_TIMEOUT
+            )
+        except FetchError as error:
+            return Unknown(str(error)) if error.sent else Unavailable(str(error))
+        return written(answer)
+
+
+def written(answer: Fetched) -> Written:
+    """Return the outcome that a status says."""
+    if answer.status in (200, 201, 204):
+        return Committed()
+    if answer.status in (409, 412):
+        return Conflict(answer.body.decode("utf-8", "replace"))
+    if answer.status == 503:
+        return Unavailable("the platform says that it is down")
+    return Unknown(f"status {answer.status}")
+
+
+class RemoteTables(platforms.Tables):
+    """Table service over HTTP."""
+
+    def __init__(self, caller: Caller):
+        self.caller = caller
+
+    async def read(self, table, key):
+        """Return one row."""
+        target = f"/tables/{quoted(table)}/{quoted(key)}"
+        value = await self.caller.read_json(target)
+        return Row(**value) if isinstance(value, dict) else value
+
+    async def scan(self, table, prefix):
+        """Return the rows whose keys begin with ``prefix``, in the keys' order."""
+        target = f"/tables/{quoted(table)}?prefix={quoted(prefix)}"
+        value = await self.caller.read_json(target)
+        if isinstance(value, Missing):
+            return []
+        return [Row(**row) for row in value] if isinstance(value, list) else value
+
+    async def commit(self, writes):
+        """Apply all writes, or none where a condition does not hold."""
+        body = json.dumps([attrs.asdict(write) for write in writes]).encode()
+        return await self.caller.write("POST", "/tables", body)
+
+
+class RemoteObjects(platforms.Objects):
+    """Object store over HTTP."""
+
+    def __init__(self, caller: Caller):
+        self.caller = caller
+
+    async def put(self, name, data):
+        """Store an object once; a conflict says that the name is taken."""
+        return await self.caller.write("PUT", f"/objects/{quoted(name)}", data)
+
+    async def get(self, name):
+        """Return an object's bytes."""
+        return await self.caller.read(f"/objects/{quoted(name)}")
+
+    async def delete(self, name):
+        """Remove an object; removing what is not there succeeds."""
+        return await self.caller.write("DELETE", f"/objects/{quoted(name)}")
+
+
+class RemoteWeights(platforms.Weights):
+    """Weight store over HTTP."""
+
+    def __init__(self, caller: Caller):
+        self.caller = caller
+
+    async def publish(self, pool, version, data):
+        """Store the weights of one version once."""
+        return await self.caller.write(
+            "PUT", f"/weights/{quoted(pool)}/{version}", data
+        )
+
+
+class RemoteHosts(platforms.Hosts):
+    """Host list over HTTP."""
+
+    def __init__(self, caller: Caller):
+        self.caller = caller
+
+    async def announce(self, host):
+        """Put this process on the list."""
+        body = json.dumps(attrs.asdict(host)).encode()
+        return await self.caller.write("PUT", f"/hosts/{quoted(host.name)}", body)
+
+    async def list(self):
+        """Return the list, which may be old."""
+        value = await self.caller.read_json("/hosts")
+        return [Host(**host) for host in value] if isinstance(value, list) else value
+
+
+def connect(url: str) -> platforms.Platform:
+    """Return the platform behind an ``http:`` URL."""
+    parts = urllib.parse.urlsplit(url)
+    caller = Caller((parts.hostname, parts.port or 80))
+    return platforms.Platform(
+        RemoteTables(caller),
+        RemoteObjects(caller),
+        RemoteWeights(caller),
+        RemoteHosts(caller),
+    )
+
+
+platforms.register("http", connect)
--- /dev/null
+++ b/gypsumshift/server.py
@@ -0,0 +1,319 @@
+"""Server: HTTP/1.1 towards callers, trainers and operators, by h11."""
+
+import asyncio
+import json
+import urllib.parse
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import attrs
+import h11
+
+from gypsumshift import logs
+
+__all__ = ["Abandon", "Request", "Response", "Server", "json_response", "problem"]
+
+HEADER_LIMIT = 32 * 1024
+BODY_LIMIT = 8 * 1024 * 1024
+READ_SIZE = 64 * 1024
+PIPELINE_LIMIT = 256 * 1024
+HEADER_TIMEOUT = 15.0
+IDLE_TIMEOUT = 75.0
+CONNECTION_LIMIT = 20_000
+
+log = logs.logger("http")
+
+
+class Abandon(Exception):
+    """Raised by a body in the making: the answer cannot be completed."""
+
+
+@attrs.define
+class Request:
+    """One request, read whole.
+
+    Attributes
+    ----------
+    method : str
+    path : str
+        Path of the target, still percent-encoded.
+    query : str
+        Query of the target, without the question mark.
+    headers : list of (str, str)
+        Names in lower case.
+    body : bytes
+    """
+
+    method: str
+    path: str
+    query: str = ""
+    headers: list[tuple[str, str]] = attrs.field(factory=list)
+    body: bytes = b""
+
+    def header(self, name: str, default: str = "") -> str:
+        """Return the first header field of that lower-case name."""
+        return next((value for key, value in self.headers if key == name), default)
+
+    def parameter(self, name: str, default: str = "") -> str:
+        """Return a parameter of the query."""
+        return urllib.parse.parse_qs(self.query).get(name, [default])[0]
+
+
+@attrs.define
+class Response:
+    """One answer.
+
+    Attributes
+    ----------
+    status : int
+    headers : list of (str, str)
+    body : bytes or async iterator of bytes
+        An iterator is sent as it comes; `Abandon` from it cuts the connection,
+        so that a part is never taken for the whole.
+    trailers : callable
+        Called after a streamed body; returns header fields to send behind it.
+    """
+
+    status: int
+    headers: list[tuple[str, str]] = attrs.field(factory=list)
+    body: bytes | AsyncIterator[bytes] = b""
+    trailers: Callable[[], list[tuple[str, str]]] = list
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+def json_response(status: int, value: object) -> Response:
+    """Return an answer that carries a value as JSON."""
+    body = json.dumps(value).encode() + b"\n"
+    return Response(status, [("content-type", "application/json")], body)
+
+
+def problem(status: int, outcome: str, detail: str, **members) -> Response:
+    """Return a problem document (RFC 9457).
+
+    Parameters
+    ----------
+    status : int
+        HTTP status code.
+    outcome : {'not run', 'unknown', 'answered'}
+        What became of the request.
+    detail : str
+        One sentence for people.
+    **members
+        Further members of the document; ``retry_after`` (seconds) also becomes
+        the header field.
+    """
+    value = {"type": "about:blank", "status": status, "outcome": outcome}
+    value |= {"detail": detail, **members}
+    headers = [("content-type", "application/problem+json")]
+    if "retry_after" in members:
+        headers.append(("retry-after", str(max(1, round(members["retry_after"])))))
+    return Response(status, headers, json.dumps(value).encode() + b"\n")
+
+
+class Server:
+    """HTTP server that owns its listening socket and connections.
+
+    Parameters
+    ----------
+    handler : callable
+        Takes a `Request`, returns a `Response`.
+    """
+
+    def __init__(self, handler: Handler):
+        self.handler = handler
+        self.connections: set[asyncio.Task] = set()
+        self.listener: asyncio.Server | None = None
+        self.closing = False
+
+    async def listen(self, host: str, port: int) -> int:
+        """Listen on an address; return the port taken."""
+        self.listener = await asyncio.start_server(
+            self.accept, host, port, backlog=4096
+        )
+        return self.listener.sockets[0].getsockname()[1]
+
+    def accept(self, reader, writer) -> None:
+        """Serve a connection in a task of its own."""
+        if len(self.connections) >= CONNECTION_LIMIT:
+            writer.close()
+            return
+        task = asyncio.create_task(self.serve(reader, writer))
+        self.connections.add(task)
+        task.add_done_callback(self.connections.discard)
+
+    async def serve(self, reader, writer) -> None:
+        """Serve one connection until it ends."""
+        try:
+            await Connection(self, reader, writer).run()
+        except (ConnectionError, TimeoutError, h11.ProtocolError):
+            pass
+        finally:
+            writer.close()
+
+    async def stop(self, grace: float) -> None:
+        """Take no new connection; wait for running requests up to ``grace`` seconds."""
+        self.closing = True
+        if self.listener:
+            self.listener.close()
+        if self.connections:
+            await asyncio.wait(set(self.connections), timeout=grace)
+        for task in list(self.connections):
+            task.cancel()
+
+
+class Connection:
+    """One connection of a server; handles one request after another.
+
+    Parameters
+    ----------
+    server : Server
+    reader : asyncio.StreamReader
+    writer : asyncio.StreamWriter
+    """
+
+    def __init__(self, server, reader, writer):
+        self.server = server
+        self.reader = reader
+        self.writer = writer
+        self.wire = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT)
+        self.reading: asyncio.Task | None = None
+
+    async def run(self) -> None:
+        """Serve requests until either side closes."""
+        try:
+            while await self.exchange():
+                if self.wire.our_state is h11.MUST_CLOSE or self.server.closing:
+                    break
+                self.wire.start_next_cycle()
+        except h11.RemoteProtocolError as error:
+            await self.refuse(error.error_status_hint or 400, str(error))
+        finally:
+            if self.reading:
+                self.reading.cancel()
+
+    async def exchange(self) -> bool:
+        """Serve one request; return whether another may follow."""
+        request = await self.read_request()
+        if request is None:
+            return False
+        response = await self.answer(request)
+        if response is None:
+            return False
+        if not await self.send(response, request.method):
+            return False
+        return self.wire.our_state in (h11.DONE, h11.MUST_CLOSE)
+
+    async def read_request(self) -> Request | None:
+        """Read a request whole; None where the connection ended instead."""
+        head = await self.next_event(IDLE_TIMEOUT)
+        if not isinstance(head, h11.Request):
+            return None
+        body = bytearray()
+        while True:
+            event = await self.next_event(HEADER_TIMEOUT)
+            if isinstance(event, h11.EndOfMessage):
+                break
+            if not isinstance(event, h11.Data):
+                return None
+            body += event.data
+            if len(body) > BODY_LIMIT:
+                await self.refuse(413, f"the body exceeds {BODY_LIMIT} bytes")
+                return None
+        target = head.target.decode("ascii", "replace")
+        path, _, query = target.partition("?")
+        headers = [(k.decode(), v.decode("latin-1")) for k, v in head.headers]
+        return Request(head.method.decode(), path, query, headers, bytes(body))
+
+    async def next_event(self, timeout: float):
+        """Return the next event of the peer; reads as needed."""
+        async with asyncio.timeout(timeout):
+            while True:
+                event = self.wire.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                if self.wire.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(status_code=100, headers=[])
+                    self.writer.write(self.wire.send(go_on))
+                self.wire.receive_data(await self.read())
+
+    async def read(self) -> bytes:
+        """Read some bytes, through the read that may be pending already."""
+        if self.reading is None:
+            self.reading = asyncio.ensure_future(self.reader.read(READ_SIZE))
+        data = await asyncio.shield(self.reading)
+        self.reading = None
+        return data
+
+    async def answer(self, request: Request) -> Response | None:
+        """Run the handler; None where the caller went away meanwhile."""
+        handling = asyncio.ensure_future(self.server.handler(request))
+        buffered = 0
+        try:
+            while not handling.done():
+                if self.reading is None and buffered < PIPELINE_LIMIT:
+                    self.reading = asyncio.ensure_future(self.reader.read(READ_SIZE))
+                waiting = {handling} | ({self.reading} if self.reading else set())
+                await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+                if self.reading and self.reading.done() and not handling.done():
+                    data = self.reading.result()
+                    self.reading = None
+                    if not data:
+                        return None
+                    buffered += len(data)
+                    self.wire.receive_data(data)
+            return handling.result()
+        finally:
+            if not handling.done():
+                handling.cancel()
+                await asyncio.wait({handling})
+
+    async def send(self, response: Response, method: str) -> bool:
+        """Send an answer; return whether it is whole."""
+        headers = list(response.headers)
+        streamed = not isinstance(response.body, bytes)
+        if streamed:
+            headers.append(("transfer-encoding", "chunked"))
+        elif not any(key == "content-length" for key, _ in headers):
+            headers.append(("content-length", str(len(response.body))))
+        if self.server.closing:
+            headers.append(("connection", "close"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        self.writer.write(self.wire.send(head))
+        if not streamed:
+            if response.body and method != "HEAD":
+                self.writer.write(self.wire.send(h11.Data(response.body)))
+            self.writer.write(self.wire.send(h11.EndOfMessage()))
+            await self.writer.drain()
+            return True
+        return await self.send_stream(response)
+
+    async def send_stream(self, response: Response) -> bool:
+        """Send a streamed body with its trailers; return whether it is whole."""
+        try:
+            async for data in response.body:
+                if data:
+                    self.writer.write(self.wire.send(h11.Data(data)))
+                    await self.writer.drain()
+        except Abandon as reason:
+            log.info("Cut a streamed answer: {}.", reason)
+            return False
+        finally:
+            await response.body.aclose()
+        end = h11.EndOfMessage(headers=response.trailers())
+        self.writer.write(self.wire.send(end))
+        await self.writer.drain()
+        return True
+
+    async def refuse(self, status: int, detail: str) -> None:
+        """Answer a request that cannot be read, and close."""
+        if self.wire.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        response = problem(status, "not run", detail)
+        headers = [*response.headers, ("connection", "close")]
+        headers.append(("content-length", str(len(response.body))))
+        head = h11.Response(status_code=status, headers=headers)
+        self.writer.write(self.wire.send(head))
+        self.writer.write(self.wire.send(h11.Data(response.body)))
+        self.writer.write(self.wire.send(h11.EndOfMessage()))
+        await self.writer.drain()
--- /dev/null
+++ b/gypsumshift/settings.py
@@ -0,0 +1,62 @@
+"""Settings: where one process runs and whom it asks."""
+
+import os
+import pathlib
+
+from gypsumshift import documents, platforms
+from gypsumshift.generated.settings import Settings
+from gypsumshift.outcomes import Invalid, Problem
+
+__all__ = ["Settings", "load", "operator_token", "parse_address"]
+
+SCHEMA = "settings.schema.json"
+TOKEN_VARIABLE = "GYPSUMSHIFT_OPERATOR_TOKEN"
+SIDECAR_NEEDS = ("pool", "backend", "backend_url")
+
+
+def load(path: pathlib.Path) -> Settings | Invalid:
+    """Return the settings in a file, or all that is wrong with it."""
+    value = documents.read(path)
+    if isinstance(value, Invalid):
+        return value
+    problems = documents.check(value, documents.schema_of(SCHEMA), str(path))
+    if problems:
+        return Invalid(tuple(problems))
+    settings = documents.build(value, Settings)
+    problems = cross_check(settings, str(path))
+    return Invalid(tuple(problems)) if problems else settings
+
+
+def cross_check(settings: Settings, name: str) -> list[Problem]:
+    """Return what is wrong between the fields."""
+    problems = []
+    if settings.role == "sidecar":
+        for field in SIDECAR_NEEDS:
+            if not getattr(settings, field):
+                what = "a sidecar needs it"
+                problems.append(Problem(f"{name}: {field}", what, f"set {field}"))
+    scheme = settings.platform.partition(":")[0]
+    known = set(platforms.BUILT_IN) | set(platforms.ADAPTERS)
+    if scheme not in known:
+        what = f"no adapter for the scheme {scheme!r}"
+        mend = f"use one of: {', '.join(sorted(known))}"
+        problems.append(Problem(f"{name}: platform", what, mend))
+    token_file = settings.operator_token_file
+    if token_file and not pathlib.Path(token_file).is_file():
+        what = f"there is no file {token_file!r}"
+        mend = "write the token into it, or leave the field out"
+        problems.append(Problem(f"{name}: operator_token_file", what, mend))
+    return problems
+
+
+def operator_token(settings: Settings) -> str:
+    """Return the operators' bearer token; empty where none is asked for."""
+    if settings.operator_token_file:
+        return pathlib.Path(settings.operator_token_file).read_text().strip()
+    return os.environ.get(TOKEN_VARIABLE, "")
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Return the IP number and port in ``number:port``."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/gypsumshift/trainers.py
@@ -0,0 +1,260 @@
+"""Trainers: the HTTP face for groups, steps and weights."""
+
+import asyncio
+import json
+
+import attrs
+
+from gypsumshift import documents
+from gypsumshift.generated.declarations import Trainer
+from gypsumshift.ledger import Group, Ledger, Step
+from gypsumshift.outcomes import (
+    Committed,
+    Conflict,
+    Missing,
+    Unavailable,
+    Unknown,
+)
+from gypsumshift.platforms import ABSENT, Write
+from gypsumshift.process import WEIGHTS_PREFIX, Process
+from gypsumshift.revisions import HEADS_TABLE
+from gypsumshift.server import Request, Response, json_response, problem
+
+__all__ = ["Trainers"]
+
+GROUPS_PER_SUBMIT = 4096
+WAIT_DEFAULT = 20.0
+WAIT_MOST = 60.0
+SEAL_PERIOD = 0.2
+RETRY_AFTER = 1.0
+PUBLISH_TRIES = 4
+GROUP_SCHEMA = {
+    "type": "array",
+    "maxItems": GROUPS_PER_SUBMIT,
+    "description": f"a list of at most {GROUPS_PER_SUBMIT} groups",
+    "items": {
+        "type": "object",
+        "additionalProperties": False,
+        "required": ["id", "prompt"],
+        "description": "an object with id and prompt",
+        "properties": {
+            "id": {
+                "type": "string",
+                "pattern": "^[A-Za-z0-9._-]{1,128}$",
+                "description": "1 to 128 letters, digits, dots, hyphens, underscores",
+            },
+            "prompt": {
+                "type": "string",
+                "maxLength": 65536,
+                "description": "text of at most 65536 characters",
+            },
+            "samples": {
+                "type": "integer",
+                "minimum": 1,
+                "maximum": 1024,
+                "description": "a number from 1 to 1024",
+            },
+            "max_tokens": {
+                "type": "integer",
+                "minimum": 1,
+                "maximum": 131072,
+                "description": "a number from 1 to 131072",
+            },
+            "temperature": {
+                "type": "number",
+                "minimum": 0,
+                "maximum": 10,
+                "description": "a number from 0 to 10",
+            },
+        },
+    },
+}
+
+
+class Trainers:
+    """Answers trainers; any entry can, at any time.
+
+    Parameters
+    ----------
+    process : Process
+    """
+
+    def __init__(self, process: Process):
+        self.process = process
+        self.clock = process.clock
+        self.platform = process.platform
+        self.idle: dict[str, float] = {}
+        self.staleness: dict[str, float] = {}
+
+    async def serve(self, request: Request, workspace: str, rest: str) -> Response:
+        """Answer one request of a trainer.
+
+        Parameters
+        ----------
+        request : Request
+        workspace : str
+        rest : str
+            Path behind ``/trainers/``.
+        """
+        name, _, what = rest.partition("/")
+        trainer = self.process.in_force.catalog.trainers.get(name)
+        if trainer is None or trainer.workspace != workspace:
+            return problem(404, "not run", f"{workspace} has no trainer {name!r}")
+        kind, _, argument = what.partition("/")
+        if kind == "groups" and request.method == "POST" and not argument:
+            return await self.submit(trainer, request)
+        if kind == "steps" and request.method == "GET" and argument.isdigit():
+            return await self.pull(trainer, int(argument), request)
+        if kind == "weights" and request.method == "PUT" and argument.isdigit():
+            return await self.publish(trainer, int(argument), request)
+        if not kind and request.method == "GET":
+            return await self.show(trainer)
+        return problem(404, "not run", f"a trainer has no {request.method} {what!r}")
+
+    async def submit(self, trainer: Trainer, request: Request) -> Response:
+        """Accept groups, each once per id."""
+        try:
+            value = json.loads(request.body)
+        except ValueError as error:
+            return problem(400, "not run", f"the body is not JSON: {error}")
+        problems = documents.check(value, GROUP_SCHEMA, "body")
+        if problems:
+            return problem(422, "not run", str(problems[0]))
+        groups = documents.build(value, list[Group])
+        outcome = await Ledger(self.platform, trainer.name).submit(groups)
+        if isinstance(outcome, (Unavailable, Unknown)):
+            return unsure(outcome)
+        self.process.recorder.note("groups", trainer.name, f"{outcome} accepted")
+        return json_response(202, {"accepted": outcome, "known": len(groups) - outcome})
+
+    async def pull(self, trainer: Trainer, number: int, request: Request) -> Response:
+        """Deliver a step: the same number always gives the same samples."""
+        version = request.parameter("version", "0")
+        wait = request.parameter("wait", str(WAIT_DEFAULT))
+        if not version.isdigit() or not is_seconds(wait):
+            detail = "version takes a whole number, wait takes seconds"
+            return problem(400, "not run", detail)
+        if number < 1:
+            return problem(404, "not run", "steps count from 1")
+        began = self.clock.monotonic()
+        ledger = Ledger(self.platform, trainer.name)
+        trainee = await ledger.want(number, int(version))
+        if isinstance(trainee, Conflict):
+            return problem(409, "not run", trainee.detail)
+        if isinstance(trainee, Unavailable):
+            return unsure(trainee)
+        deadline = began + min(float(wait), WAIT_MOST)
+        step = await self.await_step(ledger, trainer, number, deadline)
+        if isinstance(step, Step):
+            return await self.deliver(ledger, trainer, step, began)
+        if number <= trainee.sealed and isinstance(step, Missing):
+            return problem(410, "not run", f"step {number} is no longer kept")
+        detail = f"step {number} is not complete yet"
+        return problem(503, "not run", detail, retry_after=RETRY_AFTER)
+
+    async def await_step(self, ledger, trainer: Trainer, number: int, deadline: float):
+        """Return a step, sealing it as soon as enough groups are ready."""
+        while True:
+            step = await ledger.step(number)
+            if isinstance(step, Step):
+                return step
+            sealed = await ledger.seal(trainer.groups_per_step, trainer.staleness_bound)
+            if isinstance(sealed, Step) and sealed.number == number:
+                subject = f"{trainer.name}/{number}"
+                self.process.recorder.note("sealed", subject, f"for {sealed.version}")
+                return sealed
+            if isinstance(sealed, Step) and sealed.number > number:
+                return Missing()
+            if self.clock.monotonic() >= deadline:
+                return sealed
+            await self.clock.sleep(SEAL_PERIOD)
+
+    async def deliver(self, ledger, trainer: Trainer, step: Step, began) -> Response:
+        """Return a step's samples."""
+        samples = await ledger.samples(step)
+        if isinstance(samples, Missing):
+            return problem(410, "not run", f"step {step.number} is no longer kept")
+        if isinstance(samples, Unavailable):
+            return unsure(samples)
+        idle = self.clock.monotonic() - began
+        lag = [step.version - sample.oldest for sample in samples]
+        self.idle[trainer.name] = idle
+        self.staleness[trainer.name] = sum(lag) / len(lag)
+        self.process.metrics.time("trainer_idle", idle, trainer=trainer.name)
+        self.process.recorder.note("delivered", f"{trainer.name}/{step.number}")
+        self.process.spawn(ledger.sweep(step.number - 1))
+        return json_response(
+            200,
+            {
+                "step": step.number,
+                "version": step.version,
+                "idle_seconds": round(idle, 6),
+                "mean_staleness": sum(lag) / len(lag),
+                "samples": [attrs.asdict(sample) for sample in samples],
+            },
+        )
+
+    async def publish(self, trainer: Trainer, version: int, request) -> Response:
+        """Publish weights: store them, then name the version to everyone."""
+        if not trainer.publishes:
+            return problem(403, "not run", f"{trainer.name} may not publish weights")
+        pool = trainer.pool
+        stored = await self.platform.weights.publish(pool, version, request.body)
+        if isinstance(stored, (Unavailable, Unknown)):
+            return unsure(stored)
+        for _ in range(PUBLISH_TRIES):
+            outcome = await self.name_version(trainer, version)
+            if isinstance(outcome, Committed):
+                self.process.set_target(pool, version)
+                return json_response(200, {"pool": pool, "version": version})
+            if isinstance(outcome, Unavailable):
+                return unsure(outcome)
+        return unsure(Unknown("the platform's answer was lost"))
+
+    async def name_version(self, trainer: Trainer, version: int):
+        """Name a version as the newest of a pool, where it is."""
+        key = WEIGHTS_PREFIX + trainer.pool
+        row = await self.platform.tables.read(HEADS_TABLE, key)
+        if isinstance(row, Unavailable):
+            return row
+        if not isinstance(row, Missing) and row.value["version"] >= version:
+            return Committed()
+        expected = ABSENT if isinstance(row, Missing) else row.version
+        value = {
+            "version": version,
+            "trainer": trainer.name,
+            "time": self.clock.now().isoformat(timespec="seconds"),
+        }
+        write = Write(HEADS_TABLE, key, value, expected)
+        return await self.platform.tables.commit([write])
+
+    async def show(self, trainer: Trainer) -> Response:
+        """Tell where a trainer stands."""
+        ledger = Ledger(self.platform, trainer.name)
+        trainee, pairs = await asyncio.gather(ledger.trainee(), ledger.groups())
+        if isinstance(trainee, Unavailable) or isinstance(pairs, Unavailable):
+            return unsure(Unavailable("the platform is down"))
+        groups = [group for _, group in pairs]
+        failed = {group.id: group.failed for group in groups if group.failed}
+        value = attrs.asdict(trainee)
+        del value["row_version"]
+        value["ready"] = sum(1 for group in groups if group.ready)
+        value["open"] = sum(1 for group in groups if group.waits)
+        return json_response(200, value | {"failed": failed})
+
+
+def is_seconds(text: str) -> bool:
+    """Tell whether a text is a number of seconds, at least 0."""
+    try:
+        return float(text) >= 0
+    except ValueError:
+        return False
+
+
+def unsure(outcome: Unavailable | Unknown) -> Response:
+    """Return the answer for an outcome that calls for another try."""
+    if isinstance(outcome, Unknown):
+        detail = f"{outcome.reason}; the same request again is harmless"
+        return problem(504, "unknown", detail, retry_after=RETRY_AFTER)
+    detail = f"the platform cannot be asked: {outcome.reason}"
+    return problem(503, "not run", detail, retry_after=RETRY_AFTER)
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,380 @@
+"""Stand-in for a model engine: continuous batching, prefix cache, weights.
+
+``python -m standins.engine --port 9100 --pool NAME --platform URL``. Faults are
+switched on at ``PUT /standin`` with a JSON object of the fields of `Faults`.
+"""
+
+import asyncio
+import collections
+import hashlib
+import heapq
+import itertools
+import json
+import random
+from typing import Annotated
+
+import attrs
+import typer
+
+from gypsumshift.fetch import Fetcher, FetchError
+from gypsumshift.server import Abandon, Request, Response, Server, json_response
+from gypsumshift.settings import parse_address
+
+BLOCK = 16
+REPORT_PERIOD = 0.5
+VOCABULARY = 50_000
+
+
+@attrs.define
+class Faults:
+    """Switches.
+
+    Attributes
+    ----------
+    fail_swaps : int
+        Load orders still to be answered 500 without a change.
+    half_swaps : int
+        Load orders still to be answered 200 without a change.
+    late_swaps : float
+        Seconds by which the answer to a load order is late.
+    slow : float
+        Factor on the time of a step.
+    break_streams : int
+        Streams still to be broken in their middle.
+    bare : bool
+        Whether tokens come without their weight version.
+    """
+
+    fail_swaps: int = 0
+    half_swaps: int = 0
+    late_swaps: float = 0.0
+    slow: float = 1.0
+    break_streams: int = 0
+    bare: bool = False
+
+
+@attrs.define(eq=False)
+class Sequence:
+    """One completion under way."""
+
+    prompt: str
+    most: int
+    priority: int
+    seed: int
+    tokens: asyncio.Queue = attrs.field(factory=asyncio.Queue)
+    made: int = 0
+    prefill: int = 0
+    gone: bool = False
+    breaks: bool = False
+
+
+@attrs.define
+class Speed:
+    """How long a step takes, in seconds.
+
+    Attributes
+    ----------
+    step : float
+        Of any step.
+    sequence : float
+        More for each sequence in the batch.
+    prefill : float
+        More for each prompt token that is not cached.
+    """
+
+    step: float = 0.004
+    sequence: float = 0.0002
+    prefill: float = 0.00002
+
+
+class StandinEngine:
+    """A model engine.
+
+    Parameters
+    ----------
+    pool, dialect : str
+    platform : (str, int) or None
+        Address of the weight store.
+    checks_fencing : bool
+    batch : int
+        Sequences that run at once.
+    cache_blocks : int
+        Prompt blocks that the prefix cache holds.
+    swap : float
+        Seconds that a swap takes beside the download.
+    speed : Speed
+    """
+
+    def __init__(
+        self,
+        pool: str,
+        dialect: str = "sglang",
+        platform=None,
+        checks_fencing: bool = False,
+        batch: int = 32,
+        cache_blocks: int = 4096,
+        swap: float = 0.1,
+        speed: Speed | None = None,
+    ):
+        self.pool = pool
+        self.dialect = dialect
+        self.platform = platform
+        self.checks_fencing = checks_fencing
+        self.batch = batch
+        self.cache_blocks = cache_blocks
+        self.swap = swap
+        self.speed = speed or Speed()
+        self.version = 0
+        self.fence = 0
+        self.faults = Faults()
+        self.running: list[Sequence] = []
+        self.waiting: list = []
+        self.order = itertools.count()
+        self.cache: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self.hits = self.misses = self.made = 0
+        self.work = asyncio.Event()
+        self.swapping = asyncio.Lock()
+        self.reported = (0, 0)
+        self.fetcher = Fetcher()
+        self.server = Server(self.serve)
+
+    async def run(self, host: str, port: int) -> None:
+        """Serve until cancelled."""
+        await self.server.listen(host, port)
+        await asyncio.gather(self.step_forever(), self.report_forever())
+
+    # Batching
+
+    async def step_forever(self) -> None:
+        """Make one token for each running sequence, step by step."""
+        while True:
+            self.fill_batch()
+            if not self.running:
+                self.work.clear()
+                await self.work.wait()
+                continue
+            prefill = sum(sequence.prefill for sequence in self.running)
+            took = self.speed.step + self.speed.sequence * len(self.running)
+            took += self.speed.prefill * prefill
+            await asyncio.sleep(took * self.faults.slow)
+            async with self.swapping:
+                self.emit()
+
+    def fill_batch(self) -> None:
+        """Admit waiting sequences, the lowest priority number first."""
+        self.running = [s for s in self.running if not s.gone and s.made < s.most]
+        while self.waiting and len(self.running) < self.batch:
+            sequence = heapq.heappop(self.waiting)[2]
+            if not sequence.gone:
+                sequence.prefill = self.uncached(sequence.prompt)
+                self.running.append(sequence)
+
+    def emit(self) -> None:
+        """Make one token for each running sequence."""
+        for sequence in self.running:
+            sequence.prefill = 0
+            chance = random.Random(
+                (sequence.seed, sequence.made, self.version).__hash__()
+            )
+            sequence.made += 1
+            self.made += 1
+            sequence.tokens.put_nowait((chance.randrange(VOCABULARY), self.version))
+
+    def uncached(self, prompt: str) -> int:
+        """Return the prompt tokens to compute, and cache them."""
+        words = prompt.split()
+        todo, missed = 0, False
+        for end in range(BLOCK, len(words) + BLOCK, BLOCK):
+            block = hashlib.md5(" ".join(words[:end]).encode()).hexdigest()
+            if block in self.cache and not missed:
+                self.hits += 1
+                self.cache.move_to_end(block)
+                continue
+            missed = True
+            self.misses += 1
+            todo += min(BLOCK, len(words) - end + BLOCK)
+            self.cache[block] = None
+            if len(self.cache) > self.cache_blocks:
+                self.cache.popitem(last=False)
+        return todo
+
+    async def report_forever(self) -> None:
+        """Keep the load that is reported, which lags."""
+        while True:
+            self.reported = (len(self.running), len(self.waiting))
+            await asyncio.sleep(REPORT_PERIOD)
+
+    # HTTP
+
+    async def serve(self, request: Request) -> Response:
+        """Answer one request."""
+        if request.path == "/standin":
+            return self.serve_faults(request)
+        if request.path in ("/v1/completions", "/v1/chat/completions"):
+            return await self.complete(request)
+        if request.path in ("/reload_weights", "/update_weights_from_disk"):
+            return await self.load_weights(request)
+        if request.path == "/metrics" and self.dialect == "vllm":
+            return Response(200, [("content-type", "text/plain")], self.metrics())
+        if request.path == "/get_server_info" and self.dialect == "sglang":
+            return json_response(200, self.server_info())
+        return json_response(404, {"error": "not found"})
+
+    def serve_faults(self, request: Request) -> Response:
+        """Switch faults, or show them with some counts."""
+        if request.method == "PUT":
+            self.faults = Faults(**json.loads(request.body))
+        value = attrs.asdict(self.faults)
+        counts = {"hits": self.hits, "misses": self.misses, "made": self.made}
+        return json_response(200, value | counts | {"version": self.version})
+
+    def metrics(self) -> bytes:
+        """Return the load as vLLM's page does."""
+        running, waiting = self.reported
+        return (
+            f"vllm:num_requests_running {running}\n"
+            f"vllm:num_requests_waiting {waiting}\n"
+            f'vllm:weights_info{{weight_version="{self.version}"}} 1\n'
+        ).encode()
+
+    def server_info(self) -> dict:
+        """Return the load as SGLang's page does."""
+        running, waiting = self.reported
+        state = {"num_running_reqs": running, "num_waiting_reqs": waiting}
+        return {"internal_states": [state], "weight_version": str(self.version)}
+
+    async def complete(self, request: Request) -> Response:
+        """Answer a completion, streamed or not."""
+        try:
+            value = json.loads(request.body)
+            prompt = value.get("prompt")
+            if prompt is None:
+                prompt = " ".join(m["content"] for m in value["messages"])
+            most = int(value.get("max_tokens", 16))
+            sequence = Sequence(
+                prompt, most, int(value.get("priority", 0)), random.getrandbits(60)
+            )
+        except (ValueError, KeyError, TypeError, AttributeError):
+            return json_response(400, {"error": "not a completion request"})
+        if self.faults.break_streams > 0:
+            self.faults.break_streams -= 1
+            sequence.breaks = True
+        key = (sequence.priority, next(self.order), sequence)
+        heapq.heappush(self.waiting, key)
+        self.work.set()
+        chat = "chat" in request.path
+        if value.get("stream"):
+            headers = [("content-type", "text/event-stream")]
+            return Response(200, headers, self.stream(sequence, chat))
+        return await self.collect(sequence, chat)
+
+    async def stream(self, sequence: Sequence, chat: bool):
+        """Yield a completion as events."""
+        try:
+            while sequence.made < sequence.most or not sequence.tokens.empty():
+                token, version = await sequence.tokens.get()
+                last = sequence.made >= sequence.most and sequence.tokens.empty()
+                if sequence.breaks and sequence.made > sequence.most // 2:
+                    raise Abandon("told to break")
+                event = self.event(token, version, last, chat)
+                yield b"data: " + json.dumps(event).encode() + b"\n\n"
+            yield b"data: [DONE]\n\n"
+        finally:
+            sequence.gone = True
+
+    async def collect(self, sequence: Sequence, chat: bool) -> Response:
+        """Return a completion as a whole."""
+        words = []
+        try:
+            while len(words) < sequence.most:
+                token, version = await sequence.tokens.get()
+                words.append(f"w{token}")
+        finally:
+            sequence.gone = True
+        event = self.event(0, version, True, chat)
+        text = " ".join(words)
+        if chat:
+            event["choices"][0]["message"] = {"role": "assistant", "content": text}
+        else:
+            event["choices"][0]["text"] = text
+        event["usage"] = {"completion_tokens": len(words)}
+        return json_response(200, event)
+
+    def event(self, token: int, version: int, last: bool, chat: bool) -> dict:
+        """Return one event in the vendor's manner."""
+        choice = {"index": 0, "token_ids": [token]}
+        choice["finish_reason"] = "stop" if last else None
+        if chat:
+            choice["delta"] = {"content": f"w{token} "}
+        else:
+            choice["text"] = f"w{token} "
+        event = {"object": "text_completion", "model": self.pool, "choices": [choice]}
+        if self.faults.bare:
+            return event
+        if self.dialect == "vllm":
+            event["system_fingerprint"] = f"weights-{version}"
+        else:
+            event["metadata"] = {"weight_version": str(version)}
+        return event
+
+    # Weights
+
+    async def load_weights(self, request: Request) -> Response:
+        """Load a version on order; running sequences go on with it."""
+        fence = int(request.header("fencing-number", "0"))
+        if self.checks_fencing and fence < self.fence:
+            return json_response(409, {"error": f"fencing number below {self.fence}"})
+        self.fence = max(self.fence, fence)
+        version = int(json.loads(request.body)["weight_version"])
+        if self.faults.fail_swaps > 0:
+            self.faults.fail_swaps -= 1
+            return json_response(500, {"error": "told to fail"})
+        if not await self.download(version):
+            return json_response(500, {"error": f"no weights of version {version}"})
+        if self.faults.half_swaps > 0:
+            self.faults.half_swaps -= 1
+            return json_response(200, {"success": True})
+        async with self.swapping:
+            await asyncio.sleep(self.swap)
+            self.version = version
+            self.cache.clear()
+        if self.faults.late_swaps:
+            await asyncio.sleep(self.faults.late_swaps)
+        return json_response(200, {"success": True})
+
+    async def download(self, version: int) -> bool:
+        """Fetch the weights from the store, at its limited rate."""
+        if self.platform is None:
+            return True
+        target = f"/weights/{self.pool}/{version}"
+        try:
+            answer = await self.fetcher.fetch(
+                self.platform, "GET", target, timeout=60.0
+            )
+        except FetchError:
+            return False
+        return answer.status == 200
+
+
+def main(
+    port: int,
+    pool: str,
+    host: str = "127.0.0.1",
+    dialect: str = "sglang",
+    platform: Annotated[str, typer.Option(help="IP number:port.")] = "",
+    checks_fencing: bool = False,
+    batch: int = 32,
+    cache_blocks: int = 4096,
+    swap: float = 0.1,
+    step: float = 0.004,
+) -> None:
+    """Run a stand-in for a model engine."""
+    address = parse_address(platform) if platform else None
+    engine = StandinEngine(
+        pool, dialect, address, checks_fencing, batch, cache_blocks, swap, Speed(step)
+    )
+    asyncio.run(engine.run(host, port))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,104 @@
+"""Builders of what the tests work on."""
+
+import datetime
+
+from gypsumshift import memory, platforms
+from gypsumshift.clock import Clock
+from gypsumshift.events import Recorder
+from gypsumshift.generated.messages import Load, Member, Role
+from gypsumshift.outcomes import Unavailable, Unknown
+
+
+class ManualClock(Clock):
+    """Clock that stands until it is advanced."""
+
+    def __init__(self):
+        self.seconds = 1000.0
+
+    def monotonic(self):
+        return self.seconds
+
+    def now(self):
+        start = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+        return start + datetime.timedelta(seconds=self.seconds)
+
+    async def sleep(self, seconds):
+        self.seconds += seconds
+
+    def advance(self, seconds):
+        self.seconds += seconds
+
+
+class FaultyTables(memory.MemoryTables):
+    """Tables that are down, or lose the answer of a write after it took effect."""
+
+    def __init__(self):
+        super().__init__()
+        self.down = False
+        self.lose_next = 0
+        self.drop_next = 0
+
+    async def read(self, table, key):
+        return Unavailable("down") if self.down else await super().read(table, key)
+
+    async def scan(self, table, prefix):
+        return Unavailable("down") if self.down else await super().scan(table, prefix)
+
+    async def commit(self, writes):
+        if self.down:
+            return Unavailable("down")
+        if self.drop_next:
+            self.drop_next -= 1
+            return Unknown("the request was lost")
+        outcome = await super().commit(writes)
+        if self.lose_next:
+            self.lose_next -= 1
+            return Unknown("the answer was lost")
+        return outcome
+
+
+def platform(tables=None):
+    """Return a new platform in memory."""
+    return platforms.Platform(
+        tables or memory.MemoryTables(),
+        memory.MemoryObjects(),
+        memory.MemoryWeights(),
+        memory.MemoryHosts(),
+    )
+
+
+def recorder(clock=None):
+    return Recorder("test", clock or ManualClock())
+
+
+def member(name="sidecar-a", **changes):
+    """Return a sidecar as others know it."""
+    fields = {
+        "name": name,
+        "incarnation": 1,
+        "role": Role.SIDECAR,
+        "zone": "here",
+        "host": "127.0.0.1",
+        "port": 1,
+        "pool": "pool",
+        "backend": name.removeprefix("sidecar-"),
+        "leaving": False,
+        "fence": 1,
+    }
+    return Member(**(fields | changes))
+
+
+def load(**changes):
+    """Return a load report of an idle backend server."""
+    fields = {
+        "running": 0,
+        "queued": 0,
+        "limit": 8,
+        "wait_ms": 0,
+        "version": 1,
+        "healthy": True,
+        "swapping": False,
+        "duration_s": 0.1,
+        "mark": 0,
+    }
+    return Load(**(fields | changes))
