--- /dev/null
+++ b/gypsumshift/cli.py
@@ -0,0 +1,407 @@
+"""Command line: ``gypsumshift``, the operators' tool.
+
+Exit status: 0 done, 1 the entry or the platform could not be asked, 2 the input
+was rejected, 3 another change came first, 4 it may or may not have happened,
+5 not in force everywhere in time.
+"""
+
+import asyncio
+import getpass
+import json
+import os
+import pathlib
+import secrets
+import sys
+import time
+import urllib.parse
+from typing import Annotated
+
+import attrs
+import rich.console
+import rich.progress
+import typer
+
+from gypsumshift import declarations, documents, settings, timeline
+from gypsumshift.fetch import Fetched, Fetcher, FetchError
+from gypsumshift.outcomes import Invalid
+
+__all__ = ["main"]
+
+EXIT_UNAVAILABLE = 1
+EXIT_INVALID = 2
+EXIT_CONFLICT = 3
+EXIT_UNKNOWN = 4
+EXIT_LAGGING = 5
+DEFAULT_OPERATOR = "http://127.0.0.1:8200"
+REQUEST_TIMEOUT = 30.0
+SETTLE_TRIES = 5
+SETTLE_PAUSE = 1.0
+WAIT_PERIOD = 0.2
+LAGGARDS_SHOWN = 10
+
+app = typer.Typer(
+    help="Operate gypsumshift: declarations, processes, weights, time line.",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+)
+weights_app = typer.Typer(help="Publish weights, or show who has loaded which.")
+app.add_typer(weights_app, name="weights", no_args_is_help=True)
+
+
+@attrs.define
+class Face:
+    """The operator face that the commands speak to.
+
+    Attributes
+    ----------
+    url : str
+    token : str
+        Bearer token; empty where none is asked for.
+    """
+
+    url: str = DEFAULT_OPERATOR
+    token: str = ""
+
+    def ask(self, method: str, target: str, value=None, body: bytes = b"") -> Fetched:
+        """Send one request; ends the command where nobody answers."""
+        parts = urllib.parse.urlsplit(self.url)
+        address = (parts.hostname, parts.port or 80)
+        headers = [("content-type", "application/json")]
+        if self.token:
+            headers.append(("authorization", f"Bearer {self.token}"))
+        if value is not None:
+            body = json.dumps(value).encode()
+        fetch = Fetcher().fetch(address, method, target, headers, body, REQUEST_TIMEOUT)
+        try:
+            return asyncio.run(fetch)
+        except FetchError as error:
+            hint = "name an entry's operator address with --operator"
+            fail(f"{self.url}: {error}; {hint}", EXIT_UNAVAILABLE)
+
+    def get(self, target: str):
+        """Return the JSON value at a target; ends the command where refused."""
+        answer = self.ask("GET", target)
+        if answer.status != 200:
+            refuse(answer)
+        return json.loads(answer.body)
+
+
+face = Face()
+JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+
+
+def fail(message: str, status: int):
+    """Print one line to standard error and end the command."""
+    print(f"gypsumshift: {message}", file=sys.stderr)
+    raise typer.Exit(status)
+
+
+def refuse(answer: Fetched):
+    """End the command as a problem document says."""
+    try:
+        value = json.loads(answer.body)
+    except ValueError:
+        value = {"detail": f"status {answer.status}"}
+    for line in value.get("problems", []):
+        print(f"gypsumshift: {line}", file=sys.stderr)
+    for line in value.get("difference", []):
+        print(f"gypsumshift: the other change: {line}", file=sys.stderr)
+    statuses = {409: EXIT_CONFLICT, 422: EXIT_INVALID, 504: EXIT_UNKNOWN}
+    status = statuses.get(answer.status, EXIT_UNAVAILABLE)
+    fail(value.get("detail", "refused"), status)
+
+
+def print_json(value) -> None:
+    """Print a value as JSON."""
+    print(json.dumps(value, indent=2))
+
+
+@app.callback()
+def common(
+    operator: Annotated[
+        str,
+        typer.Option(envvar="GYPSUMSHIFT_OPERATOR", help="URL of an operator face."),
+    ] = DEFAULT_OPERATOR,
+    token_file: Annotated[
+        pathlib.Path | None,
+        typer.Option(help="File with the token; else GYPSUMSHIFT_OPERATOR_TOKEN."),
+    ] = None,
+) -> None:
+    """Take the options that all commands share."""
+    face.url = operator
+    face.token = os.environ.get(settings.TOKEN_VARIABLE, "")
+    if token_file is not None:
+        try:
+            face.token = token_file.read_text().strip()
+        except OSError as error:
+            fail(f"{token_file}: {error.strerror}; name another file", EXIT_INVALID)
+
+
+def load_or_fail(path: pathlib.Path) -> declarations.Catalog:
+    """Return the declarations at a path; ends the command where they are wrong."""
+    catalog = declarations.load(path)
+    if isinstance(catalog, Invalid):
+        for problem in catalog.problems[1:]:
+            print(f"gypsumshift: {problem}", file=sys.stderr)
+        fail(str(catalog.problems[0]), EXIT_INVALID)
+    return catalog
+
+
+def is_settings(path: pathlib.Path) -> bool:
+    """Tell whether a file holds the settings of a process."""
+    value = documents.read(path) if path.is_file() else None
+    return isinstance(value, dict) and ("role" in value or "platform" in value)
+
+
+@app.command()
+def check(paths: Annotated[list[pathlib.Path], typer.Argument()]) -> None:
+    """Check settings and declarations, without asking anybody."""
+    wrong = False
+    for path in paths:
+        outcome = settings.load(path) if is_settings(path) else declarations.load(path)
+        if isinstance(outcome, Invalid):
+            wrong = True
+            for problem in outcome.problems:
+                print(f"gypsumshift: {problem}", file=sys.stderr)
+        else:
+            print(f"{path}: in order")
+    if wrong:
+        raise typer.Exit(EXIT_INVALID)
+
+
+@app.command()
+def plan(path: pathlib.Path, as_json: JsonOption = False) -> None:
+    """Show what declarations would change; nothing is accepted."""
+    planned = make_plan(load_or_fail(path))
+    if as_json:
+        print_json(planned)
+        return
+    print(f"On top of revision {planned['base']}:")
+    for line in planned["difference"] or ["nothing changes"]:
+        print(f"  {line}")
+
+
+def make_plan(catalog: declarations.Catalog) -> dict:
+    """Return the plan that an entry makes of declarations."""
+    answer = face.ask("POST", "/v1/plan", {"declarations": catalog.source})
+    if answer.status != 200:
+        refuse(answer)
+    return json.loads(answer.body)
+
+
+@app.command()
+def apply(
+    path: pathlib.Path,
+    message: Annotated[str, typer.Option("--message", "-m")] = "",
+    author: Annotated[str, typer.Option()] = "",
+    base: Annotated[
+        int | None, typer.Option(help="Revision planned on; else the newest.")
+    ] = None,
+    token: Annotated[
+        str, typer.Option(help="Of an apply whose outcome is unknown.")
+    ] = "",
+    wait: Annotated[
+        bool, typer.Option("--wait", help="Until in force everywhere.")
+    ] = False,
+    timeout: Annotated[float, typer.Option(help="Seconds to wait.")] = 60.0,
+    as_json: JsonOption = False,
+) -> None:
+    """Accept declarations as the next revision."""
+    catalog = load_or_fail(path)
+    planned = make_plan(catalog)
+    if not planned["difference"] and base is None:
+        print(f"nothing changes; revision {planned['base']} says the same")
+        return
+    value = {
+        "base": planned["base"] if base is None else base,
+        "declarations": catalog.source,
+        "author": author or getpass.getuser(),
+        "message": message,
+        "token": token or secrets.token_hex(16),
+    }
+    number = settle_apply(value)
+    lagging = wait_in_force(number, timeout) if wait else []
+    if as_json:
+        print_json({"number": number, "lagging": lagging})
+    else:
+        print(f"revision {number} is accepted")
+    if lagging:
+        names = ", ".join(lagging[:LAGGARDS_SHOWN])
+        fail(f"revision {number} is not in force yet in: {names}", EXIT_LAGGING)
+
+
+def settle_apply(value: dict) -> int:
+    """Apply until the outcome is known; the token makes a second try harmless."""
+    for _ in range(SETTLE_TRIES):
+        answer = face.ask("POST", "/v1/apply", value)
+        if answer.status == 200:
+            return json.loads(answer.body)["number"]
+        if answer.status not in (503, 504):
+            break
+        time.sleep(SETTLE_PAUSE)
+    if answer.status == 504:
+        again = f"--base {value['base']} --token {value['token']}"
+        print(f"gypsumshift: to settle it, apply again with {again}", file=sys.stderr)
+    refuse(answer)
+
+
+def wait_in_force(number: int, timeout: float) -> list[str]:
+    """Wait until a revision is in force everywhere; return who lags at the end."""
+    deadline = time.monotonic() + timeout
+    columns = (
+        "{task.description}",
+        rich.progress.BarColumn(),
+        "{task.completed}/{task.total}",
+    )
+    err = rich.console.Console(stderr=True)
+    with rich.progress.Progress(*columns, console=err, transient=True) as progress:
+        task = progress.add_task(f"revision {number} in force", total=None)
+        while True:
+            rows = face.get("/v1/status")
+            lagging = [r["name"] for r in rows if (r["revision"] or 0) < number]
+            done = len(rows) - len(lagging)
+            progress.update(task, total=len(rows), completed=done)
+            if not lagging or time.monotonic() >= deadline:
+                return lagging
+            time.sleep(WAIT_PERIOD)
+
+
+@app.command()
+def get(
+    revision: Annotated[str, typer.Argument()] = "newest",
+    as_json: JsonOption = False,
+) -> None:
+    """Print the declarations of one revision."""
+    value = face.get(f"/v1/revisions/{urllib.parse.quote(revision, safe='')}")
+    if as_json:
+        print_json(value)
+        return
+    print(f"// revision {value['number']} by {value['author']}: {value['message']}")
+    print_json(value["declarations"])
+
+
+@app.command()
+def history(as_json: JsonOption = False) -> None:
+    """List the accepted revisions."""
+    rows = face.get("/v1/revisions")
+    if as_json:
+        print_json(rows)
+        return
+    for row in rows:
+        print(f"{row['number']:6}  {row['time']}  {row['author']}: {row['message']}")
+
+
+@app.command()
+def status(
+    as_json: JsonOption = False,
+    figures: Annotated[
+        bool, typer.Option("--figures", help="All figures of each process.")
+    ] = False,
+) -> None:
+    """Show the processes, their backend servers and what each has in force."""
+    rows = face.get("/v1/status")
+    if as_json:
+        print_json(rows)
+        return
+    heads = ["process", "zone", "backend", "state", "revision", "weights", "load"]
+    print_columns([heads] + [status_cells(row) for row in rows])
+    if figures:
+        for row in rows:
+            for name, value in sorted(row["figures"].items()):
+                print(f"{row['name']}  {name}  {value:g}")
+
+
+def print_columns(rows: list[list[str]]) -> None:
+    """Print rows of cells in columns as wide as they need."""
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    for row in rows:
+        cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        print("  ".join(cells).rstrip())
+
+
+def status_cells(row: dict) -> list[str]:
+    """Return the cells of one process's line."""
+    shown = row["figures"]
+    state = "leaving" if row["leaving"] else "serves"
+    if not row["answers"]:
+        state = "silent"
+    elif shown.get("healthy") == 0:
+        state = "backend server ill"
+    load = weights = ""
+    if row["role"] == "sidecar":
+        running, limit = shown.get("running", 0), shown.get("limit", 0)
+        load = f"{running:g}/{limit:g} +{shown.get('queued', 0):g}"
+        held, target = shown.get("weight_version", 0), shown.get("target_version", 0)
+        weights = f"{held:g}" if held >= target else f"{held:g} of {target:g}"
+    revision = "" if row["revision"] is None else str(row["revision"])
+    return [row["name"], row["zone"], row["backend"], state, revision, weights, load]
+
+
+@app.command()
+def drain(name: str) -> None:
+    """Have a backend server, or one process, take no new work."""
+    answer = face.ask("POST", f"/v1/drain?name={urllib.parse.quote(name)}")
+    if answer.status != 200:
+        refuse(answer)
+    told = json.loads(answer.body)["told"]
+    print(f"told: {', '.join(told) or 'nobody yet; the platform keeps the order'}")
+
+
+@weights_app.command("show")
+def weights_show(as_json: JsonOption = False) -> None:
+    """Show the newest version of each pool, and who has loaded which."""
+    pools = face.get("/v1/weights")
+    if as_json:
+        print_json(pools)
+        return
+    for pool, value in pools.items():
+        print(f"{pool}: version {value['version']} by {value['by']} at {value['time']}")
+        for backend, version in sorted(value["backends"].items()):
+            print(f"  {backend}  {'unknown' if version is None else version}")
+
+
+@weights_app.command("publish")
+def weights_publish(pool: str, version: int, file: pathlib.Path) -> None:
+    """Publish the weights in a file as a version of a pool."""
+    try:
+        data = file.read_bytes()
+    except OSError as error:
+        fail(f"{file}: {error.strerror}; name another file", EXIT_INVALID)
+    query = urllib.parse.urlencode({"pool": pool, "version": version})
+    answer = face.ask("PUT", f"/v1/weights?{query}", body=data)
+    if answer.status != 200:
+        refuse(answer)
+    print(f"version {version} of {pool} is published")
+
+
+@app.command("timeline")
+def show_timeline(
+    subject: Annotated[
+        str, typer.Argument(help="Request, sample, backend server or revision.")
+    ] = "",
+    page: Annotated[
+        pathlib.Path | None, typer.Option("--html", help="Write an HTML page.")
+    ] = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Show the events of all processes about one subject, in one order."""
+    value = face.get(f"/v1/timeline?subject={urllib.parse.quote(subject)}")
+    if as_json:
+        print_json(value)
+        return
+    if page is not None:
+        page.write_text(timeline.as_html(value["events"], subject), encoding="utf-8")
+        print(f"{len(value['events'])} events written to {page}")
+    else:
+        print(timeline.as_text(value["events"]))
+    if value["silent"]:
+        print(f"no answer from: {', '.join(value['silent'])}", file=sys.stderr)
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- a/gypsumshift/operators.py
+++ b/gypsumshift/operators.py
@@ -22,6 +22,7 @@
 )
 from gypsumshift.platforms import Write
 from gypsumshift.process import LEAVING_PREFIX, WEIGHTS_PREFIX, Process
+from gypsumshift.publication import Publisher
 from gypsumshift.revisions import HEADS_TABLE, Accepted
 from gypsumshift.server import Request, Response, json_response, problem
 from gypsumshift.settings import operator_token
@@ -87,6 +88,7 @@
         self.process = process
         self.history = process.history
         self.tables = process.platform.tables
+        self.publisher = Publisher(process)
         self.token = operator_token(process.settings)
 
     async def serve(self, request: Request) -> Response | None:
@@ -105,6 +107,7 @@
             ("GET", "/v1/timeline"): self.timeline,
             ("POST", "/v1/drain"): self.drain,
             ("GET", "/v1/weights"): self.weights,
+            ("PUT", "/v1/weights"): self.publish,
         }
         if (method, path) in handlers:
             return await handlers[method, path](request)
@@ -304,6 +307,21 @@
             pools[pool] = row.value | {"backends": loads}
         return json_response(200, pools)
 
+    async def publish(self, request: Request) -> Response:
+        """Publish weights of a pool."""
+        pool, version = request.parameter("pool"), request.parameter("version")
+        declared = self.process.in_force.catalog.pools.get(pool)
+        if declared is None or declared.kind != "model":
+            return problem(404, "not run", f"there is no model pool {pool!r}")
+        if not version.isdigit() or int(version) < 1:
+            return problem(422, "not run", "version takes a whole number from 1")
+        outcome = await self.publisher.publish(
+            pool, int(version), request.body, "operator"
+        )
+        if not isinstance(outcome, Committed):
+            return platform_down(outcome)
+        return json_response(200, {"pool": pool, "version": int(version)})
+
 
 def status_row(status: messages.Status) -> dict:
     """Return one process's status as JSON."""
--- /dev/null
+++ b/gypsumshift/publication.py
@@ -0,0 +1,59 @@
+"""Publication: naming a new weight version to everyone."""
+
+from gypsumshift.outcomes import Committed, Missing, Unavailable, Unknown, Written
+from gypsumshift.platforms import ABSENT, Write
+from gypsumshift.process import WEIGHTS_PREFIX, Process
+from gypsumshift.revisions import HEADS_TABLE
+
+__all__ = ["Publisher"]
+
+TRIES = 4
+
+
+class Publisher:
+    """Publishes weights of pools.
+
+    Parameters
+    ----------
+    process : Process
+    """
+
+    def __init__(self, process: Process):
+        self.process = process
+        self.tables = process.platform.tables
+
+    async def publish(self, pool: str, version: int, data: bytes, by: str) -> Written:
+        """Store the weights, then name the version; doing it twice is harmless.
+
+        Parameters
+        ----------
+        pool : str
+        version : int
+        data : bytes
+        by : str
+            Who publishes.
+        """
+        stored = await self.process.platform.weights.publish(pool, version, data)
+        if isinstance(stored, (Unavailable, Unknown)):
+            return stored
+        for _ in range(TRIES):
+            outcome = await self.name_version(pool, version, by)
+            if isinstance(outcome, Committed):
+                self.process.set_target(pool, version)
+                return outcome
+            if isinstance(outcome, Unavailable):
+                return outcome
+        return Unknown("the platform's answer was lost")
+
+    async def name_version(self, pool: str, version: int, by: str) -> Written:
+        """Name a version as the newest of a pool, where it is."""
+        key = WEIGHTS_PREFIX + pool
+        row = await self.tables.read(HEADS_TABLE, key)
+        if isinstance(row, Unavailable):
+            return row
+        if not isinstance(row, Missing) and row.value["version"] >= version:
+            return Committed()
+        expected = ABSENT if isinstance(row, Missing) else row.version
+        time = self.process.clock.now().isoformat(timespec="seconds")
+        value = {"version": version, "by": by, "time": time}
+        return await self.tables.commit([Write(HEADS_TABLE, key, value, expected)])
--- a/gypsumshift/trainers.py
+++ b/gypsumshift/trainers.py
@@ -15,9 +15,8 @@
     Unavailable,
     Unknown,
 )
-from gypsumshift.platforms import ABSENT, Write
-from gypsumshift.process import WEIGHTS_PREFIX, Process
-from gypsumshift.revisions import HEADS_TABLE
+from gypsumshift.process import Process
+from gypsumshift.publication import Publisher
 from gypsumshift.server import Request, Response, json_response, problem
 
 __all__ = ["Trainers"]
@@ -27,7 +26,6 @@
 WAIT_MOST = 60.0
 SEAL_PERIOD = 0.2
 RETRY_AFTER = 1.0
-PUBLISH_TRIES = 4
 GROUP_SCHEMA = {
     "type": "array",
     "maxItems": GROUPS_PER_SUBMIT,
@@ -83,6 +81,7 @@
         self.process = process
         self.clock = process.clock
         self.platform = process.platform
+        self.publisher = Publisher(process)
         self.idle: dict[str, float] = {}
         self.staleness: dict[str, float] = {}
 
@@ -198,35 +197,11 @@
         """Publish weights: store them, then name the version to everyone."""
         if not trainer.publishes:
             return problem(403, "not run", f"{trainer.name} may not publish weights")
-        pool = trainer.pool
-        stored = await self.platform.weights.publish(pool, version, request.body)
-        if isinstance(stored, (Unavailable, Unknown)):
-            return unsure(stored)
-        for _ in range(PUBLISH_TRIES):
-            outcome = await self.name_version(trainer, version)
-            if isinstance(outcome, Committed):
-                self.process.set_target(pool, version)
-                return json_response(200, {"pool": pool, "version": version})
-            if isinstance(outcome, Unavailable):
-                return unsure(outcome)
-        return unsure(Unknown("the platform's answer was lost"))
-
-    async def name_version(self, trainer: Trainer, version: int):
-        """Name a version as the newest of a pool, where it is."""
-        key = WEIGHTS_PREFIX + trainer.pool
-        row = await self.platform.tables.read(HEADS_TABLE, key)
-        if isinstance(row, Unavailable):
-            return row
-        if not isinstance(row, Missing) and row.value["version"] >= version:
-            return Committed()
-        expected = ABSENT if isinstance(row, Missing) else row.version
-        value = {
-            "version": version,
-            "trainer": trainer.name,
-            "time": self.clock.now().isoformat(timespec="seconds"),
-        }
-        write = Write(HEADS_TABLE, key, value, expected)
-        return await self.platform.tables.commit([write])
+        pool, by = trainer.pool, f"trainer {trainer.name}"
+        outcome = await self.publisher.publish(pool, version, request.body, by)
+        if not isinstance(outcome, Committed):
+            return unsure(outcome)
+        return json_response(200, {"pool": pool, "version": version})
 
     async def show(self, trainer: Trainer) -> Response:
         """Tell where a trainer stands."""
--- /dev/null
+++ b/tests/test_ports.py
@@ -0,0 +1,208 @@
+"""Bad input to every port: a refusal or a closed connection, and serving on."""
+
+import asyncio
+import json
+
+import pytest
+
+from gypsumshift.entry import Entry
+from gypsumshift.fetch import Fetcher
+from gypsumshift.frames import FRAME_LIMIT, LENGTH
+from gypsumshift.generated.settings import Settings
+from gypsumshift.server import BODY_LIMIT, HEADER_LIMIT
+
+from . import builders
+
+SOURCE = {
+    "templates": [{"name": "t"}],
+    "workspaces": [{"name": "w", "template": "t"}],
+    "pools": [{"name": "p", "kind": "model"}],
+    "trainers": [{"name": "tr", "workspace": "w", "pool": "p"}],
+}
+
+
+def run_with_entry(work, **settings):
+    async def run():
+        platform = builders.platform()
+        chosen = Settings(
+            name="e", role="entry", zone="here", platform="memory:", **settings
+        )
+        async with Entry(chosen, platform) as entry:
+            await entry.in_force.changed.wait() if not entry.in_force.ready else None
+            outcome = await entry.history.apply(0, SOURCE, "a", "m", "token")
+            entry.adopt(1, json.dumps(outcome.declarations))
+            await work(entry)
+
+    asyncio.run(run())
+
+
+async def send_raw(address, data, end=False):
+    """Send bytes and return all that comes back until the connection closes."""
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(data)
+    if end:
+        writer.write_eof()
+    try:
+        return await reader.read()
+    except ConnectionError:
+        return b""
+    finally:
+        writer.close()
+
+
+HTTP_GARBAGE = {
+    "garbage": (b"\x00\xff\x13garbage\r\n\r\n" * 4, 400),
+    "not http": (b"SSH-2.0-OpenSSH_9.2\r\n\r\n", 400),
+    "oversized header": (
+        b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"a" * (HEADER_LIMIT + 1000),
+        431,
+    ),
+    "two lengths": (
+        b"POST /w/v1/completions HTTP/1.1\r\nhost: a\r\n"
+        b"content-length: 5\r\ncontent-length: 6\r\n\r\n",
+        400,
+    ),
+}
+
+
+@pytest.mark.parametrize("case", HTTP_GARBAGE)
+def test_http_garbage_is_refused_and_the_process_serves_on(case):
+    data, status = HTTP_GARBAGE[case]
+
+    async def work(entry):
+        for address in (entry.front_address, entry.operator_address):
+            answer = await send_raw(address, data)
+            assert answer.startswith(f"HTTP/1.1 {status} ".encode())
+            health = await Fetcher().fetch(address, "GET", "/health")
+            assert health.status == 200
+
+    run_with_entry(work)
+
+
+def test_an_oversized_body_is_refused_before_it_is_held():
+    async def work(entry):
+        head = (
+            b"POST /w/v1/completions HTTP/1.1\r\nhost: a\r\n"
+            b"content-length: %d\r\n\r\n" % (BODY_LIMIT * 4)
+        )
+        data = head + b"x" * (BODY_LIMIT + 100_000)
+        answer = await send_raw(entry.front_address, data)
+        assert answer.startswith(b"HTTP/1.1 413 ") or answer == b""
+        health = await Fetcher().fetch(entry.front_address, "GET", "/health")
+        assert health.status == 200
+
+    run_with_entry(work)
+
+
+def test_a_truncated_body_gets_no_answer_and_runs_nothing():
+    async def work(entry):
+        data = (
+            b"POST /w/trainers/tr/groups HTTP/1.1\r\nhost: a\r\n"
+            b'content-length: 400\r\n\r\n[{"id": "a", '
+        )
+        answer = await send_raw(entry.front_address, data, end=True)
+        assert not answer.startswith(b"HTTP/1.1 2")
+        rows = await entry.platform.tables.scan("groups", "")
+        assert rows == []
+
+    run_with_entry(work)
+
+
+def test_a_slow_sender_is_cut(monkeypatch):
+    monkeypatch.setattr("gypsumshift.server.IDLE_TIMEOUT", 0.05)
+
+    async def work(entry):
+        assert await send_raw(entry.front_address, b"GET / HT") == b""
+        health = await Fetcher().fetch(entry.front_address, "GET", "/health")
+        assert health.status == 200
+
+    run_with_entry(work)
+
+
+PEER_GARBAGE = {
+    "http": b"GET / HTTP/1.1\r\n\r\n",
+    "too long": LENGTH.pack(FRAME_LIMIT + 1) + b"x" * 100,
+    "not thrift": LENGTH.pack(8) + b"\xff" * 8,
+    "empty frame": LENGTH.pack(0),
+    "deep nesting": LENGTH.pack(4000) + b"\x1c" * 4000,
+}
+
+
+@pytest.mark.parametrize("case", PEER_GARBAGE)
+def test_the_peer_port_closes_on_what_is_no_frame(case):
+    async def work(entry):
+        address = ("127.0.0.1", entry.own.port)
+        assert await send_raw(address, PEER_GARBAGE[case], end=True) == b""
+        health = await Fetcher().fetch(entry.front_address, "GET", "/health")
+        assert health.status == 200
+
+    run_with_entry(work)
+
+
+REQUESTS = {
+    "unknown workspace": ("GET", "/nobody/v1/completions", b"", 404),
+    "unknown method": ("BREW", "/w/trainers/tr/groups", b"", 404),
+    "unknown trainer": ("GET", "/w/trainers/none", b"", 404),
+    "wrong json": ("POST", "/w/trainers/tr/groups", b"{", 400),
+    "json of a wrong shape": ("POST", "/w/trainers/tr/groups", b'[{"id": 7}]', 422),
+    "step zero": ("GET", "/w/trainers/tr/steps/0", b"", 404),
+    "a step too far": ("GET", "/w/trainers/tr/steps/9?wait=0", b"", 409),
+    "version no number": ("GET", "/w/trainers/tr/steps/1?version=x", b"", 400),
+    "wait no number": ("GET", "/w/trainers/tr/steps/1?wait=x", b"", 400),
+    "no model declared": ("POST", "/w/v1/completions", b"{}", 404),
+    "unknown service": ("GET", "/w/services/none/x", b"", 404),
+}
+
+
+@pytest.mark.parametrize("case", REQUESTS)
+def test_a_bad_request_is_refused_as_not_run(case):
+    method, target, body, status = REQUESTS[case]
+
+    async def work(entry):
+        address = entry.front_address
+        answer = await Fetcher().fetch(address, method, target, [], body)
+        assert answer.status == status
+        assert json.loads(answer.body)["outcome"] == "not run"
+
+    run_with_entry(work)
+
+
+OPERATOR_REQUESTS = {
+    "no declarations": ("POST", "/v1/apply", b"{}", 422),
+    "wrong json": ("POST", "/v1/plan", b"[", 400),
+    "no base": ("POST", "/v1/apply", b'{"declarations": {}}', 422),
+    "malformed": ("POST", "/v1/apply", b'{"declarations": {"a": 1}, "base": 1}', 422),
+    "unknown revision": ("GET", "/v1/revisions/99", b"", 404),
+    "unknown process": ("POST", "/v1/drain?name=none", b"", 404),
+    "unknown pool": ("PUT", "/v1/weights?pool=none&version=1", b"", 404),
+    "unknown path": ("GET", "/v2/none", b"", 404),
+}
+
+
+@pytest.mark.parametrize("case", OPERATOR_REQUESTS)
+def test_a_bad_operator_request_changes_nothing(case):
+    method, target, body, status = OPERATOR_REQUESTS[case]
+
+    async def work(entry):
+        address = entry.operator_address
+        answer = await Fetcher().fetch(address, method, target, [], body)
+        assert answer.status == status
+        assert await entry.history.head() == 1
+
+    run_with_entry(work)
+
+
+def test_operators_need_the_token_where_one_is_set(tmp_path):
+    path = tmp_path / "token"
+    path.write_text("secret\n")
+
+    async def work(entry):
+        address, fetcher = entry.operator_address, Fetcher()
+        assert (await fetcher.fetch(address, "GET", "/v1/status")).status == 401
+        wrong = [("authorization", "Bearer wrong")]
+        assert (await fetcher.fetch(address, "GET", "/v1/status", wrong)).status == 401
+        right = [("authorization", "Bearer secret")]
+        assert (await fetcher.fetch(address, "GET", "/v1/status", right)).status == 200
+        assert (await fetcher.fetch(address, "GET", "/metrics")).status == 200
+
+    run_with_entry(work, operator_token_file=str(path))
