--- a/gypsumshift/callers.py
+++ b/gypsumshift/callers.py
@@ -20,13 +20,14 @@
 UNREPEATABLE_METHODS = ("POST", "PATCH")
 UNREPEATABLE_HEADER = "gypsumshift-unrepeatable"
 KEY_HEADER = "idempotency-key"
+FRESH_HEADER = "gypsumshift-fresh-key"
 KEY_LIMIT = 256
 WAIT = re.compile(r"(?:^|[,;\s])wait=(\d+(?:\.\d+)?)")
 URGENCY = re.compile(r"(?:^|[,\s])u=([0-7])")
 DEFAULT_URGENCY = 3
 INTERNAL_URGENCY = 5
 AFFINITY_LENGTH = 256
-PASSED_OFF = (KEY_HEADER, UNREPEATABLE_HEADER, "prefer")
+PASSED_OFF = (KEY_HEADER, FRESH_HEADER, UNREPEATABLE_HEADER, "prefer")
 
 
 def matches(patterns: list[str], method: str, path: str) -> bool:
@@ -141,6 +142,7 @@
             urgency=urgency,
             share=parameters.share,
             affinity=affinity_of(request) if rest in MODEL_PATHS else "",
+            fresh_key=request.header(FRESH_HEADER) == "?1",
         )
 
     def may_repeat(self, request: Request, path: str, parameters: Parameters) -> bool:
--- a/gypsumshift/client.py
+++ b/gypsumshift/client.py
@@ -29,6 +29,7 @@
 PAUSE = 0.2
 PAUSE_MOST = 5.0
 UNSENT = datetime.timedelta(seconds=PAUSE)
+UNSAFE_METHODS = ("POST", "PATCH")
 JSON_TYPE = ("content-type", "application/json")
 
 
@@ -111,8 +112,8 @@
         body : bytes or JSON value, optional
         headers : dict, optional
         key : str, optional
-            Idempotency key. One is made up for requests that may not be
-            repeated, so that this method may try again safely.
+            Idempotency key. One is made up for POST, PATCH and what else may
+            not be repeated, so that this method may try again safely.
         unrepeatable : bool, default=False
             Whether the request may not be run twice.
         timeout : float, optional
@@ -125,7 +126,8 @@
         timeout = timeout or self.timeout
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
-        if unrepeatable and key is None:
+        made_up = key is None and (unrepeatable or method in UNSAFE_METHODS)
+        if made_up:
             key = secrets.token_hex(16)
         data, fields = encoded(body)
         fields += list((headers or {}).items())
@@ -135,15 +137,16 @@
             fields.append(("gypsumshift-unrepeatable", "?1"))
         outcome: Outcome = NotRun("no time was left", UNSENT)
         doubt: Unknown | None = None
+        fresh = made_up
         while (left := deadline - loop.time()) > 0:
-            wait = ("prefer", f"wait={left:.3f}")
-            outcome = await self.once(method, path, [*fields, wait], data, left)
+            now = [*fields, ("prefer", f"wait={left:.3f}")]
+            now += [("gypsumshift-fresh-key", "?1")] if fresh else []
+            outcome = await self.once(method, path, now, data, left)
+            fresh = fresh and isinstance(outcome, NotRun)
             if isinstance(outcome, Answered):
                 return outcome
             if isinstance(outcome, Unknown):
                 doubt = outcome
-                if not key and unrepeatable:
-                    return outcome
             pause = PAUSE
             if isinstance(outcome, NotRun):
                 pause = outcome.retry_after.total_seconds()
--- a/gypsumshift/dispatch.py
+++ b/gypsumshift/dispatch.py
@@ -65,6 +65,8 @@
         Sidecars already tried.
     attempts : int
         How many were sent so far.
+    fresh_key : bool
+        Whether the caller vouches that its key was never sent before.
     """
 
     workspace: str
@@ -82,6 +84,7 @@
     affinity: str = ""
     avoid: set[str] = attrs.field(factory=set)
     attempts: int = 0
+    fresh_key: bool = False
 
 
 @attrs.frozen
--- a/gypsumshift/keys.py
+++ b/gypsumshift/keys.py
@@ -126,24 +126,41 @@
         for _ in range(TRIES):
             known = self.dispatcher.router(job.pool).choose(job.avoid, job.affinity)
             if known is None or job.deadline <= self.clock.monotonic():
-                return not_run(refusal) if row is None else await self.inspect(row, job)
+                break
             claim = self.claim(known, digest)
-            taken = await self.take(place, claim, row)
-            if isinstance(taken, NotRun):
-                return taken
-            if isinstance(taken, Row):
-                if taken.value["digest"] != digest:
-                    return Mismatch()
-                result = await self.inspect(taken, job)
-                if not isinstance(result, Refusal):
-                    return result
-                row, refusal = taken, result
-                continue
-            row, result = await self.run_claim(place, claim, known, job)
+            owner = await self.take(place, claim, row)
+            if owner is None:
+                return self.untold(job)
+            if owner.value["digest"] != digest:
+                return Mismatch()
+            if owner.value["attempt"] == claim.attempt:
+                result = await self.run_claim(place, claim, known, job)
+            else:
+                result = await self.inspect(owner, job)
             if not isinstance(result, Refusal):
                 return result
-            refusal = result
-        return not_run(refusal)
+            row, refusal = owner, result
+        return await self.conclude(place, job, refusal)
+
+    def untold(self, job: Job) -> NotRun | Unknown:
+        """Return the outcome where the platform cannot say who owns the key.
+
+        Nothing was sent now, but only a caller that vouches for a fresh key makes
+        that a true "not run".
+        """
+        if job.fresh_key:
+            return not_run(Refusal("the platform cannot be asked for the key", 1.0))
+        return Unknown("the platform cannot be asked whether this key has run")
+
+    async def conclude(self, place: str, job: Job, refusal: Refusal):
+        """Return the outcome once nothing is left to try."""
+        row = await self.tables.read(KEYS_TABLE, place)
+        if isinstance(row, Unavailable):
+            return self.untold(job)
+        if isinstance(row, Missing):
+            return not_run(refusal)
+        result = await self.inspect(row, job)
+        return not_run(refusal) if isinstance(result, Refusal) else result
 
     def claim(self, known: Known, digest: str) -> Claim:
         """Return a claim for a new attempt at a sidecar."""
@@ -157,12 +174,14 @@
             time=self.clock.now().isoformat(timespec="seconds"),
         )
 
-    async def take(self, place: str, claim: Claim, row: Row | None):
+    async def take(self, place: str, claim: Claim, row: Row | None) -> Row | None:
         """Claim a key, in place of ``row`` where that one was barred.
 
         Returns
         -------
-        Committed, Row (of whoever else owns it) or NotRun
+        Row or None
+            Who owns the key now, this claim or another; None where the platform
+            cannot be asked.
         """
         expected = ABSENT if row is None else row.version
         value = attrs.asdict(claim) | {"state": CLAIMED}
@@ -170,36 +189,27 @@
             write = Write(KEYS_TABLE, place, value, expected)
             outcome = await self.tables.commit([write])
             if isinstance(outcome, Committed):
-                return outcome
+                return Row(KEYS_TABLE, place, expected + 1, value)
             if isinstance(outcome, Unavailable):
-                break
+                return None
             found = await self.tables.read(KEYS_TABLE, place)
             if isinstance(found, Unavailable):
-                break
+                return None
             if isinstance(found, Missing):
                 expected = ABSENT
-                continue
-            if found.value["attempt"] == claim.attempt:
-                return Committed()
-            if found.version != expected:
+            elif found.version != expected:
                 return found
-        # Nothing of this attempt was sent, whatever became of the row.
-        return not_run(Refusal("the platform cannot be asked who owns the key", 1.0))
+        return None
 
     async def run_claim(self, place: str, claim: Claim, known: Known, job: Job):
-        """Run a claimed attempt; return the row to claim over, and the result."""
+        """Run a claimed attempt."""
         job.avoid.add(known.member.name)
         result = await self.dispatcher.attempt(job, known, claim.attempt)
         if isinstance(result, Lost):
             result = await self.dispatcher.settle(known, result)
         if isinstance(result, Whole):
             self.dispatcher.process.spawn(self.keep(place, claim, result))
-        if not isinstance(result, Refusal):
-            return None, result
-        row = await self.tables.read(KEYS_TABLE, place)
-        if isinstance(row, Row) and row.value["attempt"] == claim.attempt:
-            return row, result
-        return None, not_run(result)
+        return result
 
     async def inspect(self, row: Row, job: Job):
         """Tell what became of the attempt that owns a key; bars it where it can.
--- a/gypsumshift/platforms.py
+++ b/gypsumshift/platforms.py
@@ -38,7 +38,7 @@
     table, key : str
         Where it stands.
     version : int
-        Grows with each write of the row, from 1.
+        1 for a new row, one more with each write of it.
     value : dict
         JSON object.
     """
--- a/gypsumshift/server.py
+++ b/gypsumshift/server.py
@@ -122,7 +122,7 @@
 
     def __init__(self, handler: Handler):
         self.handler = handler
-        self.connections: set[asyncio.Task] = set()
+        self.connections: dict[asyncio.Task, Connection] = {}
         self.listener: asyncio.Server | None = None
         self.closing = False
 
@@ -138,24 +138,28 @@
         if len(self.connections) >= CONNECTION_LIMIT:
             writer.close()
             return
-        task = asyncio.create_task(self.serve(reader, writer))
-        self.connections.add(task)
-        task.add_done_callback(self.connections.discard)
+        connection = Connection(self, reader, writer)
+        task = asyncio.create_task(self.serve(connection))
+        self.connections[task] = connection
+        task.add_done_callback(self.connections.pop)
 
-    async def serve(self, reader, writer) -> None:
+    async def serve(self, connection: "Connection") -> None:
         """Serve one connection until it ends."""
         try:
-            await Connection(self, reader, writer).run()
+            await connection.run()
         except (ConnectionError, TimeoutError, h11.ProtocolError):
             pass
         finally:
-            writer.close()
+            connection.writer.close()
 
     async def stop(self, grace: float) -> None:
         """Take no new connection; wait for running requests up to ``grace`` seconds."""
         self.closing = True
         if self.listener:
             self.listener.close()
+        for task, connection in list(self.connections.items()):
+            if not connection.busy:
+                task.cancel()
         if self.connections:
             await asyncio.wait(set(self.connections), timeout=grace)
         for task in list(self.connections):
@@ -178,6 +182,7 @@
         self.writer = writer
         self.wire = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT)
         self.reading: asyncio.Task | None = None
+        self.busy = False
 
     async def run(self) -> None:
         """Serve requests until either side closes."""
@@ -194,6 +199,7 @@
 
     async def exchange(self) -> bool:
         """Serve one request; return whether another may follow."""
+        self.busy = False
         request = await self.read_request()
         if request is None:
             return False
@@ -209,6 +215,7 @@
         head = await self.next_event(IDLE_TIMEOUT)
         if not isinstance(head, h11.Request):
             return None
+        self.busy = True
         body = bytearray()
         while True:
             event = await self.next_event(HEADER_TIMEOUT)
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,188 @@
+"""Admission keeps its limits, decides once and starves nobody."""
+
+import collections
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from gypsumshift.admission import FairAdmission, FifoAdmission, Ticket
+from gypsumshift.generated.messages import RequestClass
+from gypsumshift.limits import FixedLimit, LearntLimit
+
+from . import builders
+
+LIMIT, QUEUE = 4, 5
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Requests come, run, give up and expire."""
+
+    kind = FairAdmission
+
+    def __init__(self):
+        super().__init__()
+        self.clock = builders.ManualClock()
+        self.admission = self.kind(FixedLimit(LIMIT), QUEUE, self.clock)
+        self.decided = collections.Counter()
+        self.running, self.waiting = [], []
+
+    def decide(self, ticket, admitted):
+        self.decided[id(ticket)] += 1
+        if ticket in self.waiting:
+            self.waiting.remove(ticket)
+        if admitted:
+            assert ticket.deadline > self.clock.monotonic()
+            self.running.append(ticket)
+
+    @rule(
+        request_class=st.sampled_from([1, 2, 3]),
+        workspace=st.sampled_from(["a", "b", "c"]),
+        seconds=st.sampled_from([0.5, 5.0, 50.0]),
+        urgency=st.integers(0, 7),
+    )
+    def offer(self, request_class, workspace, seconds, urgency):
+        deadline = self.clock.monotonic() + seconds
+        ticket = Ticket(workspace, request_class, deadline, urgency=urgency)
+        ticket.decide = lambda admitted: self.decide(ticket, admitted)
+        self.waiting.append(ticket)
+        if self.admission.offer(ticket):
+            self.waiting.remove(ticket)
+            assert not self.decided[id(ticket)]
+        self.keep = getattr(self, "keep", []) + [ticket]
+
+    @rule(pick=st.integers(0, 9), ok=st.booleans())
+    def release(self, pick, ok):
+        if self.running:
+            ticket = self.running.pop(pick % len(self.running))
+            self.admission.release(ticket, ok)
+
+    @rule(pick=st.integers(0, 9))
+    def withdraw(self, pick):
+        if self.waiting:
+            ticket = self.waiting.pop(pick % len(self.waiting))
+            self.admission.withdraw(ticket)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 20.0]))
+    def pass_time(self, seconds):
+        self.clock.advance(seconds)
+
+    @invariant()
+    def counts_hold(self):
+        admission = self.admission
+        assert admission.running == len(self.running) <= LIMIT
+        assert admission.waiting == len(self.waiting) <= QUEUE + 1
+        assert all(count == 1 for count in self.decided.values())
+        if self.kind is FairAdmission:
+            waits = collections.Counter(t.request_class for t in self.waiting)
+            assert +admission.waiting_of == +waits
+            assert not any(t.request_class == 1 for t in self.waiting) or (
+                admission.running == LIMIT
+            )
+
+
+TestFair = AdmissionMachine.TestCase
+
+
+class FifoMachine(AdmissionMachine):
+    kind = FifoAdmission
+
+
+TestFifo = FifoMachine.TestCase
+
+
+def crowd(admission, order, count, **fields):
+    """Offer many tickets that note their workspace when admitted."""
+    tickets = []
+    for _ in range(count):
+        ticket = Ticket(**({"workspace": "w", "deadline": 1e9} | fields))
+        ticket.decide = lambda admitted, t=ticket: order.append(t) if admitted else None
+        admission.offer(ticket)
+        tickets.append(ticket)
+    return tickets
+
+
+def drain(admission, order, count):
+    """Let one request after another run; return the order from the queue."""
+    start = len(order)
+    for number in range(count):
+        admission.release(order[number], True)
+    return order[start:]
+
+
+def new_admission(limit=1, queue=1000):
+    return FairAdmission(FixedLimit(limit), queue, builders.ManualClock())
+
+
+def test_clients_go_before_internal_checks_before_samples():
+    admission, order = new_admission(), []
+    crowd(admission, order, 1, request_class=RequestClass.SAMPLE)
+    for request_class in (3, 2, 1):
+        crowd(admission, order, 2, request_class=request_class)
+    classes = [t.request_class for t in drain(admission, order, 6)]
+    assert classes == [1, 1, 2, 2, 3, 3]
+
+
+def test_a_flood_of_one_workspace_does_not_starve_another():
+    admission, order = new_admission(), []
+    crowd(admission, order, 100, request_class=1, workspace="flood")
+    crowd(admission, order, 5, request_class=1, workspace="quiet")
+    first = [t.workspace for t in drain(admission, order, 12)]
+    assert first.count("quiet") == 5
+
+
+def test_shares_weigh_the_workspaces():
+    admission, order = new_admission(), []
+    crowd(admission, order, 1, request_class=1, workspace="x")
+    crowd(admission, order, 60, request_class=1, workspace="heavy", share=30)
+    crowd(admission, order, 60, request_class=1, workspace="light", share=10)
+    first = [t.workspace for t in drain(admission, order, 40)]
+    assert first.count("heavy") == pytest.approx(30, abs=2)
+
+
+def test_the_last_of_a_step_goes_first_within_its_trainer():
+    admission, order = new_admission(), []
+    crowd(admission, order, 3, request_class=3, urgency=5)
+    crowd(admission, order, 1, request_class=3, urgency=2)
+    assert drain(admission, order, 1)[0].urgency == 2
+
+
+def test_room_is_kept_while_clients_are_about():
+    admission, order = new_admission(limit=8), []
+    crowd(admission, order, 1, request_class=1)
+    crowd(admission, order, 20, request_class=3)
+    assert admission.running == 6 + 1
+    admission.clock.advance(60)
+    admission.admit()
+    assert admission.running == 8
+
+
+def test_a_full_queue_yields_to_a_client():
+    admission, order = new_admission(queue=3), []
+    crowd(admission, order, 4, request_class=3)
+    refused = []
+    for ticket in [t for t in admission.queues[3, "w"]]:
+        ticket[2].decide = lambda admitted: refused.append(admitted)
+    crowd(admission, order, 1, request_class=1)
+    assert refused == [False] and admission.waiting == 3
+
+
+def test_a_deadline_that_cannot_be_met_is_refused_early():
+    admission, order = new_admission(), []
+    crowd(admission, order, 3, request_class=1)
+    admission.duration = 10.0
+    ticket = Ticket("w", 1, admission.clock.monotonic() + 5)
+    assert admission.offer(ticket) > 0
+    assert admission.waiting == 2
+
+
+def test_a_learnt_limit_falls_with_delay_and_comes_back():
+    limit = LearntLimit(16)
+    for _ in range(64):
+        limit.learn(0.1, 16, True)
+    for _ in range(320):
+        limit.learn(0.4, 16, True)
+    low = limit.value
+    for _ in range(640):
+        limit.learn(0.1, limit.value, True)
+    assert low < 12 and limit.value == 16
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,224 @@
+"""Whole answers, true refusals, and at most once, over real connections."""
+
+import asyncio
+
+import pytest
+
+from gypsumshift.outcomes import Answered, NotRun, Unknown
+
+from . import system
+from .system import HOST, Relay, until
+
+BUY = ("POST", "/services/shop/sales")
+
+
+def once(client, method, path, **options):
+    """Call through one entry once, without the client's own retries."""
+    fields = [("request-id", options.pop("id", "x"))]
+    if "key" in options:
+        fields.append(("idempotency-key", options.pop("key")))
+    return client.once(method, path, fields, b"{}", 8.0)
+
+
+def test_an_answer_cut_in_its_middle_is_never_an_answer():
+    async def work(sys):
+        sys.services[0].faults.cut = 1
+        async with sys.client() as client:
+            result = await once(client, *BUY, id="one")
+            assert isinstance(result, Unknown)
+            assert sys.runs() == {"one": 1}
+
+    system.run(work, engines=0)
+
+
+def test_a_repeatable_request_is_tried_elsewhere_after_a_cut():
+    async def work(sys):
+        for service in sys.services:
+            service.faults.cut = 1
+        sys.services[1].faults.cut = 0
+        async with sys.client() as client:
+            results = [await once(client, "GET", "/services/shop/x") for _ in range(4)]
+            assert all(isinstance(result, Answered) for result in results)
+
+    system.run(work, engines=0, services=2)
+
+
+def test_a_backend_server_that_refuses_connections_is_not_run():
+    async def work(sys):
+        await sys.services[0].server.stop(0)
+        async with sys.client() as client:
+            result = await once(client, *BUY, id="one")
+            assert isinstance(result, NotRun)
+            assert sys.runs() == {}
+
+    system.run(work, engines=0)
+
+
+@pytest.mark.parametrize("dies", [False, True])
+@pytest.mark.parametrize("direction", ["cut_up", "cut_down"])
+def test_cut_at_every_byte_between_accept_and_answer(direction, dies, monkeypatch):
+    """Cut the link after each number of bytes; no outcome may ever be untrue."""
+    monkeypatch.setattr("gypsumshift.dispatch.BAR_PAUSE", 0.001)
+
+    async def work(sys):
+        sidecar, entry = sys.sidecars["shop-0"], sys.entries[0]
+        relay = await Relay(sidecar.own.port).start()
+        sidecar.own.port = relay.port
+        await until(lambda: entry.view.known[sidecar.own.name].address[1] == relay.port)
+        entry.heartbeat_period = sidecar.heartbeat_period = 3600.0
+        seen = set()
+        async with sys.client() as client:
+            for count in range(420):
+                entry.drop_link((HOST, relay.port))
+                relay.dead, relay.dies = False, dies
+                setattr(relay, direction, count)
+                name = f"r{count}"
+                result = await once(client, *BUY, id=name)
+                setattr(relay, direction, None)
+                runs = sys.runs().get(name, 0)
+                assert runs <= 1
+                if isinstance(result, Answered):
+                    assert runs == 1 and name.encode() in result.body
+                elif isinstance(result, NotRun):
+                    assert runs == 0
+                seen.add(type(result))
+        expected = {(True, "cut_up"): {Answered, Unknown}}
+        expected[True, "cut_down"] = {Answered, Unknown}
+        expected[False, "cut_up"] = {Answered, NotRun}
+        # With the link back, a lost answer is fetched from the sidecar's memory.
+        expected[False, "cut_down"] = {Answered}
+        assert seen == expected[dies, direction]
+
+    system.run(work, engines=0)
+
+
+def test_a_late_answer_is_dropped_and_the_next_is_the_right_one():
+    async def work(sys):
+        service = sys.services[0]
+        async with sys.client() as client:
+            service.faults.slow = 400.0
+            wait = [("prefer", "wait=0.1"), ("request-id", "late")]
+            result = await client.once("GET", "/services/shop/late", wait, b"", 8.0)
+            assert not isinstance(result, Answered)
+            service.faults.slow = 1.0
+            for number in range(20):
+                path = f"/services/shop/{number}"
+                answer = await client.call("GET", path)
+                assert f'"path": "/{number}"'.encode() in answer.body
+
+    system.run(work, engines=0)
+
+
+def test_crossed_requests_each_get_their_own_answer():
+    async def work(sys):
+        sys.services[0].spread = 1.0
+        async with sys.client("w") as one, sys.client("v") as two:
+            calls = [
+                (one if n % 2 else two).call("GET", f"/services/shop/{n}")
+                for n in range(12)
+            ]
+            answers = await asyncio.gather(*calls)
+        for number, answer in enumerate(answers):
+            assert f'"path": "/{number}"'.encode() in answer.body
+
+    system.run(work, engines=0, services=2)
+
+
+def test_a_caller_that_is_gone_frees_its_place():
+    async def work(sys):
+        engine = sys.engines[0]
+        engine.speed.step = 0.01
+        async with sys.client() as client:
+            body = {"prompt": "p", "max_tokens": 100000}
+            call = asyncio.create_task(client.call("POST", "/v1/completions", body))
+            await until(lambda: engine.running)
+            call.cancel()
+            await until(lambda: all(s.gone for s in engine.running))
+            await until(lambda: sys.sidecars["model-0"].admission.running == 0)
+
+    system.run(work, services=0)
+
+
+def test_a_broken_stream_reaches_the_caller_as_broken():
+    async def work(sys):
+        sys.engines[0].faults.break_streams = 1
+        async with sys.client() as client:
+            body = b'{"prompt": "p", "max_tokens": 20, "stream": true}'
+            result = await client.once("POST", "/v1/completions", [], body, 8.0)
+            assert isinstance(result, Unknown)
+
+    system.run(work, services=0)
+
+
+def test_an_entry_killed_after_the_send_leaves_a_key_that_settles():
+    async def work(sys):
+        service = sys.services[0]
+        service.faults.slow = 100.0
+        async with sys.client(entry=0) as first, sys.client(entry=1) as second:
+            options = {"id": "k", "key": "k"}
+            call = asyncio.create_task(once(first, *BUY, **dict(options)))
+            await until(lambda: sys.runs())
+            await sys.entries[0].stop()
+            assert not isinstance(await call, Answered)
+            service.faults.slow = 1.0
+            again = await once(second, *BUY, **dict(options))
+            assert isinstance(again, Answered) and again.status == 200
+            assert again.header("idempotency-replayed") == "true"
+        assert sys.runs() == {"k": 1}
+
+    system.run(work, engines=0, entries=2)
+
+
+def test_a_sidecar_replaced_between_attempt_and_question_is_unknown():
+    async def work(sys):
+        service = sys.services[0]
+        service.faults.slow = 1000.0
+        async with sys.client() as client:
+            call = asyncio.create_task(once(client, *BUY, id="k", key="k"))
+            await until(lambda: sys.runs())
+            await sys.replace_sidecar("shop-0")
+            assert isinstance(await call, Unknown)
+            service.faults.slow = 1.0
+            assert isinstance(await once(client, *BUY, id="k", key="k"), Unknown)
+            assert isinstance(await once(client, *BUY, id="m", key="m"), Answered)
+        assert sys.runs() == {"k": 1, "m": 1}
+
+    system.run(work, engines=0)
+
+
+def test_keys_wait_for_the_platform_but_customers_do_not():
+    async def work(sys):
+        sys.tables.down = True
+        async with sys.client() as client:
+            assert isinstance(await once(client, *BUY, id="k", key="k"), Unknown)
+            plain = await once(client, "GET", "/services/shop/a", id="a")
+            assert isinstance(plain, Answered)
+            unkeyed = await once(client, *BUY, id="b")
+            assert isinstance(unkeyed, Answered)
+            body = {"prompt": "p", "max_tokens": 3}
+            model = await client.call("POST", "/v1/completions", body, key="c")
+            assert isinstance(model, Answered) and model.status == 200
+            sys.tables.down = False
+            assert isinstance(await once(client, *BUY, id="k", key="k"), Answered)
+        assert sys.runs() == {"a": 1, "b": 1, "k": 1}
+
+    system.run(work)
+
+
+def test_one_workspaces_flood_leaves_the_other_answered():
+    async def work(sys):
+        sys.services[0].faults.slow = 20.0
+        async with sys.client("w") as flood, sys.client("v") as quiet:
+            path = "/services/shop/x"
+            many = [
+                asyncio.create_task(flood.once("GET", path, [], b"", 8.0))
+                for _ in range(300)
+            ]
+            await until(lambda: sys.sidecars["shop-0"].admission.waiting >= 8)
+            results = [await quiet.once("GET", path, [], b"", 8.0) for _ in range(5)]
+            assert all(isinstance(result, Answered) for result in results)
+            outcomes = await asyncio.gather(*many)
+            assert any(isinstance(result, NotRun) for result in outcomes)
+            assert not any(isinstance(result, Unknown) for result in outcomes)
+
+    system.run(work, engines=0)
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,265 @@
+"""At most once per key, whatever is lost, restarted or asked twice."""
+
+import asyncio
+import collections
+
+import attrs
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from gypsumshift.attempts import AttemptLog
+from gypsumshift.dispatch import Job, Lost, Refusal, Whole
+from gypsumshift.generated.messages import AttemptState, BarReply, Head
+from gypsumshift.keys import KeyOwner, Mismatch, Replayed
+from gypsumshift.members import Known
+from gypsumshift.outcomes import NotRun, Unknown
+
+from . import builders
+
+FATES = ("answered", "refused", "never came", "comes late", "answer lost", "runs on")
+
+
+@attrs.define
+class FakeSidecar:
+    """A sidecar reduced to its memory of attempts."""
+
+    name: str
+    runs: collections.Counter
+    incarnation: int = 1
+    log: AttemptLog = attrs.field(factory=AttemptLog)
+
+    def start(self, attempt, incarnation, key):
+        """Start an attempt where that is allowed; return whether it ran."""
+        if incarnation != self.incarnation or not self.log.may_start(attempt):
+            return False
+        self.log.start(attempt)
+        self.runs[key] += 1
+        return True
+
+    def restart(self):
+        self.incarnation += 1
+        self.log = AttemptLog()
+
+
+class FakeDispatcher:
+    """Brings attempts to fake sidecars, with a fate for each."""
+
+    def __init__(self, clock, sidecars):
+        self.clock = clock
+        self.sidecars = sidecars
+        self.fates = collections.deque()
+        self.late = []
+        self.process = self
+        self.cut = False
+
+    def spawn(self, work):
+        return asyncio.ensure_future(work)
+
+    def router(self, pool):
+        return self
+
+    def choose(self, avoid, affinity):
+        for sidecar in self.sidecars:
+            if sidecar.name not in avoid:
+                member = builders.member(
+                    sidecar.name, incarnation=sidecar.incarnation, port=1
+                )
+                member.host = sidecar.name
+                load = builders.load(mark=sidecar.log.arrivals)
+                return Known(member, 0.0, load)
+        return None
+
+    def find(self, name):
+        return next(s for s in self.sidecars if s.name == name)
+
+    async def attempt(self, job, known, attempt):
+        await asyncio.sleep(0)
+        sidecar = self.find(known.member.name)
+        fate = self.fates.popleft() if self.fates else "answered"
+        key = job.target
+        if fate == "refused":
+            return Refusal("told to", 0.1)
+        if fate == "never came":
+            return Lost("cut", attempt)
+        if fate == "comes late":
+            self.late.append((sidecar, attempt, known.member.incarnation, key))
+            return Lost("cut", attempt)
+        if not sidecar.start(attempt, known.member.incarnation, key):
+            return Refusal("barred", 0.1)
+        if fate == "runs on":
+            return Lost("cut", attempt)
+        sidecar.log.finish(attempt, Head(200, []), key.encode())
+        if fate == "answer lost":
+            return Lost("cut", attempt)
+        return Whole(Head(200, []), key.encode(), sidecar.name)
+
+    async def settle(self, known, lost):
+        address = known.address
+        reply = await self.ask_bar(address, known.member.incarnation, lost.attempt)
+        if reply.state == AttemptState.NEVER:
+            return Refusal("never", 0.1)
+        if reply.state == AttemptState.DONE:
+            return Whole(reply.head, reply.body, known.member.backend)
+        return Unknown("lost")
+
+    async def ask_bar(self, address, incarnation, attempt):
+        await asyncio.sleep(0)
+        sidecar = self.find(address[0])
+        if self.cut or sidecar.incarnation != incarnation:
+            return BarReply(AttemptState.UNKNOWN, None, b"")
+        record = sidecar.log.bar(attempt)
+        return BarReply(record.state, record.head, record.body)
+
+
+class KeyMachine(RuleBasedStateMachine):
+    """Callers send and repeat keys while everything fails."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.clock = builders.ManualClock()
+        self.tables = builders.FaultyTables()
+        self.runs = collections.Counter()
+        self.sidecars = [FakeSidecar(name, self.runs) for name in ("a", "b")]
+        self.dispatcher = FakeDispatcher(self.clock, self.sidecars)
+        platform = builders.platform(self.tables)
+        self.owners = [
+            KeyOwner(platform, self.dispatcher, self.clock) for _ in range(2)
+        ]
+
+    def teardown(self):
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.loop.run_until_complete(asyncio.sleep(0))
+        self.loop.close()
+
+    def job(self, key):
+        deadline = self.clock.monotonic() + 1
+        return Job("w", "p", "POST", key, deadline, repeatable=False)
+
+    def judge(self, key, result):
+        """Check an outcome against what truly ran."""
+        if isinstance(result, (Whole, Replayed)):
+            whole = result.whole if isinstance(result, Replayed) else result
+            assert whole.body == key.encode() and self.runs[key] == 1
+        elif isinstance(result, NotRun):
+            assert self.runs[key] == 0, "said not run, but it ran"
+        else:
+            assert isinstance(result, Unknown)
+
+    @rule(
+        key=st.sampled_from(["k1", "k2"]),
+        fates=st.lists(st.sampled_from(FATES), max_size=3),
+        entry=st.integers(0, 1),
+    )
+    def call(self, key, fates, entry):
+        self.dispatcher.fates = collections.deque(fates)
+        result = self.loop.run_until_complete(
+            self.owners[entry].run(key, self.job(key))
+        )
+        self.judge(key, result)
+
+    @rule(key=st.sampled_from(["k1", "k2"]), fates=st.lists(st.sampled_from(FATES)))
+    def call_at_both_entries(self, key, fates):
+        self.dispatcher.fates = collections.deque(fates)
+
+        async def both():
+            return await asyncio.gather(
+                *(owner.run(key, self.job(key)) for owner in self.owners)
+            )
+
+        for result in self.loop.run_until_complete(both()):
+            if isinstance(result, (Whole, Replayed)):
+                whole = result.whole if isinstance(result, Replayed) else result
+                assert whole.body == key.encode()
+
+    @rule()
+    def deliver_late(self):
+        for sidecar, attempt, incarnation, key in self.dispatcher.late:
+            sidecar.start(attempt, incarnation, key)
+        self.dispatcher.late.clear()
+
+    @rule()
+    def finish_what_runs(self):
+        for sidecar in self.sidecars:
+            for attempt, record in sidecar.log.records.items():
+                if record.state == AttemptState.RUNNING:
+                    sidecar.log.finish(attempt, None, b"")
+
+    @rule(number=st.integers(0, 1))
+    def restart_sidecar(self, number):
+        self.sidecars[number].restart()
+
+    @rule(down=st.booleans())
+    def platform_down(self, down):
+        self.tables.down = down
+
+    @rule(lose=st.integers(0, 2), drop=st.integers(0, 2))
+    def platform_loses(self, lose, drop):
+        self.tables.lose_next, self.tables.drop_next = lose, drop
+
+    @rule(cut=st.booleans())
+    def cut_off(self, cut):
+        self.dispatcher.cut = cut
+
+    @invariant()
+    def at_most_once(self):
+        assert all(count <= 1 for count in self.runs.values()), self.runs
+
+
+TestKeys = KeyMachine.TestCase
+
+
+def run_calls(work):
+    machine = KeyMachine()
+    try:
+        machine.loop.run_until_complete(work(machine))
+    finally:
+        machine.teardown()
+
+
+def test_the_same_key_with_another_request_is_a_mismatch():
+    async def work(machine):
+        owner = machine.owners[0]
+        assert isinstance(await owner.run("k", machine.job("k1")), Whole)
+        assert isinstance(await owner.run("k", machine.job("k2")), Mismatch)
+        assert machine.runs == {"k1": 1}
+
+    run_calls(work)
+
+
+def test_a_kept_answer_outlives_its_sidecar():
+    async def work(machine):
+        await machine.owners[0].run("k1", machine.job("k1"))
+        await asyncio.sleep(0)
+        for sidecar in machine.sidecars:
+            sidecar.restart()
+        result = await machine.owners[1].run("k1", machine.job("k1"))
+        assert isinstance(result, Replayed) and result.whole.body == b"k1"
+
+    run_calls(work)
+
+
+def test_with_the_platform_down_only_a_fresh_key_is_surely_not_run():
+    async def work(machine):
+        machine.tables.down = True
+        result = await machine.owners[0].run("k1", machine.job("k1"))
+        assert isinstance(result, Unknown)
+        job = machine.job("k1")
+        job.fresh_key = True
+        assert isinstance(await machine.owners[0].run("k1", job), NotRun)
+        assert not machine.runs
+
+    run_calls(work)
+
+
+def test_a_forgotten_attempt_is_unknown_and_a_late_one_is_refused(monkeypatch):
+    monkeypatch.setattr("gypsumshift.attempts.RECORD_LIMIT", 2)
+    log = AttemptLog()
+    for name in ("0-a", "0-b", "0-c"):
+        log.start(name)
+    assert log.bar("0-a").state == AttemptState.UNKNOWN
+    assert not log.may_start("0-late")
+    assert log.may_start("1-fresh")
+    assert log.bar("1-fresh").state == AttemptState.NEVER
+    assert not log.may_start("1-fresh")
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,110 @@
+"""A lease has a growing number, and at most one believer with sane clocks."""
+
+import asyncio
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from gypsumshift.backend import Fence
+from gypsumshift.leases import Lease
+
+from . import builders
+
+DURATION = 4.0
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Three processes step, pause and lose answers."""
+
+    def __init__(self):
+        super().__init__()
+        self.tables = builders.FaultyTables()
+        self.clock = builders.ManualClock()
+        self.leases = [
+            Lease(self.tables, "l", f"p{n}", self.clock, DURATION) for n in range(3)
+        ]
+        self.loop = asyncio.new_event_loop()
+        self.fences = {}
+
+    def teardown(self):
+        self.loop.close()
+
+    @rule(who=st.integers(0, 2))
+    def step(self, who):
+        self.loop.run_until_complete(self.leases[who].step())
+
+    @rule(who=st.integers(0, 2))
+    def release(self, who):
+        self.loop.run_until_complete(self.leases[who].release())
+
+    @rule(seconds=st.sampled_from([0.5, 1.0, 3.0, 5.0]))
+    def pass_time(self, seconds):
+        self.clock.advance(seconds)
+
+    @rule(down=st.booleans())
+    def platform_down(self, down):
+        self.tables.down = down
+
+    @rule(lose=st.integers(0, 1), drop=st.integers(0, 1))
+    def platform_loses(self, lose, drop):
+        self.tables.lose_next, self.tables.drop_next = lose, drop
+
+    @invariant()
+    def one_holder(self):
+        holders = [lease.owner for lease in self.leases if lease.held]
+        assert len(holders) <= 1, holders
+
+    @invariant()
+    def a_number_has_one_owner(self):
+        row = self.tables.rows.get(("leases", "l"))
+        if row and row.value["owner"]:
+            fence, owner = row.value["fence"], row.value["owner"]
+            assert self.fences.setdefault(fence, owner) == owner
+            assert fence == max(self.fences)
+
+
+TestLeases = LeaseMachine.TestCase
+
+
+def test_a_challenger_waits_for_the_whole_duration():
+    tables, clock = builders.FaultyTables(), builders.ManualClock()
+    holder = Lease(tables, "l", "a", clock, DURATION)
+    challenger = Lease(tables, "l", "b", clock, DURATION)
+
+    async def work():
+        assert await holder.step()
+        assert not await challenger.step()
+        clock.advance(DURATION - 0.1)
+        assert not await challenger.step()
+        clock.advance(0.1)
+        assert not holder.held
+        assert await challenger.step() and challenger.fence == 2
+
+    asyncio.run(work())
+
+
+def test_a_released_lease_is_taken_at_once():
+    tables, clock = builders.FaultyTables(), builders.ManualClock()
+    holder = Lease(tables, "l", "a", clock, DURATION)
+    challenger = Lease(tables, "l", "b", clock, DURATION)
+
+    async def work():
+        await holder.step()
+        await holder.release()
+        assert await challenger.step() and challenger.fence == 2
+
+    asyncio.run(work())
+
+
+def test_a_fence_grows_with_each_owner_and_survives_a_lost_answer():
+    tables, clock = builders.FaultyTables(), builders.ManualClock()
+
+    async def work():
+        first = Fence(tables, "b", "one", clock)
+        assert await first.take() == 1
+        tables.lose_next = 1
+        second = Fence(tables, "b", "two", clock)
+        assert await second.take() == 2
+        assert await first.deposed() and not await second.deposed()
+
+    asyncio.run(work())
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,248 @@
+"""Configuration everywhere, leaving, and graceful shutdown, over real links."""
+
+import asyncio
+import copy
+import json
+
+from gypsumshift.entry import Entry
+from gypsumshift.fetch import Fetcher
+from gypsumshift.members import View
+from gypsumshift.outcomes import Answered, NotRun, Unknown
+from gypsumshift.platforms import Host
+
+from . import builders, system
+from .system import HOST, until
+
+
+def changed(source, timeout):
+    """Return declarations with another timeout for workspace w."""
+    value = copy.deepcopy(source)
+    value["workspaces"][0]["parameters"] = {"timeout": timeout}
+    return value
+
+
+async def apply(sys, base, timeout, entry=0, token="t"):
+    """Apply through an entry's operator face; return the status."""
+    value = {"base": base, "declarations": changed(sys.source, timeout)}
+    value |= {"author": "a", "message": "m", "token": f"{token}{entry}{timeout}"}
+    address = sys.entries[entry].operator_address
+    body = json.dumps(value).encode()
+    return (await Fetcher().fetch(address, "POST", "/v1/apply", [], body)).status
+
+
+def everywhere(sys, number):
+    """Tell whether a revision is in force in every process that runs."""
+    processes = [*sys.entries, *sys.sidecars.values()]
+    return all(p.in_force.number >= number for p in processes if not p.stopped.is_set())
+
+
+def test_an_accepted_revision_spreads_with_the_platform_down():
+    async def work(sys):
+        assert await apply(sys, 1, 3.0) == 200
+        sys.tables.down = True
+        await until(lambda: everywhere(sys, 2))
+        timeouts = {e.in_force.catalog.workspaces["w"].timeout for e in sys.entries}
+        assert timeouts == {3.0}
+
+    system.run(work, entries=2)
+
+
+def test_racing_operators_get_one_acceptance_and_one_conflict():
+    async def work(sys):
+        statuses = await asyncio.gather(
+            apply(sys, 1, 3.0, entry=0), apply(sys, 1, 4.0, entry=1)
+        )
+        assert sorted(statuses) == [200, 409]
+        await until(lambda: everywhere(sys, 2))
+        timeouts = {e.in_force.catalog.workspaces["w"].timeout for e in sys.entries}
+        assert len(timeouts) == 1
+
+    system.run(work, entries=2)
+
+
+def test_a_rejected_apply_is_not_accepted_anywhere():
+    async def work(sys):
+        assert await apply(sys, 1, -1) == 422
+        assert await sys.entries[0].history.head() == 1
+
+    system.run(work)
+
+
+def test_processes_replaced_during_a_change_come_up_with_it():
+    async def work(sys):
+        assert await apply(sys, 1, 3.0) == 200
+        await asyncio.gather(
+            sys.replace_sidecar("model-0"),
+            sys.replace_sidecar("shop-1"),
+            sys.add_entry("entry-9"),
+        )
+        await until(lambda: everywhere(sys, 2))
+
+    system.run(work, services=2, entries=2)
+
+
+def test_a_process_cut_off_comes_back_to_the_newest_and_never_reverts():
+    async def work(sys):
+        sidecar = sys.sidecars["shop-0"]
+        port, sidecar.own.port = sidecar.own.port, 9
+        sidecar.correspondents = lambda: []
+        for entry in sys.entries:
+            entry.drop_link((HOST, port))
+            entry.view.known[sidecar.own.name].member.port = 9
+        sidecar.polls = lambda: False
+        for number, timeout in ((1, 3.0), (2, 4.0)):
+            assert await apply(sys, number, timeout) == 200
+        await until(lambda: sys.entries[0].in_force.number == 3)
+        assert sidecar.in_force.number == 1
+        del sidecar.correspondents
+        sidecar.own.port = port
+        seen = []
+        adopt = sidecar.in_force.adopt
+        sidecar.in_force.adopt = lambda n, text: seen.append(n) or adopt(n, text)
+        sidecar.wake.set()
+        await until(lambda: sidecar.in_force.number == 3)
+        assert seen == sorted(seen)
+
+    system.run(work, engines=0)
+
+
+def test_an_empty_process_serves_only_once_it_has_a_revision():
+    async def work(sys):
+        sys.tables.down = True
+        settings = sys.settings("entry-new", "entry")
+        settings.seeds = []
+        async with Entry(settings, sys.platform) as alone:
+            health = await Fetcher().fetch(alone.front_address, "GET", "/health")
+            assert health.status == 503
+            answer = await Fetcher().fetch(
+                alone.front_address, "GET", "/w/services/shop/x"
+            )
+            assert answer.status == 503
+            assert json.loads(answer.body)["outcome"] == "not run"
+        fresh = await sys.add_entry("entry-late")
+        await until(lambda: fresh.in_force.ready)
+        assert fresh.in_force.number == 1
+
+    system.run(work)
+
+
+def test_a_late_host_list_does_not_matter_where_the_sidecar_refuses():
+    async def work(sys):
+        sys.sidecars["shop-0"].leave("told to")
+        async with sys.client() as client:
+            for _ in range(10):
+                result = await client.once("GET", "/services/shop/x", [], b"", 5.0)
+                assert isinstance(result, Answered)
+        assert sum(sys.services[0].runs.values()) == 0
+
+    system.run(work, engines=0, services=2)
+
+
+def test_a_dead_sidecar_gets_its_backend_server_no_work():
+    async def work(sys):
+        await sys.sidecars["shop-0"].stop()
+        async with sys.client() as client:
+            headers = [("request-id", "x")]
+            path = "/services/shop/sales"
+            result = await client.once("POST", path, headers, b"", 5.0)
+            assert isinstance(result, NotRun)
+        assert sys.runs() == {}
+
+    system.run(work, engines=0)
+
+
+def test_the_host_list_marks_only_the_very_address():
+    clock = builders.ManualClock()
+    view = View(builders.member("me"), clock)
+    view.merge(builders.member("sidecar-a", port=5))
+    view.take_hosts([Host("sidecar-a", f"{HOST}:4", "here", leaving=True)])
+    assert len(view.sidecars("pool")) == 1
+    view.take_hosts([Host("sidecar-a", f"{HOST}:5", "here", leaving=True)])
+    assert not view.sidecars("pool")
+    view.merge(builders.member("sidecar-a", port=6, incarnation=2))
+    assert len(view.sidecars("pool")) == 1
+
+
+def test_old_news_of_a_replaced_process_is_dropped():
+    view = View(builders.member("me"), builders.ManualClock())
+    view.merge(builders.member("sidecar-a", incarnation=2, port=6))
+    assert view.merge(builders.member("sidecar-a", incarnation=1, port=5)) is None
+    assert view.known["sidecar-a"].member.port == 6
+
+
+def test_an_entry_that_leaves_finishes_its_streams_first():
+    async def work(sys):
+        entry, engine = sys.entries[0], sys.engines[0]
+        engine.speed.step = 0.01
+        async with sys.client(entry=0) as client:
+            body = {"prompt": "p", "max_tokens": 150, "stream": True}
+            call = asyncio.create_task(client.call("POST", "/v1/completions", body))
+            await until(lambda: engine.running)
+            leaving = asyncio.create_task(entry.drain(20))
+            await until(lambda: entry.own.leaving)
+            await entry.drain(20)
+            health = await Fetcher().fetch(entry.front_address, "GET", "/health")
+            assert health.status == 503
+            answer = await call
+            assert answer.body.count(b"data: {") == 150
+            assert answer.body.endswith(b"data: [DONE]\n\n")
+            await leaving
+            assert entry.stopped.is_set()
+
+    system.run(work, services=0)
+
+
+def test_a_drain_deadline_cuts_what_never_ends_and_says_so():
+    async def work(sys):
+        entry, engine = sys.entries[0], sys.engines[0]
+        async with sys.client(entry=0) as client:
+            body = json.dumps({"prompt": "p", "max_tokens": 10**6, "stream": True})
+            call = asyncio.create_task(
+                client.once("POST", "/v1/completions", [], body.encode(), 30)
+            )
+            await until(lambda: engine.running)
+            await entry.drain(0.05)
+            assert isinstance(await call, Unknown)
+
+    system.run(work, services=0)
+
+
+def test_everything_is_replaced_under_load_and_no_request_is_cut():
+    async def work(sys):
+        outcomes, done = [], asyncio.Event()
+
+        async def load(number):
+            async with sys.client() as client:
+                while not done.is_set():
+                    client.addresses = [
+                        e.front_address for e in sys.entries if not e.own.leaving
+                    ]
+                    path = f"/services/shop/{number}"
+                    outcomes.append(await client.call("GET", path))
+
+        callers = [asyncio.create_task(load(n)) for n in range(4)]
+        for backend in ("shop-0", "shop-1"):
+            old = sys.sidecars[backend]
+            await old.drain(5)
+            await sys.replace_sidecar(backend)
+        for number in range(2):
+            old = sys.entries[number]
+            new = await sys.add_entry(f"entry-new-{number}")
+            await until(lambda new=new: new.in_force.ready and sys.settled())
+            await old.drain(5)
+            await old.stop()
+        done.set()
+        await asyncio.gather(*callers)
+        assert len(outcomes) > 100
+        assert all(isinstance(o, Answered) and o.status == 200 for o in outcomes)
+
+    system.run(work, engines=0, services=2, entries=2)
+
+
+def test_a_system_forgets_a_process_that_is_gone_for_good():
+    clock = builders.ManualClock()
+    view = View(builders.member("me"), clock)
+    view.heard(builders.member("sidecar-a"), 1, builders.load())
+    clock.advance(31)
+    view.forget()
+    assert not view.known
--- /dev/null
+++ b/tests/test_revisions.py
@@ -0,0 +1,166 @@
+"""Revisions are accepted once, in one order, and never revert anywhere."""
+
+import asyncio
+import json
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from gypsumshift.outcomes import Conflict, Unavailable, Unknown
+from gypsumshift.revisions import Accepted, History, InForce
+
+from . import builders
+
+
+def source(name):
+    return {"zones": [name]}
+
+
+class RevisionMachine(RuleBasedStateMachine):
+    """Operators race through two entries; processes learn from anybody."""
+
+    def __init__(self):
+        super().__init__()
+        self.tables = builders.FaultyTables()
+        clock = builders.ManualClock()
+        self.histories = [History(self.tables, clock) for _ in range(2)]
+        self.processes = [InForce(builders.recorder()) for _ in range(3)]
+        self.loop = asyncio.new_event_loop()
+        self.accepted = {}
+        self.refused = set()
+        self.count = 0
+
+    def teardown(self):
+        self.loop.close()
+
+    def settle(self, token, outcome):
+        if isinstance(outcome, Accepted):
+            known = self.accepted.setdefault(outcome.number, outcome)
+            assert known == outcome, "one number, two revisions"
+        elif isinstance(outcome, (Conflict, Unavailable)):
+            self.refused.add(token)
+
+    @rule(base=st.integers(0, 4), who=st.integers(0, 1))
+    def apply(self, base, who):
+        self.count += 1
+        token = f"token-{self.count}"
+        work = self.histories[who].apply(base, source(token), "a", "m", token)
+        self.settle(token, self.loop.run_until_complete(work))
+
+    @rule()
+    def race(self):
+        base = max(self.accepted, default=0)
+        self.count += 1
+
+        async def both():
+            return await asyncio.gather(
+                *(
+                    history.apply(base, source(f"r{n}"), "a", "m", f"{self.count}-{n}")
+                    for n, history in enumerate(self.histories)
+                )
+            )
+
+        outcomes = self.loop.run_until_complete(both())
+        for number, outcome in enumerate(outcomes):
+            self.settle(f"{self.count}-{number}", outcome)
+        assert sum(isinstance(outcome, Accepted) for outcome in outcomes) <= 1
+
+    @rule(process=st.integers(0, 2))
+    def read_from_platform(self, process):
+        head = self.loop.run_until_complete(self.histories[0].head())
+        if isinstance(head, Unavailable):
+            return
+        found = self.loop.run_until_complete(self.histories[0].get(head))
+        text = json.dumps(found.declarations)
+        before = self.processes[process].number
+        self.processes[process].adopt(head, text)
+        assert self.processes[process].number >= before
+
+    @rule(teller=st.integers(0, 2), hearer=st.integers(0, 2))
+    def hear_from_neighbour(self, teller, hearer):
+        told = self.processes[teller]
+        before = self.processes[hearer].number
+        if told.ready:
+            self.processes[hearer].adopt(told.number, told.text or "{}")
+        assert self.processes[hearer].number >= before
+
+    @rule(process=st.integers(0, 2))
+    def replace_process(self, process):
+        self.processes[process] = InForce(builders.recorder())
+
+    @rule(down=st.booleans())
+    def platform_down(self, down):
+        self.tables.down = down
+
+    @rule(lose=st.integers(0, 2), drop=st.integers(0, 2))
+    def platform_loses(self, lose, drop):
+        self.tables.lose_next, self.tables.drop_next = lose, drop
+
+    @invariant()
+    def accepted_stays(self):
+        rows = {
+            row.value["number"]: row.value
+            for (table, _), row in self.tables.rows.items()
+            if table == "revisions"
+        }
+        assert sorted(rows) == list(range(1, len(rows) + 1)), "a gap"
+        for number, accepted in self.accepted.items():
+            assert rows[number]["token"] == accepted.token, "reverted"
+        tokens = {row["token"] for row in rows.values()}
+        assert not tokens & self.refused, "refused, yet accepted"
+
+    @invariant()
+    def in_force_is_what_was_accepted(self):
+        for process in self.processes:
+            if process.number > 0:
+                row = self.tables.rows["revisions", f"{process.number:012d}"]
+                assert (
+                    process.catalog.source["zones"]
+                    == row.value["declarations"]["zones"]
+                )
+
+
+TestRevisions = RevisionMachine.TestCase
+
+
+def test_a_lost_answer_is_settled_by_the_token():
+    tables = builders.FaultyTables()
+    history = History(tables, builders.ManualClock())
+    tables.lose_next = 1
+    outcome = asyncio.run(history.apply(0, source("a"), "a", "m", "token"))
+    assert isinstance(outcome, Accepted) and outcome.number == 1
+
+
+def test_the_same_token_again_finds_its_own_revision():
+    tables = builders.FaultyTables()
+    history = History(tables, builders.ManualClock())
+
+    async def work():
+        await history.apply(0, source("a"), "a", "m", "token")
+        again = await history.apply(0, source("a"), "a", "m", "token")
+        assert isinstance(again, Accepted) and again.number == 1
+        assert await history.head() == 1
+
+    asyncio.run(work())
+
+
+def test_a_lost_write_while_the_platform_goes_down_is_unknown():
+    tables = builders.FaultyTables()
+    history = History(tables, builders.ManualClock())
+
+    class GoesDown(builders.FaultyTables):
+        async def commit(self, writes):
+            outcome = await super().commit(writes)
+            self.down = True
+            return Unknown("lost") if outcome else outcome
+
+    history = History(GoesDown(), builders.ManualClock())
+    outcome = asyncio.run(history.apply(0, source("a"), "a", "m", "token"))
+    assert isinstance(outcome, Unknown)
+
+
+def test_a_revision_that_is_not_understood_leaves_the_old_in_force():
+    process = InForce(builders.recorder())
+    assert process.adopt(1, '{"zones": ["a"]}')
+    assert not process.adopt(2, '{"news": ["b"]}')
+    assert process.number == 1 and process.catalog.zones == ("a",)
--- /dev/null
+++ b/tests/test_samples.py
@@ -0,0 +1,269 @@
+"""Samples: truly labelled, fresh, each delivered once; over real connections."""
+
+import asyncio
+import json
+
+from gypsumshift import Group
+from gypsumshift.fetch import Fetcher
+from gypsumshift.generated import messages
+from gypsumshift.generated.messages import Body
+from gypsumshift.outcomes import Missing
+
+from . import system
+from .system import until
+
+
+def groups(count, start=0, tokens=20):
+    return [
+        Group(f"g{n}", f"prompt {n}", samples=2, max_tokens=tokens)
+        for n in range(start, start + count)
+    ]
+
+
+def check_labels(delivery):
+    """Check that the spans of each sample cover its tokens exactly."""
+    for sample in delivery.samples:
+        end = 0
+        for first, last, _ in sample.spans:
+            assert first == end and last > first
+            end = last
+        assert end == len(sample.token_ids)
+
+
+def check_truth(sys, delivery):
+    """Check each token against the version under which the engine made it."""
+    for sample in delivery.samples:
+        for first, last, version in sample.spans:
+            for place in range(first, last):
+                made = [e.made_under.get(sample.token_ids[place]) for e in sys.engines]
+                assert version in {v for versions in made if versions for v in versions}
+
+
+def record_truth(sys):
+    """Have the engines keep under which versions they made each token."""
+    for engine in sys.engines:
+        engine.made_under = {}
+        inner = engine.emit
+
+        def emit(engine=engine, inner=inner):
+            inner()
+            for sequence in engine.running:
+                token, version = sequence.tokens._queue[-1]
+                engine.made_under.setdefault(token, set()).add(version)
+
+        engine.emit = emit
+
+
+def test_tokens_across_a_swap_carry_the_versions_that_made_them():
+    async def work(sys):
+        record_truth(sys)
+        async with sys.trainer() as trainer:
+            await trainer.submit(groups(4, tokens=150))
+            pull = asyncio.create_task(trainer.step(1))
+            await until(lambda: sys.engines[0].running and sys.engines[0].made > 40)
+            await trainer.publish(1, b"w")
+            delivery = await pull
+            check_labels(delivery)
+            check_truth(sys, delivery)
+            assert any(len(sample.spans) > 1 for sample in delivery.samples)
+
+    system.run(work, services=0)
+
+
+def test_failed_half_failed_and_late_swaps_are_retried_and_never_believed():
+    async def work(sys):
+        engine, sidecar = sys.engines[0], sys.sidecars["model-0"]
+        engine.faults.fail_swaps, engine.faults.half_swaps = 1, 1
+        engine.faults.late_swaps = 1.0
+        record_truth(sys)
+        async with sys.trainer() as trainer:
+            await trainer.submit(groups(4))
+            await trainer.publish(1, b"w")
+            delivery = await trainer.step(1)
+            check_truth(sys, delivery)
+            await until(lambda: sidecar.backend.state.version == 1)
+            assert engine.version == 1 and engine.fence == sidecar.own.fence
+
+    system.run(work, services=0)
+
+
+def test_tokens_without_a_version_across_a_swap_are_discarded():
+    async def work(sys):
+        engine = sys.engines[0]
+        engine.faults.bare = True
+        async with sys.trainer() as trainer:
+            await trainer.submit(groups(2, tokens=150))
+            pull = asyncio.create_task(trainer.step(1))
+            await until(lambda: engine.made > 40)
+            await trainer.publish(1, b"w")
+            delivery = await pull
+            check_labels(delivery)
+            assert all(len(sample.spans) == 1 for sample in delivery.samples)
+        wasted = sys.entries[0].metrics.totals
+        assert wasted["tokens_wasted.tr.unlabelled"] > 0
+
+    system.run(work, services=0)
+
+
+def test_a_sidecar_killed_mid_stream_costs_no_sample():
+    async def work(sys):
+        async with sys.trainer() as trainer:
+            await trainer.submit(groups(2, tokens=150))
+            pull = asyncio.create_task(trainer.step(1))
+            await until(lambda: sys.engines[0].made > 40)
+            await sys.replace_sidecar("model-0")
+            delivery = await pull
+            assert sorted(s.id for s in delivery.samples) == [
+                "g0/0",
+                "g0/1",
+                "g1/0",
+                "g1/1",
+            ]
+            check_labels(delivery)
+
+    system.run(work, services=0)
+
+
+def test_an_order_of_a_replaced_sidecar_is_refused():
+    async def work(sys):
+        old = sys.sidecars["model-0"]
+        port = old.backend.address[1]
+        new = await sys.add_sidecar("model-0", "model", port)
+        await until(lambda: new.own.fence > old.own.fence > 0)
+        assert await new.backend.load_weights(2, new.own.fence)
+        assert not await old.backend.load_weights(1, old.own.fence)
+        assert sys.engines[0].version == 2
+        old.set_target("model", 3)
+        await until(lambda: old.own.leaving)
+
+    system.run(work, services=0)
+
+
+def test_requests_go_to_the_newer_of_two_sidecars():
+    async def work(sys):
+        old = sys.sidecars["model-0"]
+        new = await sys.add_sidecar("model-0", "model", old.backend.address[1])
+        entry = sys.entries[0]
+        await until(lambda: entry.view.fences.get("model-0") == new.own.fence)
+        await until(lambda: entry.view.known[new.own.name].load)
+        assert [k.member.fence for k in entry.view.sidecars("model")] == [new.own.fence]
+
+    system.run(work, services=0)
+
+
+def test_the_same_step_from_two_entries_is_the_same():
+    async def work(sys):
+        async with sys.trainer(0) as one, sys.trainer(1) as two:
+            await one.submit(groups(6))
+            first, second = await asyncio.gather(one.step(1), two.step(1))
+            assert first == second
+            third, fourth = await asyncio.gather(two.step(2), one.step(2))
+            assert third == fourth
+            ids = [s.id for s in first.samples + third.samples]
+            assert len(ids) == len(set(ids)) == 8
+
+    system.run(work, services=0, entries=2)
+
+
+def test_an_entry_killed_mid_step_hands_the_trainer_to_another():
+    async def work(sys):
+        async with sys.trainer() as trainer:
+            await trainer.submit(groups(4))
+            pull = asyncio.create_task(trainer.step(1))
+            held = lambda: [
+                e
+                for e in sys.entries
+                if any(d.running for d in e.generator.drivers.values())
+            ]
+            holder = (await until(held))[0]
+            await holder.stop()
+            delivery = await pull
+            assert len(delivery.samples) == 4
+
+    system.run(work, services=0, entries=2)
+
+
+def test_groups_submitted_twice_count_once():
+    async def work(sys):
+        async with sys.trainer() as trainer:
+            sys.tables.lose_next = 1
+            assert await trainer.submit(groups(3)) in (0, 3)
+            assert await trainer.submit(groups(4)) == 1
+            rows = await sys.tables.scan("groups", "tr/")
+            assert [row.value["id"] for row in rows] == ["g0", "g1", "g2", "g3"]
+
+    system.run(work, services=0)
+
+
+def test_with_the_store_down_what_is_ready_waits_and_nothing_goes_stale():
+    async def work(sys):
+        async with sys.trainer() as trainer:
+            await trainer.submit(groups(4))
+            pull = asyncio.create_task(trainer.step(1))
+            await until(lambda: sys.engines[0].made > 5)
+            sys.tables.down = True
+            await until(lambda: sys.engines[0].made >= 40)
+            sys.engines[0].version = 5
+            sys.tables.down = False
+            delivery = await pull
+            assert {s.id for s in delivery.samples} == {"g0/0", "g0/1", "g1/0", "g1/1"}
+            trainer.version = 5
+            delivery = await trainer.step(2)
+            assert min(s.oldest for s in delivery.samples) >= 4
+
+    system.run(work, services=0)
+
+
+def test_a_prompt_that_the_engine_rejects_is_set_aside_with_its_reason():
+    async def work(sys):
+        engine = sys.engines[0]
+        inner = engine.complete
+
+        async def complete(request):
+            if json.loads(request.body)["prompt"] == "prompt 0":
+                request.body = b"{}"
+            return await inner(request)
+
+        engine.complete = complete
+        async with sys.trainer() as trainer:
+            await trainer.submit(groups(3))
+            delivery = await trainer.step(1)
+            assert {s.id[:2] for s in delivery.samples} == {"g1", "g2"}
+            state = await trainer.ask("GET", "")
+            assert "g0" in state["failed"]
+
+    system.run(work, services=0)
+
+
+def test_a_sidecar_that_leaves_refuses_first_and_finishes_what_runs():
+    async def work(sys):
+        engine, sidecar = sys.engines[0], sys.sidecars["model-0"]
+        engine.speed.step = 0.005
+        async with sys.client() as client:
+            body = {"prompt": "p", "max_tokens": 60}
+            call = asyncio.create_task(client.call("POST", "/v1/completions", body))
+            await until(lambda: engine.running)
+            link = sys.entries[0].link(("127.0.0.1", sidecar.own.port))
+            await link.ask(Body(drain=messages.Drain(5000)), 1.0)
+            await until(lambda: sidecar.own.leaving)
+            refused = await client.once(
+                "POST", "/v1/completions", [], json.dumps(body).encode(), 5.0
+            )
+            assert type(refused).__name__ == "NotRun"
+            answer = await call
+            assert answer.status == 200
+
+    system.run(work, services=0)
+
+
+def test_operators_drain_outlives_the_sidecar():
+    async def work(sys):
+        address = sys.entries[0].operator_address
+        answer = await Fetcher().fetch(address, "POST", "/v1/drain?name=model-0")
+        assert json.loads(answer.body)["told"] == ["sidecar-model-0"]
+        new = await sys.replace_sidecar("model-0")
+        await until(lambda: new.own.leaving)
+        row = await sys.tables.read("heads", "leaving/model-0")
+        assert not isinstance(row, Missing)
+
+    system.run(work, services=0)
