Wait for a request that runs on behind a cut link

Ruled out: a stale connection (all three questions got through).

Change: one `Dispatcher.follow` waits for the end of a running attempt until the deadline; requests with and without a key share it.

Conclusion: "unknown" now needs the sidecar gone or the deadline passed.

--- a/gypsumshift/dispatch.py
+++ b/gypsumshift/dispatch.py
@@ -36,6 +36,7 @@
 BAR_TIMEOUT = 0.5
 BAR_TRIES = 3
 BAR_PAUSE = 0.1
+FOLLOW_PERIOD = 0.1
 WHOLE_LIMIT = 16 * 1024 * 1024
 EVENT_STREAM = b"text/event-stream"
 
@@ -193,7 +194,7 @@
             result = await self.attempt(job, known, new_attempt(mark(known)))
             if isinstance(result, Lost):
                 if not job.repeatable:
-                    result = await self.settle(known, result)
+                    result = await self.settle(job, known, result)
                 elif not budget.spend():
                     return Unknown(f"{result.reason}; no retry is left")
             if isinstance(result, Refusal):
@@ -264,10 +265,10 @@
             share=job.share,
         )
 
-    async def settle(self, known: Known, lost: Lost):
-        """Ask the sidecar what became of an attempt that may not be repeated."""
-        reply = await self.ask_bar(
-            known.address, known.member.incarnation, lost.attempt
+    async def settle(self, job: Job, known: Known, lost: Lost):
+        """Learn from the sidecar what became of an attempt that is not repeatable."""
+        reply = await self.follow(
+            known.address, known.member.incarnation, lost.attempt, job.deadline
         )
         if reply.state == AttemptState.NEVER:
             return Refusal(lost.reason, 0.2)
@@ -275,6 +276,18 @@
             return Whole(reply.head, reply.body, known.member.backend)
         return Unknown(lost.reason)
 
+    async def follow(
+        self, address, incarnation: int, attempt: str, deadline: float
+    ) -> BarReply:
+        """Bar an attempt, or wait for its end where it runs already."""
+        while True:
+            reply = await self.ask_bar(address, incarnation, attempt)
+            if reply.state != AttemptState.RUNNING:
+                return reply
+            if self.clock.monotonic() + FOLLOW_PERIOD >= deadline:
+                return reply
+            await self.clock.sleep(FOLLOW_PERIOD)
+
     async def ask_bar(self, address, incarnation: int, attempt: str) -> BarReply:
         """Bar an attempt where it never started; unknown where nobody answers."""
         question = Body(bar=Bar(attempt, incarnation))
--- a/gypsumshift/keys.py
+++ b/gypsumshift/keys.py
@@ -35,7 +35,6 @@
 INLINE_LIMIT = 16 * 1024
 TRIES = 8
 SETTLE_TRIES = 4
-PAUSE = 0.1
 KEEP_TRIES = 120
 KEEP_PAUSE = 1.0
 
@@ -206,7 +205,7 @@
         job.avoid.add(known.member.name)
         result = await self.dispatcher.attempt(job, known, claim.attempt)
         if isinstance(result, Lost):
-            result = await self.dispatcher.settle(known, result)
+            result = await self.dispatcher.settle(job, known, result)
         if isinstance(result, Whole):
             self.dispatcher.process.spawn(self.keep(place, claim, result))
         return result
@@ -220,21 +219,19 @@
         """
         if row.value["state"] == DONE:
             return await self.replay(row)
-        address = parse_address(row.value["address"])
-        while True:
-            reply = await self.dispatcher.ask_bar(
-                address, row.value["incarnation"], row.value["attempt"]
-            )
-            if reply.state == AttemptState.NEVER:
-                return Refusal("the attempt before was barred", 0.2)
-            if reply.state == AttemptState.DONE:
-                whole = Whole(reply.head, reply.body, row.value["backend"])
-                return Replayed(whole)
-            if reply.state == AttemptState.UNKNOWN:
-                return await self.last_look(row)
-            if self.clock.monotonic() + PAUSE >= job.deadline:
-                return Unknown("the request with this key still runs")
-            await self.clock.sleep(PAUSE)
+        reply = await self.dispatcher.follow(
+            parse_address(row.value["address"]),
+            row.value["incarnation"],
+            row.value["attempt"],
+            job.deadline,
+        )
+        if reply.state == AttemptState.NEVER:
+            return Refusal("the attempt before was barred", 0.2)
+        if reply.state == AttemptState.DONE:
+            return Replayed(Whole(reply.head, reply.body, row.value["backend"]))
+        if reply.state == AttemptState.RUNNING:
+            return Unknown("the request with this key still runs")
+        return await self.last_look(row)
 
     async def last_look(self, row: Row):
         """Read the row once more: its answer may have been kept meanwhile."""
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -85,7 +85,8 @@
         expected = {(True, "cut_up"): {Answered, Unknown}}
         expected[True, "cut_down"] = {Answered, Unknown}
         expected[False, "cut_up"] = {Answered, NotRun}
-        # With the link back, a lost answer is fetched from the sidecar's memory.
+        # With the link back, a lost answer is fetched from the sidecar's memory,
+        # and one that still runs is waited for.
         expected[False, "cut_down"] = {Answered}
         assert seen == expected[dies, direction]
 
@@ -186,6 +187,20 @@
     system.run(work, engines=0)
 
 
+def test_a_request_that_runs_on_behind_a_cut_link_is_waited_for():
+    async def work(sys):
+        sidecar, entry = sys.sidecars["shop-0"], sys.entries[0]
+        sys.services[0].faults.slow = 300.0
+        async with sys.client() as client:
+            call = asyncio.create_task(once(client, *BUY, id="k"))
+            await until(lambda: sys.runs())
+            entry.drop_link((HOST, sidecar.own.port))
+            assert isinstance(await call, Answered)
+        assert sys.runs() == {"k": 1}
+
+    system.run(work, engines=0)
+
+
 def test_keys_wait_for_the_platform_but_customers_do_not():
     async def work(sys):
         sys.tables.down = True
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from gypsumshift.attempts import AttemptLog
-from gypsumshift.dispatch import Job, Lost, Refusal, Whole
+from gypsumshift.dispatch import Dispatcher, Job, Lost, Refusal, Whole
 from gypsumshift.generated.messages import AttemptState, BarReply, Head
 from gypsumshift.keys import KeyOwner, Mismatch, Replayed
 from gypsumshift.members import Known
@@ -93,14 +93,8 @@
             return Lost("cut", attempt)
         return Whole(Head(200, []), key.encode(), sidecar.name)
 
-    async def settle(self, known, lost):
-        address = known.address
-        reply = await self.ask_bar(address, known.member.incarnation, lost.attempt)
-        if reply.state == AttemptState.NEVER:
-            return Refusal("never", 0.1)
-        if reply.state == AttemptState.DONE:
-            return Whole(reply.head, reply.body, known.member.backend)
-        return Unknown("lost")
+    settle = Dispatcher.settle
+    follow = Dispatcher.follow
 
     async def ask_bar(self, address, incarnation, attempt):
         await asyncio.sleep(0)
