History checking of concurrent runs under faults, and its mutants

Change: `make promises` runs a deployment of real processes with callers, a trainer and racing operators while a seeded schedule kills, pauses, crashes, drains and shuts down, and the platform goes down, slow or loses answers; nine checkers judge the history. `make mutants` runs the daemon with one mechanism switched off at a time.

Before: no history. The mutants have not been run yet.

--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,9 @@
 	python3 -m venv .venv
 	.venv/bin/python -m pip install --quiet --disable-pip-version-check --editable '.[test]'
 	touch $@
+
+promises: .venv/ready
+	$(PYTHON) -m history
+
+mutants: .venv/ready
+	$(PYTHON) -m history.mutants
--- a/gypsumshift/cli.py
+++ b/gypsumshift/cli.py
@@ -338,11 +338,20 @@
 
 
 @app.command()
-def drain(name: str) -> None:
+def drain(
+    name: str,
+    undo: Annotated[
+        bool, typer.Option("--undo", help="Take work again once its sidecar restarts.")
+    ] = False,
+) -> None:
     """Have a backend server, or one process, take no new work."""
-    answer = face.ask("POST", f"/v1/drain?name={urllib.parse.quote(name)}")
+    target = f"/v1/drain?name={urllib.parse.quote(name)}"
+    answer = face.ask("DELETE" if undo else "POST", target)
     if answer.status != 200:
         refuse(answer)
+    if undo:
+        print(f"{name} takes work again once its sidecar is restarted")
+        return
     told = json.loads(answer.body)["told"]
     print(f"told: {', '.join(told) or 'nobody yet; the platform keeps the order'}")
 
--- a/gypsumshift/client.py
+++ b/gypsumshift/client.py
@@ -126,11 +126,12 @@
         timeout = timeout or self.timeout
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
-        made_up = key is None and (unrepeatable or method in UNSAFE_METHODS)
-        if made_up:
-            key = secrets.token_hex(16)
         data, fields = encoded(body)
         fields += list((headers or {}).items())
+        has_key = key or any(name.lower() == "idempotency-key" for name, _ in fields)
+        made_up = not has_key and (unrepeatable or method in UNSAFE_METHODS)
+        if made_up:
+            key = secrets.token_hex(16)
         if key:
             fields.append(("idempotency-key", key))
         if unrepeatable:
--- a/gypsumshift/operators.py
+++ b/gypsumshift/operators.py
@@ -106,6 +106,7 @@
             ("GET", "/v1/status"): self.status,
             ("GET", "/v1/timeline"): self.timeline,
             ("POST", "/v1/drain"): self.drain,
+            ("DELETE", "/v1/drain"): self.undo_drain,
             ("GET", "/v1/weights"): self.weights,
             ("PUT", "/v1/weights"): self.publish,
         }
@@ -292,6 +293,14 @@
                 continue
         return json_response(200, {"told": told})
 
+    async def undo_drain(self, request: Request) -> Response:
+        """Take back a drain; the sidecar that is started next takes work again."""
+        name = request.parameter("name")
+        outcome = await self.tables.commit([Write(HEADS_TABLE, LEAVING_PREFIX + name)])
+        if not isinstance(outcome, Committed):
+            return platform_down(outcome)
+        return json_response(200, {"undone": name})
+
     async def weights(self, request: Request) -> Response:
         """Show the newest version of each pool, and which backend server has what."""
         rows = await self.tables.scan(HEADS_TABLE, WEIGHTS_PREFIX)
@@ -338,6 +347,7 @@
         "role": Role._VALUES_TO_NAMES[member.role].lower(),
         "zone": member.zone,
         "address": f"{member.host}:{member.port}",
+        "incarnation": member.incarnation,
         "pool": member.pool,
         "backend": member.backend,
         "leaving": member.leaving,
--- /dev/null
+++ b/history/__init__.py
@@ -0,0 +1,1 @@
+"""History checking: concurrent runs under faults, recorded and then judged."""
--- /dev/null
+++ b/history/mutants.py
@@ -0,0 +1,198 @@
+"""Mutants: the daemon with one mechanism switched off, to try the checkers.
+
+``python -m history.mutants`` runs each under faults and reports whether its
+checker fails, as it must. ``python -m history.mutants NAME --settings FILE`` is
+the daemon of one mutant.
+"""
+
+import asyncio
+import inspect
+import os
+import sys
+import time
+
+__all__ = ["MUTANTS"]
+
+DURATION = 25.0
+CALLERS = 12
+TRIES = 3
+FIRST_SEED = 1
+
+
+def believe_target():
+    """Label tokens with the version ordered, not with what the engine says."""
+    from gypsumshift import exchange
+
+    inner = exchange.StreamReader.take
+
+    def take(self, data):
+        before = self.labeller.count
+        inner(self, data)
+        tokens = self.labeller.count - before
+        if tokens and self.labeller.spans:
+            first = self.labeller.spans[0].version
+            self.labeller.spans = [exchange.Span(0, self.labeller.count, first)]
+
+    exchange.StreamReader.take = take
+
+
+def skip_staleness():
+    """Check the age of samples nowhere."""
+    from gypsumshift import generation, ledger
+
+    ledger.is_fresh = generation.is_fresh = lambda group, trainee, bound: True
+    generation.Driver.floor = property(lambda self: -(10**9), lambda self, value: None)
+
+
+def keep_sealed_groups():
+    """Seal steps without taking their groups off the list."""
+    from gypsumshift import ledger
+
+    inner = ledger.Ledger.commit_step
+
+    async def commit_step(self, trainee, chosen):
+        kept = [(_Kept(row), group) for row, group in chosen]
+        return await inner(self, trainee, kept)
+
+    class _Kept:
+        """A row whose removal hits another place."""
+
+        def __init__(self, row):
+            self.table, self.key, self.version = "nowhere", row.key, None
+
+    ledger.Ledger.commit_step = commit_step
+
+
+def accept_short_bodies():
+    """Take an answer that ends early for a whole one."""
+    from gypsumshift import fetch
+
+    inner = fetch.Exchange.event
+
+    async def event(self):
+        try:
+            return await inner(self)
+        except fetch.FetchError:
+            return fetch.h11.EndOfMessage()
+
+    fetch.Exchange.event = event
+
+
+def lost_is_not_run():
+    """Call every attempt that got no answer "not run"."""
+    from gypsumshift import dispatch
+
+    async def settle(self, job, known, lost):
+        return dispatch.Refusal(lost.reason, 0.2)
+
+    def Unknown(reason):
+        return dispatch.not_run(dispatch.Refusal(reason, 0.2))
+
+    dispatch.Dispatcher.settle = settle
+    dispatch.Unknown = Unknown
+
+
+def forget_keys():
+    """Take every key for a fresh one."""
+    from gypsumshift import keys
+
+    async def inspect_row(self, row, job):
+        return keys.Refusal("forgotten", 0.1)
+
+    keys.KeyOwner.inspect = inspect_row
+
+
+def ignore_leaving():
+    """Go on taking work while leaving."""
+    from gypsumshift import members, sidecar
+
+    sidecar.Sidecar.leave = lambda self, reason: None
+    inner = members.View.sidecars
+
+    def sidecars(self, pool):
+        for known in self.known.values():
+            known.member.leaving = False
+        return inner(self, pool)
+
+    members.View.sidecars = sidecars
+
+
+def stop_at_once():
+    """Shut down without finishing what runs."""
+    from gypsumshift import entry, sidecar
+
+    async def drain(self, deadline):
+        self.stopped.set()
+
+    entry.Entry.drain = sidecar.Sidecar.drain = drain
+
+
+def spread_nothing():
+    """Learn revisions only at the start."""
+    from gypsumshift import process
+
+    async def pull_revision(self, link):
+        return None
+
+    async def read_heads(self):
+        return None
+
+    process.Process.pull_revision = pull_revision
+    process.Process.read_heads = read_heads
+
+
+MUTANTS = {
+    "labels": believe_target,
+    "staleness": skip_staleness,
+    "exactly-once": keep_sealed_groups,
+    "whole-answers": accept_short_bodies,
+    "not-run": lost_is_not_run,
+    "at-most-once": forget_keys,
+    "leaving": ignore_leaving,
+    "graceful": stop_at_once,
+    "configuration": spread_nothing,
+}
+
+
+def run_daemon(name: str) -> None:
+    """Run the daemon of one mutant."""
+    MUTANTS[name]()
+    from gypsumshift import daemon
+
+    daemon.main()
+
+
+def is_caught(name: str) -> bool:
+    """Run one mutant under faults, on some seeds; return whether it is caught."""
+    from history.__main__ import record
+    from history.checkers import judge
+
+    daemon = ["history.mutants", name]
+    for seed in range(FIRST_SEED, FIRST_SEED + TRIES):
+        records = asyncio.run(record(seed, DURATION, CALLERS, daemon))
+        findings = {finding.promise: finding for finding in judge(records)}
+        if findings[name].violations:
+            print(f"    {findings[name].violations[0]}")
+            return True
+    return False
+
+
+def main() -> int:
+    """Run all mutants, or those in ``ONLY``; return how many were missed."""
+    chosen = os.environ.get("ONLY", "").split() or list(MUTANTS)
+    missed = 0
+    for name in chosen:
+        began = time.time()
+        caught = is_caught(name)
+        missed += not caught
+        what = inspect.getdoc(MUTANTS[name])
+        verdict = "caught" if caught else "MISSED"
+        print(f"{verdict}  {name:14} {what} ({time.time() - began:.0f} s)", flush=True)
+    return missed
+
+
+if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        run_daemon(sys.argv.pop(1))
+    else:
+        sys.exit(1 if main() else 0)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -72,6 +72,8 @@
     speed : dict
         Options of the stand-ins: ``step``, ``swap`` and ``duration`` in seconds,
         ``places``, ``weight_rate`` and ``host_lag``.
+    daemon : list of str
+        Module, with arguments, that runs in place of the daemon.
     """
 
     def __init__(
@@ -80,7 +82,9 @@
         entries: int = 2,
         fixed_ports: bool = False,
         speed: dict[str, float] | None = None,
+        daemon: list[str] | None = None,
     ):
+        self.daemon = daemon or ["gypsumshift.daemon"]
         self.catalog = catalog
         self.entry_count = entries
         self.fixed_ports = fixed_ports
@@ -162,6 +166,7 @@
             command += self.options("step", "swap", "batch", "cache_blocks")
         else:
             command = ["standins.service", str(port), "--name", name]
+            command += ["--journal", str(self.folder / f"{name}.journal")]
             command += self.options("duration", "places")
         running = self.launch(name, command)
         running.ports["backend"] = port
@@ -188,7 +193,7 @@
         }
         path = self.folder / f"{settings['name']}.jsonc"
         path.write_text(json.dumps(settings, indent=2))
-        command = ["gypsumshift.daemon", "--settings", str(path)]
+        command = [*self.daemon, "--settings", str(path)]
         running = self.launch(settings["name"], command)
         running.ports = ports
         return running
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -22,7 +22,7 @@
 
 BLOCK = 16
 REPORT_PERIOD = 0.5
-VOCABULARY = 50_000
+TOKENS_PER_VERSION = 1000
 
 
 @attrs.define
@@ -178,7 +178,10 @@
             )
             sequence.made += 1
             self.made += 1
-            sequence.tokens.put_nowait((chance.randrange(VOCABULARY), self.version))
+            # A token tells which version made it, for whoever checks the labels.
+            token = self.version * TOKENS_PER_VERSION
+            token += chance.randrange(TOKENS_PER_VERSION)
+            sequence.tokens.put_nowait((token, self.version))
 
     def uncached(self, prompt: str) -> int:
         """Return the prompt tokens to compute, and cache them."""
@@ -277,6 +280,7 @@
                 if sequence.breaks and sequence.made > sequence.most // 2:
                     raise Abandon("told to break")
                 event = self.event(token, version, last, chat)
+                event["echo"] = echo(sequence.prompt)
                 yield b"data: " + json.dumps(event).encode() + b"\n\n"
             yield b"data: [DONE]\n\n"
         finally:
@@ -298,6 +302,7 @@
         else:
             event["choices"][0]["text"] = text
         event["usage"] = {"completion_tokens": len(words)}
+        event["echo"] = echo(sequence.prompt)
         return json_response(200, event)
 
     def event(self, token: int, version: int, last: bool, chat: bool) -> dict:
@@ -356,6 +361,11 @@
         return answer.status == 200
 
 
+def echo(prompt: str) -> str:
+    """Return a digest of a prompt, by which its answer is recognized."""
+    return hashlib.md5(prompt.encode()).hexdigest()[:12]
+
+
 def main(
     port: int,
     pool: str,
--- a/standins/service.py
+++ b/standins/service.py
@@ -8,6 +8,7 @@
 import collections
 import json
 import random
+import time
 
 import attrs
 import typer
@@ -46,10 +47,17 @@
         Median seconds of a request; spread log-normally.
     spread : float
         Sigma of the log-normal spread.
+    journal : str
+        File that outlives a kill; a line for each request that began to run.
     """
 
     def __init__(
-        self, name: str, places: int = 8, duration: float = 0.01, spread: float = 0.3
+        self,
+        name: str,
+        places: int = 8,
+        duration: float = 0.01,
+        spread: float = 0.3,
+        journal: str = "",
     ):
         self.name = name
         self.places = asyncio.Semaphore(places)
@@ -58,6 +66,7 @@
         self.chance = random.Random(name)
         self.runs = collections.Counter()
         self.running = 0
+        self.journal = open(journal, "a", buffering=1) if journal else None
         self.faults = Faults()
         self.server = Server(self.serve)
 
@@ -77,7 +86,7 @@
         self.running += 1
         try:
             async with self.places:
-                self.runs[request.header("request-id") or request.path] += 1
+                self.note(request.header("request-id") or request.path)
                 spread = self.chance.lognormvariate(0, self.spread)
                 await asyncio.sleep(self.duration * spread * self.faults.slow)
         finally:
@@ -94,6 +103,13 @@
             return Response(200, [], self.cut())
         return json_response(200, value)
 
+    def note(self, request_id: str) -> None:
+        """Note that a request begins to run."""
+        self.runs[request_id] += 1
+        if self.journal:
+            line = {"at": time.time(), "by": self.name, "id": request_id}
+            self.journal.write(json.dumps(line) + "\n")
+
     async def cut(self):
         """Yield a part of an answer, then break."""
         yield b'{"service": '
@@ -113,9 +129,10 @@
     places: int = 8,
     duration: float = 0.01,
     spread: float = 0.3,
+    journal: str = "",
 ) -> None:
     """Run a stand-in for a plain service."""
-    service = StandinService(name, places, duration, spread)
+    service = StandinService(name, places, duration, spread, journal)
     asyncio.run(serve(service, host, port))
 
 
--- a/tests/system.py
+++ b/tests/system.py
@@ -52,7 +52,7 @@
 async def until(holds, what="the condition"):
     """Wait until a condition holds; returns its value."""
     async with asyncio.timeout(PATIENCE):
-        while not (value := holds()):  # noqa: ASYNC110
+        while not (value := holds()):
             await asyncio.sleep(0.005)
         return value
 
--- a/tests/test_samples.py
+++ b/tests/test_samples.py
@@ -8,6 +8,7 @@
 from gypsumshift.generated import messages
 from gypsumshift.generated.messages import Body
 from gypsumshift.outcomes import Missing
+from standins.engine import TOKENS_PER_VERSION
 
 from . import system
 from .system import until
@@ -30,33 +31,16 @@
         assert end == len(sample.token_ids)
 
 
-def check_truth(sys, delivery):
+def check_truth(delivery):
     """Check each token against the version under which the engine made it."""
     for sample in delivery.samples:
         for first, last, version in sample.spans:
-            for place in range(first, last):
-                made = [e.made_under.get(sample.token_ids[place]) for e in sys.engines]
-                assert version in {v for versions in made if versions for v in versions}
-
-
-def record_truth(sys):
-    """Have the engines keep under which versions they made each token."""
-    for engine in sys.engines:
-        engine.made_under = {}
-        inner = engine.emit
-
-        def emit(engine=engine, inner=inner):
-            inner()
-            for sequence in engine.running:
-                token, version = sequence.tokens._queue[-1]
-                engine.made_under.setdefault(token, set()).add(version)
-
-        engine.emit = emit
+            for token in sample.token_ids[first:last]:
+                assert token // TOKENS_PER_VERSION == version
 
 
 def test_tokens_across_a_swap_carry_the_versions_that_made_them():
     async def work(sys):
-        record_truth(sys)
         async with sys.trainer() as trainer:
             await trainer.submit(groups(4, tokens=150))
             pull = asyncio.create_task(trainer.step(1))
@@ -64,7 +48,7 @@
             await trainer.publish(1, b"w")
             delivery = await pull
             check_labels(delivery)
-            check_truth(sys, delivery)
+            check_truth(delivery)
             assert any(len(sample.spans) > 1 for sample in delivery.samples)
 
     system.run(work, services=0)
@@ -75,12 +59,11 @@
         engine, sidecar = sys.engines[0], sys.sidecars["model-0"]
         engine.faults.fail_swaps, engine.faults.half_swaps = 1, 1
         engine.faults.late_swaps = 1.0
-        record_truth(sys)
         async with sys.trainer() as trainer:
             await trainer.submit(groups(4))
             await trainer.publish(1, b"w")
             delivery = await trainer.step(1)
-            check_truth(sys, delivery)
+            check_truth(delivery)
             await until(lambda: sidecar.backend.state.version == 1)
             assert engine.version == 1 and engine.fence == sidecar.own.fence
 
