One job per module: runs, rollout, answers, heartbeats, poller

Cause: sidecar.py (403 lines), dispatch.py (410) and process.py (428) each did two or three jobs; a heartbeat round waited for its slowest peer, so one paused process held news back by up to 1 s; waves always waited for the clock; a short answer cost three frames.

Change: five modules out of those three; a heartbeat per peer, each on its own; a sidecar's wave goes as soon as the waves before it are heard to be through; a short answer travels in one frame. A process without a revision takes one from neighbours only where two told and none knows a newer, which was written down but not enforced before.

--- a/gypsumshift/backend.py
+++ b/gypsumshift/backend.py
@@ -6,11 +6,10 @@
 from gypsumshift.events import Recorder
 from gypsumshift.fetch import Fetcher, FetchError
 from gypsumshift.generated.declarations import Pool
-from gypsumshift.members import rank
 from gypsumshift.outcomes import Committed, Conflict, Missing, Unavailable
 from gypsumshift.platforms import ABSENT, Tables, Write
 
-__all__ = ["Backend", "Fence", "wave_of"]
+__all__ = ["Backend", "Fence"]
 
 STATE_TIMEOUT = 2.0
 LATE_ORDER_FACTOR = 5.0
@@ -20,24 +19,6 @@
 log = logs.logger("backend")
 
 
-def wave_of(backend: str, mates: set[str], version: int, floor: float) -> int:
-    """Return the wave in which a backend server loads a version, from 0.
-
-    Parameters
-    ----------
-    backend : str
-    mates : set of str
-        The pool's backend servers, with or without this one.
-    version : int
-        Shuffles the order, so that no backend server is always the last.
-    floor : float
-        Share of the pool that keeps serving.
-    """
-    everyone = sorted(mates | {backend}, key=lambda name: rank(str(version), name))
-    size = max(1, int(len(everyone) * (1 - floor) + 1e-9))
-    return everyone.index(backend) // size
-
-
 class Backend:
     """One backend server, as its sidecar asks and orders it.
 
--- a/gypsumshift/callers.py
+++ b/gypsumshift/callers.py
@@ -5,7 +5,8 @@
 import re
 import urllib.parse
 
-from gypsumshift.dispatch import Dispatcher, Job, Streamed, Whole
+from gypsumshift.answers import Streamed, Whole
+from gypsumshift.dispatch import Dispatcher, Job
 from gypsumshift.generated.declarations import Parameters
 from gypsumshift.generated.messages import RequestClass
 from gypsumshift.keys import KeyOwner, Mismatch, Replayed
--- a/gypsumshift/dispatch.py
+++ b/gypsumshift/dispatch.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import datetime
-from collections.abc import AsyncIterator
 
 import attrs
 
 from gypsumshift import logs
+from gypsumshift.answers import Answer, Lost, Refusal, Streamed, Whole
 from gypsumshift.attempts import new_attempt
 from gypsumshift.budgets import RetryBudget
 from gypsumshift.exchange import passed_on
@@ -16,20 +16,17 @@
     BarReply,
     Body,
     Cancel,
-    End,
-    Head,
     Header,
     RequestClass,
-    Span,
     Start,
 )
-from gypsumshift.links import Exchanges, Link, LinkError
+from gypsumshift.links import LinkError
 from gypsumshift.members import Known
 from gypsumshift.outcomes import NotRun, Unknown
 from gypsumshift.process import Process
 from gypsumshift.routing import Router, new_router
 
-__all__ = ["Dispatcher", "Job", "Streamed", "Whole"]
+__all__ = ["Dispatcher", "Job", "mark", "not_run"]
 
 MOST_TRIES = 4
 TIMEOUT_SHRINK = 0.95
@@ -37,8 +34,6 @@
 BAR_TRIES = 3
 BAR_PAUSE = 0.1
 FOLLOW_PERIOD = 0.1
-WHOLE_LIMIT = 16 * 1024 * 1024
-EVENT_STREAM = b"text/event-stream"
 
 log = logs.logger("dispatch")
 
@@ -88,60 +83,6 @@
     fresh_key: bool = False
 
 
-@attrs.frozen
-class Whole:
-    """A whole answer of a backend server.
-
-    Attributes
-    ----------
-    head : Head
-    body : bytes
-    spans : list of Span
-    backend : str
-    """
-
-    head: Head
-    body: bytes
-    backend: str
-    spans: list[Span] = attrs.field(factory=list)
-
-
-@attrs.define
-class Streamed:
-    """A streamed answer under way; its end may yet fail.
-
-    Attributes
-    ----------
-    head : Head
-    chunks : async iterator of bytes
-        Raises `LinkError` where the stream breaks.
-    backend : str
-    spans : list of Span
-        Complete once the chunks have ended.
-    """
-
-    head: Head
-    chunks: AsyncIterator[bytes]
-    backend: str
-    spans: list[Span] = attrs.field(factory=list)
-
-
-@attrs.frozen
-class Refusal:
-    """A sidecar's true "not run"."""
-
-    reason: str
-    retry_after: float
-
-
-@attrs.frozen
-class Lost:
-    """An attempt that may have run, and its name."""
-
-    reason: str
-    attempt: str
-
-
 class Dispatcher:
     """Sends the requests of one entry, tracking what it sees of the sidecars.
 
@@ -223,7 +164,7 @@
             async with asyncio.timeout(job.deadline - began):
                 start = self.start(job, known, attempt)
                 exchange = await link.open(Body(start=start))
-                answer = Answer(self, job, known, attempt, link, exchange)
+                answer = Answer(router, self.clock, known, attempt, link, exchange)
                 result = await answer.take(began)
                 handed_on = isinstance(result, Streamed)
                 return result
@@ -301,117 +242,6 @@
         return BarReply(AttemptState.UNKNOWN, None, b"")
 
 
-@attrs.define
-class Answer:
-    """Takes the answer of one attempt.
-
-    Attributes
-    ----------
-    dispatcher : Dispatcher
-    job : Job
-    known : Known
-    attempt : str
-    link : Link
-    exchange : Exchanges
-    """
-
-    dispatcher: Dispatcher
-    job: Job
-    known: Known
-    attempt: str
-    link: Link
-    exchange: Exchanges
-
-    async def take(self, began: float):
-        """Return the answer, or how the attempt failed."""
-        streaming = False
-        try:
-            body = await self.exchange.receive()
-            if body.head is None:
-                return self.end_early(body)
-            router = self.dispatcher.router(self.job.pool)
-            router.answered(self.known, self.dispatcher.clock.monotonic() - began)
-            if is_stream(body.head):
-                streaming = True
-                return self.streamed(body.head)
-            return await self.whole(body.head)
-        finally:
-            if not streaming:
-                self.exchange.close()
-
-    def end_early(self, body: Body):
-        """Return how an attempt failed before its answer began."""
-        router = self.dispatcher.router(self.job.pool)
-        if body.refused is not None:
-            self.take_load(body.refused.load)
-            refused = body.refused
-            return Refusal(refused.reason, refused.retry_after_ms / 1000)
-        router.failed(self.known)
-        reason = body.broken.reason if body.broken else "an answer out of order"
-        return Lost(reason, self.attempt)
-
-    async def whole(self, head: Head):
-        """Collect a body up to its end; a broken one is no answer."""
-        parts = bytearray()
-        while True:
-            body = await self.exchange.receive()
-            if body.chunk is not None:
-                parts += body.chunk.data
-                if len(parts) > WHOLE_LIMIT:
-                    return Unknown(f"the answer exceeds {WHOLE_LIMIT} bytes")
-            elif body.end is not None:
-                self.take_end(body.end)
-                backend = self.known.member.backend
-                return Whole(head, bytes(parts), backend, body.end.spans)
-            else:
-                return self.end_early(body)
-
-    def streamed(self, head: Head) -> Streamed:
-        """Return a stream whose chunks are read by whoever takes it."""
-        spans: list[Span] = []
-        return Streamed(head, self.chunks(spans), self.known.member.backend, spans)
-
-    async def chunks(self, spans: list[Span]):
-        """Yield a stream's chunks; fill in the spans at its end."""
-        router = self.dispatcher.router(self.job.pool)
-        ended = False
-        try:
-            while True:
-                body = await self.exchange.receive()
-                if body.chunk is not None:
-                    yield body.chunk.data
-                    continue
-                ended = True
-                if body.end is None:
-                    router.failed(self.known)
-                    raise LinkError("the backend server broke the stream", True)
-                spans.extend(body.end.spans)
-                self.take_end(body.end)
-                return
-        finally:
-            if not ended:
-                self.link.tell(Body(cancel=Cancel(self.attempt)))
-            self.exchange.close()
-            router.ended(self.known)
-
-    def take_end(self, end: End) -> None:
-        """Take the load report that came with the end."""
-        self.take_load(end.load)
-
-    def take_load(self, load) -> None:
-        """Take a load report."""
-        self.dispatcher.process.view.report(self.known, load)
-        self.dispatcher.router(self.job.pool).reported(self.known)
-
-
-def is_stream(head: Head) -> bool:
-    """Tell whether an answer is a stream of events."""
-    for header in head.headers:
-        if header.name.lower() == b"content-type":
-            return header.value.startswith(EVENT_STREAM)
-    return False
-
-
 def mark(known: Known) -> int:
     """Return the mark last heard from a sidecar."""
     return known.load.mark if known.load else 0
--- a/gypsumshift/entry.py
+++ b/gypsumshift/entry.py
@@ -28,6 +28,7 @@
     """
 
     role = Role.ENTRY
+    passes_on_news = True
 
     def __init__(self, settings, platform=None, clock=None):
         super().__init__(settings, platform, clock)
@@ -58,7 +59,7 @@
         self.own.leaving = True
         self.recorder.note("leaving", self.own.name)
         log.info("Leaves; finishes what runs.")
-        self.wake.set()
+        self.heartbeats.wake.set()
         await self.generator.release()
         await self.clock.sleep(BALANCER_PAUSE)
         await self.front.stop(deadline)
--- a/gypsumshift/exchange.py
+++ b/gypsumshift/exchange.py
@@ -129,6 +129,11 @@
     head: Head
     reader: "StreamReader | WholeReader"
 
+    @property
+    def streams(self) -> bool:
+        """Whether the answer is a stream of events."""
+        return isinstance(self.reader, StreamReader)
+
     async def chunks(self):
         """Yield the body as it comes, and label it on the way."""
         async for data in self.exchange.chunks():
--- a/gypsumshift/generation.py
+++ b/gypsumshift/generation.py
@@ -6,8 +6,9 @@
 import attrs
 
 from gypsumshift import logs
+from gypsumshift.answers import Streamed, Whole
 from gypsumshift.dialects import DIALECTS, Dialect
-from gypsumshift.dispatch import Dispatcher, Job, Streamed, Whole
+from gypsumshift.dispatch import Dispatcher, Job
 from gypsumshift.generated.declarations import Trainer
 from gypsumshift.generated.messages import RequestClass
 from gypsumshift.leases import Lease
--- a/gypsumshift/keys.py
+++ b/gypsumshift/keys.py
@@ -11,9 +11,10 @@
 import attrs
 
 from gypsumshift import logs
+from gypsumshift.answers import Lost, Refusal, Whole
 from gypsumshift.attempts import new_attempt
 from gypsumshift.clock import Clock
-from gypsumshift.dispatch import Dispatcher, Job, Lost, Refusal, Whole, mark, not_run
+from gypsumshift.dispatch import Dispatcher, Job, mark, not_run
 from gypsumshift.generated.messages import AttemptState, Head, Header
 from gypsumshift.members import Known
 from gypsumshift.outcomes import (
--- a/gypsumshift/members.py
+++ b/gypsumshift/members.py
@@ -42,6 +42,8 @@
         When ``load`` came, by the monotonic clock, in seconds.
     learnt : float
         When it first became known, by the monotonic clock, in seconds.
+    changed : float
+        When it last left, or loaded weights, by the monotonic clock, in seconds.
     """
 
     member: Member
@@ -50,6 +52,7 @@
     revision: int = -1
     heard: float = NEVER
     reported: float = NEVER
+    changed: float = NEVER
 
     @property
     def address(self) -> tuple[str, int]:
@@ -60,6 +63,8 @@
 class View:
     """The other processes known here, by name.
 
+    ``news`` counts the changes that are worth telling others soon.
+
     Parameters
     ----------
     own : Member
@@ -73,6 +78,7 @@
         self.known: dict[str, Known] = {}
         self.listed: dict[str, Host] = {}
         self.fences: dict[str, int] = {}
+        self.news = 0
 
     def merge(self, member: Member) -> Known | None:
         """Take what somebody says of a process; return what is known of it then."""
@@ -83,16 +89,23 @@
             self.fences[member.backend] = fence
         known = self.known.get(member.name)
         if known is None or known.member.incarnation < member.incarnation:
-            known = Known(member, self.clock.monotonic())
+            now = self.clock.monotonic()
+            known = Known(member, now, changed=now)
+            self.news += 1
             self.known[member.name] = known
         elif known.member.incarnation > member.incarnation:
             return None
         else:
             leaving = known.member.leaving or member.leaving
             fence = max(known.member.fence, member.fence)
+            version = max(known.member.version, member.version)
+            if (leaving, version) != (known.member.leaving, known.member.version):
+                known.changed = self.clock.monotonic()
+                self.news += 1
             known.member = member
             known.member.leaving = leaving
             known.member.fence = fence
+            known.member.version = version
         self.apply_host(known)
         return known
 
--- a/gypsumshift/operators.py
+++ b/gypsumshift/operators.py
@@ -21,7 +21,8 @@
     Unknown,
 )
 from gypsumshift.platforms import Write
-from gypsumshift.process import LEAVING_PREFIX, WEIGHTS_PREFIX, Process
+from gypsumshift.poller import LEAVING_PREFIX, WEIGHTS_PREFIX
+from gypsumshift.process import Process
 from gypsumshift.publication import Publisher
 from gypsumshift.revisions import HEADS_TABLE, Accepted
 from gypsumshift.server import Request, Response, json_response, problem
--- a/gypsumshift/process.py
+++ b/gypsumshift/process.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import json
 import random
 import secrets
 
@@ -15,28 +14,19 @@
 from gypsumshift.generated import messages
 from gypsumshift.generated.messages import Body, Member, Role
 from gypsumshift.generated.settings import Settings
-from gypsumshift.links import Link, LinkError, PeerServer, Session
+from gypsumshift.heartbeats import Heartbeats
+from gypsumshift.links import Link, PeerServer, Session
 from gypsumshift.members import Known, View, rank
 from gypsumshift.metrics import Metrics, scrape
-from gypsumshift.outcomes import Missing, Unavailable
-from gypsumshift.platforms import Host, Platform
-from gypsumshift.revisions import CONFIG_HEAD, HEADS_TABLE, History, InForce
+from gypsumshift.platforms import Platform
+from gypsumshift.poller import Poller
+from gypsumshift.revisions import History, InForce
 from gypsumshift.server import Request, Response, Server, json_response, problem
 from gypsumshift.settings import parse_address
 
 __all__ = ["Process"]
 
-HEARTBEAT_TIMEOUT = 1.0
-PULL_TIMEOUT = 2.0
-PEERS_TOLD = 8
 POLLERS_PER_ZONE = 2
-POLL_PERIOD = 0.5
-HOSTS_PERIOD = 10.0
-READY_NEIGHBOURS = 2
-READY_PERIOD = 0.2
-STATUS_TIMEOUT = 2.0
-WEIGHTS_PREFIX = "weights/"
-LEAVING_PREFIX = "leaving/"
 
 log = logs.logger("process")
 
@@ -54,6 +44,7 @@
 
     role = Role.ENTRY
     heartbeat_period = 1.0
+    passes_on_news = False
 
     def __init__(
         self,
@@ -71,10 +62,10 @@
         self.own = self.describe()
         self.view = View(self.own, self.clock)
         self.targets: dict[str, int] = {}
-        self.leaving_backends: set[str] = set()
         self.links: dict[tuple[str, int], Link] = {}
         self.random = random.Random(settings.name)
-        self.wake = asyncio.Event()
+        self.heartbeats = Heartbeats(self)
+        self.poller = Poller(self)
         self.stopped = asyncio.Event()
         self.tasks: set[asyncio.Task] = set()
         self.peers = PeerServer(self.serve, self.session_ended, self.recorder.hybrid)
@@ -98,6 +89,7 @@
             backend=settings.backend,
             leaving=False,
             fence=0,
+            version=0,
         )
 
     async def __aenter__(self):
@@ -113,9 +105,9 @@
         self.own.port = await self.peers.listen(settings.host, settings.peer_port)
         port = await self.operators.listen(settings.host, settings.operator_port)
         self.operator_address = (settings.host, port)
-        self.spawn(self.become_ready())
-        self.spawn(self.beat())
-        self.spawn(self.poll())
+        self.spawn(self.poller.become_ready())
+        self.spawn(self.heartbeats.run())
+        self.spawn(self.poller.run())
         log.info("Started as {} in {}.", settings.role, settings.zone)
 
     async def stop(self) -> None:
@@ -159,40 +151,15 @@
         if link:
             link.close()
 
-    # Revisions
-
-    async def become_ready(self) -> None:
-        """Learn a revision to begin with, from the platform or several neighbours."""
-        while not self.in_force.ready:
-            head = await self.history.head()
-            if not isinstance(head, Unavailable):
-                await self.load_revision(head)
-            elif self.neighbours_agree():
-                log.info("The platform is down; neighbours told the revision.")
-                break
-            if not self.in_force.ready:
-                await self.clock.sleep(READY_PERIOD)
-
-    def neighbours_agree(self) -> bool:
-        """Tell whether enough neighbours told, and their newest revision is here."""
-        told = [known.revision for known in self.view.known.values()]
-        told = [revision for revision in told if revision >= 0]
-        return len(told) >= READY_NEIGHBOURS and self.in_force.number >= max(told)
-
-    async def load_revision(self, number: int) -> None:
-        """Read a revision from the platform and put it in force."""
-        if number <= self.in_force.number:
-            return
-        accepted = await self.history.get(number)
-        if isinstance(accepted, (Missing, Unavailable)):
-            return
-        self.adopt(number, json.dumps(accepted.declarations))
+    # Revisions and weights
 
     def adopt(self, number: int, text: str) -> None:
         """Put a revision in force and tell the neighbours at once."""
+        if not self.in_force.ready and not self.poller.may_begin_with(number):
+            return
         if self.in_force.adopt(number, text):
             self.revision_changed()
-            self.wake.set()
+            self.heartbeats.wake.set()
 
     def revision_changed(self) -> None:
         """React to a new revision; roles extend it."""
@@ -202,157 +169,33 @@
         if version > self.targets.get(pool, 0):
             self.targets[pool] = version
             self.recorder.note("published", f"{pool}@{version}", "known here")
-            self.wake.set()
-
-    def set_leaving(self, backends: set[str]) -> None:
-        """Take the backend servers that operators drain."""
-        if backends != self.leaving_backends:
-            self.leaving_backends = backends
-            self.wake.set()
+            self.heartbeats.wake.set()
 
-    # The platform
+    # What roles decide
 
     def polls(self) -> bool:
         """Tell whether this process is one of the few that poll the platform."""
         return False
 
-    async def poll(self) -> None:
-        """Read heads and hosts where this process is one of the pollers."""
-        hosts_due = 0.0
-        announced = False
-        while True:
-            if not announced:
-                announced = await self.announce()
-            if self.polls() or not self.in_force.ready:
-                await self.read_heads()
-            if self.reads_hosts() and self.clock.monotonic() >= hosts_due:
-                hosts_due = self.clock.monotonic() + HOSTS_PERIOD
-                await self.read_hosts()
-            await self.clock.sleep(POLL_PERIOD)
-
     def reads_hosts(self) -> bool:
         """Tell whether this process reads the platform's list of hosts."""
         return True
 
-    async def announce(self) -> bool:
-        """Put this process on the platform's list; return whether it worked."""
-        address = f"{self.own.host}:{self.own.port}"
-        host = Host(self.own.name, address, self.own.zone)
-        outcome = await self.platform.hosts.announce(host)
-        return not isinstance(outcome, Unavailable)
-
-    async def read_heads(self) -> None:
-        """Read the newest revision, weight versions and drains, in one scan."""
-        rows = await self.platform.tables.scan(HEADS_TABLE, "")
-        if isinstance(rows, Unavailable):
-            return
-        leaving = set()
-        for row in rows:
-            if row.key == CONFIG_HEAD:
-                await self.load_revision(row.value["number"])
-            elif row.key.startswith(WEIGHTS_PREFIX):
-                pool = row.key.removeprefix(WEIGHTS_PREFIX)
-                self.set_target(pool, row.value["version"])
-            elif row.key.startswith(LEAVING_PREFIX):
-                leaving.add(row.key.removeprefix(LEAVING_PREFIX))
-        self.set_leaving(leaving)
-
-    async def read_hosts(self) -> None:
-        """Read the platform's list of hosts."""
-        hosts = await self.platform.hosts.list()
-        if not isinstance(hosts, Unavailable):
-            self.view.take_hosts(hosts)
-        self.view.forget()
-
-    # Heartbeats
-
     def correspondents(self) -> list[tuple[str, int]]:
-        """Return the addresses to send heartbeats to now; roles extend it."""
+        """Return the addresses to send heartbeats to now."""
         return [parse_address(seed) for seed in self.settings.seeds]
 
-    async def beat(self) -> None:
-        """Exchange heartbeats, at once after a change, else at a steady rate."""
-        while True:
-            self.wake.clear()
-            addresses = set(self.correspondents())
-            addresses.discard((self.own.host, self.own.port))
-            await asyncio.gather(*(self.greet(address) for address in addresses))
-            try:
-                async with asyncio.timeout(self.heartbeat_period):
-                    await self.wake.wait()
-            except TimeoutError:
-                pass
-
-    async def greet(self, address: tuple[str, int]) -> None:
-        """Exchange one heartbeat; pull the revision where the peer's is newer."""
-        link = self.link(address)
-        try:
-            question = Body(heartbeat=self.heartbeat())
-            answer = await link.ask(question, HEARTBEAT_TIMEOUT)
-            heartbeat = answer.heartbeat
-            if heartbeat is None:
-                return
-            self.hear(heartbeat)
-            if heartbeat.revision > self.in_force.number:
-                await self.pull_revision(link)
-        except LinkError as error:
-            self.unreachable(address, str(error))
-
-    def unreachable(self, address: tuple[str, int], reason: str) -> None:
-        """React to a peer that does not answer; roles extend it."""
-
-    async def pull_revision(self, link: Link) -> None:
-        """Ask a peer for its revision and put it in force where it is newer."""
-        question = messages.PullRevision(self.in_force.number)
-        answer = await link.ask(Body(pull_revision=question), PULL_TIMEOUT)
-        if answer.revision is not None:
-            self.adopt(answer.revision.number, answer.revision.text)
-
     def load(self) -> messages.Load | None:
         """Return the load of the backend server beside this process, if any."""
         return None
 
-    def heartbeat(self, pool: str = "") -> messages.Heartbeat:
-        """Return a heartbeat; targets of one pool only where that is named."""
-        pools = [pool] if pool else list(self.targets)
-        targets = [
-            messages.Target(name, self.targets[name])
-            for name in pools
-            if name in self.targets
-        ]
-        return messages.Heartbeat(
-            sender=self.own,
-            revision=self.in_force.number,
-            load=self.load(),
-            peers=self.peers_to_tell(pool),
-            targets=targets,
-        )
-
-    def peers_to_tell(self, pool: str) -> list[Member]:
-        """Return some processes to tell a peer of: mates of its pool first."""
-        everyone = [known.member for known in self.view.known.values()]
-        self.random.shuffle(everyone)
-        everyone.sort(key=lambda member: not pool or member.pool != pool)
-        return everyone[:PEERS_TOLD]
-
-    def hear(self, heartbeat: messages.Heartbeat) -> None:
-        """Take a heartbeat that came from a peer."""
-        self.view.heard(heartbeat.sender, heartbeat.revision, heartbeat.load)
-        for member in heartbeat.peers:
-            self.view.merge(member)
-        for target in heartbeat.targets:
-            self.set_target(target.pool, target.version)
-
     # Answers to peers
 
     async def serve(self, session: Session, exchange: int, body: Body) -> None:
         """Answer one question of a peer."""
         answer = None
         if body.heartbeat is not None:
-            self.hear(body.heartbeat)
-            answer = Body(heartbeat=self.heartbeat(body.heartbeat.sender.pool))
-            if body.heartbeat.revision > self.in_force.number:
-                self.wake.set()
+            answer = Body(heartbeat=self.heartbeats.answer(body.heartbeat))
         elif body.pull_revision is not None:
             number = self.in_force.number
             answer = Body(revision=messages.Revision(number, self.in_force.text))
--- a/gypsumshift/publication.py
+++ b/gypsumshift/publication.py
@@ -2,7 +2,8 @@
 
 from gypsumshift.outcomes import Committed, Missing, Unavailable, Unknown, Written
 from gypsumshift.platforms import ABSENT, Write
-from gypsumshift.process import WEIGHTS_PREFIX, Process
+from gypsumshift.poller import WEIGHTS_PREFIX
+from gypsumshift.process import Process
 from gypsumshift.revisions import HEADS_TABLE
 
 __all__ = ["Publisher"]
--- /dev/null
+++ b/gypsumshift/rollout.py
@@ -0,0 +1,103 @@
+"""Rollout: one sidecar brings its backend server to the newest weights, in waves.
+
+There is no leader. Each sidecar knows the pool's backend servers and the version,
+so each finds its own wave; it goes once it has heard that the waves before it are
+through, or once they had the time declared for that.
+"""
+
+from gypsumshift import logs
+from gypsumshift.backend import Backend, Fence
+from gypsumshift.members import rank
+from gypsumshift.process import Process
+
+__all__ = ["Rollout", "waves"]
+
+PERIOD = 0.05
+RETRY_FIRST = 0.25
+RETRY_MOST = 10.0
+
+log = logs.logger("rollout")
+
+
+def waves(backends: set[str], version: int, floor: float) -> list[list[str]]:
+    """Return the backend servers of a pool in the waves that load a version.
+
+    Parameters
+    ----------
+    backends : set of str
+    version : int
+        Shuffles the order, so that no backend server is always the last.
+    floor : float
+        Share of the pool that keeps serving.
+    """
+    order = sorted(backends, key=lambda name: rank(str(version), name))
+    size = max(1, int(len(order) * (1 - floor) + 1e-9))
+    return [order[start : start + size] for start in range(0, len(order), size)]
+
+
+class Rollout:
+    """Follows the newest published version of the pool.
+
+    Parameters
+    ----------
+    process : Process
+        The sidecar.
+    backend : Backend
+    fence : Fence
+    """
+
+    def __init__(self, process: Process, backend: Backend, fence: Fence):
+        self.process = process
+        self.backend = backend
+        self.fence = fence
+        self.clock = process.clock
+        self.wave = 0
+
+    @property
+    def target(self) -> int:
+        """Newest published version known here."""
+        return self.process.targets.get(self.process.own.pool, 0)
+
+    async def run(self) -> None:
+        """Load each newer version when this one's wave comes."""
+        tries = 0
+        while True:
+            held = self.backend.state.version
+            if not self.process.own.fence or held is None or held >= self.target:
+                tries = 0
+                await self.clock.sleep(PERIOD)
+                continue
+            if tries == 0:
+                await self.await_wave(self.target)
+            if await self.fence.deposed():
+                self.process.leave("a newer sidecar gives the orders")
+                return
+            if await self.backend.load_weights(self.target, self.process.own.fence):
+                tries = 0
+                self.process.heartbeats.wake.set()
+                continue
+            tries += 1
+            await self.clock.sleep(min(RETRY_FIRST * 2**tries, RETRY_MOST))
+
+    async def await_wave(self, version: int) -> None:
+        """Wait until the waves before this one's are through, or had their time."""
+        own = self.process.own
+        sidecars = self.process.view.sidecars(own.pool)
+        backends = {known.member.backend for known in sidecars} | {own.backend}
+        pool = self.backend.pool
+        order = waves(backends, version, pool.serving_floor)
+        self.wave = next(n for n, wave in enumerate(order) if own.backend in wave)
+        detail = f"version {version} wave {self.wave} of {len(order)}"
+        self.process.recorder.note("wave", own.backend, detail)
+        earlier = {name for wave in order[: self.wave] for name in wave}
+        deadline = self.clock.monotonic() + self.wave * pool.swap_allowance
+        while self.clock.monotonic() < deadline and not self.through(earlier, version):
+            await self.clock.sleep(PERIOD)
+
+    def through(self, earlier: set[str], version: int) -> bool:
+        """Tell whether all these backend servers are known to have a version."""
+        held = {
+            known.member.backend: known.member.version
+            for known in self.process.view.sidecars(self.process.own.pool)
+        }
+        return all(held.get(name, 0) >= version for name in earlier)
--- /dev/null
+++ b/gypsumshift/runs.py
@@ -0,0 +1,286 @@
+"""Runs: the attempts that wait or run at one sidecar."""
+
+import asyncio
+import contextlib
+
+import attrs
+
+from gypsumshift import logs
+from gypsumshift.admission import Admission, FairAdmission, FifoAdmission, Ticket
+from gypsumshift.attempts import AttemptLog
+from gypsumshift.backend import Backend
+from gypsumshift.exchange import Reply, forward, versions
+from gypsumshift.fetch import Fetcher, FetchError
+from gypsumshift.generated import messages
+from gypsumshift.generated.declarations import Pool
+from gypsumshift.generated.messages import Body, Start
+from gypsumshift.limits import FixedLimit, LearntLimit
+from gypsumshift.links import Session
+from gypsumshift.process import Process
+
+__all__ = ["Run", "Runs"]
+
+KEPT_BODY_LIMIT = 1024 * 1024
+WHOLE_LIMIT = 256 * 1024
+RETRY_SOON = 0.2
+QUEUE_SHARE_OF_TIMEOUT = 0.9
+
+log = logs.logger("runs")
+
+
+@attrs.define(eq=False)
+class Run:
+    """One attempt that waits or runs here.
+
+    Attributes
+    ----------
+    start : Start
+    session : Session
+        The link that it came over.
+    exchange : int
+    task : asyncio.Task or None
+    """
+
+    start: Start
+    session: Session
+    exchange: int
+    task: asyncio.Task | None = None
+
+    async def reply(self, body: Body) -> None:
+        """Send an answer, or a part of one."""
+        await self.session.reply(self.exchange, body)
+
+
+class Runs:
+    """Takes attempts, gives them places, sends them and answers.
+
+    Parameters
+    ----------
+    process : Process
+        The sidecar.
+    backend : Backend
+    fetcher : Fetcher
+    """
+
+    def __init__(self, process: Process, backend: Backend, fetcher: Fetcher):
+        self.process = process
+        self.backend = backend
+        self.fetcher = fetcher
+        self.clock = process.clock
+        self.recorder = process.recorder
+        self.attempts = AttemptLog()
+        self.running: dict[str, Run] = {}
+        self.admission = new_admission(backend.pool, process.clock)
+
+    def declare(self, pool: Pool) -> None:
+        """Follow the declaration of the pool; what waits goes on waiting."""
+        fresh = new_admission(pool, self.clock)
+        if type(self.admission) is type(fresh):
+            self.admission.limit = fresh.limit
+            self.admission.queue = fresh.queue
+        elif not self.running:
+            self.admission = fresh
+
+    def load(self) -> messages.Load:
+        """Return the load of the backend server."""
+        admission, state = self.admission, self.backend.state
+        waits = admission.waiting * admission.duration / max(1, admission.limit.value)
+        return messages.Load(
+            running=admission.running,
+            queued=admission.waiting,
+            limit=admission.limit.value,
+            wait_ms=int(waits * 1000),
+            version=state.version or 0,
+            healthy=state.healthy,
+            swapping=self.backend.swapping,
+            duration_s=admission.duration,
+            mark=self.attempts.arrivals,
+        )
+
+    # Beginning
+
+    def accept(self, session: Session, exchange: int, start: Start) -> None:
+        """Take one attempt, and run it in a task of its own."""
+        run = Run(start, session, exchange)
+        reason = self.obstacle(start)
+        if reason:
+            self.process.spawn(self.refuse(run, reason, RETRY_SOON))
+            return
+        self.running[start.attempt] = run
+        if not start.repeatable:
+            self.attempts.start(start.attempt)
+        run.task = self.process.spawn(self.run(run))
+
+    def obstacle(self, start: Start) -> str:
+        """Return what stands against an attempt; empty for nothing."""
+        own, view = self.process.own, self.process.view
+        if start.incarnation != own.incarnation:
+            return "meant for an earlier process here"
+        if start.attempt in self.running:
+            return "named like one that runs"
+        if not start.repeatable and not self.attempts.may_start(start.attempt):
+            return "barred"
+        if own.leaving:
+            return "leaving"
+        if view.deposed(own.backend, own.fence):
+            return "replaced by a newer sidecar"
+        if not self.process.in_force.ready:
+            return "no revision yet"
+        if not self.backend.state.healthy:
+            return "the backend server is not healthy"
+        if start.oldest_version > (self.backend.state.version or 0):
+            return "the weights are too old"
+        return ""
+
+    async def refuse(self, run: Run, reason: str, retry_after: float) -> None:
+        """Answer truly that an attempt has not run and never will."""
+        self.recorder.note("not-run", run.start.attempt, reason)
+        retry_ms = int(retry_after * 1000)
+        await run.reply(Body(refused=messages.Refused(reason, retry_ms, self.load())))
+
+    async def run(self, run: Run) -> None:
+        """Wait for a place, run one attempt and answer it."""
+        start = run.start
+        ticket = self.ticket(start)
+        answered = False
+        try:
+            retry_after = await self.await_place(ticket)
+            if retry_after:
+                self.attempts.withdraw(start.attempt)
+                await self.refuse(run, "overload", retry_after)
+            else:
+                answered = await self.send(run, ticket)
+        finally:
+            self.admission.withdraw(ticket)
+            if ticket.admitted:
+                self.admission.release(ticket, answered)
+            self.running.pop(start.attempt, None)
+
+    def ticket(self, start: Start) -> Ticket:
+        """Return the ticket of an attempt."""
+        return Ticket(
+            workspace=start.workspace,
+            request_class=start.request_class,
+            deadline=self.clock.monotonic() + start.timeout_ms / 1000,
+            share=start.share,
+            urgency=start.urgency,
+        )
+
+    async def await_place(self, ticket: Ticket) -> float:
+        """Wait for a place; return 0, or seconds to come back after."""
+        decided = asyncio.get_running_loop().create_future()
+        ticket.decide = lambda admitted: decided.done() or decided.set_result(admitted)
+        retry_after = self.admission.offer(ticket)
+        if retry_after:
+            return retry_after
+        remaining = ticket.deadline - self.clock.monotonic()
+        try:
+            async with asyncio.timeout(remaining * QUEUE_SHARE_OF_TIMEOUT):
+                admitted = await decided
+        except TimeoutError:
+            admitted = decided.done() and decided.result()
+        return 0.0 if admitted else self.admission.refuse(self.admission.duration)
+
+    # Sending
+
+    async def send(self, run: Run, ticket: Ticket) -> bool:
+        """Send one attempt to the backend server; return whether it was answered."""
+        start = run.start
+        self.recorder.note("start", start.attempt, f"{start.method} {start.target}")
+        remaining = ticket.deadline - self.clock.monotonic()
+        try:
+            async with asyncio.timeout(remaining):
+                reply = await forward(
+                    self.fetcher,
+                    self.backend.address,
+                    start,
+                    self.backend.dialect,
+                    self.backend.state.version,
+                )
+                with contextlib.closing(reply.exchange):
+                    await self.relay(run, reply)
+            return True
+        except FetchError as error:
+            await self.fail(run, str(error), error.sent)
+        except TimeoutError:
+            await self.fail(run, "no answer in time", True)
+        return False
+
+    async def relay(self, run: Run, reply: Reply) -> None:
+        """Pass an answer on: a short one at once, others as they come."""
+        held, kept = bytearray(), bytearray()
+        keep = not run.start.repeatable
+        headed = reply.streams
+        if headed:
+            await run.reply(Body(head=reply.head))
+        async for data in reply.chunks():
+            if keep and len(kept) <= KEPT_BODY_LIMIT:
+                kept += data
+            if headed:
+                await run.reply(Body(chunk=messages.Chunk(data)))
+                continue
+            held += data
+            if len(held) > WHOLE_LIMIT:
+                await run.reply(Body(head=reply.head))
+                await run.reply(Body(chunk=messages.Chunk(bytes(held))))
+                headed = True
+        end = await self.end(run, reply, kept)
+        if headed:
+            await run.reply(Body(end=end))
+        else:
+            await run.reply(Body(whole=messages.Whole(reply.head, bytes(held), end)))
+
+    async def end(self, run: Run, reply: Reply, kept: bytearray) -> messages.End:
+        """Label an answer that has ended, and keep it where it may be asked for."""
+        after = None
+        if reply.reader.needs_after:
+            after = (await self.backend.ask()).version
+        spans = reply.reader.spans(after)
+        if not run.start.repeatable:
+            head = reply.head if len(kept) <= KEPT_BODY_LIMIT else None
+            self.attempts.finish(run.start.attempt, head, bytes(kept))
+        seen = ",".join(str(version) for version in versions(spans))
+        detail = f"versions {seen}" if seen else ""
+        self.recorder.note("end", run.start.attempt, detail)
+        return messages.End(spans, self.load())
+
+    async def fail(self, run: Run, reason: str, sent: bool) -> None:
+        """Answer an attempt that failed: not run where nothing was sent."""
+        attempt = run.start.attempt
+        if not sent:
+            self.attempts.withdraw(attempt)
+            await self.refuse(run, reason, RETRY_SOON)
+            return
+        if not run.start.repeatable:
+            self.attempts.finish(attempt, None, b"")
+        self.recorder.note("broken", attempt, reason)
+        await run.reply(Body(broken=messages.Broken(reason, self.load())))
+
+    # Ending
+
+    def cancel(self, attempt: str) -> None:
+        """Give up an attempt whose caller is gone, where it may be repeated."""
+        run = self.running.get(attempt)
+        if run and run.start.repeatable and run.task:
+            run.task.cancel()
+
+    def bar(self, bar: messages.Bar) -> messages.BarReply:
+        """Answer what became of an attempt; one not started never will."""
+        if bar.incarnation != self.process.own.incarnation:
+            return messages.BarReply(messages.AttemptState.UNKNOWN, None, b"")
+        record = self.attempts.bar(bar.attempt)
+        return messages.BarReply(record.state, record.head, record.body)
+
+    def session_ended(self, session: Session) -> None:
+        """Give up what a lost entry can no longer receive."""
+        for attempt, run in list(self.running.items()):
+            if run.session is session:
+                self.cancel(attempt)
+
+
+def new_admission(pool: Pool, clock) -> Admission:
+    """Return the admission that a pool declares."""
+    learns = pool.learn_concurrency and pool.kind == "service"
+    limit = (LearntLimit if learns else FixedLimit)(pool.concurrency)
+    kind = {"fair": FairAdmission, "fifo": FifoAdmission}[pool.admission]
+    return kind(limit, pool.queue, clock)
--- a/history/mutants.py
+++ b/history/mutants.py
@@ -129,7 +129,7 @@
 
 def spread_nothing():
     """Learn revisions only at the start."""
-    from gypsumshift import process
+    from gypsumshift import heartbeats, poller
 
     async def pull_revision(self, link):
         return None
@@ -137,8 +137,8 @@
     async def read_heads(self):
         return None
 
-    process.Process.pull_revision = pull_revision
-    process.Process.read_heads = read_heads
+    heartbeats.Heartbeats.pull_revision = pull_revision
+    poller.Poller.read_heads = read_heads
 
 
 MUTANTS = {
--- a/history/workload.py
+++ b/history/workload.py
@@ -167,7 +167,7 @@
         urls = self.deployment.caller_urls(path)
         chance = random.Random(f"{self.seed}/trainer")
         async with AsyncTrainer(urls) as one, AsyncTrainer(urls[::-1]) as two:
-            standin = StandinTrainer(one, self.trainer, self.seed, max_tokens=40)
+            standin = StandinTrainer(one, self.trainer, self.seed, max_tokens=120)
             step = 0
             while not self.done.is_set() or self.delivered < self.submitted:
                 if not self.done.is_set():
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -37,6 +37,7 @@
   8: string backend,
   9: bool leaving,
   10: i64 fence,
+  11: i64 version,
 }
 
 /**
@@ -114,6 +115,13 @@
   2: Load load,
 }
 
+/** A whole answer in one message, where it is short. */
+struct Whole {
+  1: Head head,
+  2: binary body,
+  3: End end,
+}
+
 /** The attempt has not run and never will: a true "not run". */
 struct Refused {
   1: string reason,
@@ -214,6 +222,7 @@
   16: Status status,
   17: Drain drain,
   18: Done done,
+  19: Whole whole,
 }
 
 /** One frame on a connection; `exchange` matches answers to their question. */
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -84,6 +84,7 @@
         "backend": name.removeprefix("sidecar-"),
         "leaving": False,
         "fence": 1,
+        "version": 0,
     }
     return Member(**(fields | changes))
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -135,7 +135,7 @@
             await until(lambda: engine.running)
             call.cancel()
             await until(lambda: all(s.gone for s in engine.running))
-            await until(lambda: sys.sidecars["model-0"].admission.running == 0)
+            await until(lambda: sys.sidecars["model-0"].runs.admission.running == 0)
 
     system.run(work, services=0)
 
@@ -229,7 +229,7 @@
                 asyncio.create_task(flood.once("GET", path, [], b"", 8.0))
                 for _ in range(300)
             ]
-            await until(lambda: sys.sidecars["shop-0"].admission.waiting >= 8)
+            await until(lambda: sys.sidecars["shop-0"].runs.admission.waiting >= 8)
             results = [await quiet.once("GET", path, [], b"", 8.0) for _ in range(5)]
             assert all(isinstance(result, Answered) for result in results)
             outcomes = await asyncio.gather(*many)
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -7,8 +7,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from gypsumshift.answers import Lost, Refusal, Whole
 from gypsumshift.attempts import AttemptLog
-from gypsumshift.dispatch import Dispatcher, Job, Lost, Refusal, Whole
+from gypsumshift.dispatch import Dispatcher, Job
 from gypsumshift.generated.messages import AttemptState, BarReply, Head
 from gypsumshift.keys import KeyOwner, Mismatch, Replayed
 from gypsumshift.members import Known
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -99,7 +99,7 @@
         seen = []
         adopt = sidecar.in_force.adopt
         sidecar.in_force.adopt = lambda n, text: seen.append(n) or adopt(n, text)
-        sidecar.wake.set()
+        sidecar.heartbeats.wake.set()
         await until(lambda: sidecar.in_force.number == 3)
         assert seen == sorted(seen)
 
