Resume samples elsewhere; overprovision; ports below the ephemeral range

Cause: a sample whose stream broke, stalled or crawled was thrown away or waited for; a step waited for its slowest group. A run of `make test` beside another deployment failed once: a sidecar could not listen, since the port found free had gone to an outgoing connection meanwhile.

Stand-ins listen below the ephemeral ports, and a process that ends by itself is reported with its log.

--- a/gypsumshift/answers.py
+++ b/gypsumshift/answers.py
@@ -44,7 +44,7 @@
     head : Head
     chunks : async iterator of bytes
         Raises `LinkError` where the stream breaks.
-    backend : str
+    backend, sidecar : str
     spans : list of Span
         Complete once the chunks have ended.
     """
@@ -52,6 +52,7 @@
     head: Head
     chunks: AsyncIterator[bytes]
     backend: str
+    sidecar: str
     spans: list[Span] = attrs.field(factory=list)
 
 
@@ -160,7 +161,8 @@
     def streamed(self, head: Head) -> Streamed:
         """Return a stream whose chunks are read by whoever takes it."""
         spans: list[Span] = []
-        return Streamed(head, self.chunks(spans), self.known.member.backend, spans)
+        member = self.known.member
+        return Streamed(head, self.chunks(spans), member.backend, member.name, spans)
 
     async def chunks(self, spans: list[Span]):
         """Yield a stream's chunks; fill in the spans at its end."""
--- a/gypsumshift/entry.py
+++ b/gypsumshift/entry.py
@@ -34,9 +34,9 @@
         super().__init__(settings, platform, clock)
         self.dispatcher = Dispatcher(self)
         self.callers = Callers(self, self.dispatcher)
-        self.trainers = Trainers(self)
-        self.operator_face = Operators(self)
         self.generator = Generator(self, self.dispatcher)
+        self.trainers = Trainers(self, self.generator)
+        self.operator_face = Operators(self)
         self.front = Server(self.serve_caller)
         self.front_address = ("", 0)
 
@@ -134,6 +134,8 @@
         for name, driver in self.generator.drivers.items():
             figures[f"drives.{name}"] = int(driver.lease.held)
             figures[f"groups_running.{name}"] = len(driver.running)
+            figures[f"groups_ready.{name}"] = driver.ready
+            figures[f"stragglers_moved.{name}"] = driver.sampler.moved
         for name, idle in self.trainers.idle.items():
             figures[f"idle_seconds.{name}"] = round(idle, 4)
             figures[f"staleness.{name}"] = round(self.trainers.staleness[name], 3)
--- a/gypsumshift/ledger.py
+++ b/gypsumshift/ledger.py
@@ -269,16 +269,26 @@
                 return outcome
         return Unavailable("the trainer's row changed again and again")
 
-    async def finish(self, row: Row, group: Group, samples: list[Sample]) -> Written:
+    def object_name(self, group: Group) -> str:
+        """Return a new name for the object with a group's samples.
+
+        A second result of the same group is another object, and only one of them
+        is ever named by the row.
+        """
+        number = f"{group.number:012d}"
+        return f"samples/{self.trainer}/{number}-{secrets.token_hex(6)}"
+
+    async def finish(
+        self, row: Row, group: Group, samples: list[Sample], name: str = ""
+    ) -> Written:
         """Put a group's samples as an object and mark it ready, where it still waits.
 
-        The object's name is new each time: a second result of the same group is
-        another object, and only one of them is ever named by the row.
+        With the same ``name`` again it is harmless after an unknown outcome.
         """
-        name = f"samples/{self.trainer}/{group.number:012d}-{secrets.token_hex(6)}"
+        name = name or self.object_name(group)
         data = json.dumps([attrs.asdict(sample) for sample in samples]).encode()
-        outcome = await self.put(name, data)
-        if not isinstance(outcome, Committed):
+        outcome = await self.objects.put(name, data)
+        if isinstance(outcome, (Unavailable, Unknown)):
             return outcome
         ready = attrs.evolve(
             group,
@@ -297,15 +307,6 @@
             [Write(row.table, row.key, attrs.asdict(failed), row.version)]
         )
 
-    async def put(self, name: str, data: bytes) -> Written:
-        """Put an object under a name of our own; a second try may find the first."""
-        outcome = await self.objects.put(name, data)
-        if isinstance(outcome, Unknown):
-            outcome = await self.objects.put(name, data)
-            if isinstance(outcome, Conflict):
-                return Committed()
-        return outcome
-
     async def discard(self, row: Row, group: Group) -> Written:
         """Take a ready group's samples back, to have it generated again."""
         opened = attrs.evolve(group, object="", oldest=0, newest=0)
--- a/gypsumshift/trainers.py
+++ b/gypsumshift/trainers.py
@@ -7,6 +7,7 @@
 
 from gypsumshift import documents
 from gypsumshift.generated.declarations import Trainer
+from gypsumshift.generation import Generator
 from gypsumshift.ledger import Group, Ledger, Step
 from gypsumshift.outcomes import (
     Committed,
@@ -75,10 +76,12 @@
     Parameters
     ----------
     process : Process
+    generator : Generator
     """
 
-    def __init__(self, process: Process):
+    def __init__(self, process: Process, generator: Generator):
         self.process = process
+        self.generator = generator
         self.clock = process.clock
         self.platform = process.platform
         self.publisher = Publisher(process)
@@ -142,6 +145,7 @@
             return problem(409, "not run", trainee.detail)
         if isinstance(trainee, Unavailable):
             return unsure(trainee)
+        self.generator.nudge(trainer.name)
         deadline = began + min(float(wait), WAIT_MOST)
         step = await self.await_step(ledger, trainer, number, deadline)
         if isinstance(step, Step):
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -29,16 +30,26 @@
 DEFAULT_FOLDER = pathlib.Path("examples/teranga-signes")
 FIRST_CALLER_PORT = 8100
 FIRST_OPERATOR_PORT = 8200
+PORTS = (10240, 32000)
 READY_TIMEOUT = 60.0
 STOP_TIMEOUT = 10.0
 POLL = 0.05
 
 
 def free_port() -> int:
-    """Return a TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a TCP port that is free now.
+
+    It lies below those that the kernel gives to outgoing connections, one of which
+    could take it before its process listens.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        return port
 
 
 @attrs.define
@@ -164,6 +175,7 @@
             command += ["--platform", f"{HOST}:{self.platform_port}"]
             command += ["--checks-fencing"] if pool.checks_fencing else []
             command += self.options("step", "swap", "batch", "cache_blocks")
+            command += self.options("length_median", "length_sigma")
         else:
             command = ["standins.service", str(port), "--name", name]
             command += ["--journal", str(self.folder / f"{name}.journal")]
@@ -289,10 +301,18 @@
             rows = await self.status()
             if holds(rows):
                 return rows
+            self.check_alive()
             if time.monotonic() > deadline:
                 raise RuntimeError(f"not in time; the status is {rows}")
             await asyncio.sleep(POLL)
 
+    def check_alive(self) -> None:
+        """Raise an error with the log of a process that has ended by itself."""
+        for name, running in self.running.items():
+            if running.process.poll() not in (None, 0, -signal.SIGKILL):
+                log = (self.folder / f"{name}.log").read_text()
+                raise RuntimeError(f"{name} has ended: {log[-2000:]}")
+
     async def apply(self, catalog: Catalog, message: str, base: int) -> Fetched:
         """Apply declarations."""
         value = {
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -23,6 +23,7 @@
 BLOCK = 16
 REPORT_PERIOD = 0.5
 TOKENS_PER_VERSION = 1000
+PROMPT_TOKENS = 10**9
 
 
 @attrs.define
@@ -66,6 +67,8 @@
     prefill: int = 0
     gone: bool = False
     breaks: bool = False
+    ends: str = "length"
+    told: bool = False
 
 
 @attrs.define
@@ -124,6 +127,8 @@
         self.cache_blocks = cache_blocks
         self.swap = swap
         self.speed = speed or Speed()
+        self.length_sigma = self.length_median = 0.0
+        self.chance = random.Random(pool)
         self.version = 0
         self.fence = 0
         self.faults = Faults()
@@ -249,14 +254,7 @@
     async def complete(self, request: Request) -> Response:
         """Answer a completion, streamed or not."""
         try:
-            value = json.loads(request.body)
-            prompt = value.get("prompt")
-            if prompt is None:
-                prompt = " ".join(m["content"] for m in value["messages"])
-            most = int(value.get("max_tokens", 16))
-            sequence = Sequence(
-                prompt, most, int(value.get("priority", 0)), random.getrandbits(60)
-            )
+            sequence = self.sequence(json.loads(request.body))
         except (ValueError, KeyError, TypeError, AttributeError):
             return json_response(400, {"error": "not a completion request"})
         if self.faults.break_streams > 0:
@@ -266,11 +264,33 @@
         heapq.heappush(self.waiting, key)
         self.work.set()
         chat = "chat" in request.path
-        if value.get("stream"):
+        if json.loads(request.body).get("stream"):
             headers = [("content-type", "text/event-stream")]
             return Response(200, headers, self.stream(sequence, chat))
         return await self.collect(sequence, chat)
 
+    def sequence(self, value: dict) -> Sequence:
+        """Return the sequence that a request asks for.
+
+        A prompt may be a list of token ids, of the prompt and of what was generated
+        before: then the rest of the same completion is made.
+        """
+        prompt, generated = value.get("prompt"), 0
+        if prompt is None:
+            prompt = " ".join(m["content"] for m in value["messages"])
+        if isinstance(prompt, list):
+            generated = sum(1 for token in prompt if token < PROMPT_TOKENS)
+            prompt = " ".join(map(str, prompt))
+        most = int(value.get("max_tokens", 16))
+        priority = int(value.get("priority", 0))
+        sequence = Sequence(prompt, most, priority, random.getrandbits(60))
+        if self.length_sigma and value.get("return_token_ids"):
+            length = self.chance.lognormvariate(0, self.length_sigma)
+            left = max(1, int(length * self.length_median) - generated)
+            if left < most:
+                sequence.most, sequence.ends = left, "stop"
+        return sequence
+
     async def stream(self, sequence: Sequence, chat: bool):
         """Yield a completion as events."""
         try:
@@ -279,7 +299,12 @@
                 last = sequence.made >= sequence.most and sequence.tokens.empty()
                 if sequence.breaks and sequence.made > sequence.most // 2:
                     raise Abandon("told to break")
-                event = self.event(token, version, last, chat)
+                event = self.event(token, version, last, chat, sequence.ends)
+                if not sequence.told:
+                    sequence.told = True
+                    words = len(sequence.prompt.split())
+                    ids = [PROMPT_TOKENS + place for place in range(words)]
+                    event["choices"][0]["prompt_token_ids"] = ids
                 event["echo"] = echo(sequence.prompt)
                 yield b"data: " + json.dumps(event).encode() + b"\n\n"
             yield b"data: [DONE]\n\n"
@@ -305,10 +330,10 @@
         event["echo"] = echo(sequence.prompt)
         return json_response(200, event)
 
-    def event(self, token: int, version: int, last: bool, chat: bool) -> dict:
+    def event(self, token, version, last, chat, ends="stop") -> dict:
         """Return one event in the vendor's manner."""
         choice = {"index": 0, "token_ids": [token]}
-        choice["finish_reason"] = "stop" if last else None
+        choice["finish_reason"] = ends if last else None
         if chat:
             choice["delta"] = {"content": f"w{token} "}
         else:
@@ -377,12 +402,15 @@
     cache_blocks: int = 4096,
     swap: float = 0.1,
     step: float = 0.004,
+    length_median: Annotated[float, typer.Option(help="Tokens of a sample.")] = 0.0,
+    length_sigma: Annotated[float, typer.Option(help="Of the log-normal.")] = 0.0,
 ) -> None:
     """Run a stand-in for a model engine."""
     address = parse_address(platform) if platform else None
     engine = StandinEngine(
         pool, dialect, address, checks_fencing, batch, cache_blocks, swap, Speed(step)
     )
+    engine.length_median, engine.length_sigma = length_median, length_sigma
     asyncio.run(engine.run(host, port))
 
 
