--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,13 @@
 
 mutants: .venv/ready
 	$(PYTHON) -m history.mutants
+
+bench: .venv/bench
+	$(PYTHON) -m bench
+
+bench-quick: .venv/bench
+	$(PYTHON) -m bench --quick
+
+.venv/bench: .venv/ready
+	.venv/bin/python -m pip install --quiet --disable-pip-version-check --editable '.[test,bench]'
+	touch $@
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: candidate against baseline, interleaved, over real processes."""
--- a/gypsumshift/admission.py
+++ b/gypsumshift/admission.py
@@ -93,6 +93,10 @@
     def ahead_of(self, ticket: Ticket) -> int:
         """Return how many waiting tickets would run before this one."""
 
+    def has_place(self, request_class: int) -> bool:
+        """Tell whether a request of a class would run at once."""
+        return self.running < self.limit.value and not self.waiting
+
     def offer(self, ticket: Ticket) -> float:
         """Take a request; return 0, or seconds to come back after where refused."""
         now = self.clock.monotonic()
@@ -197,6 +201,12 @@
                 return ticket
         return None
 
+    def has_place(self, request_class):
+        """Tell whether a request of a class would run at once."""
+        waiting = sum(n for kind, n in self.waiting_of.items() if kind <= request_class)
+        free = self.running < self.limit.value and not waiting
+        return free and self.has_room(request_class)
+
     def has_room(self, request_class: int) -> bool:
         """Tell whether a class may take one more place."""
         if request_class == RequestClass.CLIENT:
--- a/gypsumshift/answers.py
+++ b/gypsumshift/answers.py
@@ -65,10 +65,13 @@
     reason : str
     retry_after : float
         Seconds.
+    busy : bool
+        Whether it would only have had to wait.
     """
 
     reason: str
     retry_after: float
+    busy: bool = False
 
 
 @attrs.frozen
@@ -140,7 +143,8 @@
         if body.refused is not None:
             self.take_load(body.refused.load)
             refused = body.refused
-            return Refusal(refused.reason, refused.retry_after_ms / 1000)
+            wait = refused.retry_after_ms / 1000
+            return Refusal(refused.reason, wait, bool(refused.busy))
         self.router.failed(self.known)
         reason = body.broken.reason if body.broken else "an answer out of order"
         return Lost(reason, self.attempt)
--- a/gypsumshift/dispatch.py
+++ b/gypsumshift/dispatch.py
@@ -29,6 +29,7 @@
 __all__ = ["Dispatcher", "Job", "mark", "not_run"]
 
 MOST_TRIES = 4
+MOST_PROBES = 2
 TIMEOUT_SHRINK = 0.95
 BAR_TIMEOUT = 0.5
 BAR_TRIES = 3
@@ -61,6 +62,10 @@
         Sidecars already tried.
     attempts : int
         How many were sent so far.
+    busy : set of str
+        Sidecars that seemed to have a place, but had none.
+    no_wait : bool
+        Whether the next attempt shall be refused where it would have to wait.
     fresh_key : bool
         Whether the caller vouches that its key was never sent before.
     """
@@ -80,6 +85,8 @@
     affinity: str = ""
     avoid: set[str] = attrs.field(factory=set)
     attempts: int = 0
+    busy: set[str] = attrs.field(factory=set)
+    no_wait: bool = False
     fresh_key: bool = False
 
 
@@ -125,13 +132,10 @@
         budget.earn()
         refusal = Refusal(f"no backend server of {job.pool} is known here", 1.0)
         lost = None
-        for _ in range(MOST_TRIES):
-            if job.deadline <= self.clock.monotonic():
+        for _ in range(MOST_TRIES + MOST_PROBES):
+            known = self.next_sidecar(job, router)
+            if known is None or job.deadline <= self.clock.monotonic():
                 break
-            known = router.choose(job.avoid, job.affinity)
-            if known is None:
-                break
-            job.avoid.add(known.member.name)
             result = await self.attempt(job, known, new_attempt(mark(known)))
             if isinstance(result, Lost):
                 if not job.repeatable:
@@ -140,6 +144,8 @@
                     return Unknown(f"{result.reason}; no retry is left")
             if isinstance(result, Refusal):
                 refusal = result
+                if result.busy:
+                    job.busy.add(known.member.name)
             elif isinstance(result, Lost):
                 lost = result
             else:
@@ -147,6 +153,24 @@
         # One attempt that may have run makes the whole unknown, whatever came after.
         return Unknown(lost.reason) if lost else not_run(refusal)
 
+    def next_sidecar(self, job: Job, router: Router) -> Known | None:
+        """Return the sidecar to try next.
+
+        The first ones are asked to refuse rather than have the request wait, where
+        they seem to have a place; then it waits where the wait seems shortest.
+        """
+        known = None
+        if len(job.busy) < MOST_PROBES:
+            known = router.choose(job.avoid, job.affinity)
+            job.no_wait = known is not None and router.has_place(known)
+        if known is None and job.busy:
+            job.avoid -= job.busy
+            job.no_wait = False
+            known = router.choose(job.avoid, job.affinity)
+        if known is not None:
+            job.avoid.add(known.member.name)
+        return known
+
     async def attempt(self, job: Job, known: Known, attempt: str):
         """Send one attempt to one sidecar and take its answer.
 
@@ -154,10 +178,15 @@
         -------
         Whole, Streamed, Refusal, Lost or Unknown
         """
+        result = await self.exchange(job, known, attempt)
+        job.attempts += not isinstance(result, Refusal)
+        return result
+
+    async def exchange(self, job: Job, known: Known, attempt: str):
+        """Send one attempt to one sidecar and take its answer."""
         router = self.router(job.pool)
         link = self.process.link(known.address)
         began = self.clock.monotonic()
-        job.attempts += 1
         router.sent(known)
         handed_on = False
         try:
@@ -204,6 +233,7 @@
             oldest_version=job.oldest_version,
             urgency=job.urgency,
             share=job.share,
+            no_wait=job.no_wait,
         )
 
     async def settle(self, job: Job, known: Known, lost: Lost):
--- a/gypsumshift/events.py
+++ b/gypsumshift/events.py
@@ -65,7 +65,7 @@
 
 
 class Recorder:
-    """Bounded ring of the events of one process.
+    """Bounded ring of the events of one process, and its traffic with peers.
 
     Parameters
     ----------
@@ -79,6 +79,7 @@
         self.process = process
         self.hybrid = HybridClock(clock)
         self.ring = collections.deque(maxlen=RING_LENGTH)
+        self.bytes_sent = self.bytes_received = 0
 
     def note(self, kind: str, subject: str, detail: str = "") -> None:
         """Record that ``kind`` happened to ``subject``."""
--- a/gypsumshift/frames.py
+++ b/gypsumshift/frames.py
@@ -8,7 +8,7 @@
 from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
 
-from gypsumshift.events import HybridClock, Timestamp
+from gypsumshift.events import Recorder, Timestamp
 from gypsumshift.generated.messages import Body, Frame
 
 __all__ = ["FrameError", "FrameStream", "decode", "encode"]
@@ -51,14 +51,14 @@
     ----------
     reader : asyncio.StreamReader
     writer : asyncio.StreamWriter
-    hybrid : HybridClock
-        Stamps what is sent and observes what comes.
+    recorder : Recorder
+        Stamps what is sent, observes what comes, and counts both.
     """
 
-    def __init__(self, reader, writer, hybrid: HybridClock):
+    def __init__(self, reader, writer, recorder: Recorder):
         self.reader = reader
         self.writer = writer
-        self.hybrid = hybrid
+        self.recorder = recorder
 
     async def receive(self) -> tuple[int, Body]:
         """Return the next frame's exchange and body."""
@@ -70,14 +70,16 @@
         except (asyncio.IncompleteReadError, ConnectionError) as error:
             raise FrameError("the connection ended") from error
         frame = decode(data)
-        self.hybrid.observe(Timestamp(frame.time_us or 0, frame.tick or 0))
+        self.recorder.hybrid.observe(Timestamp(frame.time_us or 0, frame.tick or 0))
+        self.recorder.bytes_received += LENGTH.size + length
         return frame.exchange, frame.body
 
     def post(self, exchange: int, body: Body) -> None:
         """Write a frame without waiting."""
-        stamp = self.hybrid.tick()
+        stamp = self.recorder.hybrid.tick()
         data = encode(Frame(exchange, body, stamp.time_us, stamp.tick))
         self.writer.write(LENGTH.pack(len(data)) + data)
+        self.recorder.bytes_sent += LENGTH.size + len(data)
 
     async def send(self, exchange: int, body: Body) -> None:
         """Write a frame; wait while the peer is slow to read."""
--- a/gypsumshift/limits.py
+++ b/gypsumshift/limits.py
@@ -5,8 +5,8 @@
 
 __all__ = ["FixedLimit", "LearntLimit", "Limit"]
 
-WINDOW = 32
-TOLERANCE = 1.5
+WINDOW = 100
+TOLERANCE = 1.6
 LEAST = 2
 DECREASE = 0.9
 BASE_DRIFT = 1.02
--- a/gypsumshift/links.py
+++ b/gypsumshift/links.py
@@ -4,7 +4,7 @@
 import itertools
 
 from gypsumshift import logs
-from gypsumshift.events import HybridClock
+from gypsumshift.events import Recorder
 from gypsumshift.frames import FrameError, FrameStream
 from gypsumshift.generated.messages import Body
 
@@ -59,12 +59,12 @@
     ----------
     address : (str, int)
         IP number and port.
-    hybrid : HybridClock
+    recorder : Recorder
     """
 
-    def __init__(self, address: tuple[str, int], hybrid: HybridClock):
+    def __init__(self, address: tuple[str, int], recorder: Recorder):
         self.address = address
-        self.hybrid = hybrid
+        self.recorder = recorder
         self.stream: FrameStream | None = None
         self.reading: asyncio.Task | None = None
         self.waiting: dict[int, Exchanges] = {}
@@ -88,7 +88,7 @@
         except (OSError, TimeoutError) as error:
             host, port = self.address
             raise LinkError(f"no link to {host}:{port}: {error}", False) from error
-        self.stream = FrameStream(reader, writer, self.hybrid)
+        self.stream = FrameStream(reader, writer, self.recorder)
         self.reading = asyncio.create_task(self.read(self.stream))
 
     async def read(self, stream: FrameStream) -> None:
@@ -191,13 +191,13 @@
         ``await handler(session, exchange, body)``; must not block for long.
     ended : callable
         ``ended(session)`` when a connection ended.
-    hybrid : HybridClock
+    recorder : Recorder
     """
 
-    def __init__(self, handler, ended, hybrid: HybridClock):
+    def __init__(self, handler, ended, recorder: Recorder):
         self.handler = handler
         self.ended = ended
-        self.hybrid = hybrid
+        self.recorder = recorder
         self.numbers = itertools.count(1)
         self.tasks: set[asyncio.Task] = set()
         self.listener: asyncio.Server | None = None
@@ -215,7 +215,9 @@
 
     async def serve(self, reader, writer) -> None:
         """Serve one connection until it ends."""
-        session = Session(next(self.numbers), FrameStream(reader, writer, self.hybrid))
+        session = Session(
+            next(self.numbers), FrameStream(reader, writer, self.recorder)
+        )
         try:
             async with asyncio.timeout(HELLO_TIMEOUT):
                 first = await session.stream.receive()
--- a/gypsumshift/process.py
+++ b/gypsumshift/process.py
@@ -68,7 +68,7 @@
         self.poller = Poller(self)
         self.stopped = asyncio.Event()
         self.tasks: set[asyncio.Task] = set()
-        self.peers = PeerServer(self.serve, self.session_ended, self.recorder.hybrid)
+        self.peers = PeerServer(self.serve, self.session_ended, self.recorder)
         self.operators = Server(self.serve_operator)
         self.operator_address = ("", 0)
 
@@ -142,7 +142,7 @@
     def link(self, address: tuple[str, int]) -> Link:
         """Return the link to an address."""
         if address not in self.links:
-            self.links[address] = Link(address, self.recorder.hybrid)
+            self.links[address] = Link(address, self.recorder)
         return self.links[address]
 
     def drop_link(self, address: tuple[str, int]) -> None:
@@ -226,6 +226,8 @@
             "revision": self.in_force.number,
             "known_processes": len(self.view.known),
             "links": len(self.links),
+            "peer_bytes_sent": self.recorder.bytes_sent,
+            "peer_bytes_received": self.recorder.bytes_received,
         }
 
     def status(self) -> messages.Status:
--- a/gypsumshift/routing.py
+++ b/gypsumshift/routing.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import math
 import random
 
 import attrs
@@ -21,10 +22,13 @@
 FAILURES_TO_EJECT = 3
 EJECT_FIRST = 1.0
 EJECT_MOST = 30.0
-SLOW_FACTOR = 3.0
-SLOW_SAMPLES = 8
-DURATION_WEIGHT = 0.2
+SLOW_FACTOR = 2.5
+SLOW_PROBE_FACTOR = 4.0
+LEAST_COMPARED = 3
+SLOW_SAMPLES = 16
+DURATION_WEIGHT = 0.1
 EJECTED_SHARE = 0.5
+FULLNESS_WEIGHT = 0.2
 
 
 @attrs.define
@@ -44,10 +48,13 @@
         In a row; each doubles the time.
     until : float
         Not chosen before, by the monotonic clock, in seconds.
-    duration : float
-        Moving average of the time to the answer's head, in seconds.
+    log_duration : float
+        Moving average of the logarithm of the time to an answer, in seconds.
+        Service times have a heavy tail, which a plain average follows too much.
     samples : int
-        How many made up ``duration``.
+        How many made up ``log_duration``.
+    probation : bool
+        Back from an ejection: one request at a time, until one is answered well.
     """
 
     incarnation: int
@@ -56,8 +63,9 @@
     failures: int = 0
     ejections: int = 0
     until: float = 0.0
-    duration: float = 0.0
+    log_duration: float = 0.0
     samples: int = 0
+    probation: bool = False
 
 
 class Router(abc.ABC):
@@ -78,6 +86,10 @@
         self.chance = chance
         self.records: dict[str, Record] = {}
 
+    def has_place(self, known: Known) -> bool:
+        """Tell whether a sidecar is worth asking for a place without waiting."""
+        return False
+
     @abc.abstractmethod
     def pick(self, candidates: list[Known], affinity: str) -> Known:
         """Return one of several candidates."""
@@ -108,7 +120,10 @@
         """Tell whether a sidecar is neither ejected nor reports ill health."""
         if known.load is not None and not known.load.healthy:
             return False
-        return self.record(known).until <= self.clock.monotonic()
+        record = self.record(known)
+        if record.probation and record.outstanding:
+            return False
+        return record.until <= self.clock.monotonic()
 
     def record(self, known: Known) -> Record:
         """Return what is seen of a sidecar; a new process starts anew."""
@@ -136,13 +151,33 @@
     def answered(self, known: Known, took: float) -> None:
         """Take an answer whose head came after ``took`` seconds."""
         record = self.record(known)
-        record.failures = record.ejections = 0
-        step = DURATION_WEIGHT if record.samples else 1.0
-        record.duration += step * (took - record.duration)
+        record.failures = 0
         record.samples += 1
-        if self.is_slow(record):
+        step = max(DURATION_WEIGHT, 1 / record.samples)
+        record.log_duration += step * (math.log(max(took, 1e-6)) - record.log_duration)
+        if record.probation:
+            record.probation = False
+            if took > SLOW_PROBE_FACTOR * self.usual() > 0:
+                self.eject(record)
+            else:
+                record.ejections = 0
+        elif record.samples >= SLOW_SAMPLES and self.is_slow(record):
             self.eject(record)
 
+    def usual(self) -> float:
+        """Return the median over the pool of the time to an answer; 0 for unknown."""
+        logs = [
+            r.log_duration for r in self.records.values() if r.samples >= SLOW_SAMPLES
+        ]
+        if len(logs) < LEAST_COMPARED:
+            return 0.0
+        return math.exp(sorted(logs)[len(logs) // 2])
+
+    def is_slow(self, record: Record) -> bool:
+        """Tell whether one answers much more slowly than the median of the pool."""
+        usual = self.usual()
+        return usual > 0 and math.exp(record.log_duration) > SLOW_FACTOR * usual
+
     def failed(self, known: Known) -> None:
         """Take a failure that is the sidecar's or its backend server's."""
         record = self.record(known)
@@ -150,18 +185,6 @@
         if record.failures >= FAILURES_TO_EJECT:
             self.eject(record)
 
-    def is_slow(self, record: Record) -> bool:
-        """Tell whether one answers much more slowly than the median of the pool."""
-        if record.samples < SLOW_SAMPLES:
-            return False
-        others = [
-            r.duration for r in self.records.values() if r.samples >= SLOW_SAMPLES
-        ]
-        if len(others) < 3:
-            return False
-        median = sorted(others)[len(others) // 2]
-        return record.duration > SLOW_FACTOR * max(median, DEFAULT_DURATION / 10)
-
     def eject(self, record: Record) -> None:
         """Do not choose one for a while, unless too many are out already."""
         now = self.clock.monotonic()
@@ -172,6 +195,7 @@
         record.until = now + pause * self.chance.uniform(0.8, 1.2)
         record.ejections += 1
         record.samples = record.failures = 0
+        record.probation = True
 
     def ejected(self) -> int:
         """Return how many are ejected now."""
@@ -183,20 +207,41 @@
     """Two choices by estimated wait, with affinity that yields under load."""
 
     def wait(self, known: Known) -> float:
-        """Return the seconds that a request would wait there, roughly."""
+        """Return the seconds until an answer from there, roughly.
+
+        What sidecars report of their speed is noisy, so only one that is much
+        slower than usual counts as slower at all.
+        """
         record, load = self.record(known), known.load
-        duration = record.duration or DEFAULT_DURATION
+        usual = self.service_time()
         wait = 0.0 if known.member.zone == self.view.own.zone else ZONE_PENALTY
         if load is None:
-            return wait + duration * record.outstanding
+            return wait + usual * (1 + record.outstanding)
+        slow = load.duration_s > SLOW_FACTOR * usual
+        spent = load.duration_s if slow else usual
         if load.swapping:
-            wait += duration
+            wait += usual
         limit = max(1, load.limit)
-        running = load.running + record.since_report
-        fullness = running / limit
-        queue = load.queued + max(0, running - limit)
-        spent = load.duration_s or duration
-        return wait + duration * (1 + fullness) + spent * queue / limit
+        before = load.running + load.queued + record.since_report
+        turns = max(0, before + 1 - limit) / limit
+        return wait + spent * (1 + turns + FULLNESS_WEIGHT * before / limit)
+
+    def has_place(self, known: Known) -> bool:
+        """Tell whether a sidecar seems to have a place free."""
+        load = known.load
+        if load is None:
+            return False
+        before = load.running + load.queued + self.record(known).since_report
+        return before < load.limit
+
+    def service_time(self) -> float:
+        """Return the median service time that the pool's sidecars report."""
+        spent = [
+            known.load.duration_s
+            for known in self.view.sidecars(self.pool)
+            if known.load and known.load.duration_s
+        ]
+        return sorted(spent)[len(spent) // 2] if spent else DEFAULT_DURATION
 
     def pick(self, candidates, affinity):
         """Return the home of the affinity unless it is busy, else the better of two."""
@@ -205,10 +250,8 @@
         if not affinity:
             return best
         home = max(candidates, key=lambda known: rank(affinity, known.member.backend))
-        duration = self.record(home).duration or DEFAULT_DURATION
-        if self.wait(home) <= self.wait(best) + AFFINITY_SLACK * duration:
-            return home
-        return best
+        slack = AFFINITY_SLACK * self.service_time()
+        return home if self.wait(home) <= self.wait(best) + slack else best
 
 
 class RoundRobin(Router):
--- a/gypsumshift/runs.py
+++ b/gypsumshift/runs.py
@@ -23,6 +23,7 @@
 KEPT_BODY_LIMIT = 1024 * 1024
 WHOLE_LIMIT = 256 * 1024
 RETRY_SOON = 0.2
+BUSY = "busy"
 QUEUE_SHARE_OF_TIMEOUT = 0.9
 
 log = logs.logger("runs")
@@ -130,31 +131,49 @@
             return "the backend server is not healthy"
         if start.oldest_version > (self.backend.state.version or 0):
             return "the weights are too old"
+        if start.no_wait and not self.admission.has_place(start.request_class):
+            return BUSY
         return ""
 
     async def refuse(self, run: Run, reason: str, retry_after: float) -> None:
         """Answer truly that an attempt has not run and never will."""
+        await run.reply(self.refusal(run, reason, retry_after))
+
+    def refusal(self, run: Run, reason: str, retry_after: float) -> Body:
+        """Return a true "not run"."""
         self.recorder.note("not-run", run.start.attempt, reason)
         retry_ms = int(retry_after * 1000)
-        await run.reply(Body(refused=messages.Refused(reason, retry_ms, self.load())))
+        refused = messages.Refused(reason, retry_ms, self.load(), reason == BUSY)
+        return Body(refused=refused)
 
     async def run(self, run: Run) -> None:
         """Wait for a place, run one attempt and answer it."""
-        start = run.start
-        ticket = self.ticket(start)
-        answered = False
+        ticket = self.ticket(run.start)
+        last = None
         try:
             retry_after = await self.await_place(ticket)
             if retry_after:
-                self.attempts.withdraw(start.attempt)
-                await self.refuse(run, "overload", retry_after)
+                self.attempts.withdraw(run.start.attempt)
+                last = self.refusal(run, "overload", retry_after)
             else:
-                answered = await self.send(run, ticket)
+                last = await self.send(run, ticket)
         finally:
             self.admission.withdraw(ticket)
             if ticket.admitted:
+                answered = last is not None and not (last.broken or last.refused)
                 self.admission.release(ticket, answered)
-            self.running.pop(start.attempt, None)
+            self.running.pop(run.start.attempt, None)
+        # Only now, so that the load that it reports no longer counts it.
+        await run.reply(self.with_load(last))
+
+    def with_load(self, body: Body) -> Body:
+        """Return the last message about an attempt, with the load as it is now."""
+        for part in (body.end, body.broken, body.refused):
+            if part is not None:
+                part.load = self.load()
+        if body.whole is not None:
+            body.whole.end.load = self.load()
+        return body
 
     def ticket(self, start: Start) -> Ticket:
         """Return the ticket of an attempt."""
@@ -183,8 +202,8 @@
 
     # Sending
 
-    async def send(self, run: Run, ticket: Ticket) -> bool:
-        """Send one attempt to the backend server; return whether it was answered."""
+    async def send(self, run: Run, ticket: Ticket) -> Body:
+        """Send one attempt to the backend server; return the last message about it."""
         start = run.start
         self.recorder.note("start", start.attempt, f"{start.method} {start.target}")
         remaining = ticket.deadline - self.clock.monotonic()
@@ -198,15 +217,13 @@
                     self.backend.state.version,
                 )
                 with contextlib.closing(reply.exchange):
-                    await self.relay(run, reply)
-            return True
+                    return await self.relay(run, reply)
         except FetchError as error:
-            await self.fail(run, str(error), error.sent)
+            return self.failure(run, str(error), error.sent)
         except TimeoutError:
-            await self.fail(run, "no answer in time", True)
-        return False
+            return self.failure(run, "no answer in time", True)
 
-    async def relay(self, run: Run, reply: Reply) -> None:
+    async def relay(self, run: Run, reply: Reply) -> Body:
         """Pass an answer on: a short one at once, others as they come."""
         held, kept = bytearray(), bytearray()
         keep = not run.start.repeatable
@@ -226,9 +243,8 @@
                 headed = True
         end = await self.end(run, reply, kept)
         if headed:
-            await run.reply(Body(end=end))
-        else:
-            await run.reply(Body(whole=messages.Whole(reply.head, bytes(held), end)))
+            return Body(end=end)
+        return Body(whole=messages.Whole(reply.head, bytes(held), end))
 
     async def end(self, run: Run, reply: Reply, kept: bytearray) -> messages.End:
         """Label an answer that has ended, and keep it where it may be asked for."""
@@ -242,19 +258,18 @@
         seen = ",".join(str(version) for version in versions(spans))
         detail = f"versions {seen}" if seen else ""
         self.recorder.note("end", run.start.attempt, detail)
-        return messages.End(spans, self.load())
+        return messages.End(spans)
 
-    async def fail(self, run: Run, reason: str, sent: bool) -> None:
-        """Answer an attempt that failed: not run where nothing was sent."""
+    def failure(self, run: Run, reason: str, sent: bool) -> Body:
+        """Return that an attempt failed: not run where nothing was sent."""
         attempt = run.start.attempt
         if not sent:
             self.attempts.withdraw(attempt)
-            await self.refuse(run, reason, RETRY_SOON)
-            return
+            return self.refusal(run, reason, RETRY_SOON)
         if not run.start.repeatable:
             self.attempts.finish(attempt, None, b"")
         self.recorder.note("broken", attempt, reason)
-        await run.reply(Body(broken=messages.Broken(reason, self.load())))
+        return Body(broken=messages.Broken(reason))
 
     # Ending
 
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -75,7 +75,10 @@
   2: binary value,
 }
 
-/** Orders the sidecar to run one attempt of a request. */
+/**
+ * Orders the sidecar to run one attempt of a request; with `no_wait` to refuse it
+ * where it would have to wait.
+ */
 struct Start {
   1: string attempt,
   2: i64 incarnation,
@@ -90,6 +93,7 @@
   11: i64 oldest_version,
   12: i32 urgency,
   13: i32 share,
+  14: bool no_wait,
 }
 
 /** Head of an answer from the backend server. */
@@ -127,6 +131,7 @@
   1: string reason,
   2: i32 retry_after_ms,
   3: Load load,
+  4: bool busy,
 }
 
 /** The attempt failed after it may have started. */
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -179,7 +179,7 @@
         else:
             command = ["standins.service", str(port), "--name", name]
             command += ["--journal", str(self.folder / f"{name}.journal")]
-            command += self.options("duration", "places")
+            command += self.options("duration", "places", "spread")
         running = self.launch(name, command)
         running.ports["backend"] = port
         zones = pool.zones or list(self.catalog.zones)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -178,11 +178,11 @@
 
 def test_a_learnt_limit_falls_with_delay_and_comes_back():
     limit = LearntLimit(16)
-    for _ in range(64):
+    for _ in range(200):
         limit.learn(0.1, 16, True)
-    for _ in range(320):
+    for _ in range(1000):
         limit.learn(0.4, 16, True)
     low = limit.value
-    for _ in range(640):
+    for _ in range(2000):
         limit.learn(0.1, limit.value, True)
     assert low < 12 and limit.value == 16
