Short heartbeats, counters read on demand, one protocol object per way

Change: heartbeats tell what changed within 10 s, and one more at random, every 3 s (entries) and 4 s (sidecars), at once after a change; a rollout waits for its event; counters are plain numbers that the scrape page reads; one Thrift protocol object serves each way; the daemon freezes what its start left for the collector.

--- a/gypsumshift/admission.py
+++ b/gypsumshift/admission.py
@@ -19,6 +19,7 @@
 
 __all__ = ["Admission", "FairAdmission", "FifoAdmission", "Ticket"]
 
+CLASSES = (RequestClass.CLIENT, RequestClass.INTERNAL, RequestClass.SAMPLE)
 RESERVE = 0.25
 CLIENTS_RECENT = 10.0
 DURATION_WEIGHT = 0.1
@@ -193,8 +194,8 @@
 
     def pop(self):
         """Take the next ticket that may run now; None where none may."""
-        for request_class in sorted({key[0] for key in self.queues}):
-            if not self.has_room(request_class):
+        for request_class in CLASSES:
+            if not self.waiting_of[request_class] or not self.has_room(request_class):
                 continue
             ticket = self.pop_class(request_class)
             if ticket is not None:
--- a/gypsumshift/daemon.py
+++ b/gypsumshift/daemon.py
@@ -1,6 +1,7 @@
 """Daemon: ``gypsumshiftd``, one process in the role that its settings name."""
 
 import asyncio
+import gc
 import pathlib
 import signal
 import sys
@@ -41,6 +42,9 @@
     except OSError as error:
         log.error("Cannot listen on {}: {}.", chosen.host, error.strerror or error)
         return 1
+    # What the start left behind stays for good: spare the collector from it.
+    gc.collect()
+    gc.freeze()
     leaving: set[asyncio.Task] = set()
 
     def leave() -> None:
--- a/gypsumshift/frames.py
+++ b/gypsumshift/frames.py
@@ -6,7 +6,7 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.protocol.TProtocol import TProtocolException
 from thrift.Thrift import TException
-from thrift.transport.TTransport import TMemoryBuffer
+from thrift.transport.TTransport import TMemoryBuffer, TTransportBase
 
 from gypsumshift.events import Recorder, Timestamp
 from gypsumshift.generated.messages import Body, Frame
@@ -23,18 +23,40 @@
     """The peer does not speak the protocol, or the connection ended."""
 
 
+class Sink(TTransportBase):
+    """Transport that keeps what is written last; one serves all encoding."""
+
+    def __init__(self):
+        self.parts = []
+
+    def write(self, data):
+        """Keep some bytes."""
+        self.parts.append(data)
+
+    def take(self) -> bytes:
+        """Return what was written, and forget it."""
+        parts, self.parts = self.parts, []
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
+
+# Making a protocol object costs more than using it, so one serves each way.
+SINK = Sink()
+WRITER = FACTORY.getProtocol(SINK)
+READER = FACTORY.getProtocol(TMemoryBuffer())
+
+
 def encode(frame: Frame) -> bytes:
     """Return a frame as bytes, without its length."""
-    buffer = TMemoryBuffer()
-    frame.write(FACTORY.getProtocol(buffer))
-    return buffer.getvalue()
+    frame.write(WRITER)
+    return SINK.take()
 
 
 def decode(data: bytes) -> Frame:
     """Return the frame in some bytes."""
     frame = Frame()
+    READER.trans = TMemoryBuffer(data)
     try:
-        frame.read(FACTORY.getProtocol(TMemoryBuffer(data)))
+        frame.read(READER)
     except (TException, TProtocolException, EOFError, ValueError, TypeError) as error:
         raise FrameError(f"not a frame: {error}") from error
     except (MemoryError, OverflowError, IndexError, SystemError) as error:
--- a/gypsumshift/heartbeats.py
+++ b/gypsumshift/heartbeats.py
@@ -16,7 +16,9 @@
 ANSWER_TIMEOUT = 1.0
 PULL_TIMEOUT = 2.0
 LEAST_GAP = 0.02
-PEERS_TOLD = 8
+NEWS_TOLD = 8
+OTHERS_TOLD = 1
+NEWS_TIME = 10.0
 
 log = logs.logger("heartbeat")
 
@@ -89,11 +91,18 @@
         )
 
     def peers_to_tell(self, pool: str) -> list[Member]:
-        """Return some processes to tell a peer of: mates of its pool, newest news."""
-        everyone = list(self.process.view.known.values())
-        self.process.random.shuffle(everyone)
-        everyone.sort(key=lambda known: (known.member.pool != pool, -known.changed))
-        return [known.member for known in everyone[:PEERS_TOLD]]
+        """Return what changed lately, mates of the peer's pool first, and one more.
+
+        The one more, at random, mends what was missed; the rest of the time a
+        heartbeat stays short.
+        """
+        process = self.process
+        since = process.clock.monotonic() - NEWS_TIME
+        everyone = list(process.view.known.values())
+        news = [known for known in everyone if known.changed >= since]
+        news.sort(key=lambda known: (known.member.pool != pool, -known.changed))
+        others = process.random.sample(everyone, min(OTHERS_TOLD, len(everyone)))
+        return [known.member for known in news[:NEWS_TOLD] + others]
 
     def hear(self, heartbeat: Heartbeat) -> None:
         """Take a heartbeat that came from a peer."""
--- a/gypsumshift/metrics.py
+++ b/gypsumshift/metrics.py
@@ -1,5 +1,6 @@
 """Metrics: counters, durations and figures, by OpenTelemetry."""
 
+import functools
 from collections.abc import Callable
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -29,10 +30,9 @@
         resource = Resource({"service.name": PREFIX, "service.instance.id": process})
         self.provider = MeterProvider([self.reader], resource, shutdown_on_exit=False)
         self.meter = self.provider.get_meter(PREFIX)
-        self.counters = {}
+        self.counters: dict[str, dict[tuple, float]] = {}
         self.histograms = {}
         self.figures = figures
-        self.totals: dict[str, float] = {}
         self.meter.create_observable_gauge(f"{PREFIX}.figure", [self.observe])
 
     def observe(self, options: CallbackOptions):
@@ -41,12 +41,28 @@
             yield Observation(value, {"figure": name})
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
-        """Add to a counter."""
+        """Add to a counter, which is read when somebody asks for the page."""
         if name not in self.counters:
-            self.counters[name] = self.meter.create_counter(f"{PREFIX}.{name}")
-        self.counters[name].add(amount, labels)
-        key = ".".join([name, *labels.values()])
-        self.totals[key] = self.totals.get(key, 0) + amount
+            self.counters[name] = {}
+            observe = functools.partial(self.observe_counter, name)
+            self.meter.create_observable_counter(f"{PREFIX}.{name}", [observe])
+        key = tuple(labels.items())
+        counts = self.counters[name]
+        counts[key] = counts.get(key, 0) + amount
+
+    def observe_counter(self, name: str, options: CallbackOptions):
+        """Yield a counter's values for the scrape page."""
+        for labels, value in self.counters[name].items():
+            yield Observation(value, dict(labels))
+
+    @property
+    def totals(self) -> dict[str, float]:
+        """All counters by name and labels' values, joined by dots."""
+        return {
+            ".".join([name, *(text for _, text in labels)]): value
+            for name, counts in self.counters.items()
+            for labels, value in counts.items()
+        }
 
     def time(self, name: str, seconds: float, **labels: str) -> None:
         """Record a duration."""
--- a/gypsumshift/process.py
+++ b/gypsumshift/process.py
@@ -43,7 +43,7 @@
     """
 
     role = Role.ENTRY
-    heartbeat_period = 1.0
+    heartbeat_period = 3.0
     passes_on_news = False
 
     def __init__(
@@ -170,6 +170,10 @@
             self.targets[pool] = version
             self.recorder.note("published", f"{pool}@{version}", "known here")
             self.heartbeats.wake.set()
+            self.target_changed()
+
+    def target_changed(self) -> None:
+        """React to a newly published weight version; roles extend it."""
 
     # What roles decide
 
--- a/gypsumshift/rollout.py
+++ b/gypsumshift/rollout.py
@@ -5,6 +5,8 @@
 through, or once they had the time declared for that.
 """
 
+import asyncio
+
 from gypsumshift import logs
 from gypsumshift.backend import Backend, Fence
 from gypsumshift.members import rank
@@ -13,6 +15,7 @@
 __all__ = ["Rollout", "waves"]
 
 PERIOD = 0.05
+IDLE_PERIOD = 1.0
 RETRY_FIRST = 0.25
 RETRY_MOST = 10.0
 
@@ -52,6 +55,7 @@
         self.fence = fence
         self.clock = process.clock
         self.wave = 0
+        self.wake = asyncio.Event()
 
     @property
     def target(self) -> int:
@@ -65,7 +69,7 @@
             held = self.backend.state.version
             if not self.process.own.fence or held is None or held >= self.target:
                 tries = 0
-                await self.clock.sleep(PERIOD)
+                await self.pause()
                 continue
             if tries == 0:
                 await self.await_wave(self.target)
@@ -79,6 +83,15 @@
             tries += 1
             await self.clock.sleep(min(RETRY_FIRST * 2**tries, RETRY_MOST))
 
+    async def pause(self) -> None:
+        """Wait for a new version; look once in a while whether the engine lost its."""
+        try:
+            async with asyncio.timeout(IDLE_PERIOD):
+                await self.wake.wait()
+        except TimeoutError:
+            pass
+        self.wake.clear()
+
     async def await_wave(self, version: int) -> None:
         """Wait until the waves before this one's are through, or had their time."""
         own = self.process.own
--- a/gypsumshift/runs.py
+++ b/gypsumshift/runs.py
@@ -192,6 +192,8 @@
         retry_after = self.admission.offer(ticket)
         if retry_after:
             return retry_after
+        if decided.done() and decided.result():
+            return 0.0
         remaining = ticket.deadline - self.clock.monotonic()
         try:
             async with asyncio.timeout(remaining * QUEUE_SHARE_OF_TIMEOUT):
--- a/gypsumshift/server.py
+++ b/gypsumshift/server.py
@@ -234,15 +234,17 @@
 
     async def next_event(self, timeout: float):
         """Return the next event of the peer; reads as needed."""
+        event = self.wire.next_event()
+        if event is not h11.NEED_DATA:
+            return event
         async with asyncio.timeout(timeout):
-            while True:
-                event = self.wire.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
+            while event is h11.NEED_DATA:
                 if self.wire.they_are_waiting_for_100_continue:
                     go_on = h11.InformationalResponse(status_code=100, headers=[])
                     self.writer.write(self.wire.send(go_on))
                 self.wire.receive_data(await self.read())
+                event = self.wire.next_event()
+        return event
 
     async def read(self) -> bytes:
         """Read some bytes, through the read that may be pending already."""
--- a/gypsumshift/sidecar.py
+++ b/gypsumshift/sidecar.py
@@ -18,7 +18,7 @@
 __all__ = ["Sidecar"]
 
 ENTRIES_GREETED = 3
-STATE_PERIOD = 0.5
+STATE_PERIOD = 1.0
 DRAIN_PERIOD = 0.05
 DEFAULT_DEADLINE = 30.0
 
@@ -33,7 +33,7 @@
     """
 
     role = Role.SIDECAR
-    heartbeat_period = 2.0
+    heartbeat_period = 4.0
 
     def __init__(self, settings, platform=None, clock=None):
         super().__init__(settings, platform, clock)
@@ -70,6 +70,10 @@
             self.backend.pool = pool
             self.runs.declare(pool)
 
+    def target_changed(self):
+        """Have the rollout look at the new version."""
+        self.rollout.wake.set()
+
     def correspondents(self):
         """Return a few entries; the seeds where none is known."""
         entries = self.view.entries()
