--- a/gypsumshift/rollout.py
+++ b/gypsumshift/rollout.py
@@ -9,13 +9,17 @@
 
 from gypsumshift import logs
 from gypsumshift.backend import Backend, Fence
+from gypsumshift.generated.messages import RequestClass
 from gypsumshift.members import rank
 from gypsumshift.process import Process
+from gypsumshift.runs import Runs
 
 __all__ = ["Rollout", "waves"]
 
 PERIOD = 0.05
 IDLE_PERIOD = 1.0
+CLIENTS_WAIT = 0.3
+CLIENTS_PERIOD = 0.01
 RETRY_FIRST = 0.25
 RETRY_MOST = 10.0
 
@@ -47,9 +51,11 @@
         The sidecar.
     backend : Backend
     fence : Fence
+    runs : Runs
     """
 
-    def __init__(self, process: Process, backend: Backend, fence: Fence):
+    def __init__(self, process: Process, backend: Backend, fence: Fence, runs: Runs):
+        self.runs = runs
         self.process = process
         self.backend = backend
         self.fence = fence
@@ -76,6 +82,7 @@
             if await self.fence.deposed():
                 self.process.leave("a newer sidecar gives the orders")
                 return
+            await self.let_clients_end()
             if await self.backend.load_weights(self.target, self.process.own.fence):
                 tries = 0
                 self.process.heartbeats.wake.set()
@@ -92,6 +99,18 @@
             pass
         self.wake.clear()
 
+    async def let_clients_end(self) -> None:
+        """Send new clients elsewhere; wait a moment for those that run.
+
+        Samples go on: they are paused by the swap, and labelled per token.
+        """
+        self.backend.swapping = True
+        self.process.heartbeats.wake.set()
+        deadline = self.clock.monotonic() + CLIENTS_WAIT
+        running = self.runs.admission.running_of
+        while running[RequestClass.CLIENT] and self.clock.monotonic() < deadline:
+            await self.clock.sleep(CLIENTS_PERIOD)
+
     async def await_wave(self, version: int) -> None:
         """Wait until the waves before this one's are through, or had their time."""
         own = self.process.own
--- a/gypsumshift/routing.py
+++ b/gypsumshift/routing.py
@@ -29,6 +29,7 @@
 DURATION_WEIGHT = 0.1
 EJECTED_SHARE = 0.5
 FULLNESS_WEIGHT = 0.2
+SWAP_PENALTY = 10.0
 
 
 @attrs.define
@@ -220,7 +221,7 @@
         slow = load.duration_s > SLOW_FACTOR * usual
         spent = load.duration_s if slow else usual
         if load.swapping:
-            wait += usual
+            wait += SWAP_PENALTY * usual
         limit = max(1, load.limit)
         before = load.running + load.queued + record.since_report
         turns = max(0, before + 1 - limit) / limit
--- a/gypsumshift/runs.py
+++ b/gypsumshift/runs.py
@@ -13,7 +13,7 @@
 from gypsumshift.fetch import Fetcher, FetchError
 from gypsumshift.generated import messages
 from gypsumshift.generated.declarations import Pool
-from gypsumshift.generated.messages import Body, Start
+from gypsumshift.generated.messages import Body, RequestClass, Start
 from gypsumshift.limits import FixedLimit, LearntLimit
 from gypsumshift.links import Session
 from gypsumshift.process import Process
@@ -131,9 +131,13 @@
             return "the backend server is not healthy"
         if start.oldest_version > (self.backend.state.version or 0):
             return "the weights are too old"
-        if start.no_wait and not self.admission.has_place(start.request_class):
-            return BUSY
-        return ""
+        return BUSY if start.no_wait and not self.has_place(start) else ""
+
+    def has_place(self, start: Start) -> bool:
+        """Tell whether a request would run at once, and not through a swap."""
+        if self.backend.swapping and start.request_class != RequestClass.SAMPLE:
+            return False
+        return self.admission.has_place(start.request_class)
 
     async def refuse(self, run: Run, reason: str, retry_after: float) -> None:
         """Answer truly that an attempt has not run and never will."""
--- a/gypsumshift/sidecar.py
+++ b/gypsumshift/sidecar.py
@@ -47,7 +47,7 @@
         owner = f"{self.own.name}/{self.own.incarnation}"
         tables = self.platform.tables
         self.fence = Fence(tables, settings.backend, owner, self.clock)
-        self.rollout = Rollout(self, self.backend, self.fence)
+        self.rollout = Rollout(self, self.backend, self.fence, self.runs)
 
     async def start(self) -> None:
         """Listen and run the tasks."""
--- a/history/faults.py
+++ b/history/faults.py
@@ -29,11 +29,14 @@
     deployment : Deployment
     recorder : Recorder
     seed : int
+    only : tuple of str
+        Names of the faults to inject; empty for all.
     """
 
     deployment: Deployment
     recorder: Recorder
     seed: int
+    only: tuple[str, ...] = ()
     busy: set = attrs.field(factory=set)
     running: set = attrs.field(factory=set)
 
@@ -52,6 +55,8 @@
             self.drain,
             self.graceful,
         ]
+        if self.only:
+            kinds = [kind for kind in kinds if kind.__name__ in self.only]
         while time.time() < end:
             chance.shuffle(kinds)
             for kind in kinds:
@@ -227,8 +232,8 @@
 
     async def graceful(self, chance) -> None:
         """Tell one entry or sidecar to leave, twice; then replace it."""
-        candidates = self.deployment.entries() + self.deployment.sidecars()
-        name = self.pick(chance, candidates)
+        entries, sidecars = self.deployment.entries(), self.deployment.sidecars()
+        name = self.pick(chance, entries if chance.random() < 0.5 else sidecars)
         with self.record("graceful", name):
             process = self.deployment.running[name].process
             self.deployment.signal(name, signal.SIGTERM)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -31,6 +31,7 @@
 FIRST_CALLER_PORT = 8100
 FIRST_OPERATOR_PORT = 8200
 PORTS = (10240, 32000)
+GIVEN_PORTS: set[int] = set()
 READY_TIMEOUT = 60.0
 STOP_TIMEOUT = 10.0
 POLL = 0.05
@@ -44,11 +45,14 @@
     """
     while True:
         port = random.SystemRandom().randrange(*PORTS)
+        if port in GIVEN_PORTS:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue
+        GIVEN_PORTS.add(port)
         return port
 
 
