Load reports by class, room for the clients' usual number

What remained: the entries routed clients by all that waits, so every sidecar looked alike, and clients queued at one while places kept for them stood empty at another.

Change: a load report tells how many clients and internal checks wait; a request is routed by what goes before its own class. Others leave as many places free as clients usually take, with the spread. The load tool counts the time to the last answer, so that what waited does not count as goodput.

Conclusion: classes hold only where routing knows them too.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -34,12 +34,15 @@
     if names[0] == "compare":
         print("\n".join(report.compare(names[1], names[2])))
         return
+    if names[0] == "table":
+        print(report.table())
+        return
     if names[0] == "capacity":
         print(capacity.page())
         return
     for name in names:
         if name not in EXPERIMENTS:
-            known = ", ".join([*EXPERIMENTS, "capacity", "compare"])
+            known = ", ".join([*EXPERIMENTS, "capacity", "compare", "table"])
             print(f"bench: no experiment {name!r}; known: {known}", file=sys.stderr)
             raise typer.Exit(2)
     for name in names:
--- a/bench/load.py
+++ b/bench/load.py
@@ -27,6 +27,7 @@
     attempts : int
         Attempts that entries made for them.
     seconds : float
+        From the first call to the last answer.
     """
 
     histogram: HdrHistogram = attrs.field(
@@ -96,7 +97,7 @@
 
     async def run(self, seconds: float) -> Result:
         """Call for some seconds, then wait for all answers."""
-        result = Result(seconds=seconds)
+        result = Result()
         loop = asyncio.get_running_loop()
         begin = loop.time()
         due, calls = begin, set()
@@ -111,6 +112,7 @@
             call.add_done_callback(calls.discard)
         if calls:
             await asyncio.wait(set(calls))
+        result.seconds = loop.time() - begin
         for client in self.clients:
             client.fetcher.close()
         return result
--- a/bench/report.py
+++ b/bench/report.py
@@ -3,11 +3,12 @@
 import json
 import pathlib
 
-__all__ = ["REPORTS", "Row", "compare", "load", "write"]
-
 import attrs
 
+__all__ = ["KEPT", "REPORTS", "Row", "compare", "load", "table", "write"]
+
 REPORTS = pathlib.Path("reports")
+KEPT = pathlib.Path("docs/results")
 
 
 @attrs.frozen
@@ -99,3 +100,19 @@
             left, right = row["ratio"], other[row["what"]]["ratio"]
             lines.append(f"{row['what']:44} {left:10.3f} {right:10.3f}")
     return lines
+
+
+def table(folder: pathlib.Path = KEPT) -> str:
+    """Return all results in a folder as one Markdown table."""
+    lines = ["| experiment | what | candidate | baseline | ratio | aim | |"]
+    lines.append("| --- | --- | ---: | ---: | ---: | --- | --- |")
+    for path in sorted(folder.glob("*.json")):
+        for row in load(str(path))["rows"]:
+            verdict = "met" if row["met"] else "**missed**"
+            cells = [path.stem, row["what"]]
+            cells += [
+                f"{row[key]:.4g} {row['unit']}" for key in ("candidate", "baseline")
+            ]
+            cells += [f"{row['ratio']:.3f}", row["aim"], verdict]
+            lines.append(f"| {' | '.join(cells)} |")
+    return "\n".join(lines)
--- a/gypsumshift/admission.py
+++ b/gypsumshift/admission.py
@@ -2,13 +2,15 @@
 
 Classes go in strict order: client, internal, sample. Within a class workspaces
 share by weight (start-time fair queueing), within a workspace the more urgent
-goes first. While clients are about, the other classes leave some room free.
+goes first. While clients are about, the others leave them as much room as they
+usually take.
 """
 
 import abc
 import collections
 import heapq
 import itertools
+import math
 from collections.abc import Callable
 
 import attrs
@@ -22,6 +24,7 @@
 CLASSES = (RequestClass.CLIENT, RequestClass.INTERNAL, RequestClass.SAMPLE)
 RESERVE = 0.25
 CLIENTS_RECENT = 10.0
+CLIENTS_WEIGHT = 0.05
 DURATION_WEIGHT = 0.1
 LEAST_RETRY = 0.05
 MOST_RETRY = 30.0
@@ -75,6 +78,7 @@
         self.running = 0
         self.waiting = 0
         self.running_of = collections.Counter()
+        self.waiting_of = collections.Counter()
         self.duration = 0.0
         self.refused = 0
 
@@ -171,16 +175,19 @@
     def __init__(self, limit: Limit, queue: int, clock: Clock):
         super().__init__(limit, queue, clock)
         self.queues: dict[tuple[int, str], list] = {}
-        self.waiting_of = collections.Counter()
         self.progress: dict[str, float] = {}
         self.virtual = 0.0
         self.order = itertools.count()
         self.client_seen = float("-inf")
+        self.clients = 0.0
 
     def push(self, ticket):
         """Keep a waiting ticket."""
         if ticket.request_class == RequestClass.CLIENT:
             self.client_seen = self.clock.monotonic()
+            there = self.running_of[RequestClass.CLIENT]
+            there += self.waiting_of[RequestClass.CLIENT]
+            self.clients += CLIENTS_WEIGHT * (there - self.clients)
         key = (ticket.request_class, ticket.workspace)
         entry = (ticket.urgency, next(self.order), ticket)
         heapq.heappush(self.queues.setdefault(key, []), entry)
@@ -214,9 +221,13 @@
             return True
         if self.clock.monotonic() - self.client_seen > CLIENTS_RECENT:
             return True
-        clients = self.running_of[RequestClass.CLIENT]
-        room = max(1, int(self.limit.value * (1 - RESERVE)))
-        return self.running - clients < room
+        kept = math.ceil(max(RESERVE * self.limit.value, self.client_places()))
+        others = self.running - self.running_of[RequestClass.CLIENT]
+        return others < max(1, self.limit.value - kept)
+
+    def client_places(self) -> float:
+        """Return how many places clients take: the usual number and its spread."""
+        return self.clients + math.sqrt(self.clients)
 
     def pop_class(self, request_class: int) -> Ticket | None:
         """Take the next ticket of a class, from the workspace least served."""
--- a/gypsumshift/dispatch.py
+++ b/gypsumshift/dispatch.py
@@ -161,12 +161,13 @@
         """
         known = None
         if len(job.busy) < MOST_PROBES:
-            known = router.choose(job.avoid, job.affinity)
-            job.no_wait = known is not None and router.has_place(known)
+            known = router.choose(job.avoid, job.affinity, job.request_class)
+            kind = job.request_class
+            job.no_wait = known is not None and router.has_place(known, kind)
         if known is None and job.busy:
             job.avoid -= job.busy
             job.no_wait = False
-            known = router.choose(job.avoid, job.affinity)
+            known = router.choose(job.avoid, job.affinity, job.request_class)
         if known is not None:
             job.avoid.add(known.member.name)
         return known
--- a/gypsumshift/keys.py
+++ b/gypsumshift/keys.py
@@ -124,7 +124,9 @@
         row: Row | None = None
         refusal = Refusal(f"no backend server of {job.pool} is known here", 1.0)
         for _ in range(TRIES):
-            known = self.dispatcher.router(job.pool).choose(job.avoid)
+            known = self.dispatcher.router(job.pool).choose(
+                job.avoid, kind=job.request_class
+            )
             if known is None or job.deadline <= self.clock.monotonic():
                 break
             claim = self.claim(known, digest)
--- a/gypsumshift/process.py
+++ b/gypsumshift/process.py
@@ -43,7 +43,7 @@
     """
 
     role = Role.ENTRY
-    heartbeat_period = 3.0
+    heartbeat_period = 4.0
     passes_on_news = False
 
     def __init__(
--- a/gypsumshift/routing.py
+++ b/gypsumshift/routing.py
@@ -5,12 +5,14 @@
 """
 
 import abc
+import functools
 import math
 import random
 
 import attrs
 
 from gypsumshift.clock import Clock
+from gypsumshift.generated.messages import RequestClass
 from gypsumshift.members import Known, View, rank
 
 __all__ = ["LeastReported", "LoadRouter", "RoundRobin", "Router", "new_router"]
@@ -87,15 +89,17 @@
         self.chance = chance
         self.records: dict[str, Record] = {}
 
-    def has_place(self, known: Known) -> bool:
+    def has_place(self, known: Known, kind: int) -> bool:
         """Tell whether a sidecar is worth asking for a place without waiting."""
         return False
 
     @abc.abstractmethod
-    def pick(self, candidates: list[Known], affinity: str) -> Known:
+    def pick(self, candidates: list[Known], affinity: str, kind: int) -> Known:
         """Return one of several candidates."""
 
-    def choose(self, avoid: set[str], affinity: str = "") -> Known | None:
+    def choose(
+        self, avoid: set[str], affinity: str = "", kind: int = RequestClass.CLIENT
+    ) -> Known | None:
         """Return the sidecar to try next; None where there is none left.
 
         Parameters
@@ -104,13 +108,14 @@
             Names already tried.
         affinity : str
             Requests with the same text profit from the same backend server.
+        kind : RequestClass
         """
         everyone = self.view.sidecars(self.pool)
         self.prune()
         left = [known for known in everyone if known.member.name not in avoid]
         usable = [known for known in left if self.usable(known)]
         candidates = usable or left
-        return self.pick(candidates, affinity) if candidates else None
+        return self.pick(candidates, affinity, kind) if candidates else None
 
     def prune(self) -> None:
         """Drop the records of processes that are gone."""
@@ -207,7 +212,7 @@
 class LoadRouter(Router):
     """Two choices by estimated wait, with affinity that yields under load."""
 
-    def wait(self, known: Known) -> float:
+    def wait(self, known: Known, kind: int) -> float:
         """Return the seconds until an answer from there, roughly.
 
         What sidecars report of their speed is noisy, so only one that is much
@@ -223,17 +228,23 @@
         if load.swapping:
             wait += SWAP_PENALTY * usual
         limit = max(1, load.limit)
-        before = load.running + load.queued + record.since_report
+        before = self.ahead(known, kind)
         turns = max(0, before + 1 - limit) / limit
         return wait + spent * (1 + turns + FULLNESS_WEIGHT * before / limit)
 
-    def has_place(self, known: Known) -> bool:
+    def has_place(self, known: Known, kind: int) -> bool:
         """Tell whether a sidecar seems to have a place free."""
+        return known.load is not None and self.ahead(known, kind) < known.load.limit
+
+    def ahead(self, known: Known, kind: int) -> int:
+        """Return how many requests run there or go before one of a class."""
         load = known.load
-        if load is None:
-            return False
-        before = load.running + load.queued + self.record(known).since_report
-        return before < load.limit
+        waiting = load.queued
+        if kind == RequestClass.CLIENT:
+            waiting = load.queued_clients
+        elif kind == RequestClass.INTERNAL:
+            waiting = load.queued_clients + load.queued_internal
+        return load.running + waiting + self.record(known).since_report
 
     def service_time(self) -> float:
         """Return the median service time that the pool's sidecars report."""
@@ -244,15 +255,16 @@
         ]
         return sorted(spent)[len(spent) // 2] if spent else DEFAULT_DURATION
 
-    def pick(self, candidates, affinity):
+    def pick(self, candidates, affinity, kind):
         """Return the home of the affinity unless it is busy, else the better of two."""
         few = min(CHOICES, len(candidates))
-        best = min(self.chance.sample(candidates, few), key=self.wait)
+        wait = functools.partial(self.wait, kind=kind)
+        best = min(self.chance.sample(candidates, few), key=wait)
         if not affinity:
             return best
         home = max(candidates, key=lambda known: rank(affinity, known.member.backend))
         slack = AFFINITY_SLACK * self.service_time()
-        return home if self.wait(home) <= self.wait(best) + slack else best
+        return home if wait(home) <= wait(best) + slack else best
 
 
 class RoundRobin(Router):
@@ -266,7 +278,7 @@
         """Every one is."""
         return True
 
-    def pick(self, candidates, affinity):
+    def pick(self, candidates, affinity, kind):
         """Return the next in turn."""
         self.turn += 1
         candidates.sort(key=lambda known: known.member.name)
@@ -280,7 +292,7 @@
         """Every one is."""
         return True
 
-    def pick(self, candidates, affinity):
+    def pick(self, candidates, affinity, kind):
         """Return the one that reported the fewest requests."""
         self.chance.shuffle(candidates)
         return min(candidates, key=reported_requests)
--- a/gypsumshift/runs.py
+++ b/gypsumshift/runs.py
@@ -96,6 +96,8 @@
             swapping=self.backend.swapping,
             duration_s=admission.duration,
             mark=self.attempts.arrivals,
+            queued_clients=admission.waiting_of[RequestClass.CLIENT],
+            queued_internal=admission.waiting_of[RequestClass.INTERNAL],
         )
 
     # Beginning
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -42,7 +42,8 @@
 
 /**
  * Load of one backend server, as its sidecar sees it. `mark` counts the attempts
- * that may not be repeated and that arrived there so far.
+ * that may not be repeated and that arrived there so far. `queued` counts all
+ * classes; the other two the classes that go before samples.
  */
 struct Load {
   1: i32 running,
@@ -54,6 +55,8 @@
   7: bool swapping,
   8: double duration_s,
   9: i64 mark,
+  10: i32 queued_clients,
+  11: i32 queued_internal,
 }
 
 /** Newest published weight version of one pool. */
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -101,5 +101,7 @@
         "swapping": False,
         "duration_s": 0.1,
         "mark": 0,
+        "queued_clients": 0,
+        "queued_internal": 0,
     }
     return Load(**(fields | changes))
