Incomplete frames and handler errors end one link or request

Cause: read as a newcomer, `finished` stops a process for any error in a task, and a Thrift struct without a field passes the codec: an incomplete Start would have stopped a sidecar. An error inside an HTTP handler closed the connection without an answer or a line in the log.

Change: a frame whose parts are not all there ends its link; a handler's error is logged and answered 500 "unknown".

--- a/gypsumshift/frames.py
+++ b/gypsumshift/frames.py
@@ -16,6 +16,7 @@
 LENGTH = struct.Struct(">I")
 FRAME_LIMIT = 16 * 1024 * 1024
 DRAIN_ABOVE = 256 * 1024
+OPTIONAL = {"head", "load"}
 FACTORY = TCompactProtocolAcceleratedFactory()
 
 
@@ -63,9 +64,23 @@
         raise FrameError(f"not a frame: {error}") from error
     if not isinstance(frame.body, Body) or frame.exchange is None:
         raise FrameError("a frame without its parts")
+    for name in Body.__slots__:
+        part = getattr(frame.body, name)
+        if part is not None:
+            check_complete(part, name)
     return frame
 
 
+def check_complete(part: object, name: str) -> None:
+    """Raise an error where a struct lacks a part that its sender always sets."""
+    for slot in part.__slots__:
+        value = getattr(part, slot)
+        if value is None and slot not in OPTIONAL:
+            raise FrameError(f"{name} lacks {slot}")
+        if hasattr(value, "__slots__"):
+            check_complete(value, slot)
+
+
 class FrameStream:
     """One connection as a stream of frames.
 
--- a/gypsumshift/server.py
+++ b/gypsumshift/server.py
@@ -271,12 +271,20 @@
                         return None
                     buffered += len(data)
                     self.wire.receive_data(data)
-            return handling.result()
+            return self.result(handling)
         finally:
             if not handling.done():
                 handling.cancel()
                 await asyncio.wait({handling})
 
+    def result(self, handling: asyncio.Future) -> Response:
+        """Return what a handler returned; an error of its own ends one request only."""
+        try:
+            return handling.result()
+        except Exception as error:
+            log.exception("A handler failed: {!r}.", error)
+            return problem(500, "unknown", "an error inside this process; see its log")
+
     async def send(self, response: Response, method: str) -> bool:
         """Send an answer; return whether it is whole."""
         headers = list(response.headers)
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -7,7 +7,8 @@
 
 from gypsumshift.entry import Entry
 from gypsumshift.fetch import Fetcher
-from gypsumshift.frames import FRAME_LIMIT, LENGTH
+from gypsumshift.frames import FRAME_LIMIT, LENGTH, encode
+from gypsumshift.generated.messages import Body, Frame, Heartbeat, Member, Start
 from gypsumshift.generated.settings import Settings
 from gypsumshift.server import BODY_LIMIT, HEADER_LIMIT
 
@@ -139,6 +140,37 @@
     run_with_entry(work)
 
 
+INCOMPLETE = {
+    "heartbeat": Body(heartbeat=Heartbeat()),
+    "sender": Body(heartbeat=Heartbeat(Member("x"), 1, None, [], [])),
+    "start": Body(start=Start(attempt="0-a")),
+    "no body": Body(),
+}
+
+
+@pytest.mark.parametrize("case", INCOMPLETE)
+def test_a_frame_that_lacks_parts_ends_its_link_and_nothing_else(case):
+    async def work(entry):
+        data = encode(Frame(1, INCOMPLETE[case], 0, 0))
+        address = ("127.0.0.1", entry.own.port)
+        assert await send_raw(address, LENGTH.pack(len(data)) + data, end=True) == b""
+        assert not entry.stopped.is_set() and not entry.view.known
+
+    run_with_entry(work)
+
+
+def test_an_error_inside_a_handler_ends_that_request_only():
+    async def work(entry):
+        entry.trainers.show = None
+        answer = await Fetcher().fetch(entry.front_address, "GET", "/w/trainers/tr")
+        assert answer.status == 500
+        assert json.loads(answer.body)["outcome"] == "unknown"
+        health = await Fetcher().fetch(entry.front_address, "GET", "/health")
+        assert health.status == 200
+
+    run_with_entry(work)
+
+
 REQUESTS = {
     "unknown workspace": ("GET", "/nobody/v1/completions", b"", 404),
     "unknown method": ("BREW", "/w/trainers/tr/groups", b"", 404),
