--- a/gypsumshift/__init__.py
+++ b/gypsumshift/__init__.py
@@ -9,7 +9,7 @@
     Trainer,
     call,
 )
-from gypsumshift.ledger import Group, Sample
+from gypsumshift.groups import Group, Sample
 from gypsumshift.outcomes import Answered, NotRun, Outcome, Unknown
 
 __all__ = [
--- a/gypsumshift/cli.py
+++ b/gypsumshift/cli.py
@@ -5,7 +5,6 @@
 5 not in force everywhere in time.
 """
 
-import asyncio
 import getpass
 import json
 import os
@@ -16,24 +15,23 @@
 import urllib.parse
 from typing import Annotated
 
-import attrs
 import rich.console
 import rich.progress
 import typer
 
 from gypsumshift import declarations, documents, settings, timeline
-from gypsumshift.fetch import Fetched, Fetcher, FetchError
+from gypsumshift.face import (
+    DEFAULT_OPERATOR,
+    EXIT_INVALID,
+    EXIT_LAGGING,
+    Face,
+    fail,
+    refuse,
+)
 from gypsumshift.outcomes import Invalid
 
 __all__ = ["main"]
 
-EXIT_UNAVAILABLE = 1
-EXIT_INVALID = 2
-EXIT_CONFLICT = 3
-EXIT_UNKNOWN = 4
-EXIT_LAGGING = 5
-DEFAULT_OPERATOR = "http://127.0.0.1:8200"
-REQUEST_TIMEOUT = 30.0
 SETTLE_TRIES = 5
 SETTLE_PAUSE = 1.0
 WAIT_PERIOD = 0.2
@@ -48,69 +46,10 @@
 app.add_typer(weights_app, name="weights", no_args_is_help=True)
 
 
-@attrs.define
-class Face:
-    """The operator face that the commands speak to.
-
-    Attributes
-    ----------
-    url : str
-    token : str
-        Bearer token; empty where none is asked for.
-    """
-
-    url: str = DEFAULT_OPERATOR
-    token: str = ""
-
-    def ask(self, method: str, target: str, value=None, body: bytes = b"") -> Fetched:
-        """Send one request; ends the command where nobody answers."""
-        parts = urllib.parse.urlsplit(self.url)
-        address = (parts.hostname, parts.port or 80)
-        headers = [("content-type", "application/json")]
-        if self.token:
-            headers.append(("authorization", f"Bearer {self.token}"))
-        if value is not None:
-            body = json.dumps(value).encode()
-        fetch = Fetcher().fetch(address, method, target, headers, body, REQUEST_TIMEOUT)
-        try:
-            return asyncio.run(fetch)
-        except FetchError as error:
-            hint = "name an entry's operator address with --operator"
-            fail(f"{self.url}: {error}; {hint}", EXIT_UNAVAILABLE)
-
-    def get(self, target: str):
-        """Return the JSON value at a target; ends the command where refused."""
-        answer = self.ask("GET", target)
-        if answer.status != 200:
-            refuse(answer)
-        return json.loads(answer.body)
-
-
 face = Face()
 JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON.")]
 
 
-def fail(message: str, status: int):
-    """Print one line to standard error and end the command."""
-    print(f"gypsumshift: {message}", file=sys.stderr)
-    raise typer.Exit(status)
-
-
-def refuse(answer: Fetched):
-    """End the command as a problem document says."""
-    try:
-        value = json.loads(answer.body)
-    except ValueError:
-        value = {"detail": f"status {answer.status}"}
-    for line in value.get("problems", []):
-        print(f"gypsumshift: {line}", file=sys.stderr)
-    for line in value.get("difference", []):
-        print(f"gypsumshift: the other change: {line}", file=sys.stderr)
-    statuses = {409: EXIT_CONFLICT, 422: EXIT_INVALID, 504: EXIT_UNKNOWN}
-    status = statuses.get(answer.status, EXIT_UNAVAILABLE)
-    fail(value.get("detail", "refused"), status)
-
-
 def print_json(value) -> None:
     """Print a value as JSON."""
     print(json.dumps(value, indent=2))
--- a/gypsumshift/client.py
+++ b/gypsumshift/client.py
@@ -11,7 +11,7 @@
 import cattrs
 
 from gypsumshift.fetch import Fetched, Fetcher, FetchError
-from gypsumshift.ledger import Group, Sample
+from gypsumshift.groups import Group, Sample
 from gypsumshift.outcomes import Answered, NotRun, Outcome, Unknown
 
 __all__ = [
--- a/gypsumshift/generation.py
+++ b/gypsumshift/generation.py
@@ -6,8 +6,9 @@
 from gypsumshift import logs
 from gypsumshift.dispatch import Dispatcher
 from gypsumshift.generated.declarations import Trainer
+from gypsumshift.groups import Group, Sample, Trainee
 from gypsumshift.leases import Lease
-from gypsumshift.ledger import Group, Ledger, Sample, Trainee, is_fresh
+from gypsumshift.ledger import Ledger, is_fresh
 from gypsumshift.outcomes import Committed, Conflict, Unavailable
 from gypsumshift.platforms import Row
 from gypsumshift.process import Process
--- a/gypsumshift/sampling.py
+++ b/gypsumshift/sampling.py
@@ -17,8 +17,8 @@
 from gypsumshift.dispatch import Dispatcher, Job
 from gypsumshift.generated.declarations import Trainer
 from gypsumshift.generated.messages import RequestClass, Span
+from gypsumshift.groups import Group, Sample
 from gypsumshift.labels import Labeller
-from gypsumshift.ledger import Group, Sample
 from gypsumshift.links import LinkError
 from gypsumshift.outcomes import NotRun
 from gypsumshift.process import Process
--- a/gypsumshift/trainers.py
+++ b/gypsumshift/trainers.py
@@ -8,7 +8,8 @@
 from gypsumshift import documents
 from gypsumshift.generated.declarations import Trainer
 from gypsumshift.generation import Generator
-from gypsumshift.ledger import Group, Ledger, Step
+from gypsumshift.groups import Group, Step
+from gypsumshift.ledger import Ledger
 from gypsumshift.outcomes import (
     Committed,
     Conflict,
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import collections
 import hashlib
 import heapq
 import itertools
@@ -19,8 +18,8 @@
 from gypsumshift.fetch import Fetcher, FetchError
 from gypsumshift.server import Abandon, Request, Response, Server, json_response
 from gypsumshift.settings import parse_address
+from standins.cache import PrefixCache
 
-BLOCK = 16
 REPORT_PERIOD = 0.5
 TOKENS_PER_VERSION = 1000
 PROMPT_TOKENS = 10**9
@@ -124,7 +123,6 @@
         self.platform = platform
         self.checks_fencing = checks_fencing
         self.batch = batch
-        self.cache_blocks = cache_blocks
         self.swap = swap
         self.speed = speed or Speed()
         self.length_sigma = self.length_median = 0.0
@@ -135,8 +133,8 @@
         self.running: list[Sequence] = []
         self.waiting: list = []
         self.order = itertools.count()
-        self.cache: collections.OrderedDict[str, None] = collections.OrderedDict()
-        self.hits = self.misses = self.made = 0
+        self.cache = PrefixCache(cache_blocks)
+        self.made = 0
         self.work = asyncio.Event()
         self.swapping = asyncio.Lock()
         self.reported = (0, 0)
@@ -171,7 +169,7 @@
         while self.waiting and len(self.running) < self.batch:
             sequence = heapq.heappop(self.waiting)[2]
             if not sequence.gone:
-                sequence.prefill = self.uncached(sequence.prompt)
+                sequence.prefill = self.cache.uncached(sequence.prompt)
                 self.running.append(sequence)
 
     def emit(self) -> None:
@@ -188,24 +186,6 @@
             token += chance.randrange(TOKENS_PER_VERSION)
             sequence.tokens.put_nowait((token, self.version))
 
-    def uncached(self, prompt: str) -> int:
-        """Return the prompt tokens to compute, and cache them."""
-        words = prompt.split()
-        todo, missed = 0, False
-        for end in range(BLOCK, len(words) + BLOCK, BLOCK):
-            block = hashlib.md5(" ".join(words[:end]).encode()).hexdigest()
-            if block in self.cache and not missed:
-                self.hits += 1
-                self.cache.move_to_end(block)
-                continue
-            missed = True
-            self.misses += 1
-            todo += min(BLOCK, len(words) - end + BLOCK)
-            self.cache[block] = None
-            if len(self.cache) > self.cache_blocks:
-                self.cache.popitem(last=False)
-        return todo
-
     async def report_forever(self) -> None:
         """Keep the load that is reported, which lags."""
         while True:
@@ -233,7 +213,8 @@
         if request.method == "PUT":
             self.faults = Faults(**json.loads(request.body))
         value = attrs.asdict(self.faults)
-        counts = {"hits": self.hits, "misses": self.misses, "made": self.made}
+        cache = self.cache
+        counts = {"hits": cache.hits, "misses": cache.misses, "made": self.made}
         return json_response(200, value | counts | {"version": self.version})
 
     def metrics(self) -> bytes:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -5,7 +5,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from gypsumshift.ledger import Group, Ledger, Sample, Step, Trainee
+from gypsumshift.groups import Group, Sample, Step, Trainee
+from gypsumshift.ledger import Ledger
 from gypsumshift.outcomes import Committed, Conflict, Missing, Unavailable
 
 from . import builders
