--- a/history/__main__.py
+++ b/history/__main__.py
@@ -101,7 +101,7 @@
             return 1 if report([json.loads(line) for line in lines]) else 0
     seed = int(os.environ.get("SEED", time.time_ns() % 1_000_000))
     duration = float(os.environ.get("DURATION", LEAST_DURATION))
-    callers = int(os.environ.get("CALLERS", 16))
+    callers = int(os.environ.get("CALLERS", 24))
     print(f"SEED={seed} DURATION={duration:g} CALLERS={callers}", flush=True)
     records = asyncio.run(record(seed, duration, callers))
     path = REPORTS / f"promises-{seed}.jsonl"
