News goes back to processes that only call

An entry tells the 16 sidecars of its subset; a sidecar that is in no entry's subset learnt only by its own heartbeat, every 4 s. With 10 entries a zone choosing 16 of 40, 0.6 % of the sidecars are in none: one of 160.

Change: a new revision or weight version also goes at once to those that called here within 15 s. The mutant of "not run" now names the answer's outcome, since the one before showed up as a second run instead.

Two tests more, one with no subsets and no periodic heartbeats at all.

Conclusion: whom a process tells must cover whoever counts on it.

--- a/gypsumshift/heartbeats.py
+++ b/gypsumshift/heartbeats.py
@@ -34,6 +34,7 @@
     def __init__(self, process):
         self.process = process
         self.wake = asyncio.Event()
+        self.wide = False
         self.under_way: set[tuple[str, int]] = set()
 
     async def run(self) -> None:
@@ -41,7 +42,11 @@
         process = self.process
         while True:
             self.wake.clear()
-            addresses = set(process.correspondents()) - self.under_way
+            addresses = set(process.correspondents())
+            if self.wide:
+                addresses |= {known.address for known in process.view.callers()}
+                self.wide = False
+            addresses -= self.under_way
             addresses.discard((process.own.host, process.own.port))
             for address in addresses:
                 process.spawn(self.greet(address))
@@ -52,6 +57,11 @@
             except TimeoutError:
                 pass
 
+    def spread(self) -> None:
+        """Tell what is new at once, also to those that only call here."""
+        self.wide = True
+        self.wake.set()
+
     async def greet(self, address: tuple[str, int]) -> None:
         """Exchange one heartbeat; pull the revision where the peer's is newer."""
         self.under_way.add(address)
@@ -119,6 +129,7 @@
     def answer(self, heartbeat: Heartbeat) -> Heartbeat:
         """Return the answer to a heartbeat; ask at once where its news is newer."""
         self.hear(heartbeat)
+        self.process.view.note_call(heartbeat.sender.name)
         if heartbeat.revision > self.process.in_force.number:
             self.wake.set()
         return self.compose(heartbeat.sender.pool)
--- a/gypsumshift/members.py
+++ b/gypsumshift/members.py
@@ -15,6 +15,7 @@
 __all__ = ["Known", "View", "rank"]
 
 FORGET_AFTER = 30.0
+CALLED_LATELY = 15.0
 NEVER = float("-inf")
 
 
@@ -42,6 +43,8 @@
         When ``load`` came, by the monotonic clock, in seconds.
     learnt : float
         When it first became known, by the monotonic clock, in seconds.
+    called : float
+        When it last called here, by the monotonic clock, in seconds.
     changed : float
         When it last left, or loaded weights, by the monotonic clock, in seconds.
     """
@@ -52,6 +55,7 @@
     revision: int = -1
     heard: float = NEVER
     reported: float = NEVER
+    called: float = NEVER
     changed: float = NEVER
 
     @property
@@ -123,6 +127,20 @@
         if load is not None:
             self.report(known, load)
 
+    def note_call(self, name: str) -> None:
+        """Note that a process called here, so that news can go back to it."""
+        if name in self.known:
+            self.known[name].called = self.clock.monotonic()
+
+    def callers(self) -> list[Known]:
+        """Return those that called here lately and did not leave."""
+        since = self.clock.monotonic() - CALLED_LATELY
+        return [
+            known
+            for known in self.known.values()
+            if known.called >= since and not known.member.leaving
+        ]
+
     def report(self, known: Known, load: Load) -> None:
         """Take a load report."""
         known.load = load
--- a/gypsumshift/process.py
+++ b/gypsumshift/process.py
@@ -159,7 +159,7 @@
             return
         if self.in_force.adopt(number, text):
             self.revision_changed()
-            self.heartbeats.wake.set()
+            self.heartbeats.spread()
 
     def revision_changed(self) -> None:
         """React to a new revision; roles extend it."""
@@ -169,7 +169,7 @@
         if version > self.targets.get(pool, 0):
             self.targets[pool] = version
             self.recorder.note("published", f"{pool}@{version}", "known here")
-            self.heartbeats.wake.set()
+            self.heartbeats.spread()
             self.target_changed()
 
     def target_changed(self) -> None:
--- a/history/mutants.py
+++ b/history/mutants.py
@@ -79,17 +79,17 @@
 
 
 def lost_is_not_run():
-    """Call every attempt that got no answer "not run"."""
-    from gypsumshift import dispatch, keys
+    """Call every request whose fate is unknown "not run"."""
+    from gypsumshift import callers
 
-    async def settle(self, job, known, lost):
-        return dispatch.Refusal(lost.reason, 0.2)
+    inner = callers.problem
 
-    def Unknown(reason):
-        return dispatch.not_run(dispatch.Refusal(reason, 0.2))
+    def problem(status, outcome, detail, **members):
+        if outcome == "unknown":
+            return inner(503, "not run", detail, retry_after=1.0)
+        return inner(status, outcome, detail, **members)
 
-    dispatch.Dispatcher.settle = settle
-    dispatch.Unknown = keys.Unknown = Unknown
+    callers.problem = problem
 
 
 def forget_keys():
@@ -156,7 +156,7 @@
 
 # The faults that bear on a mechanism; all where none are named.
 FAULTS = {
-    "not-run": ("kill_sidecar", "pause_sidecar", "service_fault"),
+    "not-run": ("kill_sidecar", "crash_backend", "service_fault"),
     "leaving": ("drain",),
     "graceful": ("graceful",),
 }
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -253,3 +253,27 @@
     view.merge(builders.member("sidecar-a", pool="one"))
     view.merge(builders.member("sidecar-a", pool="two", incarnation=2))
     assert not view.sidecars("one") and len(view.sidecars("two")) == 1
+
+
+def test_news_goes_back_to_those_that_only_call():
+    clock = builders.ManualClock()
+    view = View(builders.member("me"), clock)
+    view.merge(builders.member("sidecar-a"))
+    view.merge(builders.member("sidecar-b"))
+    view.note_call("sidecar-a")
+    assert [known.member.name for known in view.callers()] == ["sidecar-a"]
+    clock.advance(60)
+    assert not view.callers()
+
+
+def test_a_sidecar_outside_every_subset_gets_a_revision_at_once():
+    async def work(sys):
+        entry = sys.entries[0]
+        entry.correspondents = lambda: []
+        for process in (entry, *sys.sidecars.values()):
+            process.heartbeat_period = 3600.0
+        await until(lambda: len(entry.view.callers()) == 2)
+        assert await apply(sys, 1, 3.0) == 200
+        await until(lambda: everywhere(sys, 2))
+
+    system.run(work)
