The configuration mutant lets revisions come late, not never

Cause: with no spread at all the deployment never had its first revision, so the mutant ended in an error and said nothing of the checker. Change: it learns each revision 8 s after it was told.

--- a/history/mutants.py
+++ b/history/mutants.py
@@ -17,6 +17,7 @@
 CALLERS = 12
 TRIES = 3
 FIRST_SEED = 1
+LATE = 8.0
 
 
 def believe_target():
@@ -127,15 +128,19 @@
     entry.Entry.drain = sidecar.Sidecar.drain = drain
 
 
-def spread_nothing():
-    """Learn revisions only at the start."""
+def spread_late():
+    """Learn new revisions only long after they were told."""
     from gypsumshift import heartbeats, poller
 
+    pull, read = heartbeats.Heartbeats.pull_revision, poller.Poller.read_heads
+
     async def pull_revision(self, link):
-        return None
+        await asyncio.sleep(LATE)
+        await pull(self, link)
 
     async def read_heads(self):
-        return None
+        await asyncio.sleep(LATE)
+        await read(self)
 
     heartbeats.Heartbeats.pull_revision = pull_revision
     poller.Poller.read_heads = read_heads
@@ -150,7 +155,7 @@
     "at-most-once": forget_keys,
     "leaving": ignore_leaving,
     "graceful": stop_at_once,
-    "configuration": spread_nothing,
+    "configuration": spread_late,
 }
 
 
