--- a/bench/report.py
+++ b/bench/report.py
@@ -35,8 +35,10 @@
 
     @property
     def ratio(self) -> float:
-        """Candidate over baseline."""
-        return self.candidate / self.baseline if self.baseline else float("nan")
+        """Candidate over baseline; 1 where both are 0."""
+        if not self.baseline:
+            return float("inf") if self.candidate else 1.0
+        return self.candidate / self.baseline
 
     def line(self) -> str:
         """Return the row as text."""
