Capacity draws memory out along its slope, and scales nothing down

Cause: the page took the memory at 100 processes for that at 1,950, and scaled a sidecar's processor time below what was measured.

Change: memory grows by its measured slope; control never shrinks.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -54,7 +54,7 @@
     path = found["overhead"]["rows"][0]["candidate"]
     lines = [f"{'':52} {'figure':>10} {'budget':>10}"]
     lines += platform_lines()
-    lines += process_lines(last, path)
+    lines += process_lines(cost, path)
     return "\n".join(lines)
 
 
@@ -93,24 +93,34 @@
     ]
 
 
-def process_lines(last: dict, path: float) -> list[str]:
+def memory(cost: list[dict], kind: str) -> float:
+    """Return the memory of a process among all, by the slope that was measured."""
+    first, last = cost[0], cost[-1]
+    grown = last[f"{kind}_mb"] - first[f"{kind}_mb"]
+    slope = grown / (last["processes"] - first["processes"])
+    return last[f"{kind}_mb"] + slope * (NODES + WORKERS - last["processes"])
+
+
+def process_lines(cost: list[dict], path: float) -> list[str]:
     """Return what an entry and a sidecar spend for control, and on requests."""
+    last = cost[-1]
     per_pool = SUBSET + ENTRIES_GREETED
     links_here = min(SUBSET, last["processes"] - last["entries"]) + ENTRIES_GREETED
-    scale = per_pool / max(1, links_here)
+    scale = max(1.0, per_pool / max(1, links_here))
     calls_in = NODES * SUBSET / WORKERS / ENTRY_PERIOD
     calls_here = last["entries"] * links_here / (last["processes"] - last["entries"])
     greets = SIDECAR_GREETS / SIDECAR_PERIOD
-    side = (calls_in + greets) / (calls_here + greets)
+    # A part of the cost is there without any messages: never scale it down.
+    side = max(1.0, (calls_in + greets) / (calls_here + greets))
     cores = REQUESTS / path
     return [
         line("entry: processor for control", last["entry_cpu"] * scale * 100, 1.2, "%"),
         line("entry: traffic for control", last["entry_kb"] * scale, 2, "KB/s"),
-        line("entry: memory", last["entry_mb"], 64, "MB"),
+        line("entry: memory", memory(cost, "entry"), 64, "MB"),
         line(
             "sidecar: processor for control", last["sidecar_cpu"] * side * 100, 1.2, "%"
         ),
         line("sidecar: traffic for control", last["sidecar_kb"] * side, 2, "KB/s"),
-        line("sidecar: memory", last["sidecar_mb"], 64, "MB"),
+        line("sidecar: memory", memory(cost, "sidecar"), 64, "MB"),
         line("cores for the peak's requests, entry and sidecar", cores, NODES, "cores"),
     ]
