--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -50,7 +50,6 @@
     if "cost" not in found or "overhead" not in found:
         return "bench: run `python -m bench cost overhead` first"
     cost = found["cost"]["details"]["measured"]
-    last = cost[-1]
     path = found["overhead"]["rows"][0]["candidate"]
     lines = [f"{'':52} {'figure':>10} {'budget':>10}"]
     lines += platform_lines()
