A connection accepted while its port closes is cut, not left hanging

Cause: one of four parallel test runs failed once (1 of 181): a request to a sidecar that had stopped ended "no answer in time" instead of "not run". A task that is cancelled before its first step never runs its own end, so a connection accepted in the tick in which the port closed stayed open with nobody reading; the entry's order waited there. Ruled out: a request that ran (the service had none), and load (the others passed beside it).

Change: the connection is cut by the task's callback, which always runs; a closed port takes no connection that was on its way.

Before: the new test times out.

Conclusion: in production the stopped process exits at once, so callers were safe; a drain without exit would have met it.

--- a/gypsumshift/links.py
+++ b/gypsumshift/links.py
@@ -201,6 +201,7 @@
         self.numbers = itertools.count(1)
         self.tasks: set[asyncio.Task] = set()
         self.listener: asyncio.Server | None = None
+        self.closed = False
 
     async def listen(self, host: str, port: int) -> int:
         """Listen on an address; return the port taken."""
@@ -209,9 +210,15 @@
 
     def accept(self, reader, writer) -> None:
         """Serve a connection in a task of its own."""
+        if self.closed:
+            # It was on its way when the listener closed; nobody would end it.
+            writer.transport.abort()
+            return
         task = asyncio.create_task(self.serve(reader, writer))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        # A task that is cancelled before it began never gets to its own end.
+        task.add_done_callback(lambda _: writer.transport.abort())
 
     async def serve(self, reader, writer) -> None:
         """Serve one connection until it ends."""
@@ -233,6 +240,7 @@
 
     def close(self) -> None:
         """Stop listening and cut all connections."""
+        self.closed = True
         if self.listener:
             self.listener.close()
         for task in list(self.tasks):
--- a/gypsumshift/server.py
+++ b/gypsumshift/server.py
@@ -135,13 +135,15 @@
 
     def accept(self, reader, writer) -> None:
         """Serve a connection in a task of its own."""
-        if len(self.connections) >= CONNECTION_LIMIT:
+        if self.closing or len(self.connections) >= CONNECTION_LIMIT:
             writer.close()
             return
         connection = Connection(self, reader, writer)
         task = asyncio.create_task(self.serve(connection))
         self.connections[task] = connection
         task.add_done_callback(self.connections.pop)
+        # A task that is cancelled before it began never gets to its own end.
+        task.add_done_callback(lambda _: writer.close())
 
     async def serve(self, connection: "Connection") -> None:
         """Serve one connection until it ends."""
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -238,3 +238,32 @@
         assert (await fetcher.fetch(address, "GET", "/metrics")).status == 200
 
     run_with_entry(work, operator_token_file=str(path))
+
+
+async def closes_at_once(server, close):
+    """Tell whether a connection ends whose server closes before it is served."""
+
+    def accept(reader, writer):
+        server.accept(reader, writer)
+        close()
+
+    listener = await asyncio.start_server(accept, "127.0.0.1", 0)
+    address = listener.sockets[0].getsockname()
+    try:
+        async with asyncio.timeout(10):
+            first = await send_raw(address, b"")
+            return first == b"" and await send_raw(address, b"") == b""
+    finally:
+        listener.close()
+
+
+def test_a_connection_accepted_while_a_port_closes_is_cut(monkeypatch):
+    monkeypatch.setattr("gypsumshift.links.HELLO_TIMEOUT", 3600.0)
+
+    async def work(entry):
+        assert await closes_at_once(entry.peers, entry.peers.close)
+        front = entry.front
+        stop = lambda: asyncio.ensure_future(front.stop(0))
+        assert await closes_at_once(front, stop)
+
+    run_with_entry(work)
