Deployments claim their ports against each other

Cause: of four parallel test runs beside a mutant run one failed: a sidecar could not listen, since two deployments, in processes of their own, had drawn the same port from 21,760.

Change: whoever draws a port holds the UDP socket of the same number.

Conclusion: a port found free is now free for one deployment only.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -31,28 +31,30 @@
 FIRST_CALLER_PORT = 8100
 FIRST_OPERATOR_PORT = 8200
 PORTS = (10240, 32000)
-GIVEN_PORTS: set[int] = set()
+CLAIMS: dict[int, socket.socket] = {}
 READY_TIMEOUT = 60.0
 STOP_TIMEOUT = 10.0
 POLL = 0.05
 
 
 def free_port() -> int:
-    """Return a TCP port that is free now.
+    """Return a TCP port that is free now, and claimed for this process.
 
     It lies below those that the kernel gives to outgoing connections, one of which
-    could take it before its process listens.
+    could take it before its process listens. A UDP socket on the same number, which
+    nobody else here uses, keeps other deployments from choosing it.
     """
     while True:
         port = random.SystemRandom().randrange(*PORTS)
-        if port in GIVEN_PORTS:
-            continue
-        with socket.socket() as probe:
-            try:
+        claim = socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            claim.bind((HOST, port))
+            with socket.socket() as probe:
                 probe.bind((HOST, port))
-            except OSError:
-                continue
-        GIVEN_PORTS.add(port)
+        except OSError:
+            claim.close()
+            continue
+        CLAIMS[port] = claim
         return port
 
 
