Build a router once, not at each request; drop loggers nobody uses

Cause: read once more, `Dispatcher.router` made a new router at every call, twice a request, only to compare its type with the one it had; five modules kept a logger that they never used after they were split.

Change: the declared kind is looked up in `ROUTERS`, and a router is made only where the kind changed.

Before: one throw-away router a call; after: none.

Conclusion: behaviour as before.

--- a/gypsumshift/dispatch.py
+++ b/gypsumshift/dispatch.py
@@ -5,7 +5,6 @@
 
 import attrs
 
-from gypsumshift import logs
 from gypsumshift.answers import Answer, Lost, Refusal, Streamed, Whole
 from gypsumshift.attempts import new_attempt
 from gypsumshift.budgets import RetryBudget
@@ -24,7 +23,7 @@
 from gypsumshift.members import Known
 from gypsumshift.outcomes import NotRun, Unknown
 from gypsumshift.process import Process
-from gypsumshift.routing import Router, new_router
+from gypsumshift.routing import ROUTERS, Router
 
 __all__ = ["Dispatcher", "Job", "mark", "not_run"]
 
@@ -36,8 +35,6 @@
 BAR_PAUSE = 0.1
 FOLLOW_PERIOD = 0.1
 
-log = logs.logger("dispatch")
-
 
 @attrs.define
 class Job:
@@ -109,12 +106,9 @@
         """Return the router of a pool, as declared now."""
         declared = self.process.in_force.catalog.pools.get(pool)
         kind = declared.routing if declared else "load"
-        router = self.routers.get(pool)
-        fresh = new_router(
-            kind, pool, self.process.view, self.clock, self.process.random
-        )
-        if type(router) is not type(fresh):
-            self.routers[pool] = fresh
+        if type(self.routers.get(pool)) is not ROUTERS[kind]:
+            view, chance = self.process.view, self.process.random
+            self.routers[pool] = ROUTERS[kind](pool, view, self.clock, chance)
         return self.routers[pool]
 
     def budget(self, workspace: str) -> RetryBudget:
--- a/gypsumshift/generation.py
+++ b/gypsumshift/generation.py
@@ -3,7 +3,6 @@
 import asyncio
 import math
 
-from gypsumshift import logs
 from gypsumshift.dispatch import Dispatcher
 from gypsumshift.generated.declarations import Trainer
 from gypsumshift.groups import Group, Sample, Trainee
@@ -27,8 +26,6 @@
 LAST_URGENCY = 2
 LAST_SHARE = 0.75
 
-log = logs.logger("generation")
-
 
 def steps_ahead(trainer: Trainer) -> int:
     """Return how many steps to generate beyond the one that is wanted.
--- a/gypsumshift/poller.py
+++ b/gypsumshift/poller.py
@@ -2,7 +2,6 @@
 
 import json
 
-from gypsumshift import logs
 from gypsumshift.outcomes import Missing, Unavailable
 from gypsumshift.platforms import Host
 from gypsumshift.revisions import CONFIG_HEAD, HEADS_TABLE
@@ -16,8 +15,6 @@
 WEIGHTS_PREFIX = "weights/"
 LEAVING_PREFIX = "leaving/"
 
-log = logs.logger("platform")
-
 
 class Poller:
     """Reads the platform for one process.
--- a/gypsumshift/rollout.py
+++ b/gypsumshift/rollout.py
@@ -7,7 +7,6 @@
 
 import asyncio
 
-from gypsumshift import logs
 from gypsumshift.backend import Backend, Fence
 from gypsumshift.generated.messages import RequestClass
 from gypsumshift.members import rank
@@ -23,8 +22,6 @@
 RETRY_FIRST = 0.25
 RETRY_MOST = 10.0
 
-log = logs.logger("rollout")
-
 
 def waves(backends: set[str], version: int, floor: float) -> list[list[str]]:
     """Return the backend servers of a pool in the waves that load a version.
--- a/gypsumshift/routing.py
+++ b/gypsumshift/routing.py
@@ -15,7 +15,7 @@
 from gypsumshift.generated.messages import RequestClass
 from gypsumshift.members import Known, View, rank
 
-__all__ = ["LeastReported", "LoadRouter", "RoundRobin", "Router", "new_router"]
+__all__ = ["LeastReported", "LoadRouter", "RoundRobin", "ROUTERS", "Router"]
 
 CHOICES = 2
 ZONE_PENALTY = 0.003
@@ -303,9 +303,8 @@
     return known.load.running + known.load.queued if known.load else 0
 
 
-KINDS = {"load": LoadRouter, "round-robin": RoundRobin, "least-reported": LeastReported}
-
-
-def new_router(kind: str, pool: str, view: View, clock: Clock, chance) -> Router:
-    """Return a router of the declared kind."""
-    return KINDS[kind](pool, view, clock, chance)
+ROUTERS = {
+    "load": LoadRouter,
+    "round-robin": RoundRobin,
+    "least-reported": LeastReported,
+}
--- a/gypsumshift/runs.py
+++ b/gypsumshift/runs.py
@@ -5,7 +5,6 @@
 
 import attrs
 
-from gypsumshift import logs
 from gypsumshift.admission import Admission, FairAdmission, FifoAdmission, Ticket
 from gypsumshift.attempts import AttemptLog
 from gypsumshift.backend import Backend
@@ -26,8 +25,6 @@
 BUSY = "busy"
 QUEUE_SHARE_OF_TIMEOUT = 0.9
 
-log = logs.logger("runs")
-
 
 @attrs.define(eq=False)
 class Run:
