Tables have parts and a feed of their changes

Cause: batch jobs need rows of one job written together, results whose order is the order of writing, and a watch in place of polling. The tables had none of these. Change: RowStore, an abstract class beside Tables; the tables in memory keep it. Row versions become the number of the transaction. Tests that looked into the dictionary of rows follow its new key; nothing is checked less.

--- a/gypsumshift/memory.py
+++ b/gypsumshift/memory.py
@@ -1,33 +1,51 @@
 """Memory: the platform's services inside one process, for tests and trials."""
 
+import asyncio
 import bisect
+import contextlib
+import datetime
+import time
 
 from gypsumshift import platforms
 from gypsumshift.outcomes import Committed, Conflict, Missing
-from gypsumshift.platforms import Host, Row, Write
+from gypsumshift.platforms import Changes, HistoryLost, Host, Row, Write
 
 __all__ = ["MemoryHosts", "MemoryObjects", "MemoryTables", "MemoryWeights", "connect"]
 
 SHARED: dict[str, platforms.Platform] = {}
 
 
-class MemoryTables(platforms.Tables):
-    """Tables in a dictionary, with an ordered index of keys."""
+class MemoryTables(platforms.RowStore):
+    """Tables in a dictionary, with an ordered index of keys and a feed.
 
-    def __init__(self):
-        self.rows: dict[tuple[str, str], Row] = {}
-        self.index: list[tuple[str, str]] = []
+    Attributes
+    ----------
+    version : int
+        Number of the last transaction.
+    history : list of Row
+        What changed, oldest first.
+    forgotten : int
+        Changes up to this version are no longer in the history.
+    """
 
-    async def read(self, table, key):
+    def __init__(self):
+        self.rows: dict[tuple[str, str, str], Row] = {}
+        self.index: list[tuple[str, str, str]] = []
+        self.version = 0
+        self.history: list[Row] = []
+        self.forgotten = 0
+        self.changed = asyncio.Event()
+
+    async def read(self, table, key, part=""):
         """Return one row."""
-        return self.rows.get((table, key), Missing())
+        return self.rows.get((table, part, key), Missing())
 
-    async def scan(self, table, prefix):
+    async def scan(self, table, prefix, part=""):
         """Return the rows whose keys begin with ``prefix``, in the keys' order."""
-        start = bisect.bisect_left(self.index, (table, prefix))
+        start = bisect.bisect_left(self.index, (table, part, prefix))
         found = []
         for place in self.index[start:]:
-            if place[0] != table or not place[1].startswith(prefix):
+            if place[:2] != (table, part) or not place[2].startswith(prefix):
                 break
             found.append(self.rows[place])
         return found
@@ -37,31 +55,65 @@
         for write in writes:
             if not self.holds(write):
                 return Conflict(f"{write.table}/{write.key}")
+        self.version += 1
         for write in writes:
             if not write.check:
                 self.apply(write)
-        return Committed()
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return Committed(self.version)
 
     def holds(self, write: Write) -> bool:
         """Tell whether the condition of a write holds."""
         if write.expected is None:
             return True
-        row = self.rows.get((write.table, write.key))
+        row = self.rows.get((write.table, write.part, write.key))
         return write.expected == (row.version if row else platforms.ABSENT)
 
     def apply(self, write: Write) -> None:
         """Apply one write."""
-        place = (write.table, write.key)
-        old = self.rows.get(place)
+        place = (write.table, write.part, write.key)
+        row = Row(write.table, write.key, self.version, write.value, write.part)
+        old = self.rows.pop(place, None)
+        if old is None and write.value is None:
+            return
+        self.history.append(row)
         if write.value is None:
-            if old:
-                del self.rows[place]
-                self.index.pop(bisect.bisect_left(self.index, place))
+            self.index.pop(bisect.bisect_left(self.index, place))
             return
         if old is None:
             bisect.insort(self.index, place)
-        version = old.version + 1 if old else 1
-        self.rows[place] = Row(write.table, write.key, version, write.value)
+        self.rows[place] = row
+
+    def forget(self) -> None:
+        """Drop the history, as a store does that keeps it for a while only."""
+        self.forgotten = self.version
+        self.history.clear()
+
+    async def changes(self, table, after, wait):
+        """Return what changed after a version; waits for the first change."""
+        rows = self.changed_rows(table, after)
+        if not rows and after >= self.forgotten:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait.total_seconds()):
+                    await self.changed.wait()
+            rows = self.changed_rows(table, after)
+        if after < self.forgotten:
+            return HistoryLost()
+        return Changes(rows, self.version)
+
+    def changed_rows(self, table: str, after: int) -> list[Row]:
+        """Return the changes of a table after a version."""
+        return [r for r in self.history if r.table == table and r.version > after]
+
+    async def snapshot(self, table):
+        """Return the rows of all parts, with the version to watch from."""
+        rows = [row for place, row in self.rows.items() if place[0] == table]
+        return Changes(sorted(rows, key=lambda row: row.version), self.version)
+
+    def now(self):
+        """Return the time of this process."""
+        return datetime.timedelta(seconds=time.monotonic())
 
 
 class MemoryObjects(platforms.Objects):
--- a/gypsumshift/outcomes.py
+++ b/gypsumshift/outcomes.py
@@ -20,7 +20,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Committed:
-    """The write took effect."""
+    """The write took effect.
+
+    Attributes
+    ----------
+    version : int
+        Number of the transaction, where the store counts them; else 0.
+    """
+
+    version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/gypsumshift/platforms.py
+++ b/gypsumshift/platforms.py
@@ -6,6 +6,7 @@
 """
 
 import abc
+import datetime
 import importlib
 from collections.abc import Callable
 
@@ -14,11 +15,14 @@
 from gypsumshift.outcomes import Missing, Unavailable, Written
 
 __all__ = [
+    "Changes",
+    "HistoryLost",
     "Host",
     "Hosts",
     "Objects",
     "Platform",
     "Row",
+    "RowStore",
     "Tables",
     "Weights",
     "Write",
@@ -38,15 +42,19 @@
     table, key : str
         Where it stands.
     version : int
-        1 for a new row, one more with each write of it.
-    value : dict
-        JSON object.
+        Grows with each write of it; in a `RowStore`, the number of the
+        transaction that wrote it, so that rows are ordered by their writing.
+    value : dict or None
+        JSON object; None in a change that removed the row.
+    part : str
+        Rows of one part can be written in one transaction.
     """
 
     table: str
     key: str
     version: int
-    value: dict
+    value: dict | None
+    part: str = ""
 
 
 @attrs.frozen
@@ -63,6 +71,8 @@
         Version that the row must have (0: absent); None sets no condition.
     check : bool
         Whether the row is only checked and left as it is.
+    part : str
+        All writes of a transaction share it.
     """
 
     table: str
@@ -70,6 +80,28 @@
     value: dict | None = None
     expected: int | None = None
     check: bool = False
+    part: str = ""
+
+
+@attrs.frozen
+class Changes:
+    """What changed in a table, in the order of writing.
+
+    Attributes
+    ----------
+    rows : list of Row
+        Each row as it was written last; without a value where it was removed.
+    version : int
+        Ask for what changed after this one next.
+    """
+
+    rows: list[Row]
+    version: int
+
+
+@attrs.frozen
+class HistoryLost:
+    """The changes asked for are no longer kept: read the table anew."""
 
 
 @attrs.frozen
@@ -110,6 +142,40 @@
         """Apply all writes, or none where a condition does not hold."""
 
 
+class RowStore(Tables):
+    """Tables whose rows lie in parts, with a feed of the changes.
+
+    Reads are linearizable. A part takes a bounded number of transactions a
+    second, so what is written often is spread over parts.
+    """
+
+    @abc.abstractmethod
+    async def read(self, table: str, key: str, part: str = ""):
+        """Return one row."""
+
+    @abc.abstractmethod
+    async def scan(self, table: str, prefix: str, part: str = ""):
+        """Return the rows of a part whose keys begin with ``prefix``, in order.
+
+        Rows written while a long part is read are left out, so that the result
+        holds every row up to some moment and none behind it.
+        """
+
+    @abc.abstractmethod
+    async def changes(
+        self, table: str, after: int, wait: datetime.timedelta
+    ) -> Changes | HistoryLost | Unavailable:
+        """Return what changed after a version; waits for the first change."""
+
+    @abc.abstractmethod
+    async def snapshot(self, table: str) -> Changes | Unavailable:
+        """Return the rows of all parts, with the version to watch from."""
+
+    @abc.abstractmethod
+    def now(self) -> datetime.timedelta:
+        """Return the store's steady time, as estimated from its last answer."""
+
+
 class Objects(abc.ABC):
     """Object store."""
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -38,11 +38,15 @@
         self.lose_next = 0
         self.drop_next = 0
 
-    async def read(self, table, key):
-        return Unavailable("down") if self.down else await super().read(table, key)
+    async def read(self, table, key, part=""):
+        if self.down:
+            return Unavailable("down")
+        return await super().read(table, key, part)
 
-    async def scan(self, table, prefix):
-        return Unavailable("down") if self.down else await super().scan(table, prefix)
+    async def scan(self, table, prefix, part=""):
+        if self.down:
+            return Unavailable("down")
+        return await super().scan(table, prefix, part)
 
     async def commit(self, writes):
         if self.down:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -56,7 +56,7 @@
 
     @invariant()
     def a_number_has_one_owner(self):
-        row = self.tables.rows.get(("leases", "l"))
+        row = self.tables.rows.get(("leases", "", "l"))
         if row and row.value["owner"]:
             fence, owner = row.value["fence"], row.value["owner"]
             assert self.fences.setdefault(fence, owner) == owner
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -42,7 +42,7 @@
 
     def truth(self):
         """Return the trainer's row as it truly is."""
-        row = self.tables.rows.get(("trainers", "t"))
+        row = self.tables.rows.get(("trainers", "", "t"))
         return Trainee(**row.value) if row else Trainee()
 
     @rule(
@@ -116,7 +116,7 @@
     @invariant()
     def steps_are_right(self):
         seen = set()
-        for (table, _), row in self.tables.rows.items():
+        for (table, _, _), row in self.tables.rows.items():
             if table != "steps":
                 continue
             assert len(row.value["groups"]) == SIZE
@@ -126,7 +126,7 @@
                 assert group["oldest"] >= row.value["version"] - BOUND, "too old"
                 assert group["object"] in self.platform.objects.data
         open_ids = [
-            r.value["id"] for (t, _), r in self.tables.rows.items() if t == "groups"
+            r.value["id"] for (t, _, _), r in self.tables.rows.items() if t == "groups"
         ]
         assert len(open_ids) == len(set(open_ids))
         assert not seen & set(open_ids)
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -100,7 +100,7 @@
     def accepted_stays(self):
         rows = {
             row.value["number"]: row.value
-            for (table, _), row in self.tables.rows.items()
+            for (table, _, _), row in self.tables.rows.items()
             if table == "revisions"
         }
         assert sorted(rows) == list(range(1, len(rows) + 1)), "a gap"
@@ -113,7 +113,7 @@
     def in_force_is_what_was_accepted(self):
         for process in self.processes:
             if process.number > 0:
-                row = self.tables.rows["revisions", f"{process.number:012d}"]
+                row = self.tables.rows["revisions", "", f"{process.number:012d}"]
                 assert (
                     process.catalog.source["zones"]
                     == row.value["declarations"]["zones"]
--- a/tests/test_samples.py
+++ b/tests/test_samples.py
@@ -212,7 +212,7 @@
             await trainer.submit(groups(3))
             delivery = await trainer.step(1)
             assert {s.id[:2] for s in delivery.samples} == {"g1", "g2"}
-            row = ("groups", "tr/000000000001")
+            row = ("groups", "", "tr/000000000001")
             await until(lambda: sys.tables.rows[row].value["failed"])
             state = await trainer.ask("GET", "")
             assert "g0" in state["failed"]
