A unit is run once by an agent, and let go when another holds it

Ruled out: a late watch of the table of jobs: the end was told in time. Change: a claim is a sign of life; silence counts from the store's return; a unit is started once and never for an ended job; a unit that another holds is let go. A refused stream's connection is kept, and items wait while their model is loaded.

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -143,6 +143,7 @@
         self.named_at: dict[str, tuple[int, float]] = {}
         self.fence = 0
         self.order_at = float("-inf")
+        self.loading = ""
         self.leaving = False
         self.work = asyncio.Event()
         self.scores = asyncio.Semaphore(SCORES_AT_ONCE)
@@ -158,6 +159,7 @@
                 self.board.take_pulses,
                 self.board.take_pulses,
                 clock,
+                self.board.note_store_back,
             ),
         ]
 
@@ -177,8 +179,21 @@
     def take_claims(self, rows: list[Row]) -> None:
         """Take rows of the table of claims."""
         self.board.take_claims(rows)
+        for row in rows:
+            unit = self.units.get((row.part, row.key))
+            if unit is not None and self.lost(unit, row):
+                logs.event(
+                    log, "Another agent runs a unit.", job=row.part, unit=row.key
+                )
+                self.drop(unit)
         self.work.set()
 
+    def lost(self, unit: UnitRun, row: Row) -> bool:
+        """Tell whether a claim in the store ends this agent's run of a unit."""
+        if row.value is None or row.version <= unit.version:
+            return False
+        return from_row(row.value, Claim).session != self.session
+
     @property
     def server(self) -> BackendServer | None:
         """The engine as listed now; None while it is not or leaves."""
@@ -248,6 +263,8 @@
         fresh = self.report is None or self.report.versions != report.versions
         self.report = report
         self.reported_at = self.clock.monotonic()
+        if not report.busy and self.reported_at - self.order_at > REPORT_PERIOD:
+            self.loading = ""
         if not was_healthy:
             logs.event(log, "The engine reports.", versions=report.versions)
         if fresh or not was_healthy:
@@ -313,6 +330,7 @@
         self.order_at = self.clock.monotonic()
         answer = await self.engine.order(server, order)
         status = answer.status if isinstance(answer, Answered) else 0
+        self.loading = choice.model if status in ACCEPTED else ""
         logs.event(
             log,
             "Ordered new weights.",
@@ -389,6 +407,9 @@
     def start(self, candidate: Candidate, version: int) -> None:
         """Run a claimed unit."""
         job, summary = candidate.job, candidate.unit
+        if job.id in self.board.ended or (job.id, summary.key) in self.units:
+            # The job ended while the claim was on its way, or its answer was late.
+            return
         unit = UnitRun(job, summary.key, version)
         self.units[job.id, summary.key] = unit
         logs.event(
@@ -467,11 +488,13 @@
         while True:
             async with self.places:
                 server = self.server
-                if server is not None:
+                if server is not None and self.loading != run.job.model:
                     try:
                         return await run.generate(server)
                     except StreamBroken as error:
                         self.note_broken(run, server, error)
+            # An engine that loads a model's weights refuses its requests: asking
+            # ten times a second was 4 of 10 requests on a calm day.
             await self.clock.sleep(PAUSE)
 
     def note_broken(self, run: ItemRun, server, error: StreamBroken) -> None:
--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -41,10 +41,13 @@
     claim : Claim
     version : int
         Of its row, the condition to replace it.
+    seen_at : float
+        When it was told here, by the monotonic clock, in seconds.
     """
 
     claim: Claim
     version: int
+    seen_at: float
 
 
 @attrs.frozen
@@ -121,6 +124,7 @@
         self.early: dict[str, dict[str, Held]] = {}
         self.pulses: dict[str, Pulse] = {}
         self.groups_seen: set[str] = set()
+        self.deaf_until = float("-inf")
 
     def take_jobs(self, rows: list[Row]) -> None:
         """Take rows of the table of jobs."""
@@ -150,12 +154,13 @@
         for row in rows:
             if row.value is None or row.part in self.ended:
                 continue
-            held = Held(from_row(row.value, Claim), row.version)
+            claim = from_row(row.value, Claim)
+            held = Held(claim, row.version, self.clock.monotonic())
             tracked = self.open.get(row.part)
             # A claim may be told before its job, by another watch.
             claims = tracked.claims if tracked else self.early.setdefault(row.part, {})
             known = claims.get(row.key)
-            if known is None or known.version <= held.version:
+            if known is None or known.version < held.version or claim.done:
                 claims[row.key] = held
 
     def take_pulses(self, rows: list[Row]) -> None:
@@ -164,20 +169,35 @@
             session = row.value["session"] if row.value else ""
             self.pulses[row.key] = Pulse(session, self.clock.monotonic())
 
-    def alive(self, claim: Claim) -> bool:
-        """Tell whether the agent that holds a claim still works on it."""
+    def note_store_back(self) -> None:
+        """Take that nothing could be heard until now."""
+        self.deaf_until = self.clock.monotonic()
+
+    def alive(self, held: Held) -> bool:
+        """Tell whether the agent that holds a claim still works on it.
+
+        A claim is itself a sign of life, and heartbeats that could not be heard
+        while the store was away say nothing: without these two, agents that were
+        cut off together took each other's units over at once when they returned.
+        """
+        claim = held.claim
         if claim.session == self.session:
             return True
         pulse = self.pulses.get(claim.agent)
-        if pulse is None or pulse.session != claim.session:
-            return False
-        return self.clock.monotonic() - pulse.at < SILENCE
+        if pulse is not None and pulse.session != claim.session:
+            return held.seen_at > pulse.at and self.recent(held.seen_at)
+        heard = pulse.at if pulse is not None else held.seen_at
+        return self.recent(max(heard, held.seen_at, self.deaf_until))
+
+    def recent(self, at: float) -> bool:
+        """Tell whether a sign of life is young enough."""
+        return self.clock.monotonic() - at < SILENCE
 
     def free(self, held: Held | None) -> bool:
         """Tell whether a unit may be claimed."""
         if held is None or not held.claim.agent:
             return True
-        return not held.claim.done and not self.alive(held.claim)
+        return not held.claim.done and not self.alive(held)
 
     def mine(self) -> list[tuple[Job, UnitSummary, Held]]:
         """Return the units that this agent holds by the store and are not done."""
--- a/gypsumshift/jobs/engine.py
+++ b/gypsumshift/jobs/engine.py
@@ -186,7 +186,7 @@
         except (FetchError, TimeoutError) as error:
             raise StreamBroken(str(error) or "no answer in time") from error
         with contextlib.closing(exchange):
-            self.check(exchange, item)
+            await self.check(exchange, item)
             version = number(exchange.header(self.names.versions.encode()))
             lines = self.blocks(exchange)
             async with contextlib.aclosing(lines):
@@ -204,13 +204,17 @@
             fields.append((self.names.last_event, str(after)))
         return fields
 
-    def check(self, exchange: Exchange, item: Item) -> None:
+    async def check(self, exchange: Exchange, item: Item) -> None:
         """Raise unless an answer is the stream of the item."""
         echoed = exchange.header(self.names.request_id.encode())
         if echoed and echoed != item.id:
             raise StreamBroken(f"an answer to the request {echoed}")
         if exchange.status != 200:
             not_run = exchange.header(self.names.not_run.encode())
+            # Read to its end, the connection serves the next try.
+            with contextlib.suppress(FetchError, TimeoutError):
+                async with asyncio.timeout(REPORT_TIMEOUT):
+                    await exchange.read()
             raise StreamRefused(exchange.status, exchange.status == 500 and not not_run)
         if not exchange.header(self.names.signature.encode()):
             raise StreamBroken("an answer without a signature")
--- a/gypsumshift/watch.py
+++ b/gypsumshift/watch.py
@@ -37,6 +37,8 @@
     replace : callable
         Takes the whole table, where its changes could not be followed.
     clock : Clock
+    on_return : callable
+        Called when the store answers again after a failure.
 
     Attributes
     ----------
@@ -55,7 +57,9 @@
         apply: Callable[[list[Row]], None],
         replace: Callable[[list[Row]], None],
         clock: Clock,
+        on_return: Callable[[], None] = lambda: None,
     ):
+        self.on_return = on_return
         self.store = store
         self.table = table
         self.apply = apply
@@ -98,6 +102,7 @@
             logs.event(log, "The store answers again.", table=self.table)
             self.failures = 0
             self.recovered_at = self.clock.monotonic()
+            self.on_return()
         if answer.version < self.version:
             # The store may serve an old copy; nothing steps back.
             return
--- /dev/null
+++ b/tests/jobs_world.py
@@ -0,0 +1,235 @@
+"""Builders for tests of batch jobs: engines without a network, jobs, agents."""
+
+import asyncio
+import datetime
+import random
+
+import attrs
+
+from gypsumshift import memory
+from gypsumshift.clock import SystemClock
+from gypsumshift.jobs import Desk, EngineReport, Event, Item, Job, Scorer, split
+from gypsumshift.jobs.agent import Agent, Home
+from gypsumshift.jobs.claims import ClaimBoard
+from gypsumshift.jobs.engine import StreamBroken
+from gypsumshift.jobs.model import (
+    CLAIMS,
+    JOB_KEY,
+    JOBS,
+    Claim,
+    summary,
+    to_row,
+)
+from gypsumshift.outcomes import Answered
+from gypsumshift.platforms import Row
+from gypsumshift.serving import (
+    BackendServer,
+    Directory,
+    EngineLimits,
+    HeaderNames,
+    RequestKind,
+    Route,
+    RouteTable,
+    Service,
+    Target,
+)
+
+NAMES = HeaderNames(
+    request_id="request-id",
+    time_left="time-left",
+    expected_server="expected-server",
+    last_event="last-event-id",
+    signature="signature",
+    not_run="not-run",
+    load="load",
+    versions="versions",
+    event_version="versions",
+    priority="priority",
+    prompt="prompt",
+    length_hint="length-hint",
+    wait="wait",
+)
+MODEL = "m"
+SERVICE = "engines"
+HOST = "trainers.example"
+ADDRESS = ("127.0.0.1", 9)
+
+
+def items(groups=2, size=2, step="s", scorer=True):
+    """Return the items of a step."""
+    found = []
+    for group in range(groups):
+        for number in range(size):
+            name = f"{step}-{group}-{number}"
+            reward = Scorer(f"r-{name}", HOST, "/score/", b"x") if scorer else None
+            found.append(
+                Item(name, "/run/1", {}, b"body", 100, f"g{group}", 10, reward)
+            )
+    return found
+
+
+def job(units, job_id="job", model=MODEL, min_version=1, target=2):
+    """Return a batch job of units."""
+    summaries = tuple(summary(unit) for unit in units)
+    return Job(job_id, HOST, "/run/", model, 0, min_version, target, 0.0, summaries)
+
+
+def job_row(value, version=1):
+    return Row(JOBS, JOB_KEY, version, to_row(value), value.id)
+
+
+def claim_row(job_id, unit, agent, session, version, done=False):
+    claim = Claim(agent, session, done)
+    return Row(CLAIMS, unit, version, to_row(claim), job_id)
+
+
+def routes(version=1, single_version=False, attempts=3):
+    """Return a configuration with one route for items and one for scores."""
+    run = Route(
+        "run",
+        HOST,
+        "/run/",
+        RequestKind.BATCH,
+        (Target(SERVICE),),
+        attempts=attempts,
+        single_version=single_version,
+    )
+    score = Route(
+        "score", HOST, "/score/", RequestKind.SAFE, (Target("app"),), attempts=4
+    )
+    limits = EngineLimits(slots=4, memory=1000, models=(MODEL,))
+    return RouteTable(version, [run, score], [Service(SERVICE, engine=limits)])
+
+
+def server(server_id="e1", ready=True, address=ADDRESS):
+    return BackendServer(server_id, SERVICE, address, "here", 4, ready)
+
+
+class FakeEngine:
+    """Engine that generates by a script.
+
+    Attributes
+    ----------
+    length : int
+        Events of an item.
+    hold : asyncio.Event
+        Streams wait for it before their last event.
+    started : list
+        Item and number of the event behind which each stream began.
+    running : set
+        Items at the engine now.
+    break_at : dict
+        By item, the event behind which its next stream breaks.
+    """
+
+    def __init__(self, length=3):
+        self.length = length
+        self.version = 1
+        self.serves = True
+        self.hold = asyncio.Event()
+        self.hold.set()
+        self.started = []
+        self.running = set()
+        self.break_at = {}
+        self.orders = []
+
+    async def stream(self, server, item, host, after):
+        self.started.append((item.id, after))
+        if not self.serves:
+            raise StreamBroken("refused")
+        self.running.add(item.id)
+        try:
+            for number in range(after + 1, self.length + 1):
+                if number == self.length:
+                    await self.hold.wait()
+                yield Event(number, f"{item.id}:{number}", self.version)
+                if self.break_at.get(item.id) == number:
+                    del self.break_at[item.id]
+                    raise StreamBroken("cut")
+        finally:
+            self.running.discard(item.id)
+
+    async def report(self, server):
+        if not self.serves:
+            return None
+        return EngineReport({MODEL: self.version}, False, len(self.orders), 0, 0)
+
+    async def order(self, server, order):
+        self.orders.append(order)
+        self.version = order.version
+        return Answered(202)
+
+
+class FakeForwarder:
+    """Forwarder whose reward calls are answered by a script."""
+
+    def __init__(self):
+        self.calls = []
+        self.statuses = []
+
+    async def forward(self, call):
+        self.calls.append(call)
+        status = self.statuses.pop(0) if self.statuses else 200
+        return Answered(status, ((NAMES.signature, f"signed-{call.id}"),))
+
+
+@attrs.define
+class World:
+    """A store, a desk and agents over it."""
+
+    store: memory.MemoryTables = attrs.field(factory=memory.MemoryTables)
+    tasks: list = attrs.field(factory=list)
+    agents: dict = attrs.field(factory=dict)
+    desk: Desk = None
+
+    def __attrs_post_init__(self):
+        self.desk = Desk(self.store, SystemClock())
+
+    def agent(self, name="a", engine=None, store=None):
+        """Start an agent beside an engine."""
+        directory = Directory()
+        directory.set_routes(routes())
+        directory.set_server(server(f"e-{name}"))
+        chance = random.Random(name)
+        agent = Agent(
+            Home(name, SERVICE, ADDRESS),
+            store or self.store,
+            directory,
+            engine or FakeEngine(),
+            FakeForwarder(),
+            NAMES,
+            SystemClock(),
+            chance,
+        )
+        self.agents[name] = agent
+        self.tasks.append(asyncio.create_task(agent.run()))
+        return agent
+
+    async def submit(self, job_id="job", **shape):
+        """Submit a step; return its units."""
+        units = split(items(step=job_id, **shape))
+        value = job(units, job_id)
+        loop = asyncio.get_running_loop()
+        await self.desk.submit(value, units, loop.time() + 5)
+        return units
+
+    async def results(self, job_id="job", count=None):
+        """Wait until so many results of a job stand, and return them."""
+        while True:
+            page = await self.desk.read(job_id, 0, 0)
+            if len(page.results) >= (count or page.total):
+                return page.results
+            await asyncio.sleep(0.01)
+
+    async def close(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+def board(session="mine", clock=None):
+    return ClaimBoard(session, clock)
+
+
+def seconds(value):
+    return datetime.timedelta(seconds=value)
--- /dev/null
+++ b/tests/test_agent.py
@@ -0,0 +1,138 @@
+"""Agents over one store: what they run, hand over, and never do twice."""
+
+import asyncio
+
+from gypsumshift.jobs import ResultState
+from gypsumshift.jobs.claims import Candidate
+from gypsumshift.jobs.model import END_KEY, JOBS, RESULTS
+from gypsumshift.platforms import Write
+from tests.jobs_world import FakeEngine, World
+
+
+def scenario(test):
+    """Run a test on a world of its own."""
+
+    def run():
+        async def play():
+            world = World()
+            try:
+                async with asyncio.timeout(20):
+                    await test(world)
+            finally:
+                await world.close()
+
+        asyncio.run(play())
+
+    run.__name__ = test.__name__
+    return run
+
+
+async def until(holds):
+    while not holds():
+        await asyncio.sleep(0.005)
+
+
+@scenario
+async def test_a_step_is_generated_scored_and_stored_once(world):
+    world.agent("a")
+    world.agent("b")
+    await world.submit(groups=6, size=4)
+    results = await world.results()
+    assert len({r.item for r in results}) == 24
+    first = results[0]
+    assert first.text == "\n".join(f"{first.item}:{n}" for n in (1, 2, 3))
+    assert first.score == f"signed-r-{first.item}"
+    assert first.versions == (1,)
+
+
+@scenario
+async def test_a_broken_stream_goes_on_behind_its_last_event(world):
+    engine = FakeEngine()
+    engine.break_at = {"job-0-0": 2}
+    world.agent("a", engine)
+    await world.submit(groups=1, size=1)
+    (result,) = await world.results()
+    assert result.text == "job-0-0:1\njob-0-0:2\njob-0-0:3"
+    assert engine.started == [("job-0-0", 0), ("job-0-0", 2)]
+
+
+@scenario
+async def test_a_unit_claimed_twice_runs_once_and_stops_with_its_job(world):
+    engine = FakeEngine()
+    engine.hold.clear()
+    agent = world.agent("a", engine)
+    await world.submit(groups=1)
+    await until(lambda: len(engine.running) == 2)
+    ((job_id, key), unit) = next(iter(agent.units.items()))
+    again = Candidate(unit.job, unit.job.units[0], unit.version, True)
+    agent.start(again, unit.version)
+    await world.store.commit([Write(JOBS, END_KEY, {"ended": True}, part=job_id)])
+    await until(lambda: not engine.running)
+    assert len(engine.started) == 2, "the second start ran the items again"
+    agent.start(again, unit.version)
+    assert not agent.units, "a unit of an ended job was started"
+
+
+@scenario
+async def test_an_engine_that_falls_silent_loses_its_units_with_what_they_have(world):
+    engine = FakeEngine()
+    engine.hold.clear()
+    world.agent("a", engine)
+    await world.submit(groups=1)
+    await until(lambda: len(engine.running) == 2)
+    engine.serves = False
+    other = FakeEngine()
+    world.agent("b", other)
+    results = await world.results()
+    assert all(r.state is ResultState.SUCCEEDED for r in results)
+    assert sorted(other.started) == [("job-0-0", 2), ("job-0-1", 2)]
+
+
+@scenario
+async def test_a_unit_that_another_agent_took_over_is_let_go(world):
+    engine = FakeEngine()
+    engine.hold.clear()
+    agent = world.agent("a", engine)
+    await world.submit(groups=1)
+    await until(lambda: len(engine.running) == 2)
+    row = (await world.store.scan("claims", "", "job"))[0]
+    value = {"agent": "b", "session": "other"}
+    await world.store.commit([Write("claims", row.key, value, part="job")])
+    await until(lambda: not engine.running)
+    assert not agent.units
+
+
+@scenario
+async def test_a_leaving_agent_gives_its_units_back(world):
+    engine = FakeEngine()
+    engine.hold.clear()
+    agent = world.agent("a", engine)
+    await world.submit(groups=1)
+    await until(lambda: len(engine.running) == 2)
+    await agent.leave()
+    assert not engine.running
+    world.agent("b", FakeEngine())
+    assert len(await world.results()) == 2
+
+
+@scenario
+async def test_a_reward_call_that_always_fails_ends_the_item(world):
+    agent = world.agent("a")
+    agent.forwarder.statuses = [500] * 4
+    await world.submit(groups=1, size=1)
+    (result,) = await world.results()
+    assert result.state is ResultState.DEAD
+    assert len(agent.forwarder.calls) == 4
+
+
+@scenario
+async def test_a_result_is_never_replaced(world):
+    await world.submit(groups=1, size=1)
+    stored = {"item": "job-0-0", "state": "succeeded", "text": "first"}
+    await world.store.commit([Write(RESULTS, "job-0-0", stored, 0, part="job")])
+    agent = world.agent("a")
+    await until(lambda: agent.board.open and not agent.units and agent.beats)
+    await asyncio.sleep(0)
+    await until(lambda: not agent.committer.writers and agent.forwarder.calls)
+    (result,) = await world.results()
+    assert result.text == "first"
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,90 @@
+"""Which unit an agent claims, and when a claim of another is free."""
+
+from gypsumshift.jobs import split
+from gypsumshift.jobs.claims import SILENCE, begin_order
+from gypsumshift.jobs.model import AGENTS, END_KEY, JOBS
+from gypsumshift.platforms import Row
+from tests.builders import ManualClock
+from tests.jobs_world import MODEL, board, claim_row, items, job, job_row
+
+
+def pulse(agent, session, beat, version):
+    return Row(AGENTS, agent, version, {"session": session, "beat": beat})
+
+
+def make_board(groups=2):
+    clock = ManualClock()
+    own = board(clock=clock)
+    value = job(split(items(groups)))
+    own.take_jobs([job_row(value)])
+    return own, clock, value
+
+
+def choose(own, room=8, version=1):
+    return own.choose([MODEL], {MODEL: version}, room)
+
+
+def test_claims_of_a_living_agent_stay():
+    own, clock, _ = make_board(groups=1)
+    own.take_pulses([pulse("other", "s", 1, 2)])
+    own.take_claims([claim_row("job", "00000", "other", "s", 3)])
+    assert choose(own) is None
+    clock.advance(SILENCE + 0.1)
+    assert choose(own).taken_over
+
+
+def test_claims_of_a_restarted_agent_are_free_at_once():
+    own, _, _ = make_board(groups=1)
+    own.take_pulses([pulse("other", "s", 1, 2)])
+    own.take_claims([claim_row("job", "00000", "other", "s", 3)])
+    own.take_pulses([pulse("other", "s2", 1, 4)])
+    assert choose(own) is not None
+
+
+def test_a_fresh_claim_is_a_sign_of_life_before_the_heartbeat_comes():
+    own, clock, _ = make_board(groups=1)
+    own.take_pulses([pulse("other", "s", 1, 2)])
+    clock.advance(10 * SILENCE)
+    own.take_claims([claim_row("job", "00000", "other", "s", 3)])
+    assert choose(own) is None
+
+
+def test_nobody_is_taken_for_dead_while_the_store_is_away():
+    own, clock, _ = make_board(groups=1)
+    own.take_pulses([pulse("other", "s", 1, 2)])
+    own.take_claims([claim_row("job", "00000", "other", "s", 3)])
+    clock.advance(10)
+    own.note_store_back()
+    assert choose(own) is None, "its heartbeats could not be heard"
+    clock.advance(SILENCE + 0.1)
+    assert choose(own) is not None
+
+
+def test_a_done_or_ended_unit_is_not_claimed():
+    own, _, _ = make_board(groups=2)
+    own.take_claims([claim_row("job", "00000", "gone", "s", 3, done=True)])
+    assert choose(own).unit.key == "00001"
+    own.take_jobs([Row(JOBS, END_KEY, 4, {"ended": True}, "job")])
+    assert choose(own) is None
+
+
+def test_an_engine_with_old_weights_claims_nothing():
+    own, _, _ = make_board()
+    own.take_jobs([job_row(job(split(items(step="x")), "late", min_version=5))])
+    assert choose(own, version=0) is None
+    assert choose(own, version=4).job.id == "job"
+
+
+def test_a_claim_told_before_its_job_counts():
+    clock = ManualClock()
+    own = board(clock=clock)
+    own.take_pulses([pulse("other", "s", 1, 2)])
+    own.take_claims([claim_row("job", "00000", "other", "s", 3)])
+    own.take_jobs([job_row(job(split(items(1))))])
+    assert choose(own) is None
+
+
+def test_groups_of_an_earlier_step_are_begun_first():
+    units = split(items(12))
+    again = begin_order(job(units), {"g11"})
+    assert again[0].group == "g11"
