An engine that started anew is used under its new id

Ruled out: loading weights. Change: the newest entry counts, and a 421 rules an entry out, for engines and services.

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -144,6 +144,7 @@
         self.fence = 0
         self.order_at = float("-inf")
         self.loading = ""
+        self.replaced: set[str] = set()
         self.leaving = False
         self.work = asyncio.Event()
         self.scores = asyncio.Semaphore(SCORES_AT_ONCE)
@@ -197,8 +198,11 @@
     @property
     def server(self) -> BackendServer | None:
         """The engine as listed now; None while it is not or leaves."""
-        for server in self.directory.servers.values():
-            if server.address == self.home.address and server.ready:
+        # The newest entry last: an engine that starts anew has a second entry until
+        # its first lapses.
+        for server in reversed(self.directory.servers.values()):
+            here = server.address == self.home.address
+            if here and server.ready and server.id not in self.replaced:
                 return server
         return None
 
@@ -498,7 +502,9 @@
             await self.clock.sleep(PAUSE)
 
     def note_broken(self, run: ItemRun, server, error: StreamBroken) -> None:
-        """Log a stream that broke; it is resumed."""
+        """Take note of a stream that broke; it is resumed."""
+        if error.replaced:
+            self.replaced.add(server.id)
         logs.event(
             log,
             "A stream broke.",
--- a/gypsumshift/jobs/engine.py
+++ b/gypsumshift/jobs/engine.py
@@ -31,6 +31,8 @@
 # longer wait loses more than reading the prompt again, which takes 10 ms.
 SILENCE_TIMEOUT = 3.0
 CONNECT_TIMEOUT = 0.5
+# HTTP status of a server that is not the one expected at its address.
+MISDIRECTED = 421
 REPORT_TIMEOUT = 0.5
 ORDER_TIMEOUT = 1.0
 
@@ -101,7 +103,18 @@
 
 
 class StreamBroken(Exception):
-    """A stream ended before its end."""
+    """A stream ended before its end.
+
+    Parameters
+    ----------
+    reason : str
+    replaced : bool
+        Whether another server stands at the address now.
+    """
+
+    def __init__(self, reason: str, replaced: bool = False):
+        super().__init__(reason)
+        self.replaced = replaced
 
 
 class StreamRefused(Exception):
@@ -120,6 +133,11 @@
         self.status = status
         self.run = run
 
+    @property
+    def replaced(self) -> bool:
+        """Whether another server stands at the address now."""
+        return self.status == MISDIRECTED
+
 
 class EngineProtocol(abc.ABC):
     """How an engine's report and orders look on the wire."""
--- a/gypsumshift/jobs/itemrun.py
+++ b/gypsumshift/jobs/itemrun.py
@@ -130,7 +130,7 @@
             self.failures += 1
         hopeless = refusal.status == UNPROCESSABLE or self.failures >= self.attempts
         if not hopeless:
-            raise StreamBroken(str(refusal)) from refusal
+            raise StreamBroken(str(refusal), refusal.replaced) from refusal
         return self.dead(f"status {refusal.status}")
 
     def dead(self, reason: str) -> Result:
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -38,7 +38,9 @@
 RETRY_AFTER = 0.25
 # Seconds kept back from the deadline, so that the verdict still reaches the caller.
 VERDICT_MARGIN = 0.02
-NOT_RUN_STATUSES = (429, 503, 421, 400)
+NOT_RUN_STATUSES = (429, 503, 400)
+# HTTP status of a server that is not the one expected at its address.
+MISDIRECTED = 421
 
 log = logs.logger("forwarder")
 
@@ -79,9 +81,17 @@
 
 @attrs.frozen
 class Refused:
-    """A backend server vouches that it has not run the request."""
+    """A backend server vouches that it has not run the request.
+
+    Attributes
+    ----------
+    reason : str
+    replaced : bool
+        Whether another server stands at its address now.
+    """
 
     reason: str
+    replaced: bool = False
 
 
 @attrs.frozen
@@ -281,6 +291,8 @@
         good = isinstance(outcome, Answered) and outcome.status < 500
         if good:
             self.pool.answered(server, took)
+        elif isinstance(outcome, Refused) and outcome.replaced:
+            self.pool.replaced(server)
         elif not isinstance(outcome, Refused):
             servers = self.directory.service(server.service)
             ejected = self.pool.failed(server, servers)
@@ -362,7 +374,9 @@
     def classify(self, exchange: Exchange, body: bytes) -> Attempt:
         """Return what a whole answer means."""
         not_run = exchange.header(self.names.not_run.encode())
-        if exchange.status in NOT_RUN_STATUSES and not_run or exchange.status == 421:
+        if exchange.status == MISDIRECTED:
+            return Refused("another server is there", True)
+        if exchange.status in NOT_RUN_STATUSES and not_run:
             return Refused(f"status {exchange.status}")
         signed = exchange.header(self.names.signature.encode())
         if not signed and exchange.status < 300:
--- a/gypsumshift/serving/pool.py
+++ b/gypsumshift/serving/pool.py
@@ -34,6 +34,8 @@
 # A server slower than the pool by more than this counts this much busier only, so
 # that it is measured again from time to time.
 SLOWEST_FACTOR = 8.0
+# Seconds for which a server is avoided that was replaced; its entry lapses in four.
+GONE = 10.0
 # Part of the ready servers that may be ejected at once: the rest must carry all.
 EJECTED_SHARE = 0.5
 
@@ -168,6 +170,10 @@
         if took > record.latency:
             record.latency += AVERAGE_WEIGHT * (took - record.latency)
 
+    def replaced(self, server: BackendServer) -> None:
+        """Take that another server stands at its address now."""
+        self.record(server).until = self.clock.monotonic() + GONE
+
     def failed(self, server: BackendServer, servers: list[BackendServer]) -> bool:
         """Take a failure; return whether the server is avoided from now on."""
         record = self.record(server)
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -11,7 +11,7 @@
 from gypsumshift.jobs import Desk, EngineReport, Event, Item, Job, Scorer, split
 from gypsumshift.jobs.agent import Agent, Home
 from gypsumshift.jobs.claims import ClaimBoard
-from gypsumshift.jobs.engine import StreamBroken
+from gypsumshift.jobs.engine import StreamBroken, StreamRefused
 from gypsumshift.jobs.model import (
     CLAIMS,
     JOB_KEY,
@@ -118,6 +118,8 @@
         Item and number of the event behind which each stream began.
     running : set
         Items at the engine now.
+    replaced : set of str
+        Ids of servers that are not at the address any more.
     break_at : dict
         By item, the event behind which its next stream breaks.
     """
@@ -132,9 +134,14 @@
         self.running = set()
         self.break_at = {}
         self.orders = []
+        self.replaced = set()
+        self.servers = []
 
     async def stream(self, server, item, host, after):
         self.started.append((item.id, after))
+        self.servers.append(server.id)
+        if server.id in self.replaced:
+            raise StreamRefused(421, False)
         if not self.serves:
             raise StreamBroken("refused")
         self.running.add(item.id)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -6,7 +6,7 @@
 from gypsumshift.jobs.claims import Candidate
 from gypsumshift.jobs.model import END_KEY, JOBS, RESULTS
 from gypsumshift.platforms import Write
-from tests.jobs_world import FakeEngine, World
+from tests.jobs_world import FakeEngine, World, server
 
 
 def scenario(test):
@@ -136,3 +136,16 @@
     await until(lambda: not agent.committer.writers and agent.forwarder.calls)
     (result,) = await world.results()
     assert result.text == "first"
+
+
+@scenario
+async def test_an_engine_that_started_anew_is_used_under_its_new_id(world):
+    engine = FakeEngine()
+    engine.replaced = {"e-a"}
+    agent = world.agent("a", engine)
+    await world.submit(groups=1)
+    await until(lambda: engine.started)
+    agent.directory.set_server(server("e-new"))
+    assert len(await world.results()) == 2
+    refused = [s for s in engine.servers if s == "e-a"]
+    assert len(refused) <= 2, "it kept asking for the engine that is gone"
