--- a/gypsumshift/agentnode.py
+++ b/gypsumshift/agentnode.py
@@ -5,6 +5,7 @@
 from gypsumshift.jobs.agent import Agent, Home
 from gypsumshift.jobs.engine import Engine
 from gypsumshift.lifecycle import Node
+from gypsumshift.server import Handler, Server
 from gypsumshift.serving.directory import Directory
 from gypsumshift.serving.forwarder import Forwarder
 from gypsumshift.serving.pool import Pool
@@ -31,6 +32,7 @@
     clock : Clock
     fetcher : Fetcher
     chance : random.Random
+    metrics : Metrics
     """
 
     def __init__(
@@ -45,19 +47,27 @@
         clock,
         fetcher,
         chance,
+        metrics,
     ):
         self.clock = clock
+        self.pages: list[tuple[tuple[str, int], Server]] = []
         self.directory = directory
         self.directory_watches = directory_watches
         self.pool = Pool(zone, clock, chance)
-        forwarder = Forwarder(directory, self.pool, fetcher, names, clock)
+        forwarder = Forwarder(directory, self.pool, fetcher, names, clock, metrics)
         engine = Engine(fetcher, names, protocol)
         self.agent = Agent(
-            home, store, directory, engine, forwarder, names, clock, chance
+            home, store, directory, engine, forwarder, names, clock, chance, metrics
         )
 
+    def listen_at(self, address: tuple[str, int], handler: Handler) -> None:
+        """Have a handler answer at an address."""
+        self.pages.append((address, Server(handler)))
+
     async def run(self) -> None:
         """Work until cancelled."""
+        for address, server in self.pages:
+            await server.listen(*address)
         async with asyncio.TaskGroup() as group:
             group.create_task(run_all(self.directory_watches))
             group.create_task(self.agent.run())
--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -41,17 +41,27 @@
     clock : Clock
     fetcher : Fetcher
     chance : random.Random
+    metrics : Metrics
     """
 
     def __init__(
-        self, store, directory, directory_watches, names, zone, clock, fetcher, chance
+        self,
+        store,
+        directory,
+        directory_watches,
+        names,
+        zone,
+        clock,
+        fetcher,
+        chance,
+        metrics,
     ):
         self.store: RowStore = store
         self.directory: Directory = directory
         self.clock: Clock = clock
-        self.desk = Desk(store, clock)
+        self.desk = Desk(store, clock, metrics)
         self.pool = Pool(zone, clock, chance)
-        self.forwarder = Forwarder(directory, self.pool, fetcher, names, clock)
+        self.forwarder = Forwarder(directory, self.pool, fetcher, names, clock, metrics)
         self.directory_watches: list[Watch] = directory_watches
         self.servers: list[tuple[tuple[str, int], Server, bool]] = []
         self.leaving = False
--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -34,6 +34,7 @@
     from_row,
     to_row,
 )
+from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import (
     Answered,
     Committed,
@@ -122,9 +123,12 @@
     names : HeaderNames
     clock : Clock
     chance : random.Random
+    metrics : Metrics
     """
 
-    def __init__(self, home, store, directory, engine, forwarder, names, clock, chance):
+    def __init__(
+        self, home, store, directory, engine, forwarder, names, clock, chance, metrics
+    ):
         self.home: Home = home
         self.store: RowStore = store
         self.directory: Directory = directory
@@ -133,6 +137,7 @@
         self.names: HeaderNames = names
         self.clock: Clock = clock
         self.chance: random.Random = chance
+        self.metrics: Metrics = metrics
         self.session = f"{chance.getrandbits(64):016x}"
         self.board = ClaimBoard(self.session, clock)
         self.demand = placement.Demand()
@@ -334,6 +339,7 @@
         self.order_at = self.clock.monotonic()
         answer = await self.engine.order(server, order)
         status = answer.status if isinstance(answer, Answered) else 0
+        self.metrics.count("orders", status=str(status))
         self.loading = choice.model if status in ACCEPTED else ""
         logs.event(
             log,
@@ -426,6 +432,7 @@
             claim_version=version,
             weights=self.report.versions.get(job.model, 0) if self.report else 0,
         )
+        self.metrics.count("claims", taken_over=str(candidate.taken_over).lower())
         loading = self.load_unit(unit, candidate.taken_over)
         unit.tasks[""] = asyncio.create_task(loading)
 
@@ -503,6 +510,7 @@
 
     def note_broken(self, run: ItemRun, server, error: StreamBroken) -> None:
         """Take note of a stream that broke; it is resumed."""
+        self.metrics.count("broken_streams")
         if error.replaced:
             self.replaced.add(server.id)
         logs.event(
@@ -517,6 +525,7 @@
 
     def store_result(self, unit: UnitRun, run: ItemRun, result: Result) -> None:
         """Hand a result to the committer."""
+        self.metrics.count("items", state=result.state.value)
         unit.tasks.pop(run.item.id, None)
         unit.runs.pop(run.item.id, None)
         last = None
--- a/gypsumshift/jobs/desk.py
+++ b/gypsumshift/jobs/desk.py
@@ -25,6 +25,7 @@
     to_row,
 )
 from gypsumshift.jobs.resultlog import ResultLog
+from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import (
     Committed,
     Conflict,
@@ -82,6 +83,7 @@
     ----------
     store : RowStore
     clock : Clock
+    metrics : Metrics
 
     Attributes
     ----------
@@ -93,9 +95,10 @@
         To be run by the owner.
     """
 
-    def __init__(self, store: RowStore, clock: Clock):
+    def __init__(self, store: RowStore, clock: Clock, metrics: Metrics):
         self.store = store
         self.clock = clock
+        self.metrics = metrics
         self.jobs: dict[str, Job] = {}
         self.ended: dict[str, float] = {}
         self.logs: dict[str, ResultLog] = {}
@@ -162,6 +165,7 @@
             uncertain = uncertain or isinstance(outcome, Unknown)
             if not isinstance(outcome, Committed):
                 return self.not_accepted(job, outcome, uncertain)
+        self.metrics.count("jobs", outcome="accepted")
         logs.event(
             log,
             "A batch job is accepted.",
@@ -177,6 +181,7 @@
 
     def not_accepted(self, job, outcome, uncertain: bool) -> NotRun | Unknown:
         """Say truthfully what became of a job that was not accepted for certain."""
+        self.metrics.count("jobs", outcome="unknown" if uncertain else "refused")
         logs.event(
             log,
             "A batch job is not accepted.",
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -14,6 +14,7 @@
 from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.fetch import Exchange, Fetcher, FetchError
+from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered, NotRun, Unknown
 from gypsumshift.serving.directory import BackendServer, Directory
 from gypsumshift.serving.headers import HOP_BY_HOP, HeaderNames
@@ -155,30 +156,36 @@
     fetcher : Fetcher
     names : HeaderNames
     clock : Clock
+    metrics : Metrics
     """
 
-    def __init__(self, directory, pool, fetcher, names, clock):
+    def __init__(self, directory, pool, fetcher, names, clock, metrics):
         self.directory: Directory = directory
         self.pool: Pool = pool
         self.fetcher: Fetcher = fetcher
         self.names: HeaderNames = names
         self.clock: Clock = clock
+        self.metrics: Metrics = metrics
 
     async def forward(self, call: Call) -> Answered | NotRun | Unknown:
         """Return what became of a call, before its deadline."""
         service = call.route.service_for(call.id)
         race = Race(call, self.directory.service(service))
+        started = self.clock.monotonic()
         try:
             outcome = await self.run(race)
         finally:
             await self.abandon(race)
+        took = self.clock.monotonic() - started
+        ending = type(outcome).__name__
+        self.metrics.time("request_seconds", took, service=service, outcome=ending)
         if not isinstance(outcome, Answered):
             logs.event(
                 log,
                 "A request was not served.",
                 request=call.id,
                 route=call.route.name,
-                outcome=type(outcome).__name__,
+                outcome=ending,
                 reason=outcome.reason,
                 servers=len(race.servers),
                 ran_on=sorted(race.ran),
@@ -288,6 +295,8 @@
 
     def learn(self, call, server, outcome: Attempt, took: float) -> None:
         """Note how a server fared."""
+        ending = type(outcome).__name__
+        self.metrics.count("attempts", service=server.service, outcome=ending)
         good = isinstance(outcome, Answered) and outcome.status < 500
         if good:
             self.pool.answered(server, took)
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -20,6 +20,7 @@
     summary,
     to_row,
 )
+from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered
 from gypsumshift.platforms import Row
 from gypsumshift.serving import (
@@ -53,6 +54,7 @@
 SERVICE = "engines"
 HOST = "trainers.example"
 ADDRESS = ("127.0.0.1", 9)
+METRICS = Metrics("test", dict)
 
 
 def items(groups=2, size=2, step="s", scorer=True):
@@ -190,7 +192,7 @@
     desk: Desk = None
 
     def __attrs_post_init__(self):
-        self.desk = Desk(self.store, SystemClock())
+        self.desk = Desk(self.store, SystemClock(), METRICS)
 
     def agent(self, name="a", engine=None, store=None):
         """Start an agent beside an engine."""
@@ -207,6 +209,7 @@
             NAMES,
             SystemClock(),
             chance,
+            METRICS,
         )
         self.agents[name] = agent
         self.tasks.append(asyncio.create_task(agent.run()))
