The adapter's whole path over loopback, against stand-ins of the users' platform

Change: stand-ins of the metadata store and of a worker, and 17 tests through the adapter: once-only, labels, lost answers, outages, history lost, draining, leaving, foreign input.

--- /dev/null
+++ b/standins/users_store.py
@@ -0,0 +1,194 @@
+"""Stand-in for the users' metadata store: rows in parts, transactions, a feed.
+
+``python -m standins.users_store --ip 127.0.0.1 --port 9100``. Faults are switched
+on at ``PUT /faults`` with a JSON object of the fields of `Faults`.
+"""
+
+import asyncio
+import base64
+import json
+import random
+import time
+import urllib.parse
+
+import attrs
+import typer
+
+from gypsumshift.memory import MemoryTables
+from gypsumshift.outcomes import Committed, Missing
+from gypsumshift.platforms import HistoryLost, Row, Write
+from gypsumshift.server import Abandon, Request, Response, Server, json_response
+from gypsumshift.watch import POLL
+
+__all__ = ["Faults", "UsersStore"]
+
+CALLS = "/gypsumshift/"
+PAGE = 500
+
+
+@attrs.define
+class Faults:
+    """Switches.
+
+    Attributes
+    ----------
+    down : str
+        How it is away: "busy" (503), "silent" or "reset"; empty for not at all.
+    slow : float
+        Seconds before each answer.
+    lose : float
+        Share of the writes that take effect and are not answered.
+    late : float
+        Seconds by which lost writes take effect later.
+    """
+
+    down: str = ""
+    slow: float = 0.0
+    lose: float = 0.0
+    late: float = 0.0
+
+
+async def cut():
+    """Yield nothing: the connection is cut instead of an answer."""
+    raise Abandon("the answer is lost")
+    yield b""
+
+
+class UsersStore:
+    """The store behind one HTTP server.
+
+    Parameters
+    ----------
+    seed : int
+        Of the random choices.
+    """
+
+    def __init__(self, seed: int = 0):
+        self.tables = MemoryTables()
+        self.faults = Faults()
+        self.chance = random.Random(seed)
+        self.server = Server(self.serve)
+        self.late: set[asyncio.Task] = set()
+
+    async def serve(self, request: Request) -> Response:
+        """Answer one request."""
+        if request.path == "/faults":
+            self.faults = Faults(**json.loads(request.body))
+            return Response(200)
+        if self.faults.down == "silent":
+            await asyncio.sleep(3600)
+        if self.faults.down == "reset":
+            return Response(200, [], cut())
+        if self.faults.down:
+            return Response(503)
+        await asyncio.sleep(self.faults.slow)
+        name = request.path.removeprefix(CALLS).replace("-", "_")
+        handler = getattr(self, f"serve_{name}", None)
+        return await handler(request) if handler else Response(404)
+
+    def answer(self, **fields) -> Response:
+        """Return an answer with the newest version and the store's time."""
+        now = int(time.monotonic() * 1000)
+        return json_response(200, {"ver": self.tables.version, "now_ms": now, **fields})
+
+    async def serve_rows_tx(self, request: Request) -> Response:
+        """Apply a transaction, or none of it."""
+        value = json.loads(request.body)
+        writes = decode_transaction(value)
+        if self.chance.random() < self.faults.lose:
+            task = asyncio.create_task(self.commit_late(writes))
+            self.late.add(task)
+            task.add_done_callback(self.late.discard)
+            return Response(200, [], cut())
+        outcome = await self.tables.commit(writes)
+        if isinstance(outcome, Committed):
+            return self.answer()
+        return Response(412, [], json.dumps({"rows": []}).encode())
+
+    async def commit_late(self, writes: list[Write]) -> None:
+        """Apply a transaction whose answer is lost, at once or later."""
+        await asyncio.sleep(self.faults.late)
+        await self.tables.commit(writes)
+
+    async def serve_rows_get(self, request: Request) -> Response:
+        """Return rows of a part."""
+        table, part = request.parameter("table"), request.parameter("part")
+        rows = await self.tables.scan(table, "", part)
+        start = urllib.parse.unquote(request.parameter("from"))
+        rows = [row for row in rows if row.key >= start]
+        limit = int(request.parameter("limit", str(PAGE)))
+        page = [encode(row) for row in rows[:limit]]
+        return self.answer(rows=page, has_more=len(rows) > limit)
+
+    async def serve_rows_parts(self, request: Request) -> Response:
+        """Return the parts of a table."""
+        table, after = request.parameter("table"), request.parameter("after")
+        parts = {place[1] for place in self.tables.rows if place[0] == table}
+        return self.answer(parts=sorted(p for p in parts if p > after), has_more=False)
+
+    async def serve_rows_feed(self, request: Request) -> Response:
+        """Return what changed in a table."""
+        table, after = request.parameter("table"), int(request.parameter("after"))
+        answer = await self.tables.changes(table, after, POLL)
+        if isinstance(answer, HistoryLost):
+            return Response(410)
+        return self.answer(
+            rows=[encode(row) for row in answer.rows], ver=answer.version
+        )
+
+    async def put(self, table: str, key: str, value: dict | None) -> None:
+        """Write a row as the operator or a backend server does."""
+        await self.tables.commit([Write(table, key, value)])
+
+    async def row(self, table: str, key: str, part: str = "") -> Row | None:
+        """Return a row."""
+        row = await self.tables.read(table, key, part)
+        return None if isinstance(row, Missing) else row
+
+
+def decode_transaction(value: dict) -> list[Write]:
+    """Return the writes of a transaction."""
+    expected = {place(e): e["ver"] for e in value["expected"]}
+    writes = []
+    for entry in value["writes"]:
+        row = json.loads(base64.b64decode(entry["value"]))
+        condition = expected.pop(place(entry), None)
+        table, part, key = place(entry)
+        writes.append(Write(table, key, row, condition, part=part))
+    for entry in value["remove"]:
+        condition = expected.pop(place(entry), None)
+        table, part, key = place(entry)
+        writes.append(Write(table, key, None, condition, part=part))
+    for (table, part, key), version in expected.items():
+        writes.append(Write(table, key, None, version, True, part))
+    return writes
+
+
+def place(entry: dict) -> tuple[str, str, str]:
+    """Return table, part and key of an entry."""
+    return entry["table"], entry.get("part", ""), entry["key"]
+
+
+def encode(row: Row) -> dict:
+    """Return a row as it goes over the wire."""
+    value = {"table": row.table, "part": row.part, "key": row.key, "ver": row.version}
+    if row.value is None:
+        return value | {"tombstone": True}
+    data = json.dumps(row.value).encode()
+    return value | {"value": base64.b64encode(data).decode()}
+
+
+async def run(ip: str, port: int, seed: int) -> None:
+    """Serve until cancelled."""
+    store = UsersStore(seed)
+    await store.server.listen(ip, port)
+    await asyncio.Event().wait()
+
+
+def main(ip: str = "127.0.0.1", port: int = 9100, seed: int = 0) -> None:
+    """Run a stand-in for the users' metadata store."""
+    asyncio.run(run(ip, port, seed))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/standins/users_worker.py
@@ -0,0 +1,196 @@
+"""Stand-in for a worker of the users' platform: a plain service or a model engine.
+
+``python -m standins.users_worker --ip 127.0.0.1 --port 9200 --service app --store
+127.0.0.1:9100``. ``GET /runs`` lists what it ran, for history checks.
+"""
+
+import asyncio
+import base64
+import hashlib
+import json
+import random
+import time
+
+import typer
+
+from gypsumshift.fetch import Fetcher, FetchError
+from gypsumshift.server import Abandon, Request, Response, Server, json_response
+
+__all__ = ["UsersWorker", "event_text", "plain_answer"]
+
+HEARTBEAT = 0.6
+LOAD_SECONDS = 0.3
+NOT_RUN = [("not-run", "1")]
+
+
+def event_text(item: str, number: int) -> str:
+    """Return the data of one event of an item: the same at every engine."""
+    return hashlib.sha256(f"{item}/{number}".encode()).hexdigest()[:24]
+
+
+def plain_answer(request_id: str) -> bytes:
+    """Return the body with which a service answers a request."""
+    return hashlib.sha256(request_id.encode()).hexdigest().encode()
+
+
+class UsersWorker:
+    """One worker.
+
+    Parameters
+    ----------
+    service : str
+    models : tuple of str
+        Empty for a plain service.
+    slots : int
+    events : int
+        Events of an item.
+    pause : float
+        Seconds of work for a request, and between two events.
+    """
+
+    def __init__(self, service, models=(), slots=6, events=4, pause=0.02):
+        self.service = service
+        self.models = dict.fromkeys(models, 1)
+        self.slots = slots
+        self.events = events
+        self.pause = pause
+        self.id = f"i-{random.SystemRandom().getrandbits(32):08x}"
+        self.running = 0
+        self.orders = 0
+        self.busy = False
+        self.state = "ready"
+        self.runs: list[dict] = []
+        self.server = Server(self.serve)
+
+    async def serve(self, request: Request) -> Response:
+        """Answer one request."""
+        if request.path == "/runs":
+            return json_response(200, {"id": self.id, "runs": self.runs})
+        if request.path == "/drain":
+            self.state = "draining"
+            return Response(200)
+        if request.path == "/gypsumshift/report":
+            return json_response(200, self.report())
+        wanted = request.header("expect-instance")
+        if wanted and wanted != self.id:
+            return Response(421, [("instance-id", self.id)])
+        if request.path == "/gypsumshift/order":
+            return await self.order(json.loads(request.body))
+        if self.running >= self.slots:
+            return Response(503, NOT_RUN)
+        return await self.work(request)
+
+    def report(self) -> dict:
+        """Return what the worker says of itself."""
+        models = [{"name": n, "version": v} for n, v in self.models.items()]
+        return {
+            "stage": "mixed",
+            "models": models,
+            "busy": self.busy,
+            "seq": self.orders,
+            "queued": 0,
+            "running": self.running,
+        }
+
+    async def order(self, order: dict) -> Response:
+        """Take an order to load weights."""
+        if "holder" not in order or "fence" not in order:
+            return Response(400, NOT_RUN)
+        if self.busy or order.get("expected", self.orders) != self.orders:
+            return Response(409)
+        self.orders += 1
+        self.busy = True
+        self.runs.append({"order": order, "at": time.time()})
+        asyncio.get_running_loop().call_later(LOAD_SECONDS, self.loaded, order)
+        return Response(202)
+
+    def loaded(self, order: dict) -> None:
+        """Have the weights of an order in place."""
+        self.busy = False
+        self.models[order["model"]] = order["version"]
+
+    async def work(self, request: Request) -> Response:
+        """Run a request."""
+        request_id = request.header("request-id")
+        after = int(request.header("last-event-id", "0"))
+        run = {"request": request_id, "at": time.time(), "after": after, "end": ""}
+        self.runs.append(run)
+        headers = [
+            ("request-id", request_id),
+            ("server-stamp", f"{self.id}.{request_id}"),
+            ("server-load", f"{self.running},0,{self.slots}"),
+        ]
+        if not self.models:
+            self.running += 1
+            try:
+                await asyncio.sleep(self.pause)
+            finally:
+                self.running -= 1
+            run["end"] = "whole"
+            return Response(200, headers, plain_answer(request_id))
+        model = next(iter(self.models))
+        headers.append(("weight-versions", str(self.models[model])))
+        headers.append(("content-type", "text/event-stream"))
+        return Response(200, headers, self.stream(run, request_id, after, model))
+
+    async def stream(self, run: dict, item: str, after: int, model: str):
+        """Yield the events of an item."""
+        version = self.models[model]
+        self.running += 1
+        try:
+            for number in range(after + 1, self.events + 1):
+                await asyncio.sleep(self.pause)
+                changed = ""
+                if self.models[model] != version:
+                    version = self.models[model]
+                    changed = f"weight-versions: {version}\n"
+                text = event_text(item, number)
+                yield f"{changed}id: {number}\ndata: {text}\n\n".encode()
+            run["end"] = "whole"
+        except GeneratorExit:
+            raise Abandon("the caller left") from None
+        finally:
+            self.running -= 1
+
+    def entry(self, address: str) -> dict:
+        """Return what the worker writes of itself into the store."""
+        return {
+            "service": self.service,
+            "addr": address,
+            "zone": "here",
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "models": self.report()["models"],
+        }
+
+
+async def run(worker: UsersWorker, ip: str, port: int, store: str) -> None:
+    """Serve, and register in the store, until cancelled."""
+    await worker.server.listen(ip, port)
+    fetcher = Fetcher()
+    host, _, store_port = store.rpartition(":")
+    while True:
+        entry = worker.entry(f"{ip}:{port}")
+        value = base64.b64encode(json.dumps(entry).encode()).decode()
+        write = {"table": "servers", "key": worker.id, "value": value}
+        body = json.dumps({"expected": [], "writes": [write], "remove": []}).encode()
+        target = "/gypsumshift/rows-tx"
+        address = (host, int(store_port))
+        try:
+            await fetcher.fetch(address, "POST", target, [], body, 2.0)
+        except FetchError as error:
+            print(f"the store does not take the entry: {error}", flush=True)
+        await asyncio.sleep(HEARTBEAT)
+
+
+def main(
+    ip: str, port: int, service: str, store: str, models: str = "", slots: int = 6
+) -> None:
+    """Run a stand-in for a worker; ``models`` are separated by commas."""
+    names = tuple(models.split(",")) if models else ()
+    asyncio.run(run(UsersWorker(service, names, slots), ip, port, store))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,206 @@
+"""The whole path on the users' platform, over loopback, and its failures."""
+
+import asyncio
+import json
+
+import pytest
+
+from standins.users_store import Faults
+from standins.users_worker import UsersWorker, event_text, plain_answer
+from tests.platform_world import PlatformWorld, batch, config, route, settings_text
+
+
+def play(test, tmp_path):
+    """Run a scenario on a world of its own."""
+
+    async def run():
+        world = PlatformWorld()
+        try:
+            async with asyncio.timeout(60):
+                await world.start(tmp_path)
+                await test(world)
+        finally:
+            await world.close()
+
+    asyncio.run(run())
+
+
+async def until(holds):
+    while not holds():
+        await asyncio.sleep(0.01)
+
+
+def test_a_request_goes_to_a_worker_and_back(tmp_path):
+    async def scenario(world):
+        exchange, body = await world.ask("POST", "/app/1?x=2", "a1", b"hello")
+        assert (exchange.status, body) == (200, plain_answer("a1"))
+        assert exchange.header(b"server-stamp") == f"{world.app.id}.a1"
+        exchange, _ = await world.ask("POST", "/none/1")
+        assert exchange.status == 404
+
+    play(scenario, tmp_path)
+
+
+def test_a_batch_job_is_accepted_run_scored_read_and_ended(tmp_path):
+    async def scenario(world):
+        for _ in range(2):
+            exchange, _ = await world.ask("POST", "/batch/1", "job", batch())
+            assert exchange.status == 202
+        results = await world.results()
+        assert sorted(r["id"] for r in results) == [
+            f"job-{g}-{n}" for g in (0, 1) for n in (0, 1)
+        ]
+        one = results[0]
+        whole = "\n".join(event_text(one["id"], n) for n in range(1, 5))
+        assert (one["state"], one["text"], one["versions"]) == ("succeeded", whole, [1])
+        assert one["score"] == f"{world.app.id}.score-{one['id']}"
+        exchange, body = await world.ask("GET", "/gypsumshift/items/job?id=job-1-0")
+        assert (exchange.status, body) == (200, b"1/0")
+        for _ in range(2):
+            exchange, _ = await world.ask("DELETE", "/gypsumshift/lots/job")
+            assert exchange.status == 200
+        assert await world.results() == results
+        exchange, _ = await world.ask("GET", "/gypsumshift/lots/none")
+        assert exchange.status == 404
+
+    play(scenario, tmp_path)
+
+
+def test_a_named_version_is_ordered_and_labels_what_follows(tmp_path):
+    async def scenario(world):
+        await world.store.put("op", "version/m", {"model": "m", "version": 2})
+        body = batch(min_version=2)
+        exchange, _ = await world.ask("POST", "/batch/1", "job", body)
+        assert exchange.status == 202
+        results = await world.results()
+        assert all(r["versions"] == [2] for r in results)
+        orders = [run["order"] for run in world.engine.runs if "order" in run]
+        assert [o["version"] for o in orders] == [2]
+        assert orders[0]["holder"] == "side" and orders[0]["fence"] > 0
+
+    play(scenario, tmp_path)
+
+
+def test_a_request_that_may_not_be_repeated_runs_once(tmp_path):
+    async def scenario(world):
+        world.app.pause = 0.3
+        slow = asyncio.create_task(world.ask("POST", "/once/1", "only"))
+        exchange, _ = await slow
+        assert exchange.status == 200
+        runs = [r for r in world.app.runs if r["request"] == "only"]
+        assert len(runs) == 1
+        world.app.slots = 0
+        exchange, _ = await world.ask("POST", "/once/1", "full")
+        assert exchange.status == 503 and float(exchange.header(b"retry-after")) > 0
+        assert not [r for r in world.app.runs if r["request"] == "full"]
+
+    play(scenario, tmp_path)
+
+
+def test_a_job_during_an_outage_is_refused_or_unsure_but_never_lost(tmp_path):
+    async def scenario(world):
+        world.store.faults = Faults(down="busy")
+        exchange, _ = await world.ask("POST", "/batch/1", "job", batch())
+        assert exchange.status == 503
+        world.store.faults = Faults(lose=1.0)
+        lost = asyncio.create_task(world.ask("POST", "/batch/1", "job", batch()))
+        await until(lambda: world.store.tables.version and not world.store.late)
+        await until(lambda: ("jobs", "job", "job") in world.store.tables.rows)
+        world.store.faults = Faults()
+        exchange, _ = await lost
+        assert exchange.status == 202, "the write whose answer was lost is settled"
+        assert len(await world.results()) == 4
+
+    play(scenario, tmp_path)
+
+
+def test_a_newer_configuration_is_in_force_and_an_older_one_is_not(tmp_path):
+    async def scenario(world):
+        added = route("new", "/new/", kind="safe", service="app")
+        await world.store.put("op", "config", config(5, [added]))
+        await until(lambda: world.gateway.directory.routes.version == 5)
+        exchange, _ = await world.ask("POST", "/new/1", "n1")
+        assert exchange.status == 200
+        await world.store.put("op", "config", config(4))
+        await world.store.put("op", "broken", {"version": "?"})
+        await world.store.put("op", "config", {"version": 9})
+        await world.store.put("op", "config", config(10, [added]))
+        await until(lambda: world.gateway.directory.routes.version == 10)
+
+    play(scenario, tmp_path)
+
+
+def test_lost_history_is_made_up_for(tmp_path):
+    async def scenario(world):
+        world.store.faults = Faults(down="reset")
+        added = route("new", "/new/", kind="safe", service="app")
+        await world.store.put("op", "config", config(5, [added]))
+        world.store.tables.forget()
+        world.store.faults = Faults()
+        await until(lambda: world.gateway.directory.routes.version == 5)
+
+    play(scenario, tmp_path)
+
+
+def test_a_draining_worker_gets_nothing_new(tmp_path):
+    async def scenario(world):
+        other = UsersWorker("app")
+        await world.register(other)
+        world.app.state = "draining"
+        await world.register(world.app)
+        await until(
+            lambda: [s.id for s in world.gateway.directory.service("app")] == [other.id]
+        )
+        for number in range(10):
+            await world.ask("POST", "/app/1", f"d{number}")
+        assert not world.app.runs and len(other.runs) == 10
+
+    play(scenario, tmp_path)
+
+
+def test_a_leaving_gateway_is_not_ready_and_finishes_what_runs(tmp_path):
+    async def scenario(world):
+        world.app.pause = 0.4
+        running = asyncio.create_task(world.ask("POST", "/app/1", "last"))
+        await until(lambda: world.app.runs)
+        leaving = asyncio.create_task(world.gateway.drain(2.0))
+        await asyncio.sleep(0)
+        exchange = await world.fetcher.open(
+            world.ready, "GET", "/gypsumshift/ready", []
+        )
+        assert exchange.status == 503
+        exchange, _ = await running
+        assert exchange.status == 200
+        assert exchange.header(b"connection") == "close"
+        await leaving
+
+    play(scenario, tmp_path)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"[]", b"{}", b'{"requests": []}', b'{"requests": [{"id": 1}]}', b"\xff"],
+)
+def test_a_foreign_batch_job_is_refused_in_one_line(tmp_path, body):
+    async def scenario(world):
+        exchange, content = await world.ask("POST", "/batch/1", "bad", body)
+        assert exchange.status == 400
+        assert "not a batch job" in json.loads(content)["error"]
+
+    play(scenario, tmp_path)
+
+
+@pytest.mark.parametrize(
+    ("text", "what"),
+    [
+        ("", "node_name is missing"),
+        (settings_text("x", "no-port"), "invalid literal"),
+    ],
+)
+def test_bad_settings_are_told_in_one_line(tmp_path, text, what):
+    import node_settings
+
+    file = tmp_path / "boot.conf"
+    file.write_text(text)
+    with pytest.raises(node_settings.SettingsError, match=what):
+        node_settings.load(file)
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,93 @@
+"""Which backend server gets a request, as loads, zones and failures have it."""
+
+import random
+
+from gypsumshift.serving import BackendServer
+from gypsumshift.serving.pool import Pool
+from tests.builders import ManualClock
+
+
+def servers(count=4, zones=("here",)):
+    return [
+        BackendServer(f"s{n}", "app", ("127.0.0.1", n), zones[n % len(zones)], 6)
+        for n in range(count)
+    ]
+
+
+def make_pool():
+    clock = ManualClock()
+    return Pool("here", clock, random.Random(1)), clock
+
+
+def test_the_own_zone_goes_first_until_it_is_busy():
+    pool, _ = make_pool()
+    listed = servers(2, ("here", "there"))
+    assert pool.choose(listed, set()).zone == "here"
+    for _ in range(3):
+        pool.sent(listed[0])
+    assert pool.choose(listed, set()).zone == "there"
+
+
+def test_a_told_load_counts_less_as_it_ages():
+    pool, clock = make_pool()
+    listed = servers(2, ("here", "there"))
+    pool.told(listed[0], 6)
+    assert pool.choose(listed, set()).zone == "there"
+    clock.advance(2)
+    assert pool.choose(listed, set()).zone == "here"
+
+
+def test_a_lone_failure_does_not_eject_and_two_in_a_row_do():
+    pool, clock = make_pool()
+    listed = servers(4)
+    assert not pool.failed(listed[0], listed)
+    pool.answered(listed[0], 0.03)
+    assert not pool.failed(listed[0], listed)
+    assert pool.failed(listed[0], listed)
+    assert all(pool.choose(listed, set()).id != "s0" for _ in range(20))
+    clock.advance(2)
+    for server in listed[1:]:
+        pool.sent(server)
+    assert pool.choose(listed, set()).id == "s0"
+
+
+def test_a_server_that_fails_four_of_ten_is_ejected_and_one_of_a_hundred_is_not():
+    pool, _ = make_pool()
+    listed = servers(4)
+    for number in range(10):
+        if number % 5 in (1, 3):
+            pool.failed(listed[0], listed)
+        else:
+            pool.answered(listed[0], 0.03)
+    assert pool.record(listed[0]).ejections or pool.record(listed[0]).until
+    for number in range(300):
+        if number % 100 == 50:
+            assert not pool.failed(listed[2], listed)
+        else:
+            pool.answered(listed[2], 0.03)
+
+
+def test_half_of_the_servers_are_never_ejected():
+    pool, _ = make_pool()
+    listed = servers(4)
+    for server in listed:
+        for _ in range(5):
+            pool.failed(server, listed)
+    now = pool.clock.monotonic()
+    out = [s for s in listed if pool.record(s).until > now]
+    assert len(out) == 2
+    assert pool.choose(listed, {s.id for s in listed} - {out[0].id}) is out[0]
+
+
+def test_a_slow_server_gets_less_but_is_measured_again():
+    pool, _ = make_pool()
+    listed = servers(3)
+    for _ in range(10):
+        pool.answered(listed[0], 0.3)
+        pool.answered(listed[1], 0.03)
+        pool.answered(listed[2], 0.03)
+    assert pool.choose(listed, set()).id != "s0"
+    for server in listed[1:]:
+        for _ in range(60):
+            pool.sent(server)
+    assert pool.choose(listed, set()).id == "s0"
