Streams are relayed, and resumed at another server where they may be

Cause: routes of the kind stream were read whole before the caller saw a byte. Change: StreamRelay; events are parsed in one place for callers and items. Measured: a stream that breaks inside its third event is whole for the caller, and one that may not be resumed is cut and has run once (both tests failed before).

--- /dev/null
+++ b/gypsumshift/eventstream.py
@@ -0,0 +1,64 @@
+"""Event stream: whole events out of the bytes of a ``text/event-stream`` answer."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from gypsumshift.fetch import Exchange, FetchError
+
+__all__ = ["StreamBroken", "blocks", "field_of"]
+
+
+class StreamBroken(Exception):
+    """A stream ended before its end.
+
+    Parameters
+    ----------
+    reason : str
+    replaced : bool
+        Whether another server stands at the address now.
+    """
+
+    def __init__(self, reason: str, replaced: bool = False):
+        super().__init__(reason)
+        self.replaced = replaced
+
+
+async def blocks(exchange: Exchange, silence: float) -> AsyncIterator[bytes]:
+    """Yield the bytes of each whole event, without the empty line behind it.
+
+    Parameters
+    ----------
+    exchange : Exchange
+    silence : float
+        Seconds without a byte after which the stream is taken for dead.
+
+    Raises
+    ------
+    StreamBroken
+        The stream ended early, or inside an event.
+    """
+    rest = b""
+    chunks = exchange.chunks()
+    while True:
+        try:
+            async with asyncio.timeout(silence):
+                data = await anext(chunks, None)
+        except (FetchError, TimeoutError) as error:
+            raise StreamBroken(str(error) or "no event in time") from error
+        if data is None:
+            break
+        *whole, rest = (rest + data).replace(b"\r\n", b"\n").split(b"\n\n")
+        for block in whole:
+            if block.strip():
+                yield block
+    if rest.strip():
+        raise StreamBroken("the stream ended inside an event")
+
+
+def field_of(block: bytes, name: str) -> str:
+    """Return the first field of that name in an event; ``""`` where it has none."""
+    for line in block.decode("utf-8", "replace").split("\n"):
+        key, _, value = line.partition(":")
+        if key == name:
+            return value.removeprefix(" ")
+    return ""
--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -12,6 +12,7 @@
 from gypsumshift.serving.directory import Directory
 from gypsumshift.serving.forwarder import Call, Forwarder
 from gypsumshift.serving.pool import Pool
+from gypsumshift.serving.streams import StreamRelay
 from gypsumshift.watch import Watch, run_all
 
 __all__ = ["Gateway"]
@@ -62,6 +63,7 @@
         self.desk = Desk(store, clock, metrics)
         self.pool = Pool(zone, clock, chance)
         self.forwarder = Forwarder(directory, self.pool, fetcher, names, clock, metrics)
+        self.streams = StreamRelay(self.forwarder)
         self.directory_watches: list[Watch] = directory_watches
         self.servers: list[tuple[tuple[str, int], Server, bool]] = []
         self.leaving = False
--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -13,10 +13,11 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
+from gypsumshift.eventstream import StreamBroken
 from gypsumshift.jobs import placement
 from gypsumshift.jobs.claims import Candidate, ClaimBoard
 from gypsumshift.jobs.committer import Committer, Finished
-from gypsumshift.jobs.engine import Engine, EngineReport, StreamBroken, VersionOrder
+from gypsumshift.jobs.engine import Engine, EngineReport, VersionOrder
 from gypsumshift.jobs.itemrun import PAUSE, ItemRun
 from gypsumshift.jobs.model import (
     AGENTS,
--- a/gypsumshift/jobs/engine.py
+++ b/gypsumshift/jobs/engine.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from gypsumshift.eventstream import StreamBroken, blocks
 from gypsumshift.fetch import Exchange, Fetcher, FetchError
 from gypsumshift.jobs.model import Item
 from gypsumshift.outcomes import Answered, NotRun, Unknown
@@ -21,7 +22,6 @@
     "EngineProtocol",
     "EngineReport",
     "Event",
-    "StreamBroken",
     "StreamRefused",
     "VersionOrder",
 ]
@@ -102,21 +102,6 @@
     orders: int
 
 
-class StreamBroken(Exception):
-    """A stream ended before its end.
-
-    Parameters
-    ----------
-    reason : str
-    replaced : bool
-        Whether another server stands at the address now.
-    """
-
-    def __init__(self, reason: str, replaced: bool = False):
-        super().__init__(reason)
-        self.replaced = replaced
-
-
 class StreamRefused(Exception):
     """The engine did not run the item.
 
@@ -206,9 +191,9 @@
         with contextlib.closing(exchange):
             await self.check(exchange, item)
             version = number(exchange.header(self.names.versions.encode()))
-            lines = self.blocks(exchange)
-            async with contextlib.aclosing(lines):
-                async for block in lines:
+            stream = blocks(exchange, SILENCE_TIMEOUT)
+            async with contextlib.aclosing(stream):
+                async for block in stream:
                     event = self.parse(block, version)
                     version = event.version
                     yield event
@@ -237,30 +222,11 @@
         if not exchange.header(self.names.signature.encode()):
             raise StreamBroken("an answer without a signature")
 
-    async def blocks(self, exchange: Exchange) -> AsyncIterator[list[str]]:
-        """Yield the lines of each whole event (HTML standard, event streams)."""
-        rest = b""
-        chunks = exchange.chunks()
-        while True:
-            try:
-                async with asyncio.timeout(SILENCE_TIMEOUT):
-                    data = await anext(chunks, None)
-            except (FetchError, TimeoutError) as error:
-                raise StreamBroken(str(error) or "no event in time") from error
-            if data is None:
-                break
-            *whole, rest = (rest + data).replace(b"\r\n", b"\n").split(b"\n\n")
-            for block in whole:
-                if block.strip():
-                    yield block.decode("utf-8", "replace").split("\n")
-        if rest.strip():
-            raise StreamBroken("the stream ended inside an event")
-
-    def parse(self, lines: list[str], version: int) -> Event:
-        """Return the event in its lines; ``version`` holds unless it says else."""
+    def parse(self, block: bytes, version: int) -> Event:
+        """Return the event in its bytes; ``version`` holds unless it says else."""
         event_id = 0
         data = []
-        for line in lines:
+        for line in block.decode("utf-8", "replace").split("\n"):
             name, _, value = line.partition(":")
             value = value.removeprefix(" ")
             if name == self.names.event_version:
--- a/gypsumshift/jobs/itemrun.py
+++ b/gypsumshift/jobs/itemrun.py
@@ -4,7 +4,8 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
-from gypsumshift.jobs.engine import Engine, Event, StreamBroken, StreamRefused
+from gypsumshift.eventstream import StreamBroken
+from gypsumshift.jobs.engine import Engine, Event, StreamRefused
 from gypsumshift.jobs.model import Item, Job, Partial, Result, ResultState
 from gypsumshift.outcomes import Answered
 from gypsumshift.serving.directory import BackendServer, Directory
--- a/standins/users_worker.py
+++ b/standins/users_worker.py
@@ -46,6 +46,11 @@
         Events of an item.
     pause : float
         Seconds of work for a request, and between two events.
+
+    Attributes
+    ----------
+    breaks : list of int
+        Events inside which the next streams break off.
     """
 
     def __init__(self, service, models=(), slots=6, events=4, pause=0.02):
@@ -60,6 +65,7 @@
         self.busy = False
         self.state = "ready"
         self.runs: list[dict] = []
+        self.breaks: list[int] = []
         self.server = Server(self.serve)
 
     async def serve(self, request: Request) -> Response:
@@ -145,6 +151,10 @@
                     version = self.models[model]
                     changed = f"weight-versions: {version}\n"
                 text = event_text(item, number)
+                if self.breaks and self.breaks[0] == number:
+                    del self.breaks[0]
+                    yield f"id: {number}\ndata: {text[:5]}".encode()
+                    raise Abandon("broken off")
                 yield f"{changed}id: {number}\ndata: {text}\n\n".encode()
             run["end"] = "whole"
         except GeneratorExit:
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -8,10 +8,11 @@
 
 from gypsumshift import memory
 from gypsumshift.clock import SystemClock
+from gypsumshift.eventstream import StreamBroken
 from gypsumshift.jobs import Desk, EngineReport, Event, Item, Job, Scorer, split
 from gypsumshift.jobs.agent import Agent, Home
 from gypsumshift.jobs.claims import ClaimBoard
-from gypsumshift.jobs.engine import StreamBroken, StreamRefused
+from gypsumshift.jobs.engine import StreamRefused
 from gypsumshift.jobs.model import (
     CLAIMS,
     JOB_KEY,
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -25,6 +25,15 @@
         route("app", "/app/", kind="safe", service="app", attempts=2),
         route("once", "/once/", kind="unsafe", service="app", attempts=2),
         route("batch", "/batch/", kind="rollout", service="pool", attempts=3),
+        route("flow", "/flow/", kind="stream", service="pool", attempts=2),
+        route(
+            "resumed",
+            "/resumed/",
+            kind="stream",
+            service="pool",
+            attempts=2,
+            can_resume=True,
+        ),
         route("score", "/score/", kind="safe", service="app", attempts=4),
     ]
     engine = {"slots": 4, "kv_capacity": 1000, "models": [{"name": "m"}]}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from gypsumshift.fetch import FetchError
 from standins.users_store import Faults
 from standins.users_worker import UsersWorker, event_text, plain_answer
 from tests.platform_world import PlatformWorld, batch, config, route, settings_text
@@ -114,6 +115,39 @@
     play(scenario, tmp_path)
 
 
+def stream_text(request_id):
+    return "".join(
+        f"id: {n}\ndata: {event_text(request_id, n)}\n\n" for n in range(1, 5)
+    ).encode()
+
+
+def test_a_stream_that_may_be_resumed_goes_on_at_another_worker(tmp_path):
+    async def scenario(world):
+        other = UsersWorker("pool", ("m",))
+        await world.register(other)
+        await until(lambda: other.id in world.gateway.directory.servers)
+        # Whichever is asked first breaks off inside its third event.
+        world.engine.breaks = other.breaks = [3]
+        exchange, body = await world.ask("POST", "/resumed/1", "s1")
+        assert body == stream_text("s1")
+        runs = [r["after"] for w in (world.engine, other) for r in w.runs]
+        assert sorted(runs) == [0, 2]
+        exchange, body = await world.ask("POST", "/flow/1", "s2")
+        assert body == stream_text("s2")
+
+    play(scenario, tmp_path)
+
+
+def test_a_stream_that_may_not_be_resumed_is_cut_where_its_worker_cut_it(tmp_path):
+    async def scenario(world):
+        world.engine.breaks = [3]
+        with pytest.raises(FetchError):
+            await world.ask("POST", "/flow/1", "s1")
+        assert len(world.engine.runs) == 1
+
+    play(scenario, tmp_path)
+
+
 def test_a_newer_configuration_is_in_force_and_an_older_one_is_not(tmp_path):
     async def scenario(world):
         added = route("new", "/new/", kind="safe", service="app")
