Results of any length, transactions within the store's size, old jobs removed

Cause: a long text did not fit into a row, twenty long results not into a transaction, either of which the store refuses for good; and jobs stayed in the store for ever. Change: long texts lie in rows of their own, batches are bounded by their text, ended jobs are removed after 150 s.

--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -1,6 +1,7 @@
 """Gateway: the process that callers and trainers connect to."""
 
 import asyncio
+import random
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
@@ -60,6 +61,7 @@
         self.store: RowStore = store
         self.directory: Directory = directory
         self.clock: Clock = clock
+        self.chance: random.Random = chance
         self.desk = Desk(store, clock, metrics)
         self.pool = Pool(zone, clock, chance)
         self.forwarder = Forwarder(directory, self.pool, fetcher, names, clock, metrics)
@@ -106,6 +108,9 @@
             await self.clock.sleep(SWEEP_PERIOD)
             self.directory.settle(self.clock.monotonic())
             self.pool.prune(set(self.directory.servers))
+            for _, server, _ in self.servers:
+                server.body_limit = self.directory.routes.body_limit or BODY_LIMIT
+            await self.desk.sweep(self.chance)
 
     async def forward(self, call: Call) -> Answered | NotRun | Unknown:
         """Have a request answered by a backend server."""
--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -129,7 +129,10 @@
     def take_jobs(self, rows: list[Row]) -> None:
         """Take rows of the table of jobs."""
         for row in rows:
-            if row.value is None or row.key == END_KEY:
+            if row.value is None:
+                self.close(row.part)
+                self.ended.discard(row.part)
+            elif row.key == END_KEY:
                 self.close(row.part)
             elif row.key == JOB_KEY and row.part not in self.ended:
                 self.add(from_row(row.value, Job))
--- a/gypsumshift/jobs/committer.py
+++ b/gypsumshift/jobs/committer.py
@@ -6,7 +6,7 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
-from gypsumshift.jobs.model import CLAIMS, RESULTS, Claim, Result, to_row
+from gypsumshift.jobs.model import CLAIMS, RESULTS, TEXTS, Claim, Result, to_row
 from gypsumshift.outcomes import Committed, Conflict
 from gypsumshift.platforms import ABSENT, RowStore, Write
 
@@ -17,6 +17,10 @@
 GATHER = 0.03
 # Results of one transaction, below the 100 rows and 1 MB that a store takes.
 RESULTS_AT_ONCE = 20
+TEXT_AT_ONCE = 400_000
+# Characters of text in one row. A store takes 64 KiB; JSON and letters beyond ASCII
+# take more room than they have characters.
+TEXT_IN_ROW = 20_000
 # Seconds before a write is tried again; what is not stored stays in memory.
 RETRY_FIRST = 0.1
 RETRY_MOST = 0.5
@@ -70,7 +74,7 @@
         try:
             await self.clock.sleep(GATHER)
             while self.waiting.get(job):
-                batch = self.waiting[job][:RESULTS_AT_ONCE]
+                batch = first_batch(self.waiting[job])
                 await self.settle(job, batch)
                 del self.waiting[job][: len(batch)]
         finally:
@@ -118,11 +122,31 @@
             await asyncio.wait(self.writers.values())
 
 
+def first_batch(waiting: list[Finished]) -> list[Finished]:
+    """Return the results that fit into one transaction, at least one."""
+    size = 0
+    for count, finished in enumerate(waiting[:RESULTS_AT_ONCE]):
+        size += len(finished.result.text)
+        if count and size > TEXT_AT_ONCE:
+            return waiting[:count]
+    return waiting[:RESULTS_AT_ONCE]
+
+
 def result_writes(finished: Finished) -> list[Write]:
     """Return the rows of one result."""
-    result = finished.result
-    row = Write(RESULTS, result.item, to_row(result), ABSENT, part=finished.job)
-    if finished.last is None:
-        return [row]
-    claim = Write(CLAIMS, finished.unit, to_row(finished.last), part=finished.job)
-    return [row, claim]
+    result, part = finished.result, finished.job
+    writes = []
+    if len(result.text) > TEXT_IN_ROW:
+        pieces = [
+            result.text[start : start + TEXT_IN_ROW]
+            for start in range(0, len(result.text), TEXT_IN_ROW)
+        ]
+        for number, piece in enumerate(pieces):
+            key = f"{result.item}/{number:04d}"
+            writes.append(Write(TEXTS, key, {"text": piece}, ABSENT, part=part))
+        result = attrs.evolve(result, text="", pieces=len(pieces))
+    writes.append(Write(RESULTS, result.item, to_row(result), ABSENT, part=part))
+    if finished.last is not None:
+        claim = to_row(finished.last)
+        writes.append(Write(CLAIMS, finished.unit, claim, part=part))
+    return writes
--- a/gypsumshift/jobs/desk.py
+++ b/gypsumshift/jobs/desk.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import datetime
+import random
 
 import attrs
 
@@ -17,6 +18,8 @@
     JOB_KEY,
     JOBS,
     RESULTS,
+    TABLES,
+    TEXTS,
     UNITS,
     Job,
     Result,
@@ -53,6 +56,9 @@
 RETRY_AFTER = 0.5
 # Seconds that ended jobs are kept for readers; the users ask for 120.
 KEEP_ENDED = 150.0
+# Chance with which a process removes an old job, at each of its sweeps a second
+# apart: of 40 processes two try, and one alone has it done in half a minute.
+SWEEP_SHARE = 0.05
 
 log = logs.logger("desk")
 
@@ -117,7 +123,6 @@
                 self.jobs[row.part] = from_row(row.value, Job)
             elif row.key == END_KEY:
                 self.ended.setdefault(row.part, self.clock.monotonic())
-        self.sweep()
 
     def take_results(self, rows: list[Row]) -> None:
         """Take rows of the table of results."""
@@ -131,11 +136,31 @@
         """Return the results of a job."""
         return self.logs.setdefault(job_id, ResultLog())
 
-    def sweep(self) -> None:
-        """Forget jobs that ended long ago."""
+    async def sweep(self, chance: random.Random) -> None:
+        """Remove jobs that ended long ago from the store, each by some process.
+
+        Every process may do it: the first one removes the rows, and the others are
+        told so. By chance, since all see an end at the same time.
+        """
         horizon = self.clock.monotonic() - KEEP_ENDED
         for job_id in [j for j, at in self.ended.items() if at < horizon]:
-            self.forget(job_id)
+            if chance.random() < SWEEP_SHARE:
+                await self.remove(job_id)
+
+    async def remove(self, job_id: str) -> None:
+        """Remove all rows of a job, those that make it exist last."""
+        for table in TABLES:
+            rows = await self.store.scan(table, "", job_id)
+            if isinstance(rows, Unavailable):
+                return
+            for start in range(0, len(rows), WRITES_AT_ONCE):
+                batch = rows[start : start + WRITES_AT_ONCE]
+                writes = [Write(table, row.key, None, part=job_id) for row in batch]
+                outcome = await self.store.commit(writes)
+                if not isinstance(outcome, Committed):
+                    return
+        logs.event(log, "A batch job is removed.", job=job_id)
+        self.forget(job_id)
 
     def forget(self, job_id: str) -> None:
         """Drop what is held in memory of a job; the store may still have it."""
@@ -264,9 +289,26 @@
             outcome = await self.refresh(job_id, after, known)
             if isinstance(outcome, Unavailable):
                 return outcome
-        found = results.page(after, PAGE_SIZE)
+        found = []
+        for result in results.page(after, PAGE_SIZE):
+            whole = await self.whole(job_id, result)
+            if isinstance(whole, Unavailable):
+                return whole
+            found.append(whole)
         return Page(job.total, found, after + len(found))
 
+    async def whole(self, job_id: str, result: Result) -> Result | Unavailable:
+        """Return a result with its text, which may lie in rows of its own."""
+        if not result.pieces:
+            return result
+        rows = await self.store.scan(TEXTS, f"{result.item}/", job_id)
+        if isinstance(rows, Unavailable):
+            return rows
+        if len(rows) != result.pieces:
+            return Unavailable("a text is not whole yet")
+        text = "".join(row.value["text"] for row in rows)
+        return attrs.evolve(result, text=text)
+
     async def refresh(self, job_id: str, after: int, known: bool) -> Unavailable | None:
         """Read a job's results from the store where the copy may be behind."""
         results = self.log_of(job_id)
--- a/gypsumshift/jobs/model.py
+++ b/gypsumshift/jobs/model.py
@@ -18,6 +18,8 @@
     "JOB_KEY",
     "PARTIALS",
     "RESULTS",
+    "TABLES",
+    "TEXTS",
     "UNITS",
     "Claim",
     "Item",
@@ -40,7 +42,10 @@
 CLAIMS = "claims"
 RESULTS = "results"
 PARTIALS = "partials"
+TEXTS = "texts"
 AGENTS = "agents"
+# Those with a part for each job, in the order in which an old job is removed.
+TABLES = (TEXTS, PARTIALS, CLAIMS, RESULTS, UNITS, JOBS)
 # Keys in the table of jobs.
 JOB_KEY = "job"
 END_KEY = "end"
@@ -194,6 +199,8 @@
         Weight versions that generated an event of the text.
     score : str
         Signature of the reward call's answer.
+    pieces : int
+        Rows that hold the text, where it is too long for the row of the result.
     """
 
     item: str
@@ -201,6 +208,7 @@
     text: str = ""
     versions: tuple[int, ...] = ()
     score: str = ""
+    pieces: int = 0
 
 
 @attrs.frozen
