A fault soak: the real programs under random faults from outside

Change: soak/ starts gateways, agents and stand-ins on loopback, kills, stops, freezes and cuts them by a seed, and checks once-only, not-run, whole texts, scores, positions at every gateway, and orders. Kept connections are used until a process is gone. Clocks are not stepped: nothing that is decided reads the time of day.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= .venv/bin/python
 FOLDER ?= examples/teranga-signes
 
-.PHONY: run test up generate format lint promises mutants bench bench-quick
+.PHONY: run test up generate format lint promises mutants bench bench-quick soak
 
 run: .venv/ready
 	$(PYTHON) -m standins.story $(FOLDER)
@@ -42,3 +42,11 @@
 .venv/bench: .venv/ready
 	.venv/bin/python -m pip install --quiet --disable-pip-version-check --editable '.[test,bench]'
 	touch $@
+
+SEED ?= 1
+SECONDS ?= 15
+NODES ?= 3
+RUNS ?= 1
+
+soak: .venv/ready
+	$(PYTHON) -m soak --seed $(SEED) --seconds $(SECONDS) --nodes $(NODES) --runs $(RUNS)
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak: the real programs under random faults from outside, checked as they run."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,103 @@
+"""Run the soak: ``python -m soak --seed 1 --seconds 20``."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+import tempfile
+from typing import Annotated
+
+import typer
+
+from soak.checks import check_backends, check_results
+from soak.deployment import Deployment
+from soak.faults import Faults
+from soak.workload import Workload
+
+CALLERS = 4
+TRAINERS = 2
+# Seconds after the last fault in which every accepted job must be whole.
+SETTLE = 60.0
+
+
+async def soak(folder: pathlib.Path, seed: int, seconds: float, nodes: int):
+    """Play one run; return what is wrong, and a line on what was played."""
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    deployment = Deployment(folder, seed, nodes)
+    workload = Workload(deployment, seed)
+    faults = Faults(deployment, seed)
+    try:
+        await deployment.start()
+        callers = [asyncio.create_task(workload.call()) for _ in range(CALLERS)]
+        callers += [asyncio.create_task(workload.train()) for _ in range(TRAINERS)]
+        await faults.run(seconds)
+        workload.stopping = True
+        await asyncio.gather(*callers)
+        wrong = await settle(workload, deployment)
+    finally:
+        await deployment.close()
+    wrong += check_backends(folder, workload.seen)
+    seen = workload.seen
+    played = (
+        f"{seen.served} requests served, {len(seen.refused)} refused, "
+        f"{len(seen.jobs)} jobs, {len(faults.done)} faults"
+    )
+    return wrong, played, faults.done
+
+
+async def settle(workload: Workload, deployment: Deployment) -> list[str]:
+    """Read every job at every gateway, once all faults have ended."""
+    wrong = []
+    gateways = deployment.of_kind("gateway")
+    until = asyncio.get_running_loop().time() + SETTLE
+    for job, items in workload.seen.jobs.items():
+        try:
+            async with asyncio.timeout_at(until):
+                pages = [await workload.read(job, gateway) for gateway in gateways]
+        except TimeoutError:
+            wrong.append(f"{job}: is not whole {SETTLE:.0f} s after the last fault")
+            continue
+        wrong += check_results(job, items, pages)
+    return wrong
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="Of the first run.")] = 1,
+    seconds: Annotated[float, typer.Option(help="Of faults in each run.")] = 15,
+    nodes: Annotated[int, typer.Option(help="Gateways, agents, workers.")] = 3,
+    runs: Annotated[int, typer.Option(help="Runs, each with the next seed.")] = 1,
+    keep: Annotated[str, typer.Option(help="Folder for logs of failed runs.")] = "",
+) -> None:
+    """Run the real programs under random faults and check the promises."""
+    failed = 0
+    for number in range(seed, seed + runs):
+        with kept(keep, number) if keep else tempfile.TemporaryDirectory() as name:
+            wrong, played, done = asyncio.run(
+                soak(pathlib.Path(name), number, seconds, nodes)
+            )
+        print(f"seed {number}: {played}; {len(wrong)} broken promises", flush=True)
+        for line in wrong[:20]:
+            print(f"  {line}")
+        if wrong:
+            failed += 1
+            print("  faults: " + "; ".join(done))
+    sys.exit(1 if failed else 0)
+
+
+class kept:
+    """A folder that stays, one for each seed."""
+
+    def __init__(self, parent: str, seed: int):
+        self.path = pathlib.Path(parent) / f"seed-{seed}"
+
+    def __enter__(self) -> str:
+        self.path.mkdir(parents=True, exist_ok=True)
+        return str(self.path)
+
+    def __exit__(self, *error) -> None:
+        """Leave it as it is."""
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/soak/deployment.py
@@ -0,0 +1,221 @@
+"""Deployment: the real programs and the stand-ins as processes on loopback."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import sys
+
+import attrs
+
+from gypsumshift.fetch import Fetcher, FetchError
+from soak.proxy import Proxy
+
+__all__ = ["Deployment", "Process"]
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+HOST = "soak.example"
+MODEL = "m"
+FRONT, READY, WORKER, STORE = 8100, 8101, 8200, 8300
+
+
+@attrs.define
+class Process:
+    """One program that the soak started, and starts again.
+
+    Attributes
+    ----------
+    name, ip : str
+    command : list of str
+    environment : dict
+    log : pathlib.Path
+    proxy : Proxy or None
+        Its way to the store.
+    child : asyncio.subprocess.Process or None
+    lock : asyncio.Lock
+        Held while it is being ended and started again.
+    """
+
+    name: str
+    ip: str
+    command: list[str]
+    environment: dict[str, str]
+    log: pathlib.Path
+    proxy: Proxy | None = None
+    child: asyncio.subprocess.Process | None = None
+    lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+
+    async def start(self) -> None:
+        """Start it."""
+        with self.log.open("ab") as log:
+            self.child = await asyncio.create_subprocess_exec(
+                *self.command,
+                stdout=log,
+                stderr=log,
+                cwd=ROOT,
+                env=os.environ | self.environment,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, if it still runs."""
+        if self.child and self.child.returncode is None:
+            self.child.send_signal(number)
+
+    async def stop(self) -> None:
+        """End it for good."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.child:
+            await self.child.wait()
+
+
+class Deployment:
+    """All processes of one run.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        For settings and logs.
+    seed : int
+        Also picks the loopback addresses, so that two runs do not meet.
+    nodes : int
+        Gateways, engines with an agent each, and plain workers, of each so many.
+    """
+
+    def __init__(self, folder: pathlib.Path, seed: int, nodes: int):
+        self.folder = folder
+        self.seed = seed
+        self.nodes = nodes
+        self.fetcher = Fetcher()
+        self.hosts = 0
+        self.processes: list[Process] = []
+
+    def next_ip(self) -> str:
+        """Return a loopback address of its own."""
+        self.hosts += 1
+        block = self.seed % 200 + 20
+        return f"127.{block}.{self.hosts // 200}.{self.hosts % 200 + 1}"
+
+    def of_kind(self, kind: str) -> list[Process]:
+        """Return the processes of a kind, such as ``gateway``."""
+        return [p for p in self.processes if p.name.startswith(kind)]
+
+    @property
+    def store_address(self) -> tuple[str, int]:
+        """Address of the store itself."""
+        return self.of_kind("store")[0].ip, STORE
+
+    async def start(self) -> None:
+        """Start everything; returns once all gateways are ready."""
+        store = self.add("store", "standins.users_store", "--port", str(STORE))
+        await store.start()
+        await self.until_answered(self.store_address, "GET", "/none", 404)
+        await self.write("op", "config", self.config())
+        for number in range(self.nodes):
+            await self.add_worker(f"app-{number}", "app")
+            engine = await self.add_worker(f"engine-{number}", "pool", MODEL)
+            app = {"app": f"{engine.ip}:{WORKER}", "service": "pool"}
+            await self.add_node(f"agent-{number}", app)
+            front = {"listen.front": FRONT, "listen.ready": READY}
+            await self.add_node(f"gateway-{number}", front)
+        for gateway in self.of_kind("gateway"):
+            address = (gateway.ip, READY)
+            await self.until_answered(address, "GET", "/gypsumshift/ready", 200)
+
+    def add(self, name: str, module: str, *arguments: str) -> Process:
+        """Add a stand-in."""
+        ip = self.next_ip()
+        command = [sys.executable, "-m", module, "--ip", ip, *arguments]
+        process = Process(name, ip, command, {}, self.folder / f"{name}.log")
+        self.processes.append(process)
+        return process
+
+    async def add_worker(self, name: str, service: str, models: str = "") -> Process:
+        """Add and start a stand-in of a worker."""
+        store = "{}:{}".format(*self.store_address)
+        runs = str(self.folder / f"{name}.runs")
+        arguments = ["--port", str(WORKER), "--service", service, "--store", store]
+        arguments += ["--models", models, "--runs", runs]
+        process = self.add(name, "standins.users_worker", *arguments)
+        await process.start()
+        return process
+
+    async def add_node(self, name: str, fields: dict[str, object]) -> Process:
+        """Add and start one of the system's own programs."""
+        ip = self.next_ip()
+        proxy = Proxy(self.store_address)
+        await proxy.listen("127.0.0.1")
+        lines = {
+            "node_name": name,
+            "zone": "here",
+            "ip": ip,
+            "platform.addr": "{}:{}".format(*proxy.address),
+            "bounds.grace_s": 4,
+        }
+        for key, value in fields.items():
+            lines[key] = f"{ip}:{value}" if key.startswith("listen") else value
+        settings = self.folder / f"{name}.conf"
+        settings.write_text("\n".join(f"{k}={v}" for k, v in lines.items()))
+        environment = {"GYPSUMSHIFT_NODE_FILE": str(settings)}
+        command = [sys.executable, str(ROOT / "platform" / "main.py")]
+        log = self.folder / f"{name}.log"
+        process = Process(name, ip, command, environment, log, proxy)
+        self.processes.append(process)
+        await process.start()
+        return process
+
+    def config(self) -> dict:
+        """Return the configuration."""
+        usual = {"host": HOST, "timeout_ms": 3000, "slo_ms": 400}
+        kinds = {
+            "app": {"kind": "safe", "service": "app", "attempts": 3},
+            "once": {"kind": "unsafe", "service": "app", "attempts": 2},
+            "score": {"kind": "safe", "service": "app", "attempts": 4},
+            "batch": {"kind": "rollout", "service": "pool", "attempts": 3},
+        }
+        routes = [
+            {"name": name, "prefix": f"/{name}/", **usual, **fields}
+            for name, fields in kinds.items()
+        ]
+        engine = {"slots": 6, "kv_capacity": 1000, "models": [{"name": MODEL}]}
+        services = [{"name": "app"}, {"name": "pool", "engine": engine}]
+        return {"version": 1, "routes": routes, "services": services}
+
+    async def write(self, table: str, key: str, value: dict) -> None:
+        """Write into the store as the operator or a trainer does."""
+        from standins.users_worker import transaction
+
+        body = transaction(table, key, value)
+        target = "/gypsumshift/rows-tx"
+        while True:
+            try:
+                answer = await self.fetcher.fetch(
+                    self.store_address, "POST", target, [], body, 2.0
+                )
+                if answer.status == 200:
+                    return
+            except FetchError as error:
+                print(f"soak: the store did not take {table}/{key}: {error}")
+            await asyncio.sleep(0.1)
+
+    async def set_store(self, **faults) -> None:
+        """Switch the store's faults; none ends them all."""
+        body = json.dumps(faults).encode()
+        await self.fetcher.fetch(self.store_address, "PUT", "/faults", [], body)
+
+    async def until_answered(self, address, method, target, status) -> None:
+        """Wait until an address answers as it should."""
+        while True:
+            try:
+                answer = await self.fetcher.fetch(address, method, target, [], b"", 1.0)
+                if answer.status == status:
+                    return
+            except FetchError:
+                # Not up yet: this is asked until it is.
+                pass
+            await asyncio.sleep(0.1)
+
+    async def close(self) -> None:
+        """End all processes that this run started."""
+        await asyncio.gather(*(process.stop() for process in self.processes))
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,132 @@
+"""Faults: what is done to the processes from outside, by a seed."""
+
+import asyncio
+import random
+import signal
+
+from soak.deployment import Deployment, Process
+from soak.proxy import Mode
+
+__all__ = ["Faults"]
+
+GAP = 0.8
+LONGEST = 3.0
+
+
+class Faults:
+    """A series of faults that overlap.
+
+    Parameters
+    ----------
+    deployment : Deployment
+    seed : int
+    """
+
+    def __init__(self, deployment: Deployment, seed: int):
+        self.deployment = deployment
+        self.chance = random.Random(seed)
+        self.running: set[asyncio.Task] = set()
+        self.done: list[str] = []
+        self.kinds = [
+            self.kill,
+            self.stop_politely,
+            self.freeze,
+            self.cut_from_store,
+            self.trouble_store,
+            self.kill_worker,
+            self.name_version,
+        ]
+        self.version = 1
+
+    async def run(self, seconds: float) -> None:
+        """Inject faults for a time, then wait until all have ended."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while loop.time() < until:
+            kind = self.chance.choice(self.kinds)
+            span = self.chance.uniform(0.2, LONGEST)
+            task = asyncio.create_task(kind(span))
+            self.running.add(task)
+            task.add_done_callback(self.running.discard)
+            await asyncio.sleep(self.chance.uniform(0.1, 2 * GAP))
+        if self.running:
+            await asyncio.wait(set(self.running))
+
+    def pick(self, *kinds: str) -> Process:
+        """Return a process of one of the kinds."""
+        found = [p for kind in kinds for p in self.deployment.of_kind(kind)]
+        return self.chance.choice(found)
+
+    def note(self, text: str) -> None:
+        """Keep what was done, for the report of a failure."""
+        self.done.append(text)
+
+    async def kill(self, span: float) -> None:
+        """Kill a program, start it again."""
+        process = self.pick("gateway", "agent")
+        self.note(f"kill {process.name} for {span:.1f} s")
+        async with process.lock:
+            await process.stop()
+            await asyncio.sleep(span)
+            await process.start()
+
+    async def stop_politely(self, span: float) -> None:
+        """Tell a program to stop, start it again when it has."""
+        process = self.pick("gateway", "agent")
+        self.note(f"stop {process.name}")
+        async with process.lock:
+            process.signal(signal.SIGTERM)
+            await process.child.wait()
+            await process.start()
+
+    async def freeze(self, span: float) -> None:
+        """Suspend a program for a while."""
+        process = self.pick("gateway", "agent")
+        self.note(f"freeze {process.name} for {span:.1f} s")
+        process.signal(signal.SIGSTOP)
+        await asyncio.sleep(span)
+        process.signal(signal.SIGCONT)
+
+    async def cut_from_store(self, span: float) -> None:
+        """Harm a program's way to the store."""
+        process = self.pick("gateway", "agent")
+        modes = [mode for mode in Mode if mode is not Mode.PASS]
+        mode = self.chance.choice(modes)
+        self.note(f"{mode.value} {process.name} for {span:.1f} s")
+        process.proxy.switch(mode, 0.3)
+        await asyncio.sleep(span)
+        process.proxy.switch(Mode.PASS)
+
+    async def trouble_store(self, span: float) -> None:
+        """Have the store misbehave."""
+        faults = self.chance.choice(
+            [
+                {"down": "busy"},
+                {"down": "silent"},
+                {"down": "reset"},
+                {"slow": 0.2},
+                {"lose": 0.4},
+                {"lose": 0.4, "late": 0.5},
+            ]
+        )
+        self.note(f"store {faults} for {span:.1f} s")
+        await self.deployment.set_store(**faults)
+        await asyncio.sleep(span)
+        await self.deployment.set_store()
+
+    async def kill_worker(self, span: float) -> None:
+        """Kill a backend server, start it again as a new one."""
+        process = self.pick("engine", "app")
+        self.note(f"kill {process.name} for {span:.1f} s")
+        async with process.lock:
+            await process.stop()
+            await asyncio.sleep(span)
+            await process.start()
+
+    async def name_version(self, span: float) -> None:
+        """Name new weights, as a trainer does."""
+        self.version += 1
+        version = self.version
+        self.note(f"version {version}")
+        value = {"model": "m", "version": version}
+        await self.deployment.write("op", "version/m", value)
--- /dev/null
+++ b/soak/workload.py
@@ -0,0 +1,154 @@
+"""Workload: callers and a trainer, and what they saw."""
+
+import asyncio
+import base64
+import itertools
+import json
+import random
+
+import attrs
+
+from gypsumshift.fetch import Fetcher, FetchError
+from soak.deployment import FRONT, HOST, MODEL, Deployment
+from standins.users_worker import plain_answer
+
+__all__ = ["Seen", "Workload"]
+
+GROUPS, SIZE = 3, 3
+PATIENCE = 4.0
+
+
+@attrs.define
+class Seen:
+    """What callers and the trainer saw.
+
+    Attributes
+    ----------
+    wrong : list of str
+        Answers that break a promise.
+    refused : set of str
+        Requests that were said not to have run.
+    once : set of str
+        Requests that may not be repeated.
+    jobs : dict
+        Items by accepted job.
+    served : int
+    """
+
+    wrong: list[str] = attrs.field(factory=list)
+    refused: set[str] = attrs.field(factory=set)
+    once: set[str] = attrs.field(factory=set)
+    jobs: dict[str, set[str]] = attrs.field(factory=dict)
+    served: int = 0
+
+
+class Workload:
+    """Callers on kept connections, and a trainer.
+
+    Parameters
+    ----------
+    deployment : Deployment
+    seed : int
+    """
+
+    def __init__(self, deployment: Deployment, seed: int):
+        self.deployment = deployment
+        self.chance = random.Random(seed)
+        self.fetcher = Fetcher()
+        self.seen = Seen()
+        self.numbers = itertools.count()
+        self.stopping = False
+
+    def new_id(self) -> str:
+        """Return an id that no other request has."""
+        return f"q-{self.deployment.seed}-{next(self.numbers)}"
+
+    async def ask(self, method, target, request_id, body=b"", gateway=None):
+        """Send a request to a gateway; None where no whole answer came."""
+        gateway = gateway or self.chance.choice(self.deployment.of_kind("gateway"))
+        fields = [("request-id", request_id), ("deadline-ms", "2500")]
+        fields.append(("wait-ms", "500"))
+        try:
+            async with asyncio.timeout(PATIENCE):
+                exchange = await self.fetcher.open(
+                    (gateway.ip, FRONT), method, target, fields, body, host=HOST
+                )
+                content = await exchange.read()
+        except (FetchError, TimeoutError):
+            return None
+        exchange.close()
+        return exchange.status, content
+
+    async def call(self) -> None:
+        """Send requests one after another."""
+        while not self.stopping:
+            request_id = self.new_id()
+            once = self.chance.random() < 0.3
+            if once:
+                self.seen.once.add(request_id)
+            target = "/once/1" if once else "/app/1"
+            answer = await self.ask("POST", target, request_id, b"x" * 100)
+            if answer is not None:
+                self.judge(request_id, *answer)
+            await asyncio.sleep(self.chance.uniform(0, 0.1))
+
+    def judge(self, request_id: str, status: int, content: bytes) -> None:
+        """Take the answer to a plain request."""
+        if status in (429, 503):
+            self.seen.refused.add(request_id)
+        elif status == 200 and content != plain_answer(request_id):
+            self.seen.wrong.append(f"{request_id}: the answer to another request")
+        elif status == 404:
+            self.seen.wrong.append(f"{request_id}: 404 for a known route")
+        elif status == 200:
+            self.seen.served += 1
+
+    def job_body(self, job: str) -> bytes:
+        """Return the body of a batch job."""
+        requests = []
+        for group, number in itertools.product(range(GROUPS), range(SIZE)):
+            item = f"{job}-{group}-{number}"
+            scorer = {"id": f"s-{item}", "host": HOST, "path": "/score/1", "body": ""}
+            text = base64.b64encode(item.encode()).decode()
+            requests.append(
+                {
+                    "id": item,
+                    "path": "/batch/1",
+                    "headers": {"Model": MODEL},
+                    "body": text,
+                    "tokens": 10,
+                    "group": f"{job}-{group}",
+                    "scorer": scorer,
+                }
+            )
+        fields = {"step": 0, "model": MODEL, "min_version": 1, "target_groups": GROUPS}
+        return json.dumps({**fields, "requests": requests}).encode()
+
+    async def train(self) -> None:
+        """Submit jobs, each again until it is accepted."""
+        while not self.stopping:
+            job = self.new_id()
+            body = self.job_body(job)
+            while not self.stopping:
+                answer = await self.ask("POST", "/batch/1", job, body)
+                if answer is not None and answer[0] == 202:
+                    requests = json.loads(body)["requests"]
+                    self.seen.jobs[job] = {r["id"] for r in requests}
+                    break
+                await asyncio.sleep(0.2)
+            await asyncio.sleep(self.chance.uniform(0.2, 1.0))
+
+    async def read(self, job: str, gateway=None) -> list[dict]:
+        """Read all results of a job, however long that takes."""
+        found: list[dict] = []
+        while len(found) < len(self.seen.jobs[job]):
+            target = f"/gypsumshift/lots/{job}?after={len(found)}"
+            answer = await self.ask("GET", target, self.new_id(), gateway=gateway)
+            if answer is None or answer[0] != 200:
+                if answer is not None and answer[0] in (404, 410):
+                    self.seen.wrong.append(f"{job}: an accepted job is not known")
+                    return found
+                await asyncio.sleep(0.1)
+                continue
+            found += json.loads(answer[1])["results"]
+        return found
--- a/standins/users_worker.py
+++ b/standins/users_worker.py
@@ -16,7 +16,7 @@
 from gypsumshift.fetch import Fetcher, FetchError
 from gypsumshift.server import Abandon, Request, Response, Server, json_response
 
-__all__ = ["UsersWorker", "event_text", "plain_answer"]
+__all__ = ["UsersWorker", "event_text", "plain_answer", "transaction"]
 
 HEARTBEAT = 0.6
 LOAD_SECONDS = 0.3
@@ -65,6 +65,7 @@
         self.busy = False
         self.state = "ready"
         self.runs: list[dict] = []
+        self.file = None
         self.breaks: list[int] = []
         self.server = Server(self.serve)
 
@@ -86,6 +87,13 @@
             return Response(503, NOT_RUN)
         return await self.work(request)
 
+    def note(self, run: dict) -> None:
+        """Keep what is run, also on a file that outlives the process."""
+        self.runs.append(run)
+        if self.file is not None:
+            self.file.write(json.dumps(run) + "\n")
+            self.file.flush()
+
     def report(self) -> dict:
         """Return what the worker says of itself."""
         models = [{"name": n, "version": v} for n, v in self.models.items()]
@@ -106,7 +114,7 @@
             return Response(409)
         self.orders += 1
         self.busy = True
-        self.runs.append({"order": order, "at": time.time()})
+        self.note({"order": order, "at": time.time()})
         asyncio.get_running_loop().call_later(LOAD_SECONDS, self.loaded, order)
         return Response(202)
 
@@ -120,7 +128,7 @@
         request_id = request.header("request-id")
         after = int(request.header("last-event-id", "0"))
         run = {"request": request_id, "at": time.time(), "after": after, "end": ""}
-        self.runs.append(run)
+        self.note(run)
         headers = [
             ("request-id", request_id),
             ("server-stamp", f"{self.id}.{request_id}"),
@@ -175,6 +183,13 @@
         }
 
 
+def transaction(table: str, key: str, value: dict) -> bytes:
+    """Return the body of a transaction that writes one row."""
+    data = base64.b64encode(json.dumps(value).encode()).decode()
+    write = {"table": table, "key": key, "value": data}
+    return json.dumps({"expected": [], "writes": [write], "remove": []}).encode()
+
+
 async def run(worker: UsersWorker, ip: str, port: int, store: str) -> None:
     """Serve, and register in the store, until cancelled."""
     await worker.server.listen(ip, port)
@@ -182,9 +197,7 @@
     host, _, store_port = store.rpartition(":")
     while True:
         entry = worker.entry(f"{ip}:{port}")
-        value = base64.b64encode(json.dumps(entry).encode()).decode()
-        write = {"table": "servers", "key": worker.id, "value": value}
-        body = json.dumps({"expected": [], "writes": [write], "remove": []}).encode()
+        body = transaction("servers", worker.id, entry)
         target = "/gypsumshift/rows-tx"
         address = (host, int(store_port))
         try:
@@ -195,11 +208,20 @@
 
 
 def main(
-    ip: str, port: int, service: str, store: str, models: str = "", slots: int = 6
+    ip: str = "127.0.0.1",
+    port: int = 9200,
+    service: str = "app",
+    store: str = "127.0.0.1:9100",
+    models: str = "",
+    slots: int = 6,
+    runs: str = "",
 ) -> None:
     """Run a stand-in for a worker; ``models`` are separated by commas."""
     names = tuple(models.split(",")) if models else ()
-    asyncio.run(run(UsersWorker(service, names, slots), ip, port, store))
+    worker = UsersWorker(service, names, slots)
+    if runs:
+        worker.file = open(runs, "a")
+    asyncio.run(run(worker, ip, port, store))
 
 
 if __name__ == "__main__":
