An engine far behind its peers hands its items over

Cause: a step is whole only with nine of ten groups, half of which hold an item five times as long as usual; on an engine that is three times as slow it takes 9 s, with 7.5 s to the due time. Change: agents tell their median time between events with their heartbeats; one above twice the median of its peers gives its items back with what they have, pauses for 2 s, then takes a unit at a time.

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -35,6 +35,7 @@
     from_row,
     to_row,
 )
+from gypsumshift.jobs.pace import Pace, is_slow
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import (
     Answered,
@@ -63,6 +64,10 @@
 # Reward calls of one agent at once: the application answers callers too, and five
 # agents with three each take half of its places at the most.
 SCORES_AT_ONCE = 3
+# Seconds for which a slow engine gets nothing, and for which it then gets one unit at
+# a time, to be measured again: slowness was seen to last 6 to 8 s.
+SLOW_PAUSE = 2.0
+SLOW_PROBATION = 4.0
 ACCEPTED = (200, 202)
 
 log = logs.logger("agent")
@@ -139,6 +144,8 @@
         self.clock: Clock = clock
         self.chance: random.Random = chance
         self.metrics: Metrics = metrics
+        self.pace = Pace(clock)
+        self.slow_at = float("-inf")
         self.session = f"{chance.getrandbits(64):016x}"
         self.board = ClaimBoard(self.session, clock)
         self.demand = placement.Demand()
@@ -244,6 +251,7 @@
         """Write one heartbeat; its first transaction gives the fence of orders."""
         self.beats += 1
         value = {"session": self.session, "beat": self.beats}
+        value["pace"] = round(self.pace.value(), 5)
         outcome = await self.store.commit([Write(AGENTS, self.home.name, value)])
         if isinstance(outcome, Committed) and not self.fence:
             self.fence = outcome.version
@@ -264,9 +272,35 @@
         if not self.healthy:
             self.hand_over_all("the engine does not serve")
             return
+        self.shed_if_slow()
         if report is not None and not self.leaving:
             await self.bring_weights(server, report)
 
+    def shed_if_slow(self) -> None:
+        """Hand the items over where this engine is far behind its peers."""
+        own, peers = self.pace.value(), self.board.paces()
+        if self.loading or not is_slow(own, peers):
+            return
+        self.slow_at = self.clock.monotonic()
+        self.pace.clear()
+        logs.event(
+            log,
+            "The engine is slow.",
+            seconds_an_event=round(own, 4),
+            peers=[round(pace, 4) for pace in sorted(peers)],
+        )
+        self.metrics.count("slow_engine")
+        self.hand_over_all("the engine is slow")
+
+    def room(self, slots: int) -> int:
+        """Return how many items more the engine should be given."""
+        since = self.clock.monotonic() - self.slow_at
+        if since < SLOW_PAUSE:
+            return 0
+        if since < SLOW_PROBATION and self.load:
+            return 0
+        return slots - self.load
+
     def note_report(self, report: EngineReport) -> None:
         """Take a report of the engine."""
         was_healthy = self.healthy
@@ -372,7 +406,7 @@
             self.set_places(limits.slots)
             self.adopt()
             candidate = self.board.choose(
-                list(self.models()), self.report.versions, limits.slots - self.load
+                list(self.models()), self.report.versions, self.room(limits.slots)
             )
             if candidate is None or not await self.claim(candidate):
                 return
@@ -480,6 +514,7 @@
             self.directory,
             self.names,
             self.clock,
+            self.pace,
         )
         if partial is not None:
             run.resume(partial)
--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -100,10 +100,13 @@
     session : str
     at : float
         When it changed last, by the monotonic clock, in seconds.
+    pace : float
+        Seconds between two events at its engine; 0 for unknown.
     """
 
     session: str
     at: float
+    pace: float = 0.0
 
 
 class ClaimBoard:
@@ -169,8 +172,10 @@
     def take_pulses(self, rows: list[Row]) -> None:
         """Take rows of the table of agents."""
         for row in rows:
-            session = row.value["session"] if row.value else ""
-            self.pulses[row.key] = Pulse(session, self.clock.monotonic())
+            value = row.value or {}
+            now = self.clock.monotonic()
+            pace = value.get("pace", 0.0)
+            self.pulses[row.key] = Pulse(value.get("session", ""), now, pace)
 
     def note_store_back(self) -> None:
         """Take that nothing could be heard until now."""
@@ -192,6 +197,14 @@
         heard = pulse.at if pulse is not None else held.seen_at
         return self.recent(max(heard, held.seen_at, self.deaf_until))
 
+    def paces(self) -> list[float]:
+        """Return the known paces of the other agents' engines."""
+        return [
+            pulse.pace
+            for pulse in self.pulses.values()
+            if pulse.session != self.session and pulse.pace and self.recent(pulse.at)
+        ]
+
     def recent(self, at: float) -> bool:
         """Tell whether a sign of life is young enough."""
         return self.clock.monotonic() - at < SILENCE
--- a/gypsumshift/jobs/itemrun.py
+++ b/gypsumshift/jobs/itemrun.py
@@ -7,6 +7,7 @@
 from gypsumshift.eventstream import StreamBroken
 from gypsumshift.jobs.engine import Engine, Event, StreamRefused
 from gypsumshift.jobs.model import Item, Job, Partial, Result, ResultState
+from gypsumshift.jobs.pace import Pace
 from gypsumshift.outcomes import Answered
 from gypsumshift.serving.directory import BackendServer, Directory
 from gypsumshift.serving.forwarder import Call, Forwarder
@@ -56,6 +57,8 @@
     directory : Directory
     names : HeaderNames
     clock : Clock
+    pace : Pace
+        Learns the time between two events.
     events : list of str
         Data of the events so far.
     versions : list of int
@@ -63,7 +66,8 @@
     failures : int
         Runs that the engine answered with a failure.
     progress_at : float
-        When the last event came, by the monotonic clock, in seconds.
+        When the last event of this stream came, by the monotonic clock, in
+        seconds; 0 before the first.
     """
 
     job: Job
@@ -73,6 +77,7 @@
     directory: Directory
     names: HeaderNames
     clock: Clock
+    pace: Pace
     events: list[str] = attrs.field(factory=list)
     versions: list[int] = attrs.field(factory=list)
     failures: int = 0
@@ -117,6 +122,7 @@
             stream = self.engine.stream(
                 server, self.item, self.job.host, len(self.events)
             )
+            self.progress_at = 0.0
             async for event in stream:
                 self.take(event)
         except StreamRefused as refusal:
@@ -161,7 +167,11 @@
         self.events.append(event.data)
         if event.version not in self.versions:
             self.versions.append(event.version)
-        self.progress_at = self.clock.monotonic()
+        now = self.clock.monotonic()
+        # The first event of a run waits for a slot and for the prompt.
+        if self.progress_at:
+            self.pace.note(now - self.progress_at)
+        self.progress_at = now
 
     def restart(self) -> None:
         """Drop what was generated."""
--- /dev/null
+++ b/gypsumshift/jobs/pace.py
@@ -0,0 +1,68 @@
+"""Pace: whether an engine generates much more slowly than its peers.
+
+The decision answers stragglers: a slow engine holds a few items of most groups, and a
+step is whole only when nine of ten groups are. Moving an item costs reading its prompt
+again, some 10 ms; leaving it on an engine that is three times as slow costs seconds.
+"""
+
+import collections
+
+from gypsumshift.clock import Clock
+
+__all__ = ["Pace", "is_slow"]
+
+# Seconds of gaps between events that count: about the length of an item.
+WINDOW = 1.5
+# Gaps that are needed for a figure: below, a single pause would decide.
+LEAST_GAPS = 10
+# Full engines generate half as fast again as idle ones; slow ones were seen to take
+# 2.5 to 4 times as long.
+SLOW_FACTOR = 2.0
+# Peers that are needed to tell what is usual.
+LEAST_PEERS = 2
+
+
+class Pace:
+    """Median time between two events of one stream, over an engine's streams.
+
+    Parameters
+    ----------
+    clock : Clock
+    """
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+        self.gaps: collections.deque[tuple[float, float]] = collections.deque()
+
+    def note(self, gap: float) -> None:
+        """Take the seconds between two events of one stream."""
+        self.gaps.append((self.clock.monotonic(), gap))
+
+    def clear(self) -> None:
+        """Forget all gaps: what made them has ended."""
+        self.gaps.clear()
+
+    def value(self) -> float:
+        """Return the median gap in seconds; 0 where too few are known."""
+        horizon = self.clock.monotonic() - WINDOW
+        while self.gaps and self.gaps[0][0] < horizon:
+            self.gaps.popleft()
+        if len(self.gaps) < LEAST_GAPS:
+            return 0.0
+        return sorted(gap for _, gap in self.gaps)[len(self.gaps) // 2]
+
+
+def is_slow(own: float, peers: list[float]) -> bool:
+    """Tell whether a pace is far behind the median of the peers' paces.
+
+    Parameters
+    ----------
+    own : float
+        Seconds between events; 0 for unknown.
+    peers : list of float
+        Known paces of the other engines.
+    """
+    if not own or len(peers) < LEAST_PEERS:
+        return False
+    usual = sorted(peers)[len(peers) // 2]
+    return own > SLOW_FACTOR * usual
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -115,6 +115,8 @@
     ----------
     length : int
         Events of an item.
+    gap : float
+        Seconds between two events.
     hold : asyncio.Event
         Streams wait for it before their last event.
     started : list
@@ -129,6 +131,7 @@
 
     def __init__(self, length=3):
         self.length = length
+        self.gap = 0.0
         self.version = 1
         self.serves = True
         self.hold = asyncio.Event()
@@ -152,6 +155,8 @@
             for number in range(after + 1, self.length + 1):
                 if number == self.length:
                     await self.hold.wait()
+                if self.gap:
+                    await asyncio.sleep(self.gap)
                 yield Event(number, f"{item.id}:{number}", self.version)
                 if self.break_at.get(item.id) == number:
                     del self.break_at[item.id]
