The store's return from silence is noticed within 0.6 s

Cause: a call that a silent store swallowed held up the next one for up to 1.5 s, feeds as long: results of a step that were ready waited up to 2 s past the store's return. Change: while the store is silent two calls of three wait 0.6 s at the most, and feeds ask for short answers.

--- a/gypsumshift/jobs/committer.py
+++ b/gypsumshift/jobs/committer.py
@@ -23,7 +23,7 @@
 TEXT_IN_ROW = 20_000
 # Seconds before a write is tried again; what is not stored stays in memory.
 RETRY_FIRST = 0.1
-RETRY_MOST = 0.5
+RETRY_MOST = 0.2
 
 log = logs.logger("results")
 
--- a/gypsumshift/watch.py
+++ b/gypsumshift/watch.py
@@ -14,12 +14,14 @@
 # A feed answers after this time at the latest, so that one that fell silent is
 # found out soon: changes must be in force everywhere within two seconds.
 POLL = datetime.timedelta(seconds=0.8)
+# The same while the store does not answer, so that its return is noticed soon.
+POLL_SILENT = datetime.timedelta(seconds=0.1)
 # Seconds between answers that hold changes: many small changes then come in one
 # answer, which bounds the calls of each process to ten a second and table.
 GATHER = 0.05
 # Seconds before another try where the store could not be asked.
 RETRY_FIRST = 0.05
-RETRY_MOST = 0.4
+RETRY_MOST = 0.2
 
 log = logs.logger("watch")
 
@@ -86,7 +88,8 @@
         if self.version < 0:
             answer = await self.store.snapshot(self.table)
         else:
-            answer = await self.store.changes(self.table, self.version, POLL)
+            wait = POLL_SILENT if self.failures else POLL
+            answer = await self.store.changes(self.table, self.version, wait)
         if isinstance(answer, HistoryLost):
             logs.event(log, "Changes were lost; reading anew.", table=self.table)
             self.version = -1
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -238,3 +238,16 @@
     file.write_text(text)
     with pytest.raises(node_settings.SettingsError, match=what):
         node_settings.load(file)
+
+
+def test_a_store_that_returns_from_silence_is_used_at_once():
+    from row_store import IMPATIENT, READ_TIMEOUT, WRITE_TIMEOUT, PlatformStore
+
+    store = PlatformStore(("127.0.0.1", 1), None)
+    assert store.patience(WRITE_TIMEOUT) == WRITE_TIMEOUT
+    patience = []
+    for silent in range(1, 7):
+        store.silent = silent
+        patience.append(store.patience(READ_TIMEOUT))
+    assert patience.count(IMPATIENT) == 4
+    assert patience.count(READ_TIMEOUT) == 2, "a slow store is never reached"
