A request that may not be repeated stays with the first server that may have run it

Cause: after a cut connection such a request was sent to a second server, as long as its route allowed more attempts. Ruled out: the caller's own retries (each has an id of its own), stale kept connections (such requests open a new one). Change: one server at the most may have run it; a refusal that vouches for not having run still leads to the next.

--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -144,7 +144,10 @@
     @property
     def spent(self) -> bool:
         """Whether no further server may run it."""
-        return len(self.ran) + len(self.running) >= self.call.route.attempts
+        begun = len(self.ran) + len(self.running)
+        # What may not be repeated stays with the first server that may have run it.
+        most = self.call.route.attempts if self.call.repeatable else 1
+        return begun >= most
 
 
 class Forwarder:
@@ -226,8 +229,6 @@
 
     def start(self, race: Race) -> bool:
         """Start one more attempt where that is allowed; return whether it was."""
-        if race.running and not race.call.repeatable:
-            return False
         if race.spent:
             return False
         server = self.pool.choose(race.servers, race.involved)
--- a/standins/users_worker.py
+++ b/standins/users_worker.py
@@ -28,6 +28,12 @@
     return hashlib.sha256(f"{item}/{number}".encode()).hexdigest()[:24]
 
 
+async def lost():
+    """Yield nothing: the connection is cut instead of an answer."""
+    raise Abandon("the answer is lost")
+    yield b""
+
+
 def plain_answer(request_id: str) -> bytes:
     """Return the body with which a service answers a request."""
     return hashlib.sha256(request_id.encode()).hexdigest().encode()
@@ -51,6 +57,8 @@
     ----------
     breaks : list of int
         Events inside which the next streams break off.
+    loses_answers : bool
+        Whether requests are run and their connections cut instead of an answer.
     """
 
     def __init__(self, service, models=(), slots=6, events=4, pause=0.02):
@@ -67,6 +75,7 @@
         self.runs: list[dict] = []
         self.file = None
         self.breaks: list[int] = []
+        self.loses_answers = False
         self.server = Server(self.serve)
 
     async def serve(self, request: Request) -> Response:
@@ -140,6 +149,8 @@
                 await asyncio.sleep(self.pause)
             finally:
                 self.running -= 1
+            if self.loses_answers:
+                return Response(200, headers, lost())
             run["end"] = "whole"
             return Response(200, headers, plain_answer(request_id))
         model = next(iter(self.models))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -98,6 +98,21 @@
     play(scenario, tmp_path)
 
 
+def test_a_lost_answer_is_tried_again_only_where_that_is_allowed(tmp_path):
+    async def scenario(world):
+        other = UsersWorker("app")
+        await world.register(other)
+        await until(lambda: other.id in world.gateway.directory.servers)
+        world.app.loses_answers = other.loses_answers = True
+        exchange, _ = await world.ask("POST", "/once/1", "only")
+        assert exchange.status == 502, "it may have run, so it is not called refused"
+        exchange, _ = await world.ask("POST", "/app/1", "again")
+        runs = [r["request"] for w in (world.app, other) for r in w.runs]
+        assert (runs.count("only"), runs.count("again")) == (1, 2)
+
+    play(scenario, tmp_path)
+
+
 def test_a_job_during_an_outage_is_refused_or_unsure_but_never_lost(tmp_path):
     async def scenario(world):
         world.store.faults = Faults(down="busy")
