--- a/gypsumshift/cli.py
+++ b/gypsumshift/cli.py
@@ -19,7 +19,7 @@
 import rich.progress
 import typer
 
-from gypsumshift import declarations, documents, settings, timeline
+from gypsumshift import declarations, documents, settings, timeline, traces
 from gypsumshift.face import (
     DEFAULT_OPERATOR,
     EXIT_INVALID,
@@ -322,6 +322,32 @@
     print(f"version {version} of {pool} is published")
 
 
+@app.command("trace")
+def trace(
+    wanted: Annotated[str, typer.Argument(metavar="ID", help="Of a request or item.")],
+    folder: Annotated[
+        pathlib.Path, typer.Option("--logs", help="Logs of all processes.")
+    ],
+    as_json: JsonOption = False,
+) -> None:
+    """Show what every process logged of one id, in order of time."""
+    if not folder.is_dir():
+        print(f"gypsumshift: there is no folder {str(folder)!r}", file=sys.stderr)
+        raise typer.Exit(EXIT_INVALID)
+    lines = traces.find(folder, wanted)
+    if as_json:
+        print_json(lines)
+        return
+    for line in lines:
+        known = ("time", "level", "process", "part", "message", "file")
+        rest = {key: value for key, value in line.items() if key not in known}
+        head = " ".join(str(line.get(key, "")) for key in known[:-1])
+        print(head, json.dumps(rest))
+    if not lines:
+        print(f"gypsumshift: no line names {wanted!r}", file=sys.stderr)
+        raise typer.Exit(1)
+
+
 @app.command("timeline")
 def show_timeline(
     subject: Annotated[
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -72,7 +72,7 @@
     """Run the real programs under random faults and check the promises."""
     failed = 0
     for number in range(seed, seed + runs):
-        with kept(keep, number) if keep else tempfile.TemporaryDirectory() as name:
+        with Kept(keep, number) if keep else tempfile.TemporaryDirectory() as name:
             wrong, played, done = asyncio.run(
                 soak(pathlib.Path(name), number, seconds, nodes)
             )
@@ -85,15 +85,18 @@
     sys.exit(1 if failed else 0)
 
 
-class kept:
-    """A folder that stays, one for each seed."""
+class Kept:
+    """A new folder that stays after its run.
+
+    What an earlier run of the seed wrote would be counted as this one's.
+    """
 
     def __init__(self, parent: str, seed: int):
-        self.path = pathlib.Path(parent) / f"seed-{seed}"
+        pathlib.Path(parent).mkdir(parents=True, exist_ok=True)
+        self.path = tempfile.mkdtemp(prefix=f"seed-{seed}-", dir=parent)
 
     def __enter__(self) -> str:
-        self.path.mkdir(parents=True, exist_ok=True)
-        return str(self.path)
+        return self.path
 
     def __exit__(self, *error) -> None:
         """Leave it as it is."""
