A link that is being accepted while its port closes is cut

Cause: asyncio makes the protocol of a connection one turn after it took it; when the listener is closed in between, it forgets the connection and leaves its socket open. A caller then waited for nothing. Ruled out: a starved process, the heartbeats, the relay.

--- a/gypsumshift/process.py
+++ b/gypsumshift/process.py
@@ -116,7 +116,7 @@
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        self.peers.close()
+        await self.peers.close()
         for link in self.links.values():
             link.close()
         await self.operators.stop(0)
