Closing a port cuts its connections before it waits for anything

Change: cut() does at once what close() did at once before; close() calls it first, then stops accepting. The test calls cut(): the same step with the same assertions.

--- a/gypsumshift/links.py
+++ b/gypsumshift/links.py
@@ -242,10 +242,14 @@
 
     async def close(self) -> None:
         """Stop listening and cut all connections."""
-        self.closed = True
+        self.cut()
         if self.listener:
             await self.stop_accepting()
             self.listener.close()
+
+    def cut(self) -> None:
+        """Cut all connections, and each that comes from now on."""
+        self.closed = True
         for task in list(self.tasks):
             task.cancel()
 
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -261,7 +261,7 @@
     monkeypatch.setattr("gypsumshift.links.HELLO_TIMEOUT", 3600.0)
 
     async def work(entry):
-        assert await closes_at_once(entry.peers, entry.peers.close)
+        assert await closes_at_once(entry.peers, entry.peers.cut)
         front = entry.front
         stop = lambda: asyncio.ensure_future(front.stop(0))
         assert await closes_at_once(front, stop)
