--- /dev/null
+++ b/tests/test_desk_machine.py
@@ -0,0 +1,100 @@
+"""Two desks over a store with faults: what is accepted stays, positions too."""
+
+import asyncio
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from gypsumshift.jobs import Desk, Result, ResultState, split
+from gypsumshift.jobs.committer import Finished, result_writes
+from gypsumshift.outcomes import Committed, NotRun, Unavailable
+from tests.builders import FaultyTables, ManualClock
+from tests.jobs_world import METRICS, items, job
+
+JOBS = ["a", "b"]
+DESKS = st.integers(0, 1)
+
+
+class TwoDesks(RuleBasedStateMachine):
+    """Submissions, results, reads and ends at two desks, in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = FaultyTables()
+        self.clock = ManualClock()
+        self.desks = [Desk(self.store, self.clock, METRICS) for _ in range(2)]
+        self.accepted = set()
+        self.refused_always = set(JOBS)
+        self.read_before = {}
+
+    def do(self, coroutine):
+        return asyncio.run(coroutine)
+
+    @rule(down=st.booleans())
+    def store_down(self, down):
+        self.store.down = down
+
+    @rule(lose=st.integers(0, 2), drop=st.integers(0, 30))
+    def store_loses(self, lose, drop):
+        self.store.lose_next, self.store.drop_next = lose, drop
+
+    @rule(desk=DESKS, name=st.sampled_from(JOBS))
+    def submit(self, desk, name):
+        units = split(items(2, step=name))
+        deadline = self.clock.monotonic() + 1
+        outcome = self.do(self.desks[desk].submit(job(units, name), units, deadline))
+        if isinstance(outcome, Committed):
+            self.accepted.add(name)
+        if not isinstance(outcome, NotRun):
+            self.refused_always.discard(name)
+
+    @rule(name=st.sampled_from(JOBS), number=st.integers(0, 3), text=st.text("xy"))
+    def finish(self, name, number, text):
+        """Two agents may finish one item, with texts of their own."""
+        item = f"{name}-{number // 2}-{number % 2}"
+        result = Result(item, ResultState.SUCCEEDED, text, (1,), "score")
+        self.store_answers()
+        finished = Finished(name, f"{number // 2:05d}", result)
+        self.do(self.store.commit(result_writes(finished)))
+
+    def store_answers(self):
+        self.store.down = False
+        self.store.lose_next = self.store.drop_next = 0
+
+    @rule(desk=DESKS, name=st.sampled_from(JOBS))
+    def submit_and_read(self, desk, name):
+        self.store_answers()
+        self.submit(desk, name)
+        self.read(desk, name, 0)
+
+    @rule(desk=DESKS, name=st.sampled_from(JOBS), after=st.integers(0, 4))
+    def read(self, desk, name, after):
+        page = self.do(self.desks[desk].read(name, after, 0))
+        if isinstance(page, Unavailable):
+            assert self.store.down
+            return
+        if name not in self.accepted:
+            return
+        assert page.total == 4
+        seen = self.read_before.setdefault(name, {})
+        for place, result in enumerate(page.results, after):
+            assert seen.setdefault(place, result) == result, "a result moved"
+
+    @rule(desk=DESKS, name=st.sampled_from(JOBS))
+    def end(self, desk, name):
+        self.do(self.desks[desk].end(name, self.clock.monotonic() + 1))
+
+    @invariant()
+    def accepted_jobs_are_whole(self):
+        for name in self.accepted:
+            assert ("jobs", name, "job") in self.store.rows
+            units = [p for p in self.store.rows if p[:2] == ("units", name)]
+            assert len(units) == 2
+
+    @invariant()
+    def refused_jobs_do_not_exist(self):
+        for name in self.refused_always:
+            assert ("jobs", name, "job") not in self.store.rows
+
+
+TestTwoDesks = TwoDesks.TestCase
