--- a/gypsumshift/agentnode.py
+++ b/gypsumshift/agentnode.py
@@ -2,19 +2,18 @@
 
 import asyncio
 
-from gypsumshift.jobs.agent import Agent, Home
+from gypsumshift import logs
+from gypsumshift.jobs.agent import Agent
 from gypsumshift.jobs.engine import Engine
+from gypsumshift.jobs.station import Home
 from gypsumshift.lifecycle import Node
-from gypsumshift.server import Handler, Server
-from gypsumshift.serving.directory import Directory
 from gypsumshift.serving.forwarder import Forwarder
 from gypsumshift.serving.pool import Pool
-from gypsumshift.watch import run_all
+from gypsumshift.serving.sender import Sender
 
 __all__ = ["AgentNode"]
 
-# Seconds between two sweeps of what is remembered of backend servers.
-SWEEP_PERIOD = 1.0
+log = logs.logger("agent")
 
 
 class AgentNode(Node):
@@ -25,7 +24,8 @@
     home : Home
     store : RowStore
     directory : Directory
-    directory_watches : list of Watch
+    watches : list of Watch
+        Keep the directory current.
     names : HeaderNames
     protocol : EngineProtocol
     zone : str
@@ -39,8 +39,8 @@
         self,
         home: Home,
         store,
-        directory: Directory,
-        directory_watches,
+        directory,
+        watches,
         names,
         protocol,
         zone,
@@ -49,36 +49,17 @@
         chance,
         metrics,
     ):
-        self.clock = clock
-        self.pages: list[tuple[tuple[str, int], Server]] = []
-        self.directory = directory
-        self.directory_watches = directory_watches
-        self.pool = Pool(zone, clock, chance)
-        forwarder = Forwarder(directory, self.pool, fetcher, names, clock, metrics)
+        super().__init__(directory, watches, Pool(zone, clock, chance), clock)
+        sender = Sender(directory, self.pool, fetcher, names, clock, metrics)
+        forwarder = Forwarder(sender)
         engine = Engine(fetcher, names, protocol)
         self.agent = Agent(
             home, store, directory, engine, forwarder, names, clock, chance, metrics
         )
 
-    def listen_at(self, address: tuple[str, int], handler: Handler) -> None:
-        """Have a handler answer at an address."""
-        self.pages.append((address, Server(handler)))
-
-    async def run(self) -> None:
-        """Work until cancelled."""
-        for address, server in self.pages:
-            await server.listen(*address)
-        async with asyncio.TaskGroup() as group:
-            group.create_task(run_all(self.directory_watches))
-            group.create_task(self.agent.run())
-            group.create_task(self.sweep())
-
-    async def sweep(self) -> None:
-        """Forget what is gone, now and then."""
-        while True:
-            await self.clock.sleep(SWEEP_PERIOD)
-            self.directory.settle(self.clock.monotonic())
-            self.pool.prune(set(self.directory.servers))
+    def work(self):
+        """Return what the agent does until it is cancelled."""
+        return [self.agent.run()]
 
     async def drain(self, grace: float) -> None:
         """Give the work back, within ``grace`` seconds."""
@@ -87,4 +68,4 @@
                 await self.agent.leave()
         except TimeoutError:
             # What could not be given back is free once the heartbeats stop.
-            pass
+            log.warning("Not all work was given back in {:.1f} s.", grace)
--- a/gypsumshift/daemon.py
+++ b/gypsumshift/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import os
 import pathlib
 import signal
 import sys
@@ -15,7 +16,6 @@
 __all__ = ["main"]
 
 EXIT_INVALID = 2
-EXIT_BROKEN = 70
 DRAIN_DEADLINE = 30.0
 
 log = logs.logger("daemon")
@@ -56,7 +56,7 @@
         loop.add_signal_handler(number, leave)
     await process.stopped.wait()
     await process.stop()
-    return 0 if leaving else EXIT_BROKEN
+    return 0 if leaving else os.EX_SOFTWARE
 
 
 async def depart(process) -> None:
--- a/gypsumshift/jobs/__init__.py
+++ b/gypsumshift/jobs/__init__.py
@@ -2,7 +2,15 @@
 
 from gypsumshift.jobs.desk import Desk
 from gypsumshift.jobs.engine import Engine, EngineProtocol, EngineReport, Event
-from gypsumshift.jobs.model import Item, Job, Result, ResultState, Scorer, Unit, split
+from gypsumshift.jobs.model import (
+    Item,
+    Job,
+    Result,
+    ResultState,
+    RewardCall,
+    Unit,
+    split,
+)
 
 __all__ = [
     "Desk",
@@ -14,7 +22,7 @@
     "Job",
     "Result",
     "ResultState",
-    "Scorer",
+    "RewardCall",
     "Unit",
     "split",
 ]
--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -7,6 +7,8 @@
 stored once.
 """
 
+from collections.abc import Collection
+
 import attrs
 
 from gypsumshift.clock import Clock
@@ -126,19 +128,25 @@
         self.ended: set[str] = set()
         self.early: dict[str, dict[str, Held]] = {}
         self.pulses: dict[str, Pulse] = {}
-        self.groups_seen: set[str] = set()
+        self.groups: dict[str, set[str]] = {}
         self.deaf_until = float("-inf")
 
-    def take_jobs(self, rows: list[Row]) -> None:
-        """Take rows of the table of jobs."""
+    def take_jobs(self, rows: list[Row]) -> list[Job]:
+        """Take rows of the table of jobs; return the jobs that are new."""
+        new = []
         for row in rows:
             if row.value is None:
-                self.close(row.part)
-                self.ended.discard(row.part)
+                self.forget(row.part)
             elif row.key == END_KEY:
                 self.close(row.part)
-            elif row.key == JOB_KEY and row.part not in self.ended:
-                self.add(from_row(row.value, Job))
+            elif row.key == JOB_KEY and not self.known(row.part):
+                new.append(from_row(row.value, Job))
+                self.add(new[-1])
+        return new
+
+    def known(self, job_id: str) -> bool:
+        """Tell whether a job was told before."""
+        return job_id in self.open or job_id in self.ended
 
     def close(self, job_id: str) -> None:
         """Take the end of a job."""
@@ -146,12 +154,20 @@
         self.open.pop(job_id, None)
         self.early.pop(job_id, None)
 
+    def forget(self, job_id: str) -> None:
+        """Take that a job is removed from the store."""
+        self.close(job_id)
+        self.ended.discard(job_id)
+        self.groups.pop(job_id, None)
+
+    def groups_seen(self) -> set[str]:
+        """Return the groups of the jobs that the store has."""
+        return set().union(*self.groups.values())
+
     def add(self, job: Job) -> None:
         """Take a new job."""
-        if job.id in self.open:
-            return
-        order = begin_order(job, self.groups_seen)
-        self.groups_seen.update(unit.group for unit in job.units)
+        order = begin_order(job, self.groups_seen())
+        self.groups[job.id] = {unit.group for unit in job.units}
         claims = self.early.pop(job.id, {})
         self.open[job.id] = Tracked(job, self.clock.monotonic(), order, claims)
 
@@ -229,7 +245,7 @@
     def waiting(self, model: str) -> int:
         """Return the oldest version that suits all waiting units of a model; -1."""
         versions = [
-            tracked.job.min_version
+            tracked.job.oldest_version
             for tracked in self.open.values()
             if tracked.job.model == model
             and any(self.free(tracked.claims.get(u.key)) for u in tracked.order)
@@ -237,13 +253,13 @@
         return max(versions, default=-1)
 
     def choose(
-        self, models: list[str], versions: dict[str, int], room: int
+        self, models: Collection[str], versions: dict[str, int], room: int
     ) -> Candidate | None:
         """Return the unit to claim next; None where there is none.
 
         Parameters
         ----------
-        models : list of str
+        models : collection of str
             Models that this agent's engine is to serve now.
         versions : dict
             Loaded weight version by model.
@@ -253,7 +269,7 @@
         now = self.clock.monotonic()
         for tracked in sorted(self.open.values(), key=lambda t: t.since):
             job = tracked.job
-            if job.model and versions.get(job.model, 0) < job.min_version:
+            if job.model and versions.get(job.model, 0) < job.oldest_version:
                 continue
             own = not job.model or job.model in models
             if not own and now - tracked.since < STEAL_AFTER:
--- a/gypsumshift/jobs/desk.py
+++ b/gypsumshift/jobs/desk.py
@@ -45,6 +45,9 @@
 # Rows and bytes of one transaction, below the 100 and 1 MB that a store takes.
 WRITES_AT_ONCE = 90
 BYTES_AT_ONCE = 700_000
+# Bytes of an item's row beside its bodies: names, headers and what encodes them. The
+# bodies are encoded twice, by a third each time, and are taken for doubled.
+ITEM_OVERHEAD = 800
 # Characters of text in one page of results: 0.07 s on a link of 30 Mbit/s.
 PAGE_SIZE = 250_000
 # Texts that are read from the store at once: enough for a page in some 20 ms.
@@ -131,7 +134,8 @@
         """Take rows of the table of results."""
         parts: dict[str, list[Row]] = {}
         for row in rows:
-            parts.setdefault(row.part, []).append(row)
+            if row.value is not None:
+                parts.setdefault(row.part, []).append(row)
         for part, own in parts.items():
             self.log_of(part).take(own)
 
@@ -201,7 +205,7 @@
             items=job.total,
             model=job.model,
             step=job.step,
-            min_version=job.min_version,
+            oldest_version=job.oldest_version,
             store_version=outcome.version,
         )
         self.jobs[job.id] = job
@@ -226,10 +230,7 @@
         batches: list[list[Write]] = [[]]
         size = 0
         for unit in units:
-            added = sum(
-                len(i.body) * 2 + (len(i.scorer.body) * 2 if i.scorer else 0) + 800
-                for i in unit.items
-            )
+            added = sum(2 * item.size + ITEM_OVERHEAD for item in unit.items)
             if len(batches[-1]) >= WRITES_AT_ONCE or size + added > BYTES_AT_ONCE:
                 batches.append([])
                 size = 0
--- a/gypsumshift/jobs/engine.py
+++ b/gypsumshift/jobs/engine.py
@@ -14,6 +14,7 @@
 from gypsumshift.fetch import Exchange, Fetcher, FetchError
 from gypsumshift.jobs.model import Item
 from gypsumshift.outcomes import Answered, NotRun, Unknown
+from gypsumshift.serving.answers import MISDIRECTED, foreign_id
 from gypsumshift.serving.directory import BackendServer
 from gypsumshift.serving.headers import HeaderNames
 
@@ -31,8 +32,6 @@
 # longer wait loses more than reading the prompt again, which takes 10 ms.
 SILENCE_TIMEOUT = 3.0
 CONNECT_TIMEOUT = 0.5
-# HTTP status of a server that is not the one expected at its address.
-MISDIRECTED = 421
 REPORT_TIMEOUT = 0.5
 ORDER_TIMEOUT = 1.0
 
@@ -209,9 +208,9 @@
 
     async def check(self, exchange: Exchange, item: Item) -> None:
         """Raise unless an answer is the stream of the item."""
-        echoed = exchange.header(self.names.request_id.encode())
-        if echoed and echoed != item.id:
-            raise StreamBroken(f"an answer to the request {echoed}")
+        foreign = foreign_id(exchange, self.names, item.id)
+        if foreign:
+            raise StreamBroken(f"an answer to the request {foreign}")
         if exchange.status != 200:
             not_run = exchange.header(self.names.not_run.encode())
             # Read to its end, the connection serves the next try.
--- a/gypsumshift/jobs/itemrun.py
+++ b/gypsumshift/jobs/itemrun.py
@@ -9,12 +9,13 @@
 from gypsumshift.jobs.model import Item, Job, Partial, Result, ResultState
 from gypsumshift.jobs.pace import Pace
 from gypsumshift.outcomes import Answered
+from gypsumshift.serving.calls import Call
 from gypsumshift.serving.directory import BackendServer, Directory
-from gypsumshift.serving.forwarder import Call, Forwarder
+from gypsumshift.serving.forwarder import Forwarder
 from gypsumshift.serving.headers import HeaderNames
 from gypsumshift.serving.routes import RequestKind, Route
 
-__all__ = ["ItemRun", "Score"]
+__all__ = ["ItemRun"]
 
 # Seconds before an item goes to its engine again after a broken or refused stream:
 # some tokens' time, so that an engine that restarts is not flooded.
@@ -31,19 +32,6 @@
 log = logs.logger("items")
 
 
-@attrs.frozen
-class Score:
-    """Outcome of a reward call.
-
-    Attributes
-    ----------
-    signature : str
-        Of the answer; empty where the call failed for good.
-    """
-
-    signature: str
-
-
 @attrs.define
 class ItemRun:
     """Runs one item on an engine, resuming it as often as needed.
@@ -95,7 +83,7 @@
 
     def resume(self, partial: Partial) -> None:
         """Go on from what another agent generated, if its versions suit."""
-        if partial.versions and min(partial.versions) >= self.job.min_version:
+        if partial.versions and min(partial.versions) >= self.job.oldest_version:
             self.events = list(partial.events)
             self.versions = list(partial.versions)
 
@@ -138,9 +126,9 @@
         hopeless = refusal.status == UNPROCESSABLE or self.failures >= self.attempts
         if not hopeless:
             raise StreamBroken(str(refusal), refusal.replaced) from refusal
-        return self.dead(f"status {refusal.status}")
+        return self.give_up(f"status {refusal.status}")
 
-    def dead(self, reason: str) -> Result:
+    def give_up(self, reason: str) -> Result:
         """Return the result of an item that is given up."""
         logs.event(
             log,
@@ -150,18 +138,18 @@
             reason=reason,
             failures=self.failures,
         )
-        return Result(self.item.id, ResultState.DEAD)
+        return Result(self.item.id, ResultState.GIVEN_UP)
 
     def take(self, event: Event) -> None:
         """Take the next event; one out of order breaks the stream."""
         if event.number != len(self.events) + 1:
             expected = len(self.events) + 1
             raise StreamBroken(f"event {event.number} instead of {expected}")
-        if event.version < self.job.min_version:
+        if event.version < self.job.oldest_version:
             self.restart()
             raise StreamBroken(f"weights {event.version} are too old")
         mixed = self.versions and event.version not in self.versions
-        if mixed and self.route and self.route.single_version:
+        if mixed and self.route and self.route.one_version:
             self.restart()
             raise StreamBroken("the weights changed inside a sample")
         self.events.append(event.data)
@@ -178,12 +166,18 @@
         self.events.clear()
         self.versions.clear()
 
-    async def score(self) -> Score:
-        """Have the whole text scored; tries until it is, or has failed too often."""
-        scorer = self.item.scorer
+    async def score(self) -> str:
+        """Have the whole text scored; tries until it is, or has failed too often.
+
+        Returns
+        -------
+        str
+            Signature of the answer; empty where the call failed for good.
+        """
+        reward = self.item.reward
         failures = 0
         while True:
-            route = self.directory.routes.find(scorer.host, scorer.path)
+            route = self.directory.routes.find(reward.host, reward.path)
             if route is None:
                 await self.clock.sleep(SCORE_PAUSE)
                 continue
@@ -191,24 +185,24 @@
             if isinstance(answer, Answered):
                 signature = answer.header(self.names.signature)
                 if 200 <= answer.status < 300 and signature:
-                    return Score(signature)
+                    return signature
                 failures += 1
                 if failures >= route.attempts:
-                    return Score("")
+                    return ""
             await self.clock.sleep(SCORE_PAUSE)
 
     def score_call(self, route: Route) -> Call:
         """Return one try of the reward call."""
-        scorer = self.item.scorer
+        reward = self.item.reward
         # One server a try, so that each answer counts once against the limit.
         once = attrs.evolve(route, kind=RequestKind.SAFE, attempts=1)
         return Call(
-            scorer.id,
+            reward.id,
             "POST",
-            scorer.path,
-            scorer.host,
-            [(self.names.request_id, scorer.id)],
-            scorer.body,
+            reward.path,
+            reward.host,
+            [(self.names.request_id, reward.id)],
+            reward.body,
             once,
             self.clock.monotonic() + SCORE_TIMEOUT,
         )
@@ -216,11 +210,10 @@
     async def finish(self) -> Result:
         """Return the result of a whole text."""
         signature = ""
-        if self.item.scorer is not None:
-            score = await self.score()
-            if not score.signature:
-                return self.dead("its reward call failed")
-            signature = score.signature
+        if self.item.reward is not None:
+            signature = await self.score()
+            if not signature:
+                return self.give_up("its reward call failed")
         text = "\n".join(self.events)
         versions = tuple(sorted(self.versions))
-        return Result(self.item.id, ResultState.SUCCEEDED, text, versions, signature)
+        return Result(self.item.id, ResultState.WHOLE, text, versions, signature)
--- a/gypsumshift/jobs/model.py
+++ b/gypsumshift/jobs/model.py
@@ -27,7 +27,7 @@
     "Partial",
     "Result",
     "ResultState",
-    "Scorer",
+    "RewardCall",
     "Unit",
     "UnitSummary",
     "from_row",
@@ -60,12 +60,12 @@
 class ResultState(enum.Enum):
     """How an item ended."""
 
-    SUCCEEDED = "succeeded"
-    DEAD = "dead"
+    WHOLE = "whole"
+    GIVEN_UP = "given up"
 
 
 @attrs.frozen
-class Scorer:
+class RewardCall:
     """The reward call of an item.
 
     Attributes
@@ -90,23 +90,25 @@
     headers : dict
         Passed on to the model engine.
     body : bytes
-    tokens : int
-        Prompt tokens and the maximum of output tokens.
     group : str
         Items of one group share their prompt; empty outside of groups.
     hint : int
         Estimated number of output tokens; 0 for unknown.
-    scorer : Scorer or None
+    reward : RewardCall or None
     """
 
     id: str
     path: str
     headers: dict[str, str]
     body: bytes
-    tokens: int = 0
     group: str = ""
     hint: int = 0
-    scorer: Scorer | None = None
+    reward: RewardCall | None = None
+
+    @property
+    def size(self) -> int:
+        """Bytes of its bodies."""
+        return len(self.body) + (len(self.reward.body) if self.reward else 0)
 
 
 @attrs.frozen
@@ -155,10 +157,8 @@
         Empty where it is for no trainer.
     step : int
         Of the trainer; -1 where it is for no trainer.
-    min_version : int
+    oldest_version : int
         Oldest weight version that may generate its tokens.
-    target_groups : int
-        Complete groups that the trainer waits for; 0 for all.
     submitted : float
         Store time in seconds.
     units : tuple of UnitSummary
@@ -169,8 +169,7 @@
     path: str
     model: str
     step: int
-    min_version: int
-    target_groups: int
+    oldest_version: int
     submitted: float
     units: tuple[UnitSummary, ...]
 
@@ -282,13 +281,12 @@
     found: list[list[Item]] = [[]]
     size = 0
     for item in members:
-        added = len(item.body) + (len(item.scorer.body) if item.scorer else 0)
-        full = len(found[-1]) >= UNIT_ITEMS or size + added > UNIT_BYTES
+        full = len(found[-1]) >= UNIT_ITEMS or size + item.size > UNIT_BYTES
         if full and found[-1]:
             found.append([])
             size = 0
         found[-1].append(item)
-        size += added
+        size += item.size
     return found
 
 
--- a/gypsumshift/jobs/resultlog.py
+++ b/gypsumshift/jobs/resultlog.py
@@ -55,7 +55,7 @@
 
     def take(self, rows: list[Row]) -> None:
         """Take rows of the table of results."""
-        fresh = [row for row in rows if row.key not in self.items and row.value]
+        fresh = [row for row in rows if row.key not in self.items]
         for row in fresh:
             self.items.add(row.key)
             entry = Entry(row.version, row.key, from_row(row.value, Result))
--- /dev/null
+++ b/gypsumshift/jobs/unitruns.py
@@ -0,0 +1,322 @@
+"""Unit runs: the claimed units of one agent, from claim to results or handover."""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from gypsumshift import logs
+from gypsumshift.clock import Clock
+from gypsumshift.eventstream import StreamBroken
+from gypsumshift.jobs.claims import Candidate, ClaimBoard
+from gypsumshift.jobs.committer import Committer, Finished
+from gypsumshift.jobs.itemrun import PAUSE, ItemRun
+from gypsumshift.jobs.model import (
+    CLAIMS,
+    PARTIALS,
+    RESULTS,
+    UNITS,
+    Claim,
+    Item,
+    Job,
+    Partial,
+    Result,
+    Unit,
+    from_row,
+    to_row,
+)
+from gypsumshift.jobs.pace import Pace
+from gypsumshift.jobs.station import Station
+from gypsumshift.jobs.weights import WeightKeeper
+from gypsumshift.metrics import Metrics
+from gypsumshift.outcomes import Committed, Conflict, Unavailable
+from gypsumshift.platforms import Row, RowStore, Write
+from gypsumshift.serving.forwarder import Forwarder
+from gypsumshift.serving.headers import HeaderNames
+
+__all__ = ["UnitRun", "UnitRunner"]
+
+# Reward calls of one agent at once: the application answers callers too, and five
+# agents with three each take half of its places at the most.
+SCORES_AT_ONCE = 3
+
+log = logs.logger("units")
+
+
+@attrs.define
+class UnitRun:
+    """A claimed unit on its way.
+
+    Attributes
+    ----------
+    job : Job
+    key : str
+    version : int
+        Of the row of its claim.
+    runs : dict
+        `ItemRun` by item, of those without a result.
+    tasks : dict
+        Task by item.
+    """
+
+    job: Job
+    key: str
+    version: int
+    runs: dict[str, ItemRun] = attrs.field(factory=dict)
+    tasks: dict[str, asyncio.Task] = attrs.field(factory=dict)
+
+
+class UnitRunner:
+    """Owns the claimed units, and the tasks that run their items.
+
+    Parameters
+    ----------
+    own : Claim
+        What the agent writes where it claims.
+    store : RowStore
+    station : Station
+    weights : WeightKeeper
+    board : ClaimBoard
+    forwarder : Forwarder
+        For reward calls.
+    names : HeaderNames
+    clock : Clock
+    metrics : Metrics
+    changed : callable
+        Called when there may be room for more.
+    """
+
+    def __init__(
+        self,
+        own: Claim,
+        store: RowStore,
+        station: Station,
+        weights: WeightKeeper,
+        board: ClaimBoard,
+        forwarder: Forwarder,
+        names: HeaderNames,
+        clock: Clock,
+        metrics: Metrics,
+        changed: Callable[[], None],
+    ):
+        self.own = own
+        self.store = store
+        self.station = station
+        self.weights = weights
+        self.board = board
+        self.forwarder = forwarder
+        self.names = names
+        self.clock = clock
+        self.metrics = metrics
+        self.changed = changed
+        self.pace = Pace(clock)
+        self.committer = Committer(store, clock)
+        self.units: dict[tuple[str, str], UnitRun] = {}
+        self.scores = asyncio.Semaphore(SCORES_AT_ONCE)
+        self.places = asyncio.Semaphore(1)
+        self.place_count = 1
+
+    @property
+    def load(self) -> int:
+        """Items that are claimed and have no result."""
+        return sum(len(unit.tasks) for unit in self.units.values())
+
+    def set_places(self, count: int) -> None:
+        """Let so many items run at once."""
+        if count != self.place_count:
+            self.place_count = count
+            self.places = asyncio.Semaphore(count)
+
+    def drop_ended(self) -> None:
+        """Stop the units whose jobs have ended."""
+        for unit in list(self.units.values()):
+            if unit.job.id in self.board.ended:
+                self.drop(unit)
+
+    def note_claim(self, row: Row) -> None:
+        """Let go of a unit that another agent holds by the store."""
+        unit = self.units.get((row.part, row.key))
+        if unit is None or row.value is None or row.version <= unit.version:
+            return
+        if from_row(row.value, Claim).session != self.own.session:
+            logs.event(log, "Another agent runs a unit.", job=row.part, unit=row.key)
+            self.drop(unit)
+
+    def start(self, candidate: Candidate, version: int) -> None:
+        """Run a claimed unit."""
+        job, summary = candidate.job, candidate.unit
+        if job.id in self.board.ended or (job.id, summary.key) in self.units:
+            # The job ended while the claim was on its way, or its answer was late.
+            return
+        unit = UnitRun(job, summary.key, version)
+        self.units[job.id, summary.key] = unit
+        logs.event(
+            log,
+            "Claimed a unit.",
+            job=job.id,
+            unit=summary.key,
+            items=list(summary.items),
+            taken_over=candidate.taken_over,
+            claim_version=version,
+            weights=self.station.versions.get(job.model, 0),
+        )
+        self.metrics.count("claims", taken_over=str(candidate.taken_over).lower())
+        loading = self.load_unit(unit, candidate.taken_over)
+        unit.tasks[""] = asyncio.create_task(loading)
+
+    async def load_unit(self, unit: UnitRun, taken_over: bool) -> None:
+        """Read the items of a unit, and run those without a result."""
+        row = await self.read_unit(unit)
+        items = from_row(row.value, Unit).items
+        known: set[str] = set()
+        partials: dict[str, Partial] = {}
+        if taken_over:
+            known = {r.key for r in await self.read_rows(RESULTS, unit.job.id)}
+            for found in await self.read_rows(PARTIALS, unit.job.id):
+                partials[found.key] = from_row(found.value, Partial)
+        for item in items:
+            if item.id not in known:
+                self.start_item(unit, item, partials.get(item.id))
+        del unit.tasks[""]
+        if not unit.tasks:
+            await self.close_unit(unit)
+
+    async def read_unit(self, unit: UnitRun) -> Row:
+        """Read the row of a unit, however long that takes."""
+        while True:
+            row = await self.store.read(UNITS, unit.key, unit.job.id)
+            if isinstance(row, Row):
+                return row
+            await self.clock.sleep(PAUSE)
+
+    async def read_rows(self, table: str, part: str) -> list[Row]:
+        """Read the rows of a job, however long that takes."""
+        while True:
+            rows = await self.store.scan(table, "", part)
+            if not isinstance(rows, Unavailable):
+                return rows
+            await self.clock.sleep(PAUSE)
+
+    def start_item(self, unit: UnitRun, item: Item, partial: Partial | None) -> None:
+        """Run one item in a task of its own."""
+        run = ItemRun(
+            unit.job,
+            item,
+            self.station.engine,
+            self.forwarder,
+            self.station.directory,
+            self.names,
+            self.clock,
+            self.pace,
+        )
+        if partial is not None:
+            run.resume(partial)
+        unit.runs[item.id] = run
+        task = asyncio.create_task(self.run_item(unit, run))
+        unit.tasks[item.id] = task
+
+    async def run_item(self, unit: UnitRun, run: ItemRun) -> None:
+        """Generate, score and store one item."""
+        result = await self.generate(run)
+        if result is None:
+            async with self.scores:
+                result = await run.finish()
+        self.store_result(unit, run, result)
+
+    async def generate(self, run: ItemRun) -> Result | None:
+        """Generate one item in a place of the engine."""
+        while True:
+            async with self.places:
+                server = self.station.server
+                if server is not None and self.weights.loading != run.job.model:
+                    try:
+                        return await run.generate(server)
+                    except StreamBroken as error:
+                        self.note_broken(run, server, error)
+            # An engine that loads a model's weights refuses its requests: asking
+            # ten times a second was 4 of 10 requests on a calm day.
+            await self.clock.sleep(PAUSE)
+
+    def note_broken(self, run: ItemRun, server, error: StreamBroken) -> None:
+        """Take note of a stream that broke; it is resumed."""
+        self.metrics.count("broken_streams")
+        if error.replaced:
+            self.station.replaced.add(server.id)
+        logs.event(
+            log,
+            "A stream broke.",
+            item=run.item.id,
+            job=run.job.id,
+            server=server.id,
+            events=len(run.events),
+            reason=str(error),
+        )
+
+    def store_result(self, unit: UnitRun, run: ItemRun, result: Result) -> None:
+        """Hand a result to the committer."""
+        self.metrics.count("items", state=result.state.value)
+        unit.tasks.pop(run.item.id, None)
+        unit.runs.pop(run.item.id, None)
+        last = None if unit.tasks else self.finish(unit)
+        self.committer.put(Finished(unit.job.id, unit.key, result, last))
+        self.changed()
+
+    def finish(self, unit: UnitRun) -> Claim:
+        """Let go of a unit that is done; return its claim, which is to be stored."""
+        done = attrs.evolve(self.own, done=True)
+        self.units.pop((unit.job.id, unit.key), None)
+        # Known here before the store tells it.
+        row = Row(CLAIMS, unit.key, unit.version, to_row(done), unit.job.id)
+        self.board.take_claims([row])
+        return done
+
+    async def close_unit(self, unit: UnitRun) -> None:
+        """Mark a unit done that had all its results before."""
+        done = to_row(self.finish(unit))
+        await self.store.commit([Write(CLAIMS, unit.key, done, part=unit.job.id)])
+
+    def drop(self, unit: UnitRun) -> None:
+        """Stop a unit whose job has ended."""
+        self.units.pop((unit.job.id, unit.key), None)
+        for task in unit.tasks.values():
+            task.cancel()
+
+    def hand_over_all(self, reason: str) -> list[asyncio.Task]:
+        """Give all units back, with what was generated of them."""
+        given = []
+        for unit in list(self.units.values()):
+            self.drop(unit)
+            logs.event(
+                log,
+                "Gave a unit back.",
+                job=unit.job.id,
+                unit=unit.key,
+                reason=reason,
+                items=list(unit.runs),
+            )
+            given.append(asyncio.create_task(self.give_back(unit)))
+        return given
+
+    async def give_back(self, unit: UnitRun) -> None:
+        """Write what was generated of a unit, and that it is free."""
+        writes = [
+            Write(PARTIALS, item, to_row(partial), part=unit.job.id)
+            for item, run in unit.runs.items()
+            if (partial := run.partial()) is not None
+        ]
+        free = Write(CLAIMS, unit.key, to_row(Claim()), unit.version, part=unit.job.id)
+        outcome = await self.store.commit([*writes, free])
+        while not isinstance(outcome, (Committed, Conflict)):
+            await self.clock.sleep(PAUSE)
+            outcome = await self.store.commit([*writes, free])
+        if isinstance(outcome, Committed):
+            row = Row(CLAIMS, unit.key, outcome.version, free.value, unit.job.id)
+            self.board.take_claims([row])
+            self.changed()
+
+    async def leave(self) -> None:
+        """Give all units back, and wait until results are stored."""
+        given = self.hand_over_all("this process stops")
+        if given:
+            await asyncio.wait(given)
+        await self.committer.drain()
--- a/gypsumshift/keys.py
+++ b/gypsumshift/keys.py
@@ -11,6 +11,7 @@
 import attrs
 
 from gypsumshift import logs
+from gypsumshift.addresses import parse_address
 from gypsumshift.answers import Lost, Refusal, Whole
 from gypsumshift.attempts import new_attempt
 from gypsumshift.clock import Clock
@@ -26,7 +27,6 @@
     Unknown,
 )
 from gypsumshift.platforms import ABSENT, Platform, Row, Write
-from gypsumshift.settings import parse_address
 
 __all__ = ["KeyOwner", "Mismatch", "Replayed"]
 
--- a/gypsumshift/lifecycle.py
+++ b/gypsumshift/lifecycle.py
@@ -3,25 +3,106 @@
 import abc
 import asyncio
 import gc
+import os
 import signal
+from collections.abc import Coroutine
+
+import attrs
 
 from gypsumshift import logs
+from gypsumshift.clock import Clock
+from gypsumshift.server import BODY_LIMIT, Handler, Server
+from gypsumshift.serving.directory import Directory
+from gypsumshift.serving.pool import Pool
+from gypsumshift.watch import Watch, run_all
 
-__all__ = ["Node", "serve"]
+__all__ = ["Node", "Port", "serve"]
 
 # Part of the time between the signal to stop and the end that is used: the rest is
 # left for a slow host.
 GRACE_SHARE = 0.8
+# Seconds between two sweeps of what is remembered of backend servers.
+SWEEP_PERIOD = 1.0
 
 log = logs.logger("process")
 
 
+@attrs.frozen
+class Port:
+    """An address at which a process answers.
+
+    Attributes
+    ----------
+    address : (str, int)
+    server : Server
+    always : bool
+        Whether it answers to the very end, also while the process leaves.
+    """
+
+    address: tuple[str, int]
+    server: Server
+    always: bool
+
+
 class Node(abc.ABC):
-    """One process of the system."""
+    """One process of the system: its ports, and what it knows of the deployment.
+
+    Parameters
+    ----------
+    directory : Directory
+    watches : list of Watch
+        Keep the directory and whatever else current.
+    pool : Pool
+    clock : Clock
+
+    Attributes
+    ----------
+    body_limit : int
+        Bytes of a request's body that its ports take.
+    """
+
+    body_limit = BODY_LIMIT
+
+    def __init__(
+        self, directory: Directory, watches: list[Watch], pool: Pool, clock: Clock
+    ):
+        self.directory = directory
+        self.watches = watches
+        self.pool = pool
+        self.clock = clock
+        self.ports: list[Port] = []
+
+    def listen_at(
+        self, address: tuple[str, int], handler: Handler, always: bool = False
+    ) -> None:
+        """Have a handler answer at an address; see `Port`."""
+        server = Server(handler, self.body_limit)
+        self.ports.append(Port(address, server, always))
 
-    @abc.abstractmethod
     async def run(self) -> None:
         """Work until cancelled."""
+        for port in self.ports:
+            await port.server.listen(*port.address)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(run_all(self.watches))
+            group.create_task(self.sweep_on())
+            for work in self.work():
+                group.create_task(work)
+
+    async def sweep_on(self) -> None:
+        """Forget what is gone, now and then."""
+        while True:
+            await self.clock.sleep(SWEEP_PERIOD)
+            await self.sweep()
+
+    async def sweep(self) -> None:
+        """Forget the backend servers that are gone."""
+        self.directory.settle(self.clock.monotonic())
+        self.pool.prune(set(self.directory.servers))
+
+    def work(self) -> list[Coroutine]:
+        """Return what else this process does until it is cancelled."""
+        return []
 
     @abc.abstractmethod
     async def drain(self, grace: float) -> None:
@@ -49,7 +130,7 @@
     if working.done():
         # Only a broken invariant ends the work by itself.
         log.error("The work ended: {!r}", working.exception())
-        return 70
+        return os.EX_SOFTWARE
     logs.event(log, "Told to stop.", grace_s=grace)
     await node.drain(grace * GRACE_SHARE)
     working.cancel()
--- a/gypsumshift/links.py
+++ b/gypsumshift/links.py
@@ -7,14 +7,13 @@
 from gypsumshift.events import Recorder
 from gypsumshift.frames import FrameError, FrameStream
 from gypsumshift.generated.messages import Body
+from gypsumshift.listeners import close_listener
 
 __all__ = ["Exchanges", "Link", "LinkError", "PeerServer", "Session"]
 
 CONNECT_TIMEOUT = 1.0
 HELLO_TIMEOUT = 5.0
 INBOX_LIMIT = 4096
-# Turns of the loop in which asyncio makes the protocol of a connection it has taken.
-TURNS_TO_ACCEPT = 3
 
 log = logs.logger("peer")
 
@@ -244,24 +243,10 @@
         """Stop listening and cut all connections."""
         self.cut()
         if self.listener:
-            await self.stop_accepting()
-            self.listener.close()
+            await close_listener(self.listener)
 
     def cut(self) -> None:
         """Cut all connections, and each that comes from now on."""
         self.closed = True
         for task in list(self.tasks):
             task.cancel()
-
-    async def stop_accepting(self) -> None:
-        """Take no more connections, and let those be made that are being taken.
-
-        asyncio forgets a connection whose protocol is made after its listener was
-        closed, and leaves its socket open: the caller waited for nothing, in 11 of
-        600 tries under load.
-        """
-        loop = asyncio.get_running_loop()
-        for listening in self.listener.sockets:
-            loop.remove_reader(listening.fileno())
-        for _ in range(TURNS_TO_ACCEPT):
-            await asyncio.sleep(0)
--- a/gypsumshift/process.py
+++ b/gypsumshift/process.py
@@ -9,6 +9,7 @@
 import secrets
 
 from gypsumshift import logs, platforms
+from gypsumshift.addresses import parse_address
 from gypsumshift.clock import Clock, SystemClock
 from gypsumshift.events import Recorder
 from gypsumshift.generated import messages
@@ -22,7 +23,6 @@
 from gypsumshift.poller import Poller
 from gypsumshift.revisions import History, InForce
 from gypsumshift.server import Request, Response, Server, json_response, problem
-from gypsumshift.settings import parse_address
 
 __all__ = ["Process"]
 
--- a/gypsumshift/routing.py
+++ b/gypsumshift/routing.py
@@ -12,6 +12,7 @@
 import attrs
 
 from gypsumshift.clock import Clock
+from gypsumshift.ejection import Ejection
 from gypsumshift.generated.messages import RequestClass
 from gypsumshift.members import Known, View, rank
 
@@ -22,14 +23,12 @@
 AFFINITY_SLACK = 1.0
 DEFAULT_DURATION = 0.05
 FAILURES_TO_EJECT = 3
-EJECT_FIRST = 1.0
-EJECT_MOST = 30.0
 SLOW_FACTOR = 2.5
 SLOW_PROBE_FACTOR = 4.0
 LEAST_COMPARED = 3
 SLOW_SAMPLES = 16
 DURATION_WEIGHT = 0.1
-EJECTED_SHARE = 0.5
+EJECTION = Ejection(first=1.0, most=30.0, share=0.5)
 FULLNESS_WEIGHT = 0.2
 SWAP_PENALTY = 10.0
 
@@ -195,10 +194,9 @@
         """Do not choose one for a while, unless too many are out already."""
         now = self.clock.monotonic()
         out = sum(1 for other in self.records.values() if other.until > now)
-        if out + 1 > max(1, EJECTED_SHARE * len(self.records)):
+        if not EJECTION.allowed(out, len(self.records)):
             return
-        pause = min(EJECT_FIRST * 2**record.ejections, EJECT_MOST)
-        record.until = now + pause * self.chance.uniform(0.8, 1.2)
+        record.until = now + EJECTION.pause(record.ejections, self.chance)
         record.ejections += 1
         record.samples = record.failures = 0
         record.probation = True
--- a/gypsumshift/server.py
+++ b/gypsumshift/server.py
@@ -9,6 +9,7 @@
 import h11
 
 from gypsumshift import logs
+from gypsumshift.listeners import close_listener
 
 __all__ = ["Abandon", "Request", "Response", "Server", "json_response", "problem"]
 
@@ -167,7 +168,7 @@
         """Take no new connection; wait for running requests up to ``grace`` seconds."""
         self.closing = True
         if self.listener:
-            self.listener.close()
+            await close_listener(self.listener)
         for task, connection in list(self.connections.items()):
             if not connection.busy:
                 task.cancel()
--- a/gypsumshift/serving/__init__.py
+++ b/gypsumshift/serving/__init__.py
@@ -1,7 +1,8 @@
 """Serving: routed requests of callers to the backend servers of services."""
 
+from gypsumshift.serving.calls import Call
 from gypsumshift.serving.directory import BackendServer, Directory
-from gypsumshift.serving.forwarder import Call, Forwarder
+from gypsumshift.serving.forwarder import Forwarder
 from gypsumshift.serving.headers import HeaderNames
 from gypsumshift.serving.routes import (
     EngineLimits,
--- /dev/null
+++ b/gypsumshift/serving/calls.py
@@ -0,0 +1,68 @@
+"""Calls: a request to be answered, and how one attempt at it can end."""
+
+import attrs
+
+from gypsumshift.outcomes import Answered
+from gypsumshift.serving.routes import RequestKind, Route
+
+__all__ = ["Attempt", "Call", "Failed", "Refused"]
+
+
+@attrs.define
+class Call:
+    """One request to be answered.
+
+    Attributes
+    ----------
+    id : str
+    method, target : str
+        The target holds path and query as they came.
+    host : str
+        Host header field.
+    headers : list of (str, str)
+        Names in lower case; those of one connection are left out on the way.
+    body : bytes
+    route : Route
+    deadline : float
+        By the monotonic clock, in seconds.
+    """
+
+    id: str
+    method: str
+    target: str
+    host: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    route: Route
+    deadline: float
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        return self.route.kind in (RequestKind.SAFE, RequestKind.BATCH)
+
+
+@attrs.frozen
+class Refused:
+    """A backend server vouches that it has not run the request.
+
+    Attributes
+    ----------
+    reason : str
+    replaced : bool
+        Whether another server stands at its address now.
+    """
+
+    reason: str
+    replaced: bool = False
+
+
+@attrs.frozen
+class Failed:
+    """An attempt came to nothing; ``sent`` tells whether it may have run."""
+
+    reason: str
+    sent: bool
+
+
+Attempt = Answered | Refused | Failed
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -6,27 +6,18 @@
 """
 
 import asyncio
-import contextlib
 import datetime
 
 import attrs
 
 from gypsumshift import logs
-from gypsumshift.clock import Clock
-from gypsumshift.fetch import Exchange, Fetcher, FetchError
-from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered, NotRun, Unknown
-from gypsumshift.serving.directory import BackendServer, Directory
-from gypsumshift.serving.headers import HOP_BY_HOP, HeaderNames
-from gypsumshift.serving.pool import Pool
-from gypsumshift.serving.routes import RequestKind, Route
+from gypsumshift.serving.calls import Attempt, Call, Failed, Refused
+from gypsumshift.serving.directory import BackendServer
+from gypsumshift.serving.sender import Sender
 
-__all__ = ["Call", "Forwarder"]
+__all__ = ["Forwarder"]
 
-# Seconds to open a connection inside a region, where a round trip takes 3 ms. A host
-# whose link is full answers within this time too; a silent server costs no more than
-# the delay after which a second one is asked.
-CONNECT_TIMEOUT = 0.3
 # Part of a route's objective after which a second server is asked as well. Half of
 # the objective leaves the second the time of a usual answer, which takes a quarter.
 HEDGE_SHARE = 0.5
@@ -40,73 +31,10 @@
 RETRY_AFTER = 0.25
 # Seconds kept back from the deadline, so that the verdict still reaches the caller.
 VERDICT_MARGIN = 0.02
-NOT_RUN_STATUSES = (429, 503, 400)
-# HTTP status of a server that is not the one expected at its address.
-MISDIRECTED = 421
 
 log = logs.logger("forwarder")
 
 
-@attrs.define
-class Call:
-    """One request to be answered.
-
-    Attributes
-    ----------
-    id : str
-    method, target : str
-        The target holds path and query as they came.
-    host : str
-        Host header field.
-    headers : list of (str, str)
-        Names in lower case; those of one connection are left out on the way.
-    body : bytes
-    route : Route
-    deadline : float
-        By the monotonic clock, in seconds.
-    """
-
-    id: str
-    method: str
-    target: str
-    host: str
-    headers: list[tuple[str, str]]
-    body: bytes
-    route: Route
-    deadline: float
-
-    @property
-    def repeatable(self) -> bool:
-        """Whether it may run more than once."""
-        return self.route.kind in (RequestKind.SAFE, RequestKind.BATCH)
-
-
-@attrs.frozen
-class Refused:
-    """A backend server vouches that it has not run the request.
-
-    Attributes
-    ----------
-    reason : str
-    replaced : bool
-        Whether another server stands at its address now.
-    """
-
-    reason: str
-    replaced: bool = False
-
-
-@attrs.frozen
-class Failed:
-    """An attempt came to nothing; ``sent`` tells whether it may have run."""
-
-    reason: str
-    sent: bool
-
-
-Attempt = Answered | Refused | Failed
-
-
 @attrs.define
 class Race:
     """The attempts of one call.
@@ -151,25 +79,19 @@
 
 
 class Forwarder:
-    """Sends calls to the backend servers of their services.
+    """Has calls answered by the backend servers of their services.
 
     Parameters
     ----------
-    directory : Directory
-    pool : Pool
-    fetcher : Fetcher
-    names : HeaderNames
-    clock : Clock
-    metrics : Metrics
+    sender : Sender
     """
 
-    def __init__(self, directory, pool, fetcher, names, clock, metrics):
-        self.directory: Directory = directory
-        self.pool: Pool = pool
-        self.fetcher: Fetcher = fetcher
-        self.names: HeaderNames = names
-        self.clock: Clock = clock
-        self.metrics: Metrics = metrics
+    def __init__(self, sender: Sender):
+        self.sender = sender
+        self.directory = sender.directory
+        self.pool = sender.pool
+        self.clock = sender.clock
+        self.metrics = sender.metrics
 
     async def forward(self, call: Call) -> Answered | NotRun | Unknown:
         """Return what became of a call, before its deadline."""
@@ -234,7 +156,7 @@
         server = self.pool.choose(race.servers, race.involved)
         if server is None:
             return False
-        task = asyncio.create_task(self.attempt(race.call, server))
+        task = asyncio.create_task(self.sender.attempt(race.call, server))
         race.running[task] = server
         return True
 
@@ -280,123 +202,3 @@
             task.cancel()
         if race.running:
             await asyncio.wait(race.running)
-
-    async def attempt(self, call: Call, server: BackendServer) -> Attempt:
-        """Send a call to one server and read its answer."""
-        self.pool.sent(server)
-        started = self.clock.monotonic()
-        try:
-            outcome = await self.exchange(call, server)
-        except asyncio.CancelledError:
-            self.pool.waited(server, self.clock.monotonic() - started)
-            raise
-        finally:
-            self.pool.ended(server)
-        self.learn(call, server, outcome, self.clock.monotonic() - started)
-        return outcome
-
-    def learn(self, call, server, outcome: Attempt, took: float) -> None:
-        """Note how a server fared."""
-        ending = type(outcome).__name__
-        self.metrics.count("attempts", service=server.service, outcome=ending)
-        good = isinstance(outcome, Answered) and outcome.status < 500
-        if good:
-            self.pool.answered(server, took)
-        elif isinstance(outcome, Refused) and outcome.replaced:
-            self.pool.replaced(server)
-        elif not isinstance(outcome, Refused):
-            servers = self.directory.service(server.service)
-            ejected = self.pool.failed(server, servers)
-            reason = getattr(outcome, "reason", "") or f"status {outcome.status}"
-            logs.event(
-                log,
-                "An attempt failed.",
-                request=call.id,
-                server=server.id,
-                reason=reason,
-                took_s=round(took, 4),
-                ejected=ejected,
-            )
-
-    async def exchange(self, call: Call, server: BackendServer) -> Attempt:
-        """Exchange request and answer; a stale idle connection is replaced once."""
-        fresh = not call.repeatable
-        try:
-            return await self.exchange_once(call, server, fresh)
-        except FetchError as error:
-            if not error.reused:
-                return Failed(str(error), error.sent)
-        try:
-            return await self.exchange_once(call, server, True)
-        except FetchError as error:
-            return Failed(str(error), True)
-
-    async def exchange_once(self, call, server, fresh: bool) -> Attempt:
-        """Exchange on one connection.
-
-        Raises
-        ------
-        FetchError
-            The connection broke, or what came is no answer to this request.
-        """
-        exchange = await self.fetcher.open(
-            server.address,
-            call.method,
-            call.target,
-            self.fields(call, server),
-            call.body,
-            fresh=fresh,
-            host=call.host,
-            connect_timeout=CONNECT_TIMEOUT,
-        )
-        with contextlib.closing(exchange):
-            self.check_identity(call, exchange)
-            self.note_load(server, exchange)
-            body = await exchange.read()
-            return self.classify(exchange, body)
-
-    def fields(self, call: Call, server: BackendServer) -> list[tuple[str, str]]:
-        """Return the header fields for one server."""
-        own = (self.names.time_left, self.names.expected_server)
-        left = call.deadline - self.clock.monotonic()
-        passed = [
-            (key, value)
-            for key, value in call.headers
-            if key not in HOP_BY_HOP and key not in own
-        ]
-        return [
-            *passed,
-            (self.names.time_left, str(max(1, int(left * 1000)))),
-            (self.names.expected_server, server.id),
-        ]
-
-    def check_identity(self, call: Call, exchange: Exchange) -> None:
-        """Refuse an answer to another request, which a faulty server may send."""
-        echoed = exchange.header(self.names.request_id.encode())
-        if echoed and echoed != call.id:
-            raise FetchError(f"an answer to the request {echoed}", True)
-
-    def note_load(self, server: BackendServer, exchange: Exchange) -> None:
-        """Take the load that an answer tells."""
-        words = exchange.header(self.names.load.encode()).split(",")
-        if len(words) == 3 and words[0].isdigit() and words[1].isdigit():
-            self.pool.told(server, int(words[0]) + int(words[1]))
-
-    def classify(self, exchange: Exchange, body: bytes) -> Attempt:
-        """Return what a whole answer means."""
-        not_run = exchange.header(self.names.not_run.encode())
-        if exchange.status == MISDIRECTED:
-            return Refused("another server is there", True)
-        if exchange.status in NOT_RUN_STATUSES and not_run:
-            return Refused(f"status {exchange.status}")
-        signed = exchange.header(self.names.signature.encode())
-        if not signed and exchange.status < 300:
-            return Failed("an answer without a signature", True)
-        if exchange.header(b"content-encoding"):
-            return Failed("an encoded answer", True)
-        headers = tuple(
-            (key.decode(), value.decode("latin-1"))
-            for key, value in exchange.headers
-            if key.decode() not in HOP_BY_HOP
-        )
-        return Answered(exchange.status, headers, body)
--- a/gypsumshift/serving/headers.py
+++ b/gypsumshift/serving/headers.py
@@ -44,10 +44,6 @@
         Weight version at the start of an answer.
     event_version : str
         Field of an event that names a new weight version.
-    priority : str
-        Rank at a model engine, 0 first.
-    prompt : str
-        Parts of the prompt, in order.
     length_hint : str
         Estimated number of output tokens.
     wait : str
@@ -63,7 +59,5 @@
     load: str
     versions: str
     event_version: str
-    priority: str
-    prompt: str
     length_hint: str
     wait: str
--- a/gypsumshift/serving/pool.py
+++ b/gypsumshift/serving/pool.py
@@ -11,6 +11,7 @@
 import attrs
 
 from gypsumshift.clock import Clock
+from gypsumshift.ejection import Ejection
 from gypsumshift.serving.directory import BackendServer
 
 __all__ = ["Pool", "Record"]
@@ -28,16 +29,14 @@
 # or where it failed this share of its requests: one of a hundred is usual, a
 # broken server was seen to fail four of ten.
 SHARE_TO_EJECT = 0.35
-# Seconds of the first ejection; doubled with each that follows without a success.
-EJECT_FIRST = 1.0
-EJECT_MOST = 8.0
+# Doubled from 1 s to 8 s, as long as servers were seen to be slow; half of the servers
+# must stay, to carry all.
+EJECTION = Ejection(first=1.0, most=8.0, share=0.5)
 # A server slower than the pool by more than this counts this much busier only, so
 # that it is measured again from time to time.
 SLOWEST_FACTOR = 8.0
 # Seconds for which a server is avoided that was replaced; its entry lapses in four.
 GONE = 10.0
-# Part of the ready servers that may be ejected at once: the rest must carry all.
-EJECTED_SHARE = 0.5
 
 
 @attrs.define
@@ -188,9 +187,8 @@
         """Avoid a server for a while, unless too many are avoided already."""
         now = self.clock.monotonic()
         out = sum(1 for server in servers if self.record(server).until > now)
-        if out + 1 > max(1, EJECTED_SHARE * len(servers)):
+        if not EJECTION.allowed(out, len(servers)):
             return False
-        pause = min(EJECT_FIRST * 2**record.ejections, EJECT_MOST)
+        record.until = now + EJECTION.pause(record.ejections, self.chance)
         record.ejections += 1
-        record.until = now + pause * self.chance.uniform(0.8, 1.2)
         return True
--- a/gypsumshift/serving/routes.py
+++ b/gypsumshift/serving/routes.py
@@ -53,10 +53,8 @@
         Time within which an answer is on time.
     resumable : bool
         Whether a stream may go on at another backend server.
-    single_version : bool
+    one_version : bool
         Whether all events of a sample must come from one weight version.
-    retention : timedelta or None
-        An item may be given up this long after its batch job was submitted.
     """
 
     name: str
@@ -68,8 +66,7 @@
     timeout: datetime.timedelta | None = None
     objective: datetime.timedelta | None = None
     resumable: bool = False
-    single_version: bool = False
-    retention: datetime.timedelta | None = None
+    one_version: bool = False
 
     def service_for(self, request_id: str) -> str:
         """Return the service that takes a request; the same one on a retry."""
@@ -92,14 +89,11 @@
     ----------
     slots : int
         Requests that run at once.
-    memory : int
-        Tokens of prompts and outputs.
     models : tuple of str
         Models that it serves.
     """
 
     slots: int
-    memory: int
     models: tuple[str, ...]
 
 
@@ -110,16 +104,11 @@
     Attributes
     ----------
     name : str
-    health_path : str
-    connections : int
-        Connections that one of its servers takes from all callers together.
     engine : EngineLimits or None
         None for a plain service.
     """
 
     name: str
-    health_path: str = ""
-    connections: int = 0
     engine: EngineLimits | None = None
 
 
--- /dev/null
+++ b/gypsumshift/serving/sender.py
@@ -0,0 +1,161 @@
+"""Sender: one attempt at a call, at one backend server."""
+
+import asyncio
+import contextlib
+
+from gypsumshift import logs
+from gypsumshift.clock import Clock
+from gypsumshift.fetch import Exchange, Fetcher, FetchError
+from gypsumshift.metrics import Metrics
+from gypsumshift.outcomes import Answered
+from gypsumshift.serving.answers import foreign_id, passed_headers, refusal
+from gypsumshift.serving.calls import Attempt, Call, Failed, Refused
+from gypsumshift.serving.directory import BackendServer, Directory
+from gypsumshift.serving.headers import HOP_BY_HOP, HeaderNames
+from gypsumshift.serving.pool import Pool
+
+__all__ = ["Sender"]
+
+# Seconds to open a connection inside a region, where a round trip takes 3 ms. A host
+# whose link is full answers within this time too; a silent server costs no more than
+# the delay after which a second one is asked.
+CONNECT_TIMEOUT = 0.3
+
+log = logs.logger("sender")
+
+
+class Sender:
+    """Sends calls to backend servers, and has the pool learn from the answers.
+
+    Parameters
+    ----------
+    directory : Directory
+    pool : Pool
+    fetcher : Fetcher
+    names : HeaderNames
+    clock : Clock
+    metrics : Metrics
+    """
+
+    def __init__(self, directory, pool, fetcher, names, clock, metrics):
+        self.directory: Directory = directory
+        self.pool: Pool = pool
+        self.fetcher: Fetcher = fetcher
+        self.names: HeaderNames = names
+        self.clock: Clock = clock
+        self.metrics: Metrics = metrics
+
+    async def attempt(self, call: Call, server: BackendServer) -> Attempt:
+        """Send a call to one server and read its answer."""
+        self.pool.sent(server)
+        started = self.clock.monotonic()
+        try:
+            outcome = await self.exchange(call, server)
+        except asyncio.CancelledError:
+            self.pool.waited(server, self.clock.monotonic() - started)
+            raise
+        finally:
+            self.pool.ended(server)
+        self.learn(call, server, outcome, self.clock.monotonic() - started)
+        return outcome
+
+    def learn(self, call, server, outcome: Attempt, took: float) -> None:
+        """Note how a server fared."""
+        ending = type(outcome).__name__
+        self.metrics.count("attempts", service=server.service, outcome=ending)
+        good = isinstance(outcome, Answered) and outcome.status < 500
+        if good:
+            self.pool.answered(server, took)
+        elif isinstance(outcome, Refused) and outcome.replaced:
+            self.pool.replaced(server)
+        elif not isinstance(outcome, Refused):
+            servers = self.directory.service(server.service)
+            ejected = self.pool.failed(server, servers)
+            reason = getattr(outcome, "reason", "") or f"status {outcome.status}"
+            logs.event(
+                log,
+                "An attempt failed.",
+                request=call.id,
+                server=server.id,
+                reason=reason,
+                took_s=round(took, 4),
+                ejected=ejected,
+            )
+
+    async def exchange(self, call: Call, server: BackendServer) -> Attempt:
+        """Exchange request and answer; a stale idle connection is replaced once."""
+        fresh = not call.repeatable
+        try:
+            return await self.exchange_once(call, server, fresh)
+        except FetchError as error:
+            if not error.reused:
+                return Failed(str(error), error.sent)
+        try:
+            return await self.exchange_once(call, server, True)
+        except FetchError as error:
+            return Failed(str(error), True)
+
+    async def exchange_once(self, call, server, fresh: bool) -> Attempt:
+        """Exchange on one connection.
+
+        Raises
+        ------
+        FetchError
+            The connection broke, or what came is no answer to this request.
+        """
+        exchange = await self.open(call, server, self.fields(call, server), fresh)
+        with contextlib.closing(exchange):
+            foreign = foreign_id(exchange, self.names, call.id)
+            if foreign:
+                raise FetchError(f"an answer to the request {foreign}", True)
+            self.note_load(server, exchange)
+            body = await exchange.read()
+            return self.classify(exchange, body)
+
+    async def open(
+        self, call: Call, server: BackendServer, fields: list, fresh: bool
+    ) -> Exchange:
+        """Send a call with these header fields, and read the head of its answer."""
+        return await self.fetcher.open(
+            server.address,
+            call.method,
+            call.target,
+            fields,
+            call.body,
+            fresh=fresh,
+            host=call.host,
+            connect_timeout=CONNECT_TIMEOUT,
+        )
+
+    def fields(self, call: Call, server: BackendServer) -> list[tuple[str, str]]:
+        """Return the header fields for one server."""
+        own = (self.names.time_left, self.names.expected_server)
+        left = call.deadline - self.clock.monotonic()
+        passed = [
+            (key, value)
+            for key, value in call.headers
+            if key not in HOP_BY_HOP and key not in own
+        ]
+        return [
+            *passed,
+            (self.names.time_left, str(max(1, int(left * 1000)))),
+            (self.names.expected_server, server.id),
+        ]
+
+    def note_load(self, server: BackendServer, exchange: Exchange) -> None:
+        """Take the load that an answer tells."""
+        words = exchange.header(self.names.load.encode()).split(",")
+        if len(words) == 3 and words[0].isdigit() and words[1].isdigit():
+            self.pool.told(server, int(words[0]) + int(words[1]))
+
+    def classify(self, exchange: Exchange, body: bytes) -> Attempt:
+        """Return what a whole answer means."""
+        refused = refusal(exchange, self.names)
+        if refused is not None:
+            return refused
+        signed = exchange.header(self.names.signature.encode())
+        if not signed and exchange.status < 300:
+            return Failed("an answer without a signature", True)
+        if exchange.header(b"content-encoding"):
+            return Failed("an encoded answer", True)
+        return Answered(exchange.status, passed_headers(exchange), body)
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -17,16 +17,10 @@
 from gypsumshift.fetch import Exchange, FetchError
 from gypsumshift.outcomes import NotRun, Unknown
 from gypsumshift.server import Abandon
+from gypsumshift.serving.answers import passed_headers, refusal
+from gypsumshift.serving.calls import Call
 from gypsumshift.serving.directory import BackendServer
-from gypsumshift.serving.forwarder import (
-    CONNECT_TIMEOUT,
-    MISDIRECTED,
-    NOT_RUN_STATUSES,
-    RETRY_AFTER,
-    Call,
-    Forwarder,
-)
-from gypsumshift.serving.headers import HOP_BY_HOP
+from gypsumshift.serving.forwarder import RETRY_AFTER, Forwarder
 
 __all__ = ["Stream", "StreamRelay"]
 
@@ -70,11 +64,7 @@
         if not isinstance(opened, tuple):
             return opened
         exchange, server = opened
-        headers = [
-            (key.decode(), value.decode("latin-1"))
-            for key, value in exchange.headers
-            if key.decode() not in HOP_BY_HOP
-        ]
+        headers = list(passed_headers(exchange))
         resumable = call.route.resumable and exchange.status == 200
         relay = self.resume if resumable else self.pass_on
         return Stream(exchange.status, headers, relay(call, exchange, server))
@@ -83,49 +73,33 @@
         self, call: Call, tried: set[str], after: str = ""
     ) -> tuple[Exchange, BackendServer] | NotRun | Unknown:
         """Open a stream behind an event at a server that was not tried yet."""
-        names, pool = self.forwarder.names, self.forwarder.pool
+        sender, pool = self.forwarder.sender, self.forwarder.pool
         while True:
             service = call.route.service_for(call.id)
-            servers = self.forwarder.directory.service(service)
+            servers = sender.directory.service(service)
             server = pool.choose(servers, tried)
-            left = call.deadline - self.forwarder.clock.monotonic()
+            left = call.deadline - sender.clock.monotonic()
             if server is None or left <= 0:
                 pause = datetime.timedelta(seconds=RETRY_AFTER)
                 return NotRun("no backend server took the stream", pause)
             tried.add(server.id)
-            fields = self.forwarder.fields(call, server)
+            fields = sender.fields(call, server)
             if after:
-                fields = [f for f in fields if f[0] != names.last_event]
-                fields.append((names.last_event, after))
+                fields = [f for f in fields if f[0] != sender.names.last_event]
+                fields.append((sender.names.last_event, after))
             try:
                 async with asyncio.timeout(left):
-                    exchange = await self.forwarder.fetcher.open(
-                        server.address,
-                        call.method,
-                        call.target,
-                        fields,
-                        call.body,
-                        fresh=True,
-                        host=call.host,
-                        connect_timeout=CONNECT_TIMEOUT,
-                    )
+                    exchange = await sender.open(call, server, fields, fresh=True)
             except (FetchError, TimeoutError) as error:
                 pool.failed(server, servers)
                 unsent = isinstance(error, FetchError) and not error.sent
                 if unsent or call.route.resumable:
                     continue
                 return Unknown(str(error) or "no answer in time")
-            if not self.refused(exchange):
+            if refusal(exchange, sender.names) is None:
                 return exchange, server
             exchange.close()
 
-    def refused(self, exchange: Exchange) -> bool:
-        """Tell whether a server vouches that it has not run the request."""
-        if exchange.status == MISDIRECTED:
-            return True
-        not_run = exchange.header(self.forwarder.names.not_run.encode())
-        return exchange.status in NOT_RUN_STATUSES and bool(not_run)
-
     async def pass_on(self, call: Call, exchange: Exchange, server):
         """Yield the bytes of one server as they come."""
         with contextlib.closing(exchange):
@@ -138,7 +112,7 @@
     async def resume(self, call: Call, exchange: Exchange, server):
         """Yield whole events; goes on elsewhere where a server breaks off."""
         tried = {server.id}
-        last = call_header(call, self.forwarder.names.last_event)
+        last = call_header(call, self.forwarder.sender.names.last_event)
         while True:
             try:
                 with contextlib.closing(exchange):
--- a/gypsumshift/settings.py
+++ b/gypsumshift/settings.py
@@ -7,7 +7,7 @@
 from gypsumshift.generated.settings import Settings
 from gypsumshift.outcomes import Invalid, Problem
 
-__all__ = ["Settings", "load", "operator_token", "parse_address"]
+__all__ = ["Settings", "load", "operator_token"]
 
 SCHEMA = "settings.schema.json"
 TOKEN_VARIABLE = "GYPSUMSHIFT_OPERATOR_TOKEN"
@@ -54,9 +54,3 @@
     if settings.operator_token_file:
         return pathlib.Path(settings.operator_token_file).read_text().strip()
     return os.environ.get(TOKEN_VARIABLE, "")
-
-
-def parse_address(text: str) -> tuple[str, int]:
-    """Return the IP number and port in ``number:port``."""
-    host, _, port = text.rpartition(":")
-    return host, int(port)
--- a/gypsumshift/sidecar.py
+++ b/gypsumshift/sidecar.py
@@ -1,6 +1,7 @@
 """Sidecar: the process beside one backend server, and its only sender."""
 
 from gypsumshift import logs
+from gypsumshift.addresses import parse_address
 from gypsumshift.backend import Backend, Fence
 from gypsumshift.fetch import Fetcher
 from gypsumshift.generated import messages
@@ -13,7 +14,6 @@
 from gypsumshift.revisions import HEADS_TABLE
 from gypsumshift.rollout import Rollout
 from gypsumshift.runs import Runs
-from gypsumshift.settings import parse_address
 
 __all__ = ["Sidecar"]
 
--- a/gypsumshift/watch.py
+++ b/gypsumshift/watch.py
@@ -130,12 +130,6 @@
             )
 
 
-async def settled(watches: list[Watch], clock: Clock) -> None:
-    """Wait until every watch has read its table once."""
-    while any(watch.version < 0 for watch in watches):
-        await clock.sleep(RETRY_FIRST)
-
-
 async def run_all(watches: list[Watch]) -> None:
     """Run watches side by side until cancelled."""
     async with asyncio.TaskGroup() as group:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -77,6 +77,6 @@
         wrong.append(f"{item}: a wrong text")
     if not result["versions"]:
         wrong.append(f"{item}: no versions")
-    if not result["score"].endswith(f".s-{item}"):
+    if not result["score"].endswith(f".score-{item}"):
         wrong.append(f"{item}: the score of another item")
     return wrong
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -11,12 +11,12 @@
 
 from gypsumshift.fetch import Fetcher, FetchError
 from soak.proxy import Proxy
+from standins.users_documents import MODEL, config, settings_text
+from standins.users_worker import put_row
 
 __all__ = ["Deployment", "Process"]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-HOST = "soak.example"
-MODEL = "m"
 FRONT, READY, WORKER, STORE = 8100, 8101, 8200, 8300
 
 
@@ -111,7 +111,7 @@
         store = self.add("store", "standins.users_store", "--port", str(STORE))
         await store.start()
         await self.until_answered(self.store_address, "GET", "/none", 404)
-        await self.write("op", "config", self.config())
+        await self.write("op", "config", config(slots=6))
         for number in range(self.nodes):
             await self.add_worker(f"app-{number}", "app")
             engine = await self.add_worker(f"engine-{number}", "pool", MODEL)
@@ -146,17 +146,11 @@
         ip = self.next_ip()
         proxy = Proxy(self.store_address)
         await proxy.listen("127.0.0.1")
-        lines = {
-            "node_name": name,
-            "zone": "here",
-            "ip": ip,
-            "platform.addr": "{}:{}".format(*proxy.address),
-            "bounds.grace_s": 4,
-        }
         for key, value in fields.items():
-            lines[key] = f"{ip}:{value}" if key.startswith("listen") else value
+            if key.startswith("listen"):
+                fields[key] = f"{ip}:{value}"
         settings = self.folder / f"{name}.conf"
-        settings.write_text("\n".join(f"{k}={v}" for k, v in lines.items()))
+        settings.write_text(settings_text(name, ip, proxy.address, **fields))
         environment = {"GYPSUMSHIFT_NODE_FILE": str(settings)}
         command = [sys.executable, str(ROOT / "platform" / "main.py")]
         log = self.folder / f"{name}.log"
@@ -165,38 +159,12 @@
         await process.start()
         return process
 
-    def config(self) -> dict:
-        """Return the configuration."""
-        usual = {"host": HOST, "timeout_ms": 3000, "slo_ms": 400}
-        kinds = {
-            "app": {"kind": "safe", "service": "app", "attempts": 3},
-            "once": {"kind": "unsafe", "service": "app", "attempts": 2},
-            "score": {"kind": "safe", "service": "app", "attempts": 4},
-            "batch": {"kind": "rollout", "service": "pool", "attempts": 3},
-        }
-        routes = [
-            {"name": name, "prefix": f"/{name}/", **usual, **fields}
-            for name, fields in kinds.items()
-        ]
-        engine = {"slots": 6, "kv_capacity": 1000, "models": [{"name": MODEL}]}
-        services = [{"name": "app"}, {"name": "pool", "engine": engine}]
-        return {"version": 1, "routes": routes, "services": services}
-
     async def write(self, table: str, key: str, value: dict) -> None:
         """Write into the store as the operator or a trainer does."""
-        from standins.users_worker import transaction
-
-        body = transaction(table, key, value)
-        target = "/gypsumshift/rows-tx"
+        row = (table, key, value)
         while True:
-            try:
-                answer = await self.fetcher.fetch(
-                    self.store_address, "POST", target, [], body, 2.0
-                )
-                if answer.status == 200:
-                    return
-            except FetchError as error:
-                print(f"soak: the store did not take {table}/{key}: {error}")
+            if await put_row(self.fetcher, self.store_address, row):
+                return
             await asyncio.sleep(0.1)
 
     async def set_store(self, **faults) -> None:
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -1,7 +1,6 @@
 """Workload: callers and a trainer, and what they saw."""
 
 import asyncio
-import base64
 import itertools
 import json
 import random
@@ -9,7 +8,8 @@
 import attrs
 
 from gypsumshift.fetch import Fetcher, FetchError
-from soak.deployment import FRONT, HOST, MODEL, Deployment
+from soak.deployment import FRONT, Deployment
+from standins.users_documents import HOST, job_body, results_target
 from standins.users_worker import plain_answer
 
 __all__ = ["Seen", "Workload"]
@@ -103,32 +103,11 @@
         elif status == 200:
             self.seen.served += 1
 
-    def job_body(self, job: str) -> bytes:
-        """Return the body of a batch job."""
-        requests = []
-        for group, number in itertools.product(range(GROUPS), range(SIZE)):
-            item = f"{job}-{group}-{number}"
-            scorer = {"id": f"s-{item}", "host": HOST, "path": "/score/1", "body": ""}
-            text = base64.b64encode(item.encode()).decode()
-            requests.append(
-                {
-                    "id": item,
-                    "path": "/batch/1",
-                    "headers": {"Model": MODEL},
-                    "body": text,
-                    "tokens": 10,
-                    "group": f"{job}-{group}",
-                    "scorer": scorer,
-                }
-            )
-        fields = {"step": 0, "model": MODEL, "min_version": 1, "target_groups": GROUPS}
-        return json.dumps({**fields, "requests": requests}).encode()
-
     async def train(self) -> None:
         """Submit jobs, each again until it is accepted."""
         while not self.stopping:
             job = self.new_id()
-            body = self.job_body(job)
+            body = job_body(job, GROUPS, SIZE)
             while not self.stopping:
                 answer = await self.ask("POST", "/batch/1", job, body)
                 if answer is not None and answer[0] == 202:
@@ -142,7 +121,7 @@
         """Read all results of a job, however long that takes."""
         found: list[dict] = []
         while len(found) < len(self.seen.jobs[job]):
-            target = f"/gypsumshift/lots/{job}?after={len(found)}"
+            target = results_target(job, len(found))
             answer = await self.ask("GET", target, self.new_id(), gateway=gateway)
             if answer is None or answer[0] != 200:
                 if answer is not None and answer[0] in (404, 410):
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -15,9 +15,9 @@
 import attrs
 import typer
 
+from gypsumshift.addresses import parse_address
 from gypsumshift.fetch import Fetcher, FetchError
 from gypsumshift.server import Abandon, Request, Response, Server, json_response
-from gypsumshift.settings import parse_address
 from standins.cache import PrefixCache
 
 REPORT_PERIOD = 0.5
--- /dev/null
+++ b/standins/users_documents.py
@@ -0,0 +1,103 @@
+"""Documents of the users' platform, as its operator and its trainers write them."""
+
+import base64
+import itertools
+import json
+
+__all__ = [
+    "HOST",
+    "MODEL",
+    "config",
+    "job_body",
+    "results_target",
+    "route",
+    "settings_text",
+]
+
+HOST = "users.example"
+MODEL = "m"
+
+
+def route(name: str, **fields) -> dict:
+    """Return a route whose prefix is its name."""
+    usual = {"host": HOST, "timeout_ms": 3000, "slo_ms": 400, "priority": 1}
+    return {"name": name, "prefix": f"/{name}/", **usual, **fields}
+
+
+def config(version: int = 1, routes=(), slots: int = 4) -> dict:
+    """Return a configuration with a plain service and a pool of engines.
+
+    Parameters
+    ----------
+    version : int
+    routes : iterable of dict
+        Beside the usual ones, one of each kind.
+    slots : int
+        Requests that an engine runs at once.
+    """
+    usual = [
+        route("app", kind="safe", service="app", attempts=2),
+        route("once", kind="unsafe", service="app", attempts=2),
+        route("score", kind="safe", service="app", attempts=4),
+        route("batch", kind="rollout", service="pool", attempts=3),
+        route("flow", kind="stream", service="pool", attempts=2),
+        route("resumed", kind="stream", service="pool", attempts=2, can_resume=True),
+    ]
+    engine = {"slots": slots, "kv_capacity": 1000, "models": [{"name": MODEL}]}
+    services = [{"name": "app"}, {"name": "pool", "engine": engine}]
+    return {
+        "version": version,
+        "routes": [*usual, *routes],
+        "services": services,
+        "limits": {"max_body_bytes": 1_000_000},
+    }
+
+
+def job_body(job: str, groups: int = 2, size: int = 2, min_version: int = 1) -> bytes:
+    """Return the body of a batch job whose items are ``JOB-GROUP-NUMBER``."""
+    places = itertools.product(range(groups), range(size))
+    value = {
+        "step": 1,
+        "model": MODEL,
+        "min_version": min_version,
+        "target_groups": groups,
+        "requests": [item(job, group, number) for group, number in places],
+    }
+    return json.dumps(value).encode()
+
+
+def item(job: str, group: int, number: int) -> dict:
+    """Return one item; its body is ``GROUP/NUMBER``."""
+    name = f"{job}-{group}-{number}"
+    return {
+        "id": name,
+        "path": "/batch/run",
+        "headers": {"Model": MODEL, "Length-Hint": "10"},
+        "body": base64.b64encode(f"{group}/{number}".encode()).decode(),
+        "tokens": 100,
+        "group": f"{job}-{group}",
+        "scorer": {
+            "id": f"score-{name}",
+            "host": HOST,
+            "path": "/score/1",
+            "body": base64.b64encode(b"text").decode(),
+        },
+    }
+
+
+def results_target(job: str, after: int = 0) -> str:
+    """Return where the results of a job are read from a position on."""
+    return f"/gypsumshift/lots/{job}?after={after}"
+
+
+def settings_text(name: str, ip: str, store: tuple[str, int], **fields) -> str:
+    """Return the settings file of one process."""
+    lines = {
+        "node_name": name,
+        "zone": "here",
+        "ip": ip,
+        "platform.addr": f"{store[0]}:{store[1]}",
+        "bounds.grace_s": "4",
+        "a.new": "field",
+    }
+    return "\n".join(f"{key}={value}" for key, value in (lines | fields).items())
--- a/standins/users_worker.py
+++ b/standins/users_worker.py
@@ -13,10 +13,11 @@
 
 import typer
 
+from gypsumshift.addresses import parse_address
 from gypsumshift.fetch import Fetcher, FetchError
 from gypsumshift.server import Abandon, Request, Response, Server, json_response
 
-__all__ = ["UsersWorker", "event_text", "plain_answer", "transaction"]
+__all__ = ["UsersWorker", "event_text", "plain_answer", "put_row"]
 
 HEARTBEAT = 0.6
 LOAD_SECONDS = 0.3
@@ -194,27 +195,30 @@
         }
 
 
-def transaction(table: str, key: str, value: dict) -> bytes:
-    """Return the body of a transaction that writes one row."""
+async def put_row(fetcher: Fetcher, store: tuple[str, int], row: tuple) -> bool:
+    """Write a row, given as table, key and value; return whether the store took it."""
+    table, key, value = row
     data = base64.b64encode(json.dumps(value).encode()).decode()
     write = {"table": table, "key": key, "value": data}
-    return json.dumps({"expected": [], "writes": [write], "remove": []}).encode()
+    body = json.dumps({"expected": [], "writes": [write], "remove": []}).encode()
+    try:
+        answer = await fetcher.fetch(
+            store, "POST", "/gypsumshift/rows-tx", [], body, 2.0
+        )
+    except FetchError as error:
+        print(f"the store does not take {table}/{key}: {error}", flush=True)
+        return False
+    return answer.status == 200
 
 
 async def run(worker: UsersWorker, ip: str, port: int, store: str) -> None:
     """Serve, and register in the store, until cancelled."""
     await worker.server.listen(ip, port)
     fetcher = Fetcher()
-    host, _, store_port = store.rpartition(":")
+    store_address = parse_address(store)
     while True:
         entry = worker.entry(f"{ip}:{port}")
-        body = transaction("servers", worker.id, entry)
-        target = "/gypsumshift/rows-tx"
-        address = (host, int(store_port))
-        try:
-            await fetcher.fetch(address, "POST", target, [], body, 2.0)
-        except FetchError as error:
-            print(f"the store does not take the entry: {error}", flush=True)
+        await put_row(fetcher, store_address, ("servers", worker.id, entry))
         await asyncio.sleep(HEARTBEAT)
 
 
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -1,7 +1,6 @@
 """Builders for tests of batch jobs: engines without a network, jobs, agents."""
 
 import asyncio
-import datetime
 import random
 
 import attrs
@@ -9,8 +8,8 @@
 from gypsumshift import memory
 from gypsumshift.clock import SystemClock
 from gypsumshift.eventstream import StreamBroken
-from gypsumshift.jobs import Desk, EngineReport, Event, Item, Job, Scorer, split
-from gypsumshift.jobs.agent import Agent, Home
+from gypsumshift.jobs import Desk, EngineReport, Event, Item, Job, RewardCall, split
+from gypsumshift.jobs.agent import Agent
 from gypsumshift.jobs.claims import ClaimBoard
 from gypsumshift.jobs.engine import StreamRefused
 from gypsumshift.jobs.model import (
@@ -21,6 +20,7 @@
     summary,
     to_row,
 )
+from gypsumshift.jobs.station import Home
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered
 from gypsumshift.platforms import Row
@@ -46,8 +46,6 @@
     load="load",
     versions="versions",
     event_version="versions",
-    priority="priority",
-    prompt="prompt",
     length_hint="length-hint",
     wait="wait",
 )
@@ -58,23 +56,21 @@
 METRICS = Metrics("test", dict)
 
 
-def items(groups=2, size=2, step="s", scorer=True):
+def items(groups=2, size=2, step="s"):
     """Return the items of a step."""
     found = []
     for group in range(groups):
         for number in range(size):
             name = f"{step}-{group}-{number}"
-            reward = Scorer(f"r-{name}", HOST, "/score/", b"x") if scorer else None
-            found.append(
-                Item(name, "/run/1", {}, b"body", 100, f"g{group}", 10, reward)
-            )
+            reward = RewardCall(f"r-{name}", HOST, "/score/", b"x")
+            found.append(Item(name, "/run/1", {}, b"body", f"g{group}", 10, reward))
     return found
 
 
-def job(units, job_id="job", model=MODEL, min_version=1, target=2):
+def job(units, job_id="job", model=MODEL, oldest_version=1):
     """Return a batch job of units."""
     summaries = tuple(summary(unit) for unit in units)
-    return Job(job_id, HOST, "/run/", model, 0, min_version, target, 0.0, summaries)
+    return Job(job_id, HOST, "/run/", model, 0, oldest_version, 0.0, summaries)
 
 
 def job_row(value, version=1):
@@ -86,7 +82,7 @@
     return Row(CLAIMS, unit, version, to_row(claim), job_id)
 
 
-def routes(version=1, single_version=False, attempts=3):
+def routes(version=1, one_version=False, attempts=3):
     """Return a configuration with one route for items and one for scores."""
     run = Route(
         "run",
@@ -95,12 +91,12 @@
         RequestKind.BATCH,
         (Target(SERVICE),),
         attempts=attempts,
-        single_version=single_version,
+        one_version=one_version,
     )
     score = Route(
         "score", HOST, "/score/", RequestKind.SAFE, (Target("app"),), attempts=4
     )
-    limits = EngineLimits(slots=4, memory=1000, models=(MODEL,))
+    limits = EngineLimits(slots=4, models=(MODEL,))
     return RouteTable(version, [run, score], [Service(SERVICE, engine=limits)])
 
 
@@ -245,7 +241,3 @@
 
 def board(session="mine", clock=None):
     return ClaimBoard(session, clock)
-
-
-def seconds(value):
-    return datetime.timedelta(seconds=value)
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -1,7 +1,6 @@
 """Builders for tests of the platform's adapter: the whole path over loopback."""
 
 import asyncio
-import base64
 import json
 import pathlib
 import sys
@@ -9,6 +8,7 @@
 import attrs
 
 from gypsumshift.fetch import Fetcher
+from standins.users_documents import HOST, config, results_target, settings_text
 from standins.users_store import UsersStore
 from standins.users_worker import UsersWorker
 
@@ -16,82 +16,6 @@
 if str(FOLDER) not in sys.path:
     sys.path.append(str(FOLDER))
 
-HOST = "here.example"
-
-
-def config(version=1, routes=(), **limits):
-    """Return a configuration as the operator writes it."""
-    usual = [
-        route("app", "/app/", kind="safe", service="app", attempts=2),
-        route("once", "/once/", kind="unsafe", service="app", attempts=2),
-        route("batch", "/batch/", kind="rollout", service="pool", attempts=3),
-        route("flow", "/flow/", kind="stream", service="pool", attempts=2),
-        route(
-            "resumed",
-            "/resumed/",
-            kind="stream",
-            service="pool",
-            attempts=2,
-            can_resume=True,
-        ),
-        route("score", "/score/", kind="safe", service="app", attempts=4),
-    ]
-    engine = {"slots": 4, "kv_capacity": 1000, "models": [{"name": "m"}]}
-    services = [{"name": "app"}, {"name": "pool", "engine": engine}]
-    return {
-        "version": version,
-        "routes": [*usual, *routes],
-        "services": services,
-        "limits": {"max_body_bytes": 1_000_000, **limits},
-    }
-
-
-def route(name, prefix, **fields):
-    usual = {"host": HOST, "timeout_ms": 3000, "slo_ms": 400, "priority": 1}
-    return {"name": name, "prefix": prefix, **usual, **fields}
-
-
-def batch(job="job", groups=2, size=2, min_version=1):
-    """Return the body of a batch job."""
-    requests = [
-        {
-            "id": f"{job}-{group}-{number}",
-            "path": "/batch/run",
-            "headers": {"Model": "m", "Length-Hint": "10"},
-            "body": base64.b64encode(f"{group}/{number}".encode()).decode(),
-            "tokens": 100,
-            "group": f"g{group}",
-            "scorer": {
-                "id": f"score-{job}-{group}-{number}",
-                "host": HOST,
-                "path": "/score/1",
-                "body": base64.b64encode(b"text").decode(),
-            },
-        }
-        for group in range(groups)
-        for number in range(size)
-    ]
-    value = {
-        "step": 1,
-        "model": "m",
-        "min_version": min_version,
-        "target_groups": groups,
-        "requests": requests,
-    }
-    return json.dumps(value).encode()
-
-
-def settings_text(name, store, **fields):
-    lines = {
-        "node_name": name,
-        "zone": "here",
-        "ip": "127.0.0.1",
-        "platform.addr": f"127.0.0.1:{store}",
-        "bounds.grace_s": "8",
-        "a.new": "field",
-    }
-    return "\n".join(f"{k}={v}" for k, v in (lines | fields).items())
-
 
 @attrs.define
 class PlatformWorld:
@@ -118,26 +42,21 @@
         for worker in (self.app, self.engine):
             await self.register(worker)
         engine_port = self.engine.server.listener.sockets[0].getsockname()[1]
-        file = tmp_path / "front.conf"
-        file.write_text(
-            settings_text(
-                "front",
-                self.store_port,
-                **{"listen.front": "127.0.0.1:0", "listen.ready": "127.0.0.1:0"},
-            )
-        )
-        self.gateway = main.new_gateway(node_settings.load(file))
-        file = tmp_path / "side.conf"
-        app = f"127.0.0.1:{engine_port}"
-        text = settings_text("side", self.store_port, app=app, service="pool")
-        file.write_text(text)
-        self.agent = main.new_agent(node_settings.load(file))
+        store = ("127.0.0.1", self.store_port)
+        listen = {"listen.front": "127.0.0.1:0", "listen.ready": "127.0.0.1:0"}
+        front = tmp_path / "front.conf"
+        front.write_text(settings_text("front", "127.0.0.1", store, **listen))
+        self.gateway = main.new_gateway(node_settings.load(front))
+        engine = {"app": f"127.0.0.1:{engine_port}", "service": "pool"}
+        side = tmp_path / "side.conf"
+        side.write_text(settings_text("side", "127.0.0.1", store, **engine))
+        self.agent = main.new_agent(node_settings.load(side))
         for node in (self.gateway, self.agent):
             self.tasks.append(asyncio.create_task(node.run()))
         while not self.gateway.ready or not self.gateway.directory.servers:
             await asyncio.sleep(0.01)
         ports = [
-            s.listener.sockets[0].getsockname() for _, s, _ in self.gateway.servers
+            port.server.listener.sockets[0].getsockname() for port in self.gateway.ports
         ]
         self.front, self.ready = ports[:2]
         return self
@@ -163,7 +82,7 @@
         """Read all results of a job, page by page."""
         found, total = [], 1
         while len(found) < total:
-            target = f"/gypsumshift/lots/{job}?after={len(found)}"
+            target = results_target(job, len(found))
             exchange, content = await self.ask("GET", target, wait_ms="1000")
             assert exchange.status == 200, exchange.status
             page = json.loads(content)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -7,6 +7,7 @@
 from gypsumshift.jobs.model import END_KEY, JOBS, RESULTS
 from gypsumshift.platforms import Write
 from tests.jobs_world import FakeEngine, World, server
+from tests.system import until
 
 
 def scenario(test):
@@ -27,11 +28,6 @@
     return run
 
 
-async def until(holds):
-    while not holds():
-        await asyncio.sleep(0.005)
-
-
 @scenario
 async def test_a_step_is_generated_scored_and_stored_once(world):
     world.agent("a")
@@ -63,14 +59,14 @@
     agent = world.agent("a", engine)
     await world.submit(groups=1)
     await until(lambda: len(engine.running) == 2)
-    ((job_id, key), unit) = next(iter(agent.units.items()))
+    ((job_id, key), unit) = next(iter(agent.runner.units.items()))
     again = Candidate(unit.job, unit.job.units[0], unit.version, True)
-    agent.start(again, unit.version)
+    agent.runner.start(again, unit.version)
     await world.store.commit([Write(JOBS, END_KEY, {"ended": True}, part=job_id)])
     await until(lambda: not engine.running)
     assert len(engine.started) == 2, "the second start ran the items again"
-    agent.start(again, unit.version)
-    assert not agent.units, "a unit of an ended job was started"
+    agent.runner.start(again, unit.version)
+    assert not agent.runner.units, "a unit of an ended job was started"
 
 
 @scenario
@@ -84,7 +80,7 @@
     other = FakeEngine()
     world.agent("b", other)
     results = await world.results()
-    assert all(r.state is ResultState.SUCCEEDED for r in results)
+    assert all(r.state is ResultState.WHOLE for r in results)
     assert sorted(other.started) == [("job-0-0", 2), ("job-0-1", 2)]
 
 
@@ -99,7 +95,7 @@
     value = {"agent": "b", "session": "other"}
     await world.store.commit([Write("claims", row.key, value, part="job")])
     await until(lambda: not engine.running)
-    assert not agent.units
+    assert not agent.runner.units
 
 
 @scenario
@@ -118,22 +114,24 @@
 @scenario
 async def test_a_reward_call_that_always_fails_ends_the_item(world):
     agent = world.agent("a")
-    agent.forwarder.statuses = [500] * 4
+    agent.runner.forwarder.statuses = [500] * 4
     await world.submit(groups=1, size=1)
     (result,) = await world.results()
-    assert result.state is ResultState.DEAD
-    assert len(agent.forwarder.calls) == 4
+    assert result.state is ResultState.GIVEN_UP
+    assert len(agent.runner.forwarder.calls) == 4
 
 
 @scenario
 async def test_a_result_is_never_replaced(world):
     await world.submit(groups=1, size=1)
-    stored = {"item": "job-0-0", "state": "succeeded", "text": "first"}
+    stored = {"item": "job-0-0", "state": "whole", "text": "first"}
     await world.store.commit([Write(RESULTS, "job-0-0", stored, 0, part="job")])
     agent = world.agent("a")
-    await until(lambda: agent.board.open and not agent.units and agent.beats)
+    await until(lambda: agent.board.open and not agent.runner.units and agent.beats)
     await asyncio.sleep(0)
-    await until(lambda: not agent.committer.writers and agent.forwarder.calls)
+    await until(
+        lambda: not agent.runner.committer.writers and agent.runner.forwarder.calls
+    )
     (result,) = await world.results()
     assert result.text == "first"
 
@@ -145,7 +143,7 @@
     agent = world.agent("a", engine)
     await world.submit(groups=1)
     await until(lambda: engine.started)
-    agent.directory.set_server(server("e-new"))
+    agent.station.directory.set_server(server("e-new"))
     assert len(await world.results()) == 2
     refused = [s for s in engine.servers if s == "e-a"]
     assert len(refused) <= 2, "it kept asking for the engine that is gone"
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -2,7 +2,7 @@
 
 from gypsumshift.jobs import split
 from gypsumshift.jobs.claims import SILENCE, begin_order
-from gypsumshift.jobs.model import AGENTS, END_KEY, JOBS
+from gypsumshift.jobs.model import AGENTS, END_KEY, JOB_KEY, JOBS
 from gypsumshift.platforms import Row
 from tests.builders import ManualClock
 from tests.jobs_world import MODEL, board, claim_row, items, job, job_row
@@ -70,7 +70,7 @@
 
 def test_an_engine_with_old_weights_claims_nothing():
     own, _, _ = make_board()
-    own.take_jobs([job_row(job(split(items(step="x")), "late", min_version=5))])
+    own.take_jobs([job_row(job(split(items(step="x")), "late", oldest_version=5))])
     assert choose(own, version=0) is None
     assert choose(own, version=4).job.id == "job"
 
@@ -88,3 +88,15 @@
     units = split(items(12))
     again = begin_order(job(units), {"g11"})
     assert again[0].group == "g11"
+
+
+def test_groups_of_jobs_that_are_removed_are_forgotten():
+    own, _, value = make_board()
+    removed = Row(JOBS, JOB_KEY, 9, None, value.id)
+    own.take_jobs([removed])
+    again = job(split(items(2)), "later")
+    own.take_jobs([job_row(again)])
+    assert own.groups_seen() == {"g0", "g1"}
+    own.take_jobs([Row(JOBS, JOB_KEY, 10, None, "later")])
+    assert own.groups_seen() == set()
+    assert not own.ended and not own.open
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -6,9 +6,10 @@
 from gypsumshift.jobs import Desk, Result, ResultState, split
 from gypsumshift.jobs.committer import TEXT_IN_ROW, Committer, Finished
 from gypsumshift.jobs.desk import KEEP_ENDED
-from gypsumshift.jobs.model import Claim
+from gypsumshift.jobs.model import JOB_KEY, JOBS, RESULTS, Claim, to_row
 from gypsumshift.memory import MemoryTables
 from gypsumshift.outcomes import Committed, NotRun, Unavailable, Unknown
+from gypsumshift.platforms import Row
 from tests.builders import FaultyTables, ManualClock
 from tests.jobs_world import METRICS, items, job
 
@@ -69,7 +70,7 @@
         text = "0123456789" * (TEXT_IN_ROW // 4)
         committer = Committer(desk.store, clock)
         for number in (0, 1):
-            result = Result(f"s-0-{number}", ResultState.SUCCEEDED, text, (1,), "x")
+            result = Result(f"s-0-{number}", ResultState.WHOLE, text, (1,), "x")
             last = Claim("a", "s", done=True) if number else None
             committer.put(Finished("job", "00000", result, last))
         await committer.drain()
@@ -96,3 +97,13 @@
         assert not desk.store.rows and not desk.jobs
 
     asyncio.run(play())
+
+
+def test_nothing_is_held_of_a_job_whose_rows_were_removed():
+    desk, _ = make_desk()
+    result = to_row(Result("i", ResultState.WHOLE))
+    desk.take_results([Row(RESULTS, "i", 1, result, "job")])
+    desk.take_jobs([Row(JOBS, JOB_KEY, 2, None, "job")])
+    # Another watch tells it later.
+    desk.take_results([Row(RESULTS, "i", 2, None, "job")])
+    assert not desk.logs
--- a/tests/test_desk_machine.py
+++ b/tests/test_desk_machine.py
@@ -52,7 +52,7 @@
     def finish(self, name, number, text):
         """Two agents may finish one item, with texts of their own."""
         item = f"{name}-{number // 2}-{number % 2}"
-        result = Result(item, ResultState.SUCCEEDED, text, (1,), "score")
+        result = Result(item, ResultState.WHOLE, text, (1,), "score")
         self.store_answers()
         finished = Finished(name, f"{number // 2:05d}", result)
         self.do(self.store.commit(result_writes(finished)))
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -7,7 +7,8 @@
 from gypsumshift.platforms import Write
 from tests.builders import ManualClock
 from tests.jobs_world import FakeEngine, World
-from tests.test_agent import scenario, until
+from tests.system import until
+from tests.test_agent import scenario
 
 
 def test_a_pace_needs_enough_recent_gaps():
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,9 +6,11 @@
 import pytest
 
 from gypsumshift.fetch import FetchError
+from standins.users_documents import config, job_body, route, settings_text
 from standins.users_store import Faults
 from standins.users_worker import UsersWorker, event_text, plain_answer
-from tests.platform_world import PlatformWorld, batch, config, route, settings_text
+from tests.platform_world import PlatformWorld
+from tests.system import until
 
 
 def play(test, tmp_path):
@@ -26,11 +28,6 @@
     asyncio.run(run())
 
 
-async def until(holds):
-    while not holds():
-        await asyncio.sleep(0.01)
-
-
 def test_a_request_goes_to_a_worker_and_back(tmp_path):
     async def scenario(world):
         exchange, body = await world.ask("POST", "/app/1?x=2", "a1", b"hello")
@@ -45,7 +42,7 @@
 def test_a_batch_job_is_accepted_run_scored_read_and_ended(tmp_path):
     async def scenario(world):
         for _ in range(2):
-            exchange, _ = await world.ask("POST", "/batch/1", "job", batch())
+            exchange, _ = await world.ask("POST", "/batch/1", "job", job_body("job"))
             assert exchange.status == 202
         results = await world.results()
         assert sorted(r["id"] for r in results) == [
@@ -70,7 +67,7 @@
 def test_a_named_version_is_ordered_and_labels_what_follows(tmp_path):
     async def scenario(world):
         await world.store.put("op", "version/m", {"model": "m", "version": 2})
-        body = batch(min_version=2)
+        body = job_body("job", min_version=2)
         exchange, _ = await world.ask("POST", "/batch/1", "job", body)
         assert exchange.status == 202
         results = await world.results()
@@ -116,10 +113,12 @@
 def test_a_job_during_an_outage_is_refused_or_unsure_but_never_lost(tmp_path):
     async def scenario(world):
         world.store.faults = Faults(down="busy")
-        exchange, _ = await world.ask("POST", "/batch/1", "job", batch())
+        exchange, _ = await world.ask("POST", "/batch/1", "job", job_body("job"))
         assert exchange.status == 503
         world.store.faults = Faults(lose=1.0)
-        lost = asyncio.create_task(world.ask("POST", "/batch/1", "job", batch()))
+        lost = asyncio.create_task(
+            world.ask("POST", "/batch/1", "job", job_body("job"))
+        )
         await until(lambda: world.store.tables.version and not world.store.late)
         await until(lambda: ("jobs", "job", "job") in world.store.tables.rows)
         world.store.faults = Faults()
@@ -165,7 +164,7 @@
 
 def test_a_newer_configuration_is_in_force_and_an_older_one_is_not(tmp_path):
     async def scenario(world):
-        added = route("new", "/new/", kind="safe", service="app")
+        added = route("new", kind="safe", service="app")
         await world.store.put("op", "config", config(5, [added]))
         await until(lambda: world.gateway.directory.routes.version == 5)
         exchange, _ = await world.ask("POST", "/new/1", "n1")
@@ -182,7 +181,7 @@
 def test_lost_history_is_made_up_for(tmp_path):
     async def scenario(world):
         world.store.faults = Faults(down="reset")
-        added = route("new", "/new/", kind="safe", service="app")
+        added = route("new", kind="safe", service="app")
         await world.store.put("op", "config", config(5, [added]))
         world.store.tables.forget()
         world.store.faults = Faults()
@@ -243,7 +242,7 @@
     ("text", "what"),
     [
         ("", "node_name is missing"),
-        (settings_text("x", "no-port"), "invalid literal"),
+        (settings_text("x", "127.0.0.1", ("127.0.0.1", "no-port")), "invalid literal"),
     ],
 )
 def test_bad_settings_are_told_in_one_line(tmp_path, text, what):
--- a/tests/test_resultlog.py
+++ b/tests/test_resultlog.py
@@ -14,7 +14,7 @@
     found = []
     for number in range(count):
         item = f"i{(number * 7) % 100:02d}"
-        value = to_row(Result(item, ResultState.SUCCEEDED, size=8))
+        value = to_row(Result(item, ResultState.WHOLE, size=8))
         found.append(Row(RESULTS, item, 10 + number // 3, value, "job"))
     return found
 
