A call that fails at every server is held against one of them only

Cause: some reward calls always fail; their four tries gave four servers a failure each, and two failures in a row, or a share of 0.35, eject a server: two such calls ejected two of four healthy servers for a second (the new test fails so on the code before). Change: a call that a server answered with a failure is suspect, and further answers of that kind are not held against who gives them; broken connections are, whatever the call. Ruled out: counting no failed answers at all, which would hide a server that fails four requests of ten; each request still blames the first server that fails it.

--- a/gypsumshift/serving/calls.py
+++ b/gypsumshift/serving/calls.py
@@ -25,6 +25,9 @@
     route : Route
     deadline : float
         By the monotonic clock, in seconds.
+    suspect : bool
+        Whether a server answered it with a failure before: some requests fail at
+        every server, which says nothing about the others.
     """
 
     id: str
@@ -35,6 +38,7 @@
     body: bytes
     route: Route
     deadline: float
+    suspect: bool = False
 
     @property
     def repeatable(self) -> bool:
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -68,7 +68,10 @@
             self.pool.answered(server, took)
         elif isinstance(outcome, Refused) and outcome.replaced:
             self.pool.replaced(server)
+        elif isinstance(outcome, Answered) and call.suspect:
+            return
         elif not isinstance(outcome, Refused):
+            call.suspect = call.suspect or isinstance(outcome, Answered)
             servers = self.directory.service(server.service)
             ejected = self.pool.failed(server, servers)
             reason = getattr(outcome, "reason", "") or f"status {outcome.status}"
--- /dev/null
+++ b/tests/test_sender.py
@@ -0,0 +1,61 @@
+"""What the pool learns from the answers that a sender reads."""
+
+import random
+
+from gypsumshift.outcomes import Answered
+from gypsumshift.serving import Directory
+from gypsumshift.serving.calls import Call, Failed
+from gypsumshift.serving.pool import Pool
+from gypsumshift.serving.sender import Sender
+from tests.builders import ManualClock
+from tests.jobs_world import HOST, METRICS, NAMES, routes
+from tests.test_pool import servers
+
+TOOK = 0.03
+
+
+def make_sender(count=4):
+    clock = ManualClock()
+    directory = Directory()
+    for server in servers(count):
+        directory.set_server(server)
+    pool = Pool("here", clock, random.Random(1))
+    return Sender(directory, pool, None, NAMES, clock, METRICS)
+
+
+def call(name="r"):
+    route = routes().find(HOST, "/score/")
+    return Call(name, "POST", "/score/", HOST, [], b"", route, 5.0)
+
+
+def avoided(sender):
+    now = sender.clock.monotonic()
+    return {name for name, record in sender.pool.records.items() if record.until > now}
+
+
+def test_a_call_that_fails_everywhere_is_held_against_one_server_only():
+    """Where each of its four servers was blamed, the second such call ejected two."""
+    sender = make_sender()
+    for first in range(2):
+        bad = call(f"bad{first}")
+        for number in range(4):
+            sender.learn(bad, servers()[(first + number) % 4], Answered(500), TOOK)
+    assert not avoided(sender)
+    failures = [sender.pool.record(server).failures for server in servers()]
+    assert failures == [1, 1, 0, 0]
+
+
+def test_a_server_that_fails_calls_which_others_answer_is_avoided():
+    sender = make_sender()
+    for number in range(2):
+        sender.learn(call(f"r{number}"), servers()[0], Answered(500), TOOK)
+    assert avoided(sender) == {"s0"}
+
+
+def test_a_broken_connection_counts_whatever_the_call():
+    sender = make_sender()
+    bad = call()
+    sender.learn(bad, servers()[0], Answered(500), TOOK)
+    for _ in range(2):
+        sender.learn(bad, servers()[1], Failed("reset", True), TOOK)
+    assert avoided(sender) == {"s1"}
