Engines kept busy over a step: places, versions every other time, long runs saved

Cause: with long items first, a step still took 7.0 to 7.7 s where 7 s are its time. Read from a line that each item now logs when it has its result: places of an engine were held through the reward call (items of 0.5 s, scores after 0.25 to 0.5 s); a short item waited 3.8 s behind long ones, since half of a unit might wait for a place; long items claimed just before a load waited 0.7 to 1.5 s for it; an item whose agent was gone began anew after 2.6 s and was 2 s late for that alone. Played without a network: a step takes 1.00 of its longest item (test_schedule.py).

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -38,6 +38,11 @@
 # a time, to be measured again: slowness was seen to last 6 to 8 s.
 SLOW_PAUSE = 2.0
 SLOW_PROBATION = 4.0
+# Seconds between two savings of what long runs have generated.
+SAVE_PERIOD = 1.0
+# Items that may wait for their scores, in engines full: more show that the application
+# is slow, and other agents may have better luck with it.
+SCORING_ROUNDS = 2
 
 log = logs.logger("agent")
 
@@ -115,7 +120,7 @@
         """Take rows of the table of jobs."""
         for job in self.board.take_jobs(rows):
             if job.model:
-                self.weights.demand.add(job)
+                self.weights.note_job(job)
         self.runner.drop_ended()
         self.work.set()
 
@@ -135,6 +140,7 @@
             group.create_task(self.beat())
             group.create_task(self.tend())
             group.create_task(self.look())
+            group.create_task(self.save_on())
 
     async def beat(self) -> None:
         """Tell the other agents that this one works."""
@@ -163,11 +169,11 @@
 
     async def look_after_engine(self) -> None:
         """Ask for a report; hand work over or give an order where it calls for it."""
-        was_healthy, versions = self.station.healthy, self.station.versions
+        was_healthy, versions = self.station.healthy, self.weights.ready_versions()
         report = await self.station.ask()
         if report is not None:
             self.weights.note_report(report)
-            if not was_healthy or versions != report.versions:
+            if not was_healthy or versions != self.weights.ready_versions():
                 self.work.set()
         if not self.station.healthy:
             self.runner.hand_over_all("the engine does not serve")
@@ -193,6 +199,12 @@
         self.metrics.count("slow_engine")
         self.runner.hand_over_all("the engine is slow")
 
+    async def save_on(self) -> None:
+        """Save what long runs have generated, again and again."""
+        while True:
+            await self.clock.sleep(SAVE_PERIOD)
+            await self.runner.save()
+
     def room(self, slots: int) -> int:
         """Return how many items more the engine should be given."""
         load = self.runner.load
@@ -201,6 +213,8 @@
             return 0
         if since < SLOW_PROBATION and load:
             return 0
+        if self.runner.scoring >= SCORING_ROUNDS * slots:
+            return 0
         return slots - load
 
     async def look(self) -> None:
@@ -221,7 +235,9 @@
             self.runner.set_places(limits.slots)
             self.adopt()
             candidate = self.board.choose(
-                self.weights.models(), self.station.versions, self.room(limits.slots)
+                self.weights.models(),
+                self.weights.ready_versions(),
+                self.room(limits.slots),
             )
             if candidate is None or not await self.claim(candidate):
                 return
--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -290,16 +290,7 @@
         found = []
         for unit in tracked.order:
             held = tracked.claims.get(unit.key)
-            if len(found) < most and fits(unit, room) and self.free(held):
+            if len(found) < most and len(unit.items) <= room and self.free(held):
                 version = held.version if held else ABSENT
                 found.append(Candidate(tracked.job, unit, version, held is not None))
         return found
-
-
-def fits(unit: UnitSummary, room: int) -> bool:
-    """Tell whether an engine with room for some items should take a unit.
-
-    Long items must begin at once. Of short ones half may wait for a place, which
-    one of the running items leaves within the time of a claim.
-    """
-    return room >= (len(unit.items) if unit.long else len(unit.items) / 2)
--- a/gypsumshift/jobs/committer.py
+++ b/gypsumshift/jobs/committer.py
@@ -6,7 +6,15 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
-from gypsumshift.jobs.model import CLAIMS, RESULTS, TEXTS, Claim, Result, to_row
+from gypsumshift.jobs.model import (
+    CLAIMS,
+    PARTIALS,
+    RESULTS,
+    TEXTS,
+    Claim,
+    Result,
+    to_row,
+)
 from gypsumshift.outcomes import Committed, Conflict
 from gypsumshift.platforms import ABSENT, RowStore, Write
 
@@ -39,12 +47,15 @@
     result : Result
     last : Claim or None
         Claim to be written with it, where it is the last one of its unit.
+    partial : str
+        Key of what was saved of it before, which goes; empty for nothing.
     """
 
     job: str
     unit: str
     result: Result
     last: Claim | None = None
+    partial: str = ""
 
 
 class Committer:
@@ -149,6 +160,8 @@
         writes.append(Write(TEXTS, key, piece, ABSENT, part=part))
     short = attrs.evolve(result, text="", pieces=len(starts), size=len(text))
     writes.append(Write(RESULTS, result.item, to_row(short), ABSENT, part=part))
+    if finished.partial:
+        writes.append(Write(PARTIALS, finished.partial, None, part=part))
     if finished.last is not None:
         claim = to_row(finished.last)
         writes.append(Write(CLAIMS, finished.unit, claim, part=part))
--- a/gypsumshift/jobs/itemrun.py
+++ b/gypsumshift/jobs/itemrun.py
@@ -1,5 +1,7 @@
 """Item run: one item of a batch job, from its first token to its score."""
 
+import json
+
 import attrs
 
 from gypsumshift import logs
@@ -28,6 +30,10 @@
 # Seconds between tries of a reward call.
 SCORE_PAUSE = 0.1
 UNPROCESSABLE = 422
+# Events after which a run is saved: a second's worth. Most items are shorter.
+EVENTS_TO_SAVE = 20
+# Bytes of the events in one row, below the 64 KiB that a store takes.
+PARTIAL_SIZE = 60_000
 
 log = logs.logger("items")
 
@@ -56,6 +62,12 @@
     progress_at : float
         When the last event of this stream came, by the monotonic clock, in
         seconds; 0 before the first.
+    began_at : float
+        When the first event of all came here, in the same way.
+    longest_gap : float
+        Longest time between two events of one stream, in seconds.
+    saved : int
+        Events that the store has for whoever takes the item over.
     """
 
     job: Job
@@ -70,6 +82,9 @@
     versions: list[int] = attrs.field(factory=list)
     failures: int = 0
     progress_at: float = 0.0
+    began_at: float = 0.0
+    longest_gap: float = 0.0
+    saved: int = 0
 
     @property
     def route(self) -> Route | None:
@@ -88,11 +103,16 @@
             self.versions = list(partial.versions)
 
     def partial(self) -> Partial | None:
-        """Return what was generated so far, for another agent."""
-        if not self.events:
+        """Return what was generated so far, for another agent; None if too long."""
+        if not self.events or len(json.dumps(self.events)) > PARTIAL_SIZE:
             return None
         return Partial(self.item.id, tuple(self.events), tuple(self.versions))
 
+    @property
+    def unsaved(self) -> bool:
+        """Whether so much was generated that it should be saved."""
+        return len(self.events) - self.saved >= EVENTS_TO_SAVE
+
     async def generate(self, server: BackendServer) -> Result | None:
         """Generate on one engine until the output is whole.
 
@@ -158,13 +178,17 @@
         now = self.clock.monotonic()
         # The first event of a run waits for a slot and for the prompt.
         if self.progress_at:
-            self.pace.note(now - self.progress_at)
+            gap = now - self.progress_at
+            self.pace.note(gap)
+            self.longest_gap = max(self.longest_gap, gap)
         self.progress_at = now
+        self.began_at = self.began_at or now
 
     def restart(self) -> None:
         """Drop what was generated."""
         self.events.clear()
         self.versions.clear()
+        self.saved = 0
 
     async def score(self) -> str:
         """Have the whole text scored; tries until it is, or has failed too often.
@@ -181,7 +205,7 @@
             if route is None:
                 await self.clock.sleep(SCORE_PAUSE)
                 continue
-            answer = await self.forwarder.forward(self.score_call(route))
+            answer = await self.forwarder.forward(self.score_call(route, failures > 0))
             if isinstance(answer, Answered):
                 signature = answer.header(self.names.signature)
                 if 200 <= answer.status < 300 and signature:
@@ -191,8 +215,8 @@
                     return ""
             await self.clock.sleep(SCORE_PAUSE)
 
-    def score_call(self, route: Route) -> Call:
-        """Return one try of the reward call."""
+    def score_call(self, route: Route, suspect: bool) -> Call:
+        """Return one try of the reward call; see `Call` on ``suspect``."""
         reward = self.item.reward
         # One server a try, so that each answer counts once against the limit.
         once = attrs.evolve(route, kind=RequestKind.SAFE, attempts=1)
@@ -205,6 +229,7 @@
             reward.body,
             once,
             self.clock.monotonic() + SCORE_TIMEOUT,
+            suspect,
         )
 
     async def finish(self) -> Result:
--- a/gypsumshift/jobs/placement.py
+++ b/gypsumshift/jobs/placement.py
@@ -10,7 +10,7 @@
 
 from gypsumshift.jobs.model import Job
 
-__all__ = ["Demand", "LoadChoice", "assign", "choose_load"]
+__all__ = ["Demand", "LoadChoice", "LoadQuestion", "assign", "choose_load"]
 
 # Steps of a model whose sizes make up its demand.
 STEPS_KEPT = 3
@@ -101,34 +101,50 @@
     reason: str
 
 
-def choose_load(
-    model: str,
-    own: int,
-    newest: int,
-    needed: int,
-    turn: int,
-    named_since: float,
-) -> LoadChoice | None:
-    """Return the weight version to load now; None to go on as it is.
+@attrs.frozen
+class LoadQuestion:
+    """What decides whether an engine loads new weights now.
 
-    Parameters
+    Attributes
     ----------
     model : str
     own, newest : int
         Versions that the engine has and that is named.
     needed : int
         Version that waiting work asks for at least; -1 where none waits.
+    slack : int
+        Versions behind the newest one that steps of the model accept.
     turn : int
         Place of the engine among those of the model, from 0.
     named_since : float
         Seconds since the newest version was named, as seen here.
     """
-    if own >= newest:
+
+    model: str
+    own: int
+    newest: int
+    needed: int
+    slack: int
+    turn: int
+    named_since: float
+
+
+def choose_load(asked: LoadQuestion) -> LoadChoice | None:
+    """Return the weight version to load now; None to go on as it is.
+
+    Where steps accept the version before the newest, half of the engines load each
+    version and the others the next one: an engine that steps can still use goes on.
+    What runs goes on while weights load, but nothing new begins for 0.9 s.
+    """
+    if asked.own >= asked.newest:
+        return None
+    first = (asked.turn + asked.newest) % 2 == 0
+    if asked.needed > asked.own:
+        reason = "waiting work needs it"
+    elif first:
+        reason = "first turn"
+    elif asked.own < asked.newest - asked.slack and asked.named_since >= SECOND_TURN:
+        reason = "second turn"
+    else:
         return None
-    if needed > own:
-        return LoadChoice(model, newest, "waiting work needs it")
-    if (turn + newest) % 2 == 0:
-        return LoadChoice(model, newest, "first turn")
-    if named_since >= SECOND_TURN:
-        return LoadChoice(model, newest, "second turn")
-    return None
+    return LoadChoice(asked.model, asked.newest, reason)
--- a/gypsumshift/jobs/schedule.py
+++ b/gypsumshift/jobs/schedule.py
@@ -5,56 +5,45 @@
 third of the items. A long item that waits makes the step late; a short one does not.
 """
 
-import statistics
 from collections.abc import Collection
 
 from gypsumshift.jobs.model import Item, Job, Unit, UnitSummary
 
 __all__ = ["begin_order", "split"]
 
-# Items of a group that are claimed together. They share a prompt, which costs 1 to 5 ms
-# to read again, the tenth of an event; larger units leave places of engines empty.
-UNIT_ITEMS = 4
-# The same for long items, all of which must find a place at once: with four, the last
-# of them began when four places of one engine were free, and a step took 1.21 times as
-# long as its longest item instead of 1.0 (test_schedule.py).
-LONG_UNIT_ITEMS = 2
+# Items of a group that are claimed together, both of which begin at once. They share a
+# prompt, which costs 1 to 5 ms to read again, the tenth of an event. With four, places
+# of engines stood empty until four were free; and units of eight, of which half might
+# wait for a place, took a step 1.26 times as long as its longest item (1.00 now).
+UNIT_ITEMS = 2
 # Bytes of the bodies in one unit, so that its row stays below the 64 KiB that a
 # store takes: base64 adds a third, names and headers some 300 bytes an item.
 UNIT_BYTES = 30_000
-# An item is long where its estimate is this many times the median of its job's. With
-# estimates that are off by half (one standard deviation), 97 % of those that turn out
-# five times as long as usual are found, among a third of all items.
-LONG_FACTOR = 2.0
 
 
 def split(items: list[Item]) -> list[Unit]:
     """Return the units of a batch job, groups in the order of their first items.
 
-    The long items of a group stand in units of their own, longest first.
+    Items of one group lie in the order of their estimates, so that a unit holds
+    items of about the same length.
     """
-    if not items:
-        return []
-    limit = LONG_FACTOR * statistics.median(item.hint for item in items)
     groups: dict[str, list[Item]] = {}
     for number, item in enumerate(items):
         groups.setdefault(item.group or f"item-{number}", []).append(item)
     units: list[Unit] = []
     for members in groups.values():
         members.sort(key=lambda item: -item.hint)
-        for long in (True, False):
-            same = [item for item in members if (item.hint > limit) is long]
-            for chunk in chunks(same, LONG_UNIT_ITEMS if long else UNIT_ITEMS):
-                units.append(Unit(f"{len(units):05d}", tuple(chunk), long))
+        for chunk in chunks(members):
+            units.append(Unit(f"{len(units):05d}", tuple(chunk)))
     return units
 
 
-def chunks(members: list[Item], most: int) -> list[list[Item]]:
+def chunks(members: list[Item]) -> list[list[Item]]:
     """Return the items of one group, cut where a unit would grow too large."""
     found: list[list[Item]] = []
     size = 0
     for item in members:
-        full = found and len(found[-1]) >= most
+        full = found and len(found[-1]) >= UNIT_ITEMS
         if not found or full or size + item.size > UNIT_BYTES:
             found.append([])
             size = 0
--- a/gypsumshift/jobs/unitruns.py
+++ b/gypsumshift/jobs/unitruns.py
@@ -1,6 +1,7 @@
 """Unit runs: the claimed units of one agent, from claim to results or handover."""
 
 import asyncio
+import traceback
 from collections.abc import Callable
 
 import attrs
@@ -39,6 +40,10 @@
 # Reward calls of one agent at once: the application answers callers too, and five
 # agents with three each take half of its places at the most.
 SCORES_AT_ONCE = 3
+# Seconds after which a unit is given back that met an error of the program.
+BROKEN_PAUSE = 1.0
+# Runs that are saved in one transaction, below the 1 MB that a store takes.
+SAVED_AT_ONCE = 8
 
 log = logs.logger("units")
 
@@ -56,15 +61,23 @@
     runs : dict
         `ItemRun` by item, of those without a result.
     tasks : dict
-        Task by item.
+        Task by item; one under the empty name while the items are being read.
+    size : int
+        Items that it holds.
     """
 
     job: Job
     key: str
     version: int
+    size: int
     runs: dict[str, ItemRun] = attrs.field(factory=dict)
     tasks: dict[str, asyncio.Task] = attrs.field(factory=dict)
 
+    @property
+    def load(self) -> int:
+        """Items without a result, as far as known."""
+        return self.size if "" in self.tasks else len(self.tasks)
+
 
 class UnitRunner:
     """Owns the claimed units, and the tasks that run their items.
@@ -115,11 +128,18 @@
         self.scores = asyncio.Semaphore(SCORES_AT_ONCE)
         self.places = asyncio.Semaphore(1)
         self.place_count = 1
+        self.scoring = 0
+        self.giving: set[asyncio.Task] = set()
 
     @property
     def load(self) -> int:
-        """Items that are claimed and have no result."""
-        return sum(len(unit.tasks) for unit in self.units.values())
+        """Items that take a place of the engine, or are about to.
+
+        Not those that wait for their scores: with them, places stood empty for half
+        as long as they were used (items of 0.5 s, scores after 0.25 to 0.5 s).
+        """
+        taken = sum(unit.load for unit in self.units.values())
+        return max(0, taken - self.scoring)
 
     def set_places(self, count: int) -> None:
         """Let so many items run at once."""
@@ -148,7 +168,7 @@
         if job.id in self.board.ended or (job.id, summary.key) in self.units:
             # The job ended while the claim was on its way, or its answer was late.
             return
-        unit = UnitRun(job, summary.key, version)
+        unit = UnitRun(job, summary.key, version, len(summary.items))
         self.units[job.id, summary.key] = unit
         logs.event(
             log,
@@ -162,18 +182,20 @@
         )
         self.metrics.count("claims", taken_over=str(candidate.taken_over).lower())
         loading = self.load_unit(unit, candidate.taken_over)
-        unit.tasks[""] = asyncio.create_task(loading)
+        task = asyncio.create_task(loading)
+        task.add_done_callback(lambda ended: self.check(unit, ended))
+        unit.tasks[""] = task
 
     async def load_unit(self, unit: UnitRun, taken_over: bool) -> None:
         """Read the items of a unit, and run those without a result."""
         row = await self.read_unit(unit)
         items = from_row(row.value, Unit).items
         known: set[str] = set()
-        partials: dict[str, Partial] = {}
+        partials: dict[str, Partial | None] = {}
         if taken_over:
             known = {r.key for r in await self.read_rows(RESULTS, unit.job.id)}
-            for found in await self.read_rows(PARTIALS, unit.job.id):
-                partials[found.key] = from_row(found.value, Partial)
+            for item in items:
+                partials[item.id] = await self.read_partial(unit.job.id, item.id)
         for item in items:
             if item.id not in known:
                 self.start_item(unit, item, partials.get(item.id))
@@ -189,10 +211,16 @@
                 return row
             await self.clock.sleep(PAUSE)
 
-    async def read_rows(self, table: str, part: str) -> list[Row]:
+    async def read_partial(self, job: str, item: str) -> Partial | None:
+        """Read the longest text that an agent left of an item."""
+        rows = await self.read_rows(PARTIALS, job, f"{item}/")
+        found = [from_row(row.value, Partial) for row in rows]
+        return max(found, key=lambda partial: len(partial.events), default=None)
+
+    async def read_rows(self, table: str, part: str, prefix: str = "") -> list[Row]:
         """Read the rows of a job, however long that takes."""
         while True:
-            rows = await self.store.scan(table, "", part)
+            rows = await self.store.scan(table, prefix, part)
             if not isinstance(rows, Unavailable):
                 return rows
             await self.clock.sleep(PAUSE)
@@ -213,16 +241,64 @@
             run.resume(partial)
         unit.runs[item.id] = run
         task = asyncio.create_task(self.run_item(unit, run))
+        task.add_done_callback(lambda ended: self.check(unit, ended))
         unit.tasks[item.id] = task
 
+    def check(self, unit: UnitRun, task: asyncio.Task) -> None:
+        """Give a unit back whose task ended with an error of the program.
+
+        Held on to, it would never be done while this agent's heartbeats are heard.
+        """
+        if task.cancelled() or task.exception() is None:
+            return
+        error = "".join(traceback.format_exception(task.exception()))
+        log.error("A unit fails here: {} of {}: {}", unit.key, unit.job.id, error)
+        self.metrics.count("broken_units")
+        if self.units.get((unit.job.id, unit.key)) is unit:
+            self.drop(unit)
+            giving = asyncio.create_task(self.give_back_later(unit))
+            self.giving.add(giving)
+            giving.add_done_callback(self.giving.discard)
+
+    async def give_back_later(self, unit: UnitRun) -> None:
+        """Give a unit back after a pause, so that it does not come at once again."""
+        await self.clock.sleep(BROKEN_PAUSE)
+        await self.give_back(unit)
+
     async def run_item(self, unit: UnitRun, run: ItemRun) -> None:
         """Generate, score and store one item."""
+        claimed = self.clock.monotonic()
         result = await self.generate(run)
+        generated = self.clock.monotonic()
         if result is None:
-            async with self.scores:
-                result = await run.finish()
+            result = await self.score(run)
+        now = self.clock.monotonic()
+        logs.event(
+            log,
+            "An item has its result.",
+            item=run.item.id,
+            job=run.job.id,
+            state=result.state.value,
+            estimate=run.item.hint,
+            events=len(run.events),
+            versions=run.versions,
+            waited_s=round((run.began_at or generated) - claimed, 3),
+            generated_s=round(generated - (run.began_at or generated), 3),
+            longest_gap_s=round(run.longest_gap, 3),
+            scored_s=round(now - generated, 3),
+        )
         self.store_result(unit, run, result)
 
+    async def score(self, run: ItemRun) -> Result:
+        """Have an item scored that left its place."""
+        self.scoring += 1
+        self.changed()
+        try:
+            async with self.scores:
+                return await run.finish()
+        finally:
+            self.scoring -= 1
+
     async def generate(self, run: ItemRun) -> Result | None:
         """Generate one item in a place of the engine."""
         while True:
@@ -258,7 +334,8 @@
         unit.tasks.pop(run.item.id, None)
         unit.runs.pop(run.item.id, None)
         last = None if unit.tasks else self.finish(unit)
-        self.committer.put(Finished(unit.job.id, unit.key, result, last))
+        partial = self.partial_key(run) if run.saved else ""
+        self.committer.put(Finished(unit.job.id, unit.key, result, last, partial))
         self.changed()
 
     def finish(self, unit: UnitRun) -> Claim:
@@ -299,11 +376,7 @@
 
     async def give_back(self, unit: UnitRun) -> None:
         """Write what was generated of a unit, and that it is free."""
-        writes = [
-            Write(PARTIALS, item, to_row(partial), part=unit.job.id)
-            for item, run in unit.runs.items()
-            if (partial := run.partial()) is not None
-        ]
+        writes = self.partial_writes(unit.job.id, list(unit.runs.values()))
         free = Write(CLAIMS, unit.key, to_row(Claim()), unit.version, part=unit.job.id)
         outcome = await self.store.commit([*writes, free])
         while not isinstance(outcome, (Committed, Conflict)):
@@ -314,6 +387,44 @@
             self.board.take_claims([row])
             self.changed()
 
+    def partial_key(self, run: ItemRun) -> str:
+        """Return the key under which this agent saves what it generated of an item."""
+        return f"{run.item.id}/{self.own.session}"
+
+    def partial_writes(self, job: str, runs: list[ItemRun]) -> list[Write]:
+        """Return the rows that hold what was generated of some items."""
+        partials = [(self.partial_key(run), run.partial()) for run in runs]
+        return [
+            Write(PARTIALS, key, to_row(partial), part=job)
+            for key, partial in partials
+            if partial is not None
+        ]
+
+    async def save(self) -> None:
+        """Save what long runs have generated since they were saved last.
+
+        An agent that takes an item over goes on there. A long item takes 6 of the 7 s
+        that a step has: begun anew after the 2.6 s in which its agent is missed, it
+        makes the step late.
+        """
+        due: dict[str, list[ItemRun]] = {}
+        for unit in self.units.values():
+            due.setdefault(unit.job.id, []).extend(
+                run for run in unit.runs.values() if run.unsaved
+            )
+        for job, runs in due.items():
+            for start in range(0, len(runs), SAVED_AT_ONCE):
+                await self.save_runs(job, runs[start : start + SAVED_AT_ONCE])
+
+    async def save_runs(self, job: str, runs: list[ItemRun]) -> None:
+        """Save some runs of one job; what the store does not take comes again."""
+        counts = [len(run.events) for run in runs]
+        writes = self.partial_writes(job, runs)
+        if writes and not isinstance(await self.store.commit(writes), Committed):
+            return
+        for run, count in zip(runs, counts, strict=True):
+            run.saved = min(count, len(run.events))
+
     async def leave(self) -> None:
         """Give all units back, and wait until results are stored."""
         given = self.hand_over_all("this process stops")
--- a/gypsumshift/jobs/weights.py
+++ b/gypsumshift/jobs/weights.py
@@ -5,6 +5,7 @@
 from gypsumshift.jobs import placement
 from gypsumshift.jobs.claims import ClaimBoard
 from gypsumshift.jobs.engine import EngineReport, VersionOrder
+from gypsumshift.jobs.model import Job
 from gypsumshift.jobs.station import Station
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered
@@ -15,6 +16,12 @@
 ORDER_RETRY = 1.0
 # Seconds after an order in which a report may still be older than it.
 ORDER_SETTLE = 0.2
+# Seconds after a version was named within which its order is given: two reports.
+ORDER_DUE = 0.4
+# Versions behind the newest one that a step accepts, until one tells otherwise: the
+# first steps of a trainer accept all versions that there are, which tells nothing.
+SLACK_USUAL = 1
+FIRST_VERSION = 1
 ACCEPTED = (200, 202)
 
 log = logs.logger("weights")
@@ -37,6 +44,8 @@
         Grows with each start of this process; 0 until orders may be given.
     loading : str
         Model whose weights the engine loads; empty for none.
+    slack : dict
+        Versions behind the newest one that the newest step accepted, by model.
     """
 
     def __init__(
@@ -51,6 +60,14 @@
         self.loading = ""
         self.order_at = float("-inf")
         self.named_at: dict[str, tuple[int, float]] = {}
+        self.slack: dict[str, int] = {}
+
+    def note_job(self, job: Job) -> None:
+        """Learn from a new batch job what is asked of its model, and how fresh."""
+        self.demand.add(job)
+        if job.oldest_version > FIRST_VERSION:
+            newest = self.station.directory.newest.get(job.model, FIRST_VERSION)
+            self.slack[job.model] = max(0, newest - job.oldest_version)
 
     def placed(self) -> dict[str, tuple[str, ...]]:
         """Return the models of each engine of the service."""
@@ -60,6 +77,27 @@
         shares = self.demand.shares(limits.models)
         return placement.assign(self.station.peers, shares)
 
+    def ready_versions(self) -> dict[str, int]:
+        """Return the versions of the models for which the engine takes new work now."""
+        versions = self.station.versions
+        return {m: n for m, n in versions.items() if not self.holds_back(m)}
+
+    def holds_back(self, model: str) -> bool:
+        """Tell whether the engine loads weights of a model now or is about to."""
+        if model == self.loading:
+            return True
+        report = self.station.report
+        if report is None or model not in self.models():
+            return False
+        asked = self.question(report, model, self.engines(model))
+        due = asked.named_since < ORDER_DUE
+        return due and placement.choose_load(asked) is not None
+
+    def engines(self, model: str) -> list[str]:
+        """Return the ids of the engines that serve a model, in the order of turns."""
+        placed = self.placed()
+        return [engine for engine in sorted(placed) if model in placed[engine]]
+
     def models(self) -> tuple[str, ...]:
         """Return the models that the engine is to serve."""
         server = self.station.server
@@ -78,29 +116,37 @@
             return
         if self.clock.monotonic() - self.order_at < ORDER_RETRY:
             return
-        placed = self.placed()
-        for model in placed.get(server.id, ()):
-            peers = [engine for engine in sorted(placed) if model in placed[engine]]
-            choice = self.choose(report, model, peers.index(server.id))
+        for model in self.models():
+            asked = self.question(report, model, self.engines(model))
+            choice = placement.choose_load(asked)
             if choice is not None:
                 await self.give_order(server, report, choice)
                 return
 
-    def choose(self, report, model: str, turn: int) -> placement.LoadChoice | None:
-        """Return the weights to load for a model now."""
-        newest = self.station.directory.newest.get(model, 1)
+    def question(self, report, model: str, engines) -> placement.LoadQuestion:
+        """Return what decides whether the engine loads weights of a model now.
+
+        Parameters
+        ----------
+        report : EngineReport
+        model : str
+        engines : list of str
+            Ids of the engines that serve the model, this one among them.
+        """
+        newest = self.station.directory.newest.get(model, FIRST_VERSION)
         seen, since = self.named_at.get(model, (0, 0.0))
         now = self.clock.monotonic()
         if seen != newest:
             since = now
             self.named_at[model] = (newest, now)
-        return placement.choose_load(
-            model,
-            report.versions.get(model, 0),
-            newest,
-            self.board.waiting(model),
-            turn,
-            now - since,
+        return placement.LoadQuestion(
+            model=model,
+            own=report.versions.get(model, 0),
+            newest=newest,
+            needed=self.board.waiting(model),
+            slack=self.slack.get(model, SLACK_USUAL),
+            turn=engines.index(self.station.server.id),
+            named_since=now - since,
         )
 
     async def give_order(self, server, report, choice) -> None:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -4,9 +4,9 @@
 
 from gypsumshift.jobs import ResultState
 from gypsumshift.jobs.claims import Candidate
-from gypsumshift.jobs.model import END_KEY, JOBS, RESULTS
+from gypsumshift.jobs.model import END_KEY, JOBS, PARTIALS, RESULTS
 from gypsumshift.platforms import Write
-from tests.jobs_world import FakeEngine, World, server
+from tests.jobs_world import MODEL, FakeEngine, World, server
 from tests.system import until
 
 
@@ -147,3 +147,118 @@
     assert len(await world.results()) == 2
     refused = [s for s in engine.servers if s == "e-a"]
     assert len(refused) <= 2, "it kept asking for the engine that is gone"
+
+
+@scenario
+async def test_an_engine_that_loads_takes_no_new_work_until_it_has_loaded(world):
+    engine = FakeEngine()
+    engine.busy = True
+    agent = world.agent("a", engine)
+    agent.station.directory.set_version(MODEL, 2)
+    await until(lambda: agent.weights.loading == MODEL)
+    await world.submit(groups=1)
+    await until(lambda: "job" in agent.board.open)
+    await agent.claim_all()
+    assert not agent.runner.units
+    engine.busy = False
+    engine.version = 2
+    await world.results()
+
+
+@scenario
+async def test_an_engine_that_is_about_to_load_takes_no_new_work(world):
+    agent = world.agent("a", FakeEngine())
+    await until(lambda: agent.station.versions)
+    assert agent.weights.ready_versions() == {MODEL: 1}
+    agent.station.directory.set_version(MODEL, 2)
+    assert agent.weights.ready_versions() == {}
+    agent.station.directory.remove_server("e-a", 0.0, 100.0)
+    assert agent.weights.ready_versions() == {MODEL: 1}
+
+
+@scenario
+async def test_items_that_wait_for_scores_take_no_place_of_the_engine(world):
+    """Four places: with scores in them only four of six items began."""
+    engine = FakeEngine()
+    agent = world.agent("a", engine)
+    agent.runner.forwarder.hold.clear()
+    await world.submit(groups=3)
+    await until(lambda: len(engine.started) == 6)
+    assert agent.runner.load == 0
+    agent.runner.forwarder.hold.set()
+    await world.results()
+    assert agent.runner.scoring == 0
+
+
+@scenario
+async def test_a_slow_application_stops_new_work_in_the_end(world):
+    engine = FakeEngine()
+    agent = world.agent("a", engine)
+    agent.runner.forwarder.hold.clear()
+    await world.submit(groups=7)
+    await until(lambda: agent.runner.scoring == 8)
+    await agent.claim_all()
+    assert len(engine.started) == 8, "two rounds of four places wait for scores"
+    agent.runner.forwarder.hold.set()
+    await world.results()
+
+
+def runs_of(agent):
+    return [run for unit in agent.runner.units.values() for run in unit.runs.values()]
+
+
+@scenario
+async def test_an_agent_that_died_leaves_what_it_had_saved(world):
+    engine = FakeEngine(length=30)
+    engine.hold.clear()
+    agent = world.agent("a", engine)
+    await world.submit(groups=1, size=1)
+    await until(lambda: any(run.unsaved for run in runs_of(agent)))
+    await agent.runner.save()
+    (saved,) = await world.store.scan(PARTIALS, "", "job")
+    count = len(saved.value["events"])
+    assert count >= 20
+    await world.close()
+    successor = FakeEngine(length=30)
+    world.agent("a", successor)
+    (result,) = await world.results()
+    assert successor.started == [("job-0-0", count)]
+    assert result.text.split("\n") == [f"job-0-0:{n}" for n in range(1, 31)]
+
+
+@scenario
+async def test_what_was_saved_goes_with_the_result(world):
+    engine = FakeEngine(length=30)
+    engine.hold.clear()
+    agent = world.agent("a", engine)
+    await world.submit(groups=1, size=1)
+    await until(lambda: any(run.unsaved for run in runs_of(agent)))
+    await agent.runner.save()
+    assert await world.store.scan(PARTIALS, "", "job")
+    engine.hold.set()
+    await world.results()
+    assert not await world.store.scan(PARTIALS, "", "job")
+
+
+@scenario
+async def test_a_text_that_no_row_can_hold_is_given_back_without_it(world):
+    engine = FakeEngine(length=3)
+    engine.hold.clear()
+    agent = world.agent("a", engine)
+    await world.submit(groups=1, size=1)
+    await until(lambda: engine.running)
+    (run,) = runs_of(agent)
+    run.events[:] = ["x" * 40_000] * 2
+    assert run.partial() is None
+
+
+@scenario
+async def test_a_unit_that_meets_an_error_of_the_program_is_given_back(world):
+    agent = world.agent("a")
+    forward = agent.runner.forwarder.forward
+    agent.runner.forwarder.forward = None
+    await world.submit(groups=1, size=1)
+    await until(lambda: agent.runner.giving)
+    agent.runner.forwarder.forward = forward
+    (result,) = await world.results()
+    assert result.state is ResultState.WHOLE
