A host that the store does not answer calls it through a neighbour

Gateways that the store turns away say that they are not ready, and items of agents that are cut off begin anew elsewhere. Change: after two calls that failed, a process asks three neighbours whether the store answers them, its own zone first, and has its calls passed on; it tries its own way each 0.5 s. Processes know each other from a table, and before that from the seeds of the settings. The soak's processes have a port for it.

--- a/gypsumshift/lifecycle.py
+++ b/gypsumshift/lifecycle.py
@@ -11,6 +11,7 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
+from gypsumshift.neighbours import Neighbourhood
 from gypsumshift.server import BODY_LIMIT, Handler, Server
 from gypsumshift.serving.directory import Directory
 from gypsumshift.serving.pool import Pool
@@ -67,10 +68,16 @@
         self, directory: Directory, watches: list[Watch], pool: Pool, clock: Clock
     ):
         self.directory = directory
-        self.watches = watches
+        self.watches = list(watches)
         self.pool = pool
         self.clock = clock
         self.ports: list[Port] = []
+        self.neighbourhood: Neighbourhood | None = None
+
+    def join(self, neighbourhood: Neighbourhood) -> None:
+        """Learn of the other processes, and tell them of this one."""
+        self.neighbourhood = neighbourhood
+        self.watches.append(neighbourhood.watch)
 
     def listen_at(
         self, address: tuple[str, int], handler: Handler, always: bool = False
@@ -86,6 +93,8 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(run_all(self.watches))
             group.create_task(self.sweep_on())
+            if self.neighbourhood is not None:
+                group.create_task(self.neighbourhood.run())
             for work in self.work():
                 group.create_task(work)
 
--- /dev/null
+++ b/gypsumshift/neighbours.py
@@ -0,0 +1,315 @@
+"""Neighbours: other processes of the system as a way to the platform's store.
+
+The decision answers a store that some hosts cannot reach, or that turns some away,
+while it serves the others: such a host has its calls passed on by a process that the
+store answers. Nothing is kept on the way, so a call through a neighbour has the same
+outcomes as one of its own: done, refused, or unknown. Where the store answers nobody,
+neighbours say so at once, and the caller goes on trying by itself.
+"""
+
+import asyncio
+import random
+
+import attrs
+
+from gypsumshift import logs
+from gypsumshift.clock import Clock
+from gypsumshift.fetch import Fetched, Fetcher, FetchError
+from gypsumshift.outcomes import Committed
+from gypsumshift.platforms import Row, RowStore, Write
+from gypsumshift.server import Request, Response
+from gypsumshift.watch import Watch
+
+__all__ = ["Neighbour", "Neighbourhood", "Relay", "StorePath"]
+
+# Table of the processes of the system.
+NEIGHBOURS = "neighbours"
+# Seconds between two writes of a process's own entry, and after which an entry that
+# was not written again is left out: its process is gone.
+ANNOUNCE_PERIOD = 15.0
+FORGOTTEN = 60.0
+# Target by which a process is asked whether the store answers it.
+REACHES_STORE = "/neighbour/reaches-store"
+# Seconds within which the store must have answered a neighbour: its feeds bring an
+# answer each 0.8 s at the latest.
+RECENT = 1.2
+# Calls in a row that fail before neighbours are asked: a single answer is lost now
+# and then, and asking costs three calls.
+FAILURES_TO_ASK = 2
+# Neighbours asked at once, the time for their answer, and the pause until the next are
+# asked, in seconds. A round trip between zones takes 3 ms; hosts that are cut off
+# together do not answer.
+ASKED_AT_ONCE = 3
+ASK_TIMEOUT = 0.3
+ASK_PAUSE = 0.3
+# Seconds between tries of the direct way while a neighbour is used, and for its answer.
+DIRECT_PERIOD = 0.5
+DIRECT_TIMEOUT = 0.6
+# Seconds that a neighbour gives the store for an answer, beyond the wait of a feed.
+RELAY_TIMEOUT = 1.6
+# What the store says where it turns a call away, and what a neighbour says where it
+# cannot know whether a call that it passed on was carried out.
+TURNED_AWAY = (429, 503)
+UNCERTAIN = 502
+
+log = logs.logger("neighbours")
+
+
+@attrs.frozen
+class Neighbour:
+    """Another process of the system.
+
+    Attributes
+    ----------
+    name : str
+    address : (str, int)
+        Where it passes calls to the store on.
+    zone : str
+        Empty where it is not known.
+    """
+
+    name: str
+    address: tuple[str, int]
+    zone: str = ""
+
+
+class StorePath:
+    """The way to the store: the own one, or through a neighbour.
+
+    Parameters
+    ----------
+    store : (str, int)
+    fetcher : Fetcher
+    clock : Clock
+    chance : random.Random
+    zone : str
+        Availability zone of this process; neighbours in it are asked first.
+    seeds : list of Neighbour
+        Known before the store was read.
+
+    Attributes
+    ----------
+    via : Neighbour or None
+        Neighbour that passes calls on; None for the direct way.
+    neighbours : dict
+        `Neighbour` by name.
+    reached_at : float
+        When the store last answered a direct call, by the monotonic clock.
+    failures : int
+        Direct calls in a row that failed or were turned away.
+    """
+
+    def __init__(
+        self,
+        store: tuple[str, int],
+        fetcher: Fetcher,
+        clock: Clock,
+        chance: random.Random,
+        zone: str,
+        seeds: list[Neighbour],
+    ):
+        self.store = store
+        self.fetcher = fetcher
+        self.clock = clock
+        self.chance = chance
+        self.zone = zone
+        self.seeds = seeds
+        self.neighbours: dict[str, Neighbour] = {}
+        self.via: Neighbour | None = None
+        self.reached_at = float("-inf")
+        self.failures = 0
+        self.seeking: asyncio.Task | None = None
+
+    @property
+    def reaches_store(self) -> bool:
+        """Whether the store answers this process directly."""
+        return self.clock.monotonic() - self.reached_at < RECENT
+
+    async def fetch(
+        self, method: str, target: str, headers, body: bytes, timeout: float
+    ) -> Fetched:
+        """Call the store by the way that works.
+
+        Raises
+        ------
+        FetchError
+            ``sent`` tells whether the store may have seen the call.
+        """
+        if self.via is None:
+            return await self.fetch_direct(method, target, headers, body, timeout)
+        return await self.fetch_via(self.via, method, target, headers, body, timeout)
+
+    async def fetch_direct(self, method, target, headers, body, timeout) -> Fetched:
+        """Call the store directly, and learn whether that works."""
+        try:
+            answer = await self.fetcher.fetch(
+                self.store, method, target, headers, body, timeout
+            )
+        except FetchError:
+            self.note_failure()
+            raise
+        if answer.status in TURNED_AWAY:
+            self.note_failure()
+        else:
+            self.reached_at = self.clock.monotonic()
+            self.failures = 0
+        return answer
+
+    async def fetch_via(self, via, method, target, headers, body, timeout) -> Fetched:
+        """Have a neighbour call the store."""
+        try:
+            answer = await self.fetcher.fetch(
+                via.address, method, target, headers, body, timeout
+            )
+        except FetchError:
+            self.leave(via, "it does not answer")
+            raise
+        if answer.status == UNCERTAIN:
+            raise FetchError(f"{via.name} got no answer from the store", True)
+        if answer.status in TURNED_AWAY:
+            self.leave(via, "the store turns it away")
+        return answer
+
+    def leave(self, via: Neighbour, reason: str) -> None:
+        """Go back to the direct way."""
+        if self.via == via:
+            self.via = None
+            logs.event(log, "A neighbour is left.", neighbour=via.name, reason=reason)
+
+    def note_failure(self) -> None:
+        """Count a direct call that failed, and ask neighbours after some."""
+        self.failures += 1
+        idle = self.seeking is None or self.seeking.done()
+        if idle and self.failures >= FAILURES_TO_ASK and self.candidates():
+            self.seeking = asyncio.create_task(self.seek())
+
+    def candidates(self) -> list[Neighbour]:
+        """Return the neighbours in the order in which to ask them."""
+        known = list(self.neighbours.values()) or self.seeds
+        return sorted(known, key=lambda n: (n.zone != self.zone, self.chance.random()))
+
+    async def seek(self) -> None:
+        """Find a neighbour that the store answers; use it until it answers here."""
+        asked = self.candidates()[:ASKED_AT_ONCE]
+        answers = await asyncio.gather(*map(self.ask, asked))
+        able = [n for n, answer in zip(asked, answers, strict=True) if answer]
+        if not able or self.reaches_store:
+            await self.clock.sleep(ASK_PAUSE)
+            return
+        self.via = able[0]
+        logs.event(
+            log,
+            "The store is called through a neighbour.",
+            neighbour=self.via.name,
+            asked=len(asked),
+            able=len(able),
+            failures=self.failures,
+        )
+        while self.via is not None:
+            await self.clock.sleep(DIRECT_PERIOD)
+            await self.try_direct()
+
+    async def ask(self, neighbour: Neighbour) -> bool:
+        """Ask a neighbour whether the store answers it."""
+        try:
+            answer = await self.fetcher.fetch(
+                neighbour.address, "GET", REACHES_STORE, timeout=ASK_TIMEOUT
+            )
+        except FetchError as error:
+            log.debug("{} does not answer: {}", neighbour.name, error)
+            return False
+        return answer.status == 200
+
+    async def try_direct(self) -> None:
+        """Try the direct way while a neighbour is used."""
+        target = self.probe_target
+        try:
+            answer = await self.fetch_direct("GET", target, (), b"", DIRECT_TIMEOUT)
+        except FetchError as error:
+            log.debug("The store does not answer yet: {}", error)
+            return
+        if answer.status not in TURNED_AWAY and self.via is not None:
+            self.leave(self.via, "the store answers here again")
+
+    # Cheapest call that the store answers; set by the adapter that knows its calls.
+    probe_target = "/"
+
+
+class Relay:
+    """Passes neighbours' calls on to the store.
+
+    Parameters
+    ----------
+    path : StorePath
+        Only its direct way is used, so that calls do not go in circles.
+    """
+
+    def __init__(self, path: StorePath):
+        self.path = path
+
+    async def serve(self, request: Request) -> Response:
+        """Answer a neighbour."""
+        if request.target == REACHES_STORE:
+            return Response(200 if self.path.reaches_store else 503)
+        try:
+            answer = await self.path.fetch_direct(
+                request.method, request.target, JSON, request.body, RELAY_TIMEOUT
+            )
+        except FetchError as error:
+            log.debug("A neighbour's call failed: {}", error)
+            return Response(UNCERTAIN if error.sent else 503)
+        return Response(answer.status, JSON, answer.body)
+
+
+JSON = [("content-type", "application/json")]
+
+
+class Neighbourhood:
+    """Tells the other processes of this one, and learns of them.
+
+    Parameters
+    ----------
+    own : Neighbour
+    path : StorePath
+        Told of the others.
+    store : RowStore
+    clock : Clock
+    """
+
+    def __init__(self, own: Neighbour, path: StorePath, store: RowStore, clock: Clock):
+        self.own = own
+        self.path = path
+        self.store = store
+        self.clock = clock
+        self.seen_at: dict[str, float] = {}
+        self.watch = Watch(store, NEIGHBOURS, self.take, self.take, clock)
+
+    def take(self, rows: list[Row]) -> None:
+        """Take rows of the table of neighbours."""
+        for row in rows:
+            if row.value is None or row.key == self.own.name:
+                self.path.neighbours.pop(row.key, None)
+                self.seen_at.pop(row.key, None)
+                continue
+            ip, port = row.value["address"]
+            neighbour = Neighbour(row.key, (ip, port), row.value["zone"])
+            self.path.neighbours[row.key] = neighbour
+            self.seen_at[row.key] = self.clock.monotonic()
+
+    async def run(self) -> None:
+        """Announce this process until cancelled."""
+        while True:
+            await self.announce()
+            await self.clock.sleep(ANNOUNCE_PERIOD)
+
+    async def announce(self) -> None:
+        """Write the own entry, and remove those of processes that are gone."""
+        value = {"address": list(self.own.address), "zone": self.own.zone}
+        writes = [Write(NEIGHBOURS, self.own.name, value)]
+        horizon = max(self.clock.monotonic(), 0) - FORGOTTEN
+        gone = [name for name, at in self.seen_at.items() if at < horizon]
+        writes += [Write(NEIGHBOURS, name, None) for name in gone]
+        outcome = await self.store.commit(writes)
+        if not isinstance(outcome, Committed):
+            reason = getattr(outcome, "reason", type(outcome).__name__)
+            log.debug("This process is not announced yet: {}", reason)
--- a/gypsumshift/server.py
+++ b/gypsumshift/server.py
@@ -50,6 +50,11 @@
     headers: list[tuple[str, str]] = attrs.field(factory=list)
     body: bytes = b""
 
+    @property
+    def target(self) -> str:
+        """Path and query as they came."""
+        return f"{self.path}?{self.query}" if self.query else self.path
+
     def header(self, name: str, default: str = "") -> str:
         """Return the first header field of that lower-case name."""
         return next((value for key, value in self.headers if key == name), default)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -17,7 +17,7 @@
 __all__ = ["Deployment", "Process"]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-FRONT, READY, WORKER, STORE = 8100, 8101, 8200, 8300
+FRONT, READY, WORKER, STORE, NEIGHBOURS = 8100, 8101, 8200, 8300, 8400
 
 
 @attrs.define
@@ -149,6 +149,7 @@
         for key, value in fields.items():
             if key.startswith("listen"):
                 fields[key] = f"{ip}:{value}"
+        fields["port_range"] = f"{NEIGHBOURS},{NEIGHBOURS}"
         settings = self.folder / f"{name}.conf"
         settings.write_text(settings_text(name, ip, proxy.address, **fields))
         environment = {"GYPSUMSHIFT_NODE_FILE": str(settings)}
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -8,6 +8,7 @@
 import attrs
 
 from gypsumshift.fetch import Fetcher
+from standins.deployment import free_port
 from standins.users_documents import HOST, config, results_target, settings_text
 from standins.users_store import UsersStore
 from standins.users_worker import UsersWorker
@@ -44,10 +45,12 @@
         engine_port = self.engine.server.listener.sockets[0].getsockname()[1]
         store = ("127.0.0.1", self.store_port)
         listen = {"listen.front": "127.0.0.1:0", "listen.ready": "127.0.0.1:0"}
+        listen["listen.control"] = f"127.0.0.1:{free_port()}"
         front = tmp_path / "front.conf"
         front.write_text(settings_text("front", "127.0.0.1", store, **listen))
         self.gateway = main.new_gateway(node_settings.load(front))
         engine = {"app": f"127.0.0.1:{engine_port}", "service": "pool"}
+        engine["port_range"] = f"{free_port()},0"
         side = tmp_path / "side.conf"
         side.write_text(settings_text("side", "127.0.0.1", store, **engine))
         self.agent = main.new_agent(node_settings.load(side))
--- /dev/null
+++ b/tests/test_neighbours.py
@@ -0,0 +1,211 @@
+"""A process that the store does not answer calls it through a neighbour."""
+
+import asyncio
+import random
+
+import pytest
+
+from gypsumshift.clock import SystemClock
+from gypsumshift.fetch import Fetcher, FetchError
+from gypsumshift.memory import MemoryTables
+from gypsumshift.neighbours import (
+    FORGOTTEN,
+    NEIGHBOURS,
+    Neighbour,
+    Neighbourhood,
+    Relay,
+    StorePath,
+)
+from gypsumshift.server import Abandon, Response, Server
+from gypsumshift.watch import Watch
+from tests.builders import ManualClock
+from tests.system import until
+
+NOBODY = ("127.0.0.1", 1)
+
+
+def scenario(test):
+    """Run a test with servers that are stopped at its end."""
+
+    def run():
+        async def inside():
+            world = World()
+            try:
+                await test(world)
+            finally:
+                await world.close()
+
+        asyncio.run(inside())
+
+    run.__name__ = test.__name__
+    return run
+
+
+class World:
+    """A store that answers some, and processes around it."""
+
+    def __init__(self):
+        self.servers = []
+        self.calls = []
+        self.status = 200
+        self.fetcher = Fetcher()
+
+    async def serve(self, handler):
+        """Have a handler answer; return its address."""
+        server = Server(handler)
+        port = await server.listen("127.0.0.1", 0)
+        self.servers.append(server)
+        return ("127.0.0.1", port)
+
+    async def store(self, request):
+        self.calls.append((request.method, request.target, request.body))
+        return Response(self.status, [], b"stored")
+
+    def path(self, store, neighbours=(), zone="here"):
+        path = StorePath(store, self.fetcher, SystemClock(), random.Random(1), zone, [])
+        path.neighbours = {n.name: n for n in neighbours}
+        return path
+
+    async def neighbour(self, name, store, zone="here"):
+        """Start a process that the store at this address answers, or not."""
+        path = self.path(store)
+        address = await self.serve(Relay(path).serve)
+        await call(path)
+        return Neighbour(name, address, zone)
+
+    async def close(self):
+        for server in self.servers:
+            await server.stop(0)
+
+
+async def call(path, method="GET", body=b""):
+    """Call the store; return status, or the error."""
+    try:
+        answer = await path.fetch(method, "/rows?a=b", [], body, 1.0)
+    except FetchError as error:
+        return error
+    return answer.status
+
+
+async def fail_twice(path):
+    for _ in range(2):
+        assert isinstance(await call(path), FetchError)
+
+
+@scenario
+async def test_a_cut_process_is_helped_until_the_store_answers_it_again(world):
+    store = await world.serve(world.store)
+    helper = await world.neighbour("helper", store)
+    path = world.path(NOBODY, [helper])
+    await fail_twice(path)
+    await until(lambda: path.via == helper)
+    assert await call(path, "POST", b"row") == 200
+    assert world.calls[-1] == ("POST", "/rows?a=b", b"row")
+    path.store = store
+    await until(lambda: path.via is None)
+    assert await call(path) == 200
+
+
+@scenario
+async def test_a_process_that_is_turned_away_is_helped_too(world):
+    async def turn_away(request):
+        return Response(503)
+
+    store = await world.serve(world.store)
+    helper = await world.neighbour("helper", store)
+    path = world.path(await world.serve(turn_away), [helper])
+    assert [await call(path), await call(path)] == [503, 503]
+    await until(lambda: path.via == helper)
+    assert await call(path) == 200
+
+
+@scenario
+async def test_the_own_zone_is_asked_first(world):
+    store = await world.serve(world.store)
+    far = [await world.neighbour(f"far{n}", store, "there") for n in range(3)]
+    near = await world.neighbour("near", store)
+    path = world.path(NOBODY, [*far, near])
+    await fail_twice(path)
+    await until(lambda: path.via is not None)
+    assert path.via == near
+
+
+@scenario
+async def test_nobody_helps_where_the_store_answers_nobody(world):
+    other = await world.neighbour("other", NOBODY)
+    path = world.path(NOBODY, [other])
+    await fail_twice(path)
+    await until(lambda: path.seeking.done())
+    assert path.via is None
+    assert isinstance(await call(path), FetchError)
+
+
+@scenario
+async def test_a_neighbour_that_goes_is_left(world):
+    store = await world.serve(world.store)
+    helper = await world.neighbour("helper", store)
+    path = world.path(NOBODY, [helper])
+    await fail_twice(path)
+    await until(lambda: path.via == helper)
+    await world.servers.pop().stop(0)
+    assert isinstance(await call(path), FetchError)
+    assert path.via is None
+
+
+@scenario
+async def test_a_write_whose_answer_is_lost_on_the_way_stays_unknown(world):
+    async def lose(request):
+        if request.method == "GET":
+            return Response(200)
+        return Response(200, [], cut())
+
+    async def cut():
+        raise Abandon("lost")
+        yield b""
+
+    store = await world.serve(lose)
+    helper = await world.neighbour("helper", store)
+    path = world.path(NOBODY, [helper])
+    await fail_twice(path)
+    await until(lambda: path.via == helper)
+    error = await call(path, "POST", b"row")
+    assert isinstance(error, FetchError)
+    assert error.sent, "it may have been written"
+
+
+@scenario
+async def test_a_write_that_a_neighbour_could_not_send_was_not_done(world):
+    store = await world.serve(world.store)
+    helper = await world.neighbour("helper", store)
+    path = world.path(NOBODY, [helper])
+    await fail_twice(path)
+    await until(lambda: path.via == helper)
+    for server in world.servers[:1]:
+        await server.stop(0)
+    world.fetcher.close()
+    assert await call(path, "POST", b"row") == 503
+    assert path.via is None
+
+
+@pytest.mark.parametrize("name", ["a", "b"])
+def test_processes_learn_of_each_other_and_forget_who_is_gone(name):
+    async def run():
+        store, clock = MemoryTables(), ManualClock()
+        hoods = {}
+        for number, own in enumerate("ab"):
+            path = StorePath(NOBODY, None, clock, random.Random(1), "here", [])
+            me = Neighbour(own, ("127.0.0.1", 10 + number), "here")
+            hoods[own] = Neighbourhood(me, path, store, clock)
+            await hoods[own].announce()
+        hood, other = hoods[name], "ab".replace(name, "")
+        assert isinstance(hood.watch, Watch)
+        await hood.watch.step()
+        assert set(hood.path.neighbours) == {other}
+        clock.advance(FORGOTTEN + 1)
+        await hood.announce()
+        await hood.watch.step()
+        assert not hood.path.neighbours
+        rows = await store.scan(NEIGHBOURS, "")
+        assert [row.key for row in rows] == [name]
+
+    asyncio.run(run())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,6 +6,7 @@
 import pytest
 
 from gypsumshift.fetch import FetchError
+from gypsumshift.neighbours import StorePath
 from standins.users_documents import config, job_body, route, settings_text
 from standins.users_store import Faults
 from standins.users_worker import UsersWorker, event_text, plain_answer
@@ -257,7 +258,8 @@
 def test_a_store_that_returns_from_silence_is_used_at_once():
     from row_store import IMPATIENT, READ_TIMEOUT, WRITE_TIMEOUT, PlatformStore
 
-    store = PlatformStore(("127.0.0.1", 1), None)
+    path = StorePath(("127.0.0.1", 1), None, None, None, "here", [])
+    store = PlatformStore(path)
     assert store.patience(WRITE_TIMEOUT) == WRITE_TIMEOUT
     patience = []
     for silent in range(1, 7):
@@ -265,3 +267,19 @@
         patience.append(store.patience(READ_TIMEOUT))
     assert patience.count(IMPATIENT) == 4
     assert patience.count(READ_TIMEOUT) == 2, "a slow store is never reached"
+
+
+def test_a_gateway_that_the_store_does_not_answer_works_through_the_agent(tmp_path):
+    async def scenario(world):
+        path = world.gateway.store.path
+        await until(lambda: path.neighbours)
+        path.store = ("127.0.0.1", 1)
+        await until(lambda: path.via is not None)
+        exchange, _ = await world.ask("POST", "/batch/", "job", job_body("job"))
+        assert exchange.status == 202
+        assert len(await world.results()) == 4
+        assert world.gateway.ready
+        path.store = ("127.0.0.1", world.store_port)
+        await until(lambda: path.via is None)
+
+    play(scenario, tmp_path)
