A process that starts while the store is away learns from its neighbours

Cause: a gateway that is restarted during an outage of the store knew no configuration until the store returned (6 to 7 s) and answered 503, while those that ran on served from what they knew. Change: processes keep the rows of the operator's and the servers' tables and tell them to neighbours that ask; one that starts and cannot read them asks three and takes the newest of each table. The store's feed goes on from there, and nothing steps back. It does not say that it is ready, since nobody told that this is current. Ruled out: the same for batch jobs, which may only be read from the store.

--- /dev/null
+++ b/gypsumshift/bootstrap.py
@@ -0,0 +1,102 @@
+"""Bootstrap: what a process that starts while the store is away learns from others.
+
+The decision answers hosts that are restarted during an outage of the store: without
+the configuration they refuse callers until it returns (7 s in the outages seen), while
+processes that did not restart go on by what they know. What a neighbour knows may be
+old; the store's word replaces it as soon as it is heard, and nothing steps back.
+"""
+
+import asyncio
+import json
+
+import attrs
+
+from gypsumshift import logs
+from gypsumshift.clock import Clock
+from gypsumshift.fetch import FetchError
+from gypsumshift.neighbours import Neighbour, StorePath
+from gypsumshift.platforms import Changes, Row
+from gypsumshift.server import Request, Response, json_response
+from gypsumshift.watch import Watch
+
+__all__ = ["KNOWN", "Bootstrap"]
+
+# Target by which a process is asked what it knows of the kept tables.
+KNOWN = "/neighbour/known"
+# Seconds before neighbours are asked for the first time, in which the store usually
+# answers, and between two times.
+ASK_PERIOD = 0.3
+ASK_TIMEOUT = 0.5
+ASKED_AT_ONCE = 3
+
+log = logs.logger("bootstrap")
+
+
+class Bootstrap:
+    """Tells neighbours what this process knows, and learns from them at its start.
+
+    Parameters
+    ----------
+    watches : list of Watch
+        Those that keep their rows.
+    path : StorePath
+        Knows the neighbours.
+    clock : Clock
+    """
+
+    def __init__(self, watches: list[Watch], path: StorePath, clock: Clock):
+        self.watches = watches
+        self.path = path
+        self.clock = clock
+
+    async def serve(self, request: Request) -> Response:
+        """Answer a neighbour that asks what is known here."""
+        known = {
+            w.table: attrs.asdict(w.known()) for w in self.watches if w.version >= 0
+        }
+        return json_response(200, known)
+
+    async def run(self) -> None:
+        """Learn until everything is known, from the store or from neighbours."""
+        while True:
+            await self.clock.sleep(ASK_PERIOD)
+            if all(watch.version >= 0 for watch in self.watches):
+                return
+            if self.path.failures:
+                await self.learn()
+
+    async def learn(self) -> None:
+        """Ask some neighbours, and take the newest that they know of each table."""
+        asked = self.path.candidates()[:ASKED_AT_ONCE]
+        answers = await asyncio.gather(*map(self.ask, asked))
+        for watch in self.watches:
+            known = [answer[watch.table] for answer in answers if watch.table in answer]
+            newest = max(known, key=lambda changes: changes.version, default=None)
+            if newest is not None and watch.learn(newest):
+                logs.event(
+                    log,
+                    "Learnt from a neighbour.",
+                    table=watch.table,
+                    version=newest.version,
+                    rows=len(newest.rows),
+                    asked=len(asked),
+                )
+
+    async def ask(self, neighbour: Neighbour) -> dict[str, Changes]:
+        """Ask one neighbour; nothing where it does not answer."""
+        try:
+            answer = await self.path.fetcher.fetch(
+                neighbour.address, "GET", KNOWN, timeout=ASK_TIMEOUT
+            )
+            return decode(answer.body) if answer.status == 200 else {}
+        except (FetchError, AttributeError, KeyError, TypeError, ValueError) as error:
+            log.debug("{} does not tell what it knows: {}", neighbour.name, error)
+            return {}
+
+
+def decode(body: bytes) -> dict[str, Changes]:
+    """Return what a neighbour knows, by table; raises for a foreign answer."""
+    return {
+        table: Changes([Row(**row) for row in known["rows"]], known["version"])
+        for table, known in json.loads(body).items()
+    }
--- a/gypsumshift/lifecycle.py
+++ b/gypsumshift/lifecycle.py
@@ -5,11 +5,12 @@
 import gc
 import os
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 
 import attrs
 
 from gypsumshift import logs
+from gypsumshift.bootstrap import Bootstrap
 from gypsumshift.clock import Clock
 from gypsumshift.neighbours import Neighbourhood
 from gypsumshift.server import BODY_LIMIT, Handler, Server
@@ -72,12 +73,12 @@
         self.pool = pool
         self.clock = clock
         self.ports: list[Port] = []
-        self.neighbourhood: Neighbourhood | None = None
+        self.joining: list[Callable[[], Coroutine]] = []
 
-    def join(self, neighbourhood: Neighbourhood) -> None:
-        """Learn of the other processes, and tell them of this one."""
-        self.neighbourhood = neighbourhood
+    def join(self, neighbourhood: Neighbourhood, bootstrap: Bootstrap) -> None:
+        """Learn of the other processes and from them, and tell them of this one."""
         self.watches.append(neighbourhood.watch)
+        self.joining += [neighbourhood.run, bootstrap.run]
 
     def listen_at(
         self, address: tuple[str, int], handler: Handler, always: bool = False
@@ -93,8 +94,8 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(run_all(self.watches))
             group.create_task(self.sweep_on())
-            if self.neighbourhood is not None:
-                group.create_task(self.neighbourhood.run())
+            for task in self.joining:
+                group.create_task(task())
             for work in self.work():
                 group.create_task(work)
 
--- a/gypsumshift/neighbours.py
+++ b/gypsumshift/neighbours.py
@@ -17,7 +17,7 @@
 from gypsumshift.fetch import Fetched, Fetcher, FetchError
 from gypsumshift.outcomes import Committed
 from gypsumshift.platforms import Row, RowStore, Write
-from gypsumshift.server import Request, Response
+from gypsumshift.server import Handler, Request, Response
 from gypsumshift.watch import Watch
 
 __all__ = ["Neighbour", "Neighbourhood", "Relay", "StorePath"]
@@ -244,13 +244,18 @@
     ----------
     path : StorePath
         Only its direct way is used, so that calls do not go in circles.
+    others : dict
+        Handlers of what else neighbours may ask, by target.
     """
 
-    def __init__(self, path: StorePath):
+    def __init__(self, path: StorePath, others: dict[str, Handler] | None = None):
         self.path = path
+        self.others = others or {}
 
     async def serve(self, request: Request) -> Response:
         """Answer a neighbour."""
+        if request.target in self.others:
+            return await self.others[request.target](request)
         if request.target == REACHES_STORE:
             return Response(200 if self.path.reaches_store else 503)
         try:
--- a/gypsumshift/watch.py
+++ b/gypsumshift/watch.py
@@ -41,6 +41,8 @@
     clock : Clock
     on_return : callable
         Called when the store answers again after a failure.
+    keep : bool
+        Keep the rows, for neighbours that ask.
 
     Attributes
     ----------
@@ -60,7 +62,10 @@
         replace: Callable[[list[Row]], None],
         clock: Clock,
         on_return: Callable[[], None] = lambda: None,
+        keep: bool = False,
     ):
+        self.keep = keep
+        self.rows: dict[tuple[str, str], Row] = {}
         self.on_return = on_return
         self.store = store
         self.table = table
@@ -109,14 +114,40 @@
         if answer.version < self.version:
             # The store may serve an old copy; nothing steps back.
             return
+        self.current_at = self.clock.monotonic()
+        self.accept(answer)
+
+    def accept(self, answer: Changes) -> None:
+        """Tell the rows of an answer, and remember how far it goes."""
         whole = self.version < 0
         self.version = answer.version
-        self.current_at = self.clock.monotonic()
+        if self.keep:
+            self.keep_rows(answer.rows, whole)
         if whole:
             self.replace(answer.rows)
         elif answer.rows:
             self.apply(answer.rows)
 
+    def keep_rows(self, rows: list[Row], whole: bool) -> None:
+        """Keep rows as they are told."""
+        if whole:
+            self.rows.clear()
+        for row in rows:
+            self.rows[row.part, row.key] = row
+            if row.value is None:
+                del self.rows[row.part, row.key]
+
+    def known(self) -> Changes:
+        """Return all rows that are kept, and the version up to which they go."""
+        return Changes(list(self.rows.values()), self.version)
+
+    def learn(self, changes: Changes) -> bool:
+        """Take what a neighbour knows, unless something is known; return whether."""
+        if self.version >= 0:
+            return False
+        self.accept(changes)
+        return True
+
     def note_failure(self, reason: str) -> None:
         """Count a failure; the first of a row is logged."""
         self.failures += 1
