The claimed unit in a module of its own; builders for two sets of tests

Cause: unitruns.py had grown to 420 lines with two types in it; two tests of saved runs and four of neighbours began with the same lines. Change: UnitRun stands in jobs/unit.py; saved_run and helped build what these tests start from.

--- a/gypsumshift/jobs/unitruns.py
+++ b/gypsumshift/jobs/unitruns.py
@@ -19,17 +19,16 @@
     UNITS,
     Claim,
     Item,
-    Job,
     Partial,
     Result,
     Unit,
-    UnitSummary,
     from_row,
     to_row,
 )
 from gypsumshift.jobs.pace import Pace
 from gypsumshift.jobs.partials import Partials, read_rows
 from gypsumshift.jobs.station import Station
+from gypsumshift.jobs.unit import UnitRun
 from gypsumshift.jobs.weights import WeightKeeper
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Committed, Conflict
@@ -37,7 +36,7 @@
 from gypsumshift.serving.forwarder import Forwarder
 from gypsumshift.serving.headers import HeaderNames
 
-__all__ = ["UnitRun", "UnitRunner"]
+__all__ = ["UnitRunner"]
 
 # Reward calls of one agent at once: the application answers callers too, and five
 # agents with three each take half of its places at the most.
@@ -48,51 +47,6 @@
 log = logs.logger("units")
 
 
-@attrs.define
-class UnitRun:
-    """A claimed unit on its way.
-
-    Attributes
-    ----------
-    job : Job
-    summary : UnitSummary
-    version : int
-        Of the row of its claim.
-    runs : dict
-        `ItemRun` by item, of those without a result.
-    tasks : dict
-        Task by item; one under the empty name while the items are being read.
-    """
-
-    job: Job
-    summary: UnitSummary
-    version: int
-    runs: dict[str, ItemRun] = attrs.field(factory=dict)
-    tasks: dict[str, asyncio.Task] = attrs.field(factory=dict)
-
-    @property
-    def key(self) -> str:
-        """Key of the unit."""
-        return self.summary.key
-
-    @property
-    def generating(self) -> list[ItemRun]:
-        """Items that take a place of the engine, or are about to."""
-        return [run for run in self.runs.values() if not run.generated]
-
-    @property
-    def load(self) -> int:
-        """Number of the items that take a place of the engine, or are about to."""
-        return len(self.summary.items) if "" in self.tasks else len(self.generating)
-
-    @property
-    def sizes(self) -> list[int]:
-        """Tokens of the engine's memory that each of these is estimated to take."""
-        if "" in self.tasks:
-            return [self.summary.memory] * len(self.summary.items)
-        return [run.item.memory for run in self.generating]
-
-
 class UnitRunner:
     """Owns the claimed units, and the tasks that run their items.
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -207,8 +207,8 @@
     return [run for unit in agent.runner.units.values() for run in unit.runs.values()]
 
 
-@scenario
-async def test_an_agent_that_died_leaves_what_it_had_saved(world):
+async def saved_run(world):
+    """Save an unfinished item; return agent, engine, and the events saved."""
     engine = FakeEngine(length=30)
     engine.hold.clear()
     agent = world.agent("a", engine)
@@ -216,7 +216,12 @@
     await until(lambda: any(run.unsaved for run in runs_of(agent)))
     await agent.runner.save()
     (saved,) = await world.store.scan(PARTIALS, "", "job")
-    count = len(saved.value["events"])
+    return agent, engine, len(saved.value["events"])
+
+
+@scenario
+async def test_an_agent_that_died_leaves_what_it_had_saved(world):
+    _, _, count = await saved_run(world)
     assert count >= 20
     await world.close()
     successor = FakeEngine(length=30)
@@ -228,13 +233,7 @@
 
 @scenario
 async def test_what_was_saved_goes_with_the_result(world):
-    engine = FakeEngine(length=30)
-    engine.hold.clear()
-    agent = world.agent("a", engine)
-    await world.submit(groups=1, size=1)
-    await until(lambda: any(run.unsaved for run in runs_of(agent)))
-    await agent.runner.save()
-    assert await world.store.scan(PARTIALS, "", "job")
+    _, engine, _ = await saved_run(world)
     engine.hold.set()
     await world.results()
     assert not await world.store.scan(PARTIALS, "", "job")
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -92,13 +92,19 @@
         assert isinstance(await call(path), FetchError)
 
 
-@scenario
-async def test_a_cut_process_is_helped_until_the_store_answers_it_again(world):
-    store = await world.serve(world.store)
+async def helped(world, answer):
+    """Cut a process off from a store that answers so; return both once it is helped."""
+    store = await world.serve(answer)
     helper = await world.neighbour("helper", store)
     path = world.path(NOBODY, [helper])
     await fail_twice(path)
     await until(lambda: path.via == helper)
+    return store, path
+
+
+@scenario
+async def test_a_cut_process_is_helped_until_the_store_answers_it_again(world):
+    store, path = await helped(world, world.store)
     assert await call(path, "POST", b"row") == 200
     assert world.calls[-1] == ("POST", "/rows?a=b", b"row")
     path.store = store
@@ -142,11 +148,7 @@
 
 @scenario
 async def test_a_neighbour_that_goes_is_left(world):
-    store = await world.serve(world.store)
-    helper = await world.neighbour("helper", store)
-    path = world.path(NOBODY, [helper])
-    await fail_twice(path)
-    await until(lambda: path.via == helper)
+    _, path = await helped(world, world.store)
     await world.servers.pop().stop(0)
     assert isinstance(await call(path), FetchError)
     assert path.via is None
@@ -163,11 +165,7 @@
         raise Abandon("lost")
         yield b""
 
-    store = await world.serve(lose)
-    helper = await world.neighbour("helper", store)
-    path = world.path(NOBODY, [helper])
-    await fail_twice(path)
-    await until(lambda: path.via == helper)
+    _, path = await helped(world, lose)
     error = await call(path, "POST", b"row")
     assert isinstance(error, FetchError)
     assert error.sent, "it may have been written"
@@ -175,11 +173,7 @@
 
 @scenario
 async def test_a_write_that_a_neighbour_could_not_send_was_not_done(world):
-    store = await world.serve(world.store)
-    helper = await world.neighbour("helper", store)
-    path = world.path(NOBODY, [helper])
-    await fail_twice(path)
-    await until(lambda: path.via == helper)
+    _, path = await helped(world, world.store)
     for server in world.servers[:1]:
         await server.stop(0)
     world.fetcher.close()
