A neighbour of another zone is among those that are asked for the store

Cause: the three neighbours asked were all of the own zone where it has three; a zone that is cut off from the store as a whole found nobody. Change: one of the three is of another zone where there is one. Measured: the new test finds no neighbour before, and the far one now.

--- a/gypsumshift/bootstrap.py
+++ b/gypsumshift/bootstrap.py
@@ -27,7 +27,6 @@
 # answers, and between two times.
 ASK_PERIOD = 0.3
 ASK_TIMEOUT = 0.5
-ASKED_AT_ONCE = 3
 
 log = logs.logger("bootstrap")
 
@@ -67,7 +66,7 @@
 
     async def learn(self) -> None:
         """Ask some neighbours, and take the newest that they know of each table."""
-        asked = self.path.candidates()[:ASKED_AT_ONCE]
+        asked = self.path.candidates()
         answers = await asyncio.gather(*map(self.ask, asked))
         for watch in self.watches:
             known = [answer[watch.table] for answer in answers if watch.table in answer]
--- a/gypsumshift/neighbours.py
+++ b/gypsumshift/neighbours.py
@@ -188,13 +188,20 @@
             self.seeking = asyncio.create_task(self.seek())
 
     def candidates(self) -> list[Neighbour]:
-        """Return the neighbours in the order in which to ask them."""
-        known = list(self.neighbours.values()) or self.seeds
-        return sorted(known, key=lambda n: (n.zone != self.zone, self.chance.random()))
+        """Return the neighbours to ask at once, those of the own zone first.
+
+        One of another zone is among them, since a whole zone may be cut off.
+        """
+        known = list(self.neighbours.values()) or list(self.seeds)
+        self.chance.shuffle(known)
+        near = [n for n in known if n.zone == self.zone]
+        far = [n for n in known if n.zone != self.zone]
+        near = near[: ASKED_AT_ONCE - min(len(far), 1)]
+        return near + far[: ASKED_AT_ONCE - len(near)]
 
     async def seek(self) -> None:
         """Find a neighbour that the store answers; use it until it answers here."""
-        asked = self.candidates()[:ASKED_AT_ONCE]
+        asked = self.candidates()
         answers = await asyncio.gather(*map(self.ask, asked))
         able = [n for n, answer in zip(asked, answers, strict=True) if answer]
         if not able or self.reaches_store:
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -136,6 +136,30 @@
     assert path.via == near
 
 
+@scenario
+async def test_another_zone_helps_where_the_own_zone_is_cut_off(world):
+    """With the own zone alone first, three of its four were asked each time."""
+    near = [await world.neighbour(f"near{n}", NOBODY) for n in range(4)]
+    store = await world.serve(world.store)
+    far = await world.neighbour("far", store, "there")
+    path = world.path(NOBODY, [*near, far])
+    await fail_twice(path)
+    await until(lambda: path.via is not None)
+    assert path.via == far
+
+
+def test_three_neighbours_are_asked_wherever_they_are():
+    path = StorePath(NOBODY, None, None, random.Random(1), "here", [])
+    for near, far in ((0, 5), (1, 5), (5, 0), (5, 5), (2, 1)):
+        zones = ["here"] * near + ["there"] * far
+        path.neighbours = {
+            str(n): Neighbour(str(n), NOBODY, zone) for n, zone in enumerate(zones)
+        }
+        asked = path.candidates()
+        assert len({n.name for n in asked}) == 3
+        assert [n.zone for n in asked] == sorted(n.zone for n in asked)
+
+
 @scenario
 async def test_nobody_helps_where_the_store_answers_nobody(world):
     other = await world.neighbour("other", NOBODY)
