--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 
 import attrs
@@ -17,6 +18,7 @@
 __all__ = ["Deployment", "Process"]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+FIRST_BLOCK, BLOCKS = 20, 200
 FRONT, READY, WORKER, STORE, NEIGHBOURS = 8100, 8101, 8200, 8300, 8400
 
 
@@ -70,6 +72,23 @@
             await self.child.wait()
 
 
+def claim_block(seed: int) -> tuple[int, socket.socket]:
+    """Return the second number of loopback addresses that no other run uses.
+
+    Two runs whose seeds led to one block met: the second found the first one's store.
+    The socket holds the block until this process ends or closes it.
+    """
+    for number in range(BLOCKS):
+        block = FIRST_BLOCK + (seed + number) % BLOCKS
+        claim = socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            claim.bind((f"127.{block}.255.254", STORE))
+            return block, claim
+        except OSError:
+            claim.close()
+    raise RuntimeError("another run holds each block of addresses")
+
+
 class Deployment:
     """All processes of one run.
 
@@ -78,7 +97,7 @@
     folder : pathlib.Path
         For settings and logs.
     seed : int
-        Also picks the loopback addresses, so that two runs do not meet.
+        The search for loopback addresses of its own begins there.
     nodes : int
         Gateways, engines with an agent each, and plain workers, of each so many.
     """
@@ -87,6 +106,7 @@
         self.folder = folder
         self.seed = seed
         self.nodes = nodes
+        self.block, self.claim = claim_block(seed)
         self.fetcher = Fetcher()
         self.hosts = 0
         self.processes: list[Process] = []
@@ -94,8 +114,7 @@
     def next_ip(self) -> str:
         """Return a loopback address of its own."""
         self.hosts += 1
-        block = self.seed % 200 + 20
-        return f"127.{block}.{self.hosts // 200}.{self.hosts % 200 + 1}"
+        return f"127.{self.block}.{self.hosts // 200}.{self.hosts % 200 + 1}"
 
     def of_kind(self, kind: str) -> list[Process]:
         """Return the processes of a kind, such as ``gateway``."""
@@ -188,3 +207,4 @@
     async def close(self) -> None:
         """End all processes that this run started."""
         await asyncio.gather(*(process.stop() for process in self.processes))
+        self.claim.close()
