--- a/tests/test_bootstrap.py
+++ b/tests/test_bootstrap.py
@@ -16,8 +16,8 @@
 from gypsumshift.watch import Watch
 from standins.deployment import free_port
 from standins.users_documents import settings_text
-from tests.platform_world import PlatformWorld
 from tests.system import until
+from tests.test_platform import play
 
 TABLE = "settings"
 
@@ -136,13 +136,4 @@
         exchange, _ = await world.ask("POST", "/app/1", "a1", b"hello")
         assert exchange.status == 200
 
-    async def run():
-        world = PlatformWorld()
-        try:
-            async with asyncio.timeout(60):
-                await world.start(tmp_path)
-                await scenario(world)
-        finally:
-            await world.close()
-
-    asyncio.run(run())
+    play(scenario, tmp_path)
