Three tests of a busy agent begin by one builder

Cause: three tests of test_agent.py began with the same five lines. Change: busy_agent starts what they share; assertions are as they were.

--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -52,13 +52,19 @@
     assert engine.started == [("job-0-0", 0), ("job-0-0", 2)]
 
 
-@scenario
-async def test_a_unit_claimed_twice_runs_once_and_stops_with_its_job(world):
+async def busy_agent(world):
+    """Start an agent with two unfinished items; return it and its engine."""
     engine = FakeEngine()
     engine.hold.clear()
     agent = world.agent("a", engine)
     await world.submit(groups=1)
     await until(lambda: len(engine.running) == 2)
+    return agent, engine
+
+
+@scenario
+async def test_a_unit_claimed_twice_runs_once_and_stops_with_its_job(world):
+    agent, engine = await busy_agent(world)
     ((job_id, key), unit) = next(iter(agent.runner.units.items()))
     again = Candidate(unit.job, unit.job.units[0], unit.version, True)
     agent.runner.start(again, unit.version)
@@ -86,11 +92,7 @@
 
 @scenario
 async def test_a_unit_that_another_agent_took_over_is_let_go(world):
-    engine = FakeEngine()
-    engine.hold.clear()
-    agent = world.agent("a", engine)
-    await world.submit(groups=1)
-    await until(lambda: len(engine.running) == 2)
+    agent, engine = await busy_agent(world)
     row = (await world.store.scan("claims", "", "job"))[0]
     value = {"agent": "b", "session": "other"}
     await world.store.commit([Write("claims", row.key, value, part="job")])
@@ -100,11 +102,7 @@
 
 @scenario
 async def test_a_leaving_agent_gives_its_units_back(world):
-    engine = FakeEngine()
-    engine.hold.clear()
-    agent = world.agent("a", engine)
-    await world.submit(groups=1)
-    await until(lambda: len(engine.running) == 2)
+    agent, engine = await busy_agent(world)
     await agent.leave()
     assert not engine.running
     world.agent("b", FakeEngine())
