A write whose answer stays away is sent once more, and claims go side by side

Change: a write that is not answered within four usual times (0.15 s at the least) is sent again, three copies at the most, as long as the store answers anything; the first certain outcome counts, and what no copy settled is said to be unknown. An agent makes three claims side by side; a unit that is being given back is not taken up again by its own claim. Ruled out: a shorter time-out (a store that is slow for all would get each write three times).

--- /dev/null
+++ b/gypsumshift/hedging.py
@@ -0,0 +1,138 @@
+"""Hedging: a write to the store that is not answered is sent once more.
+
+The decision answers a store that carries writes out and loses their answers: a third to
+a half of them for some seconds. Each one lost held a result or a claim up for the 1.5 s
+of a time-out, and what stood behind it as well: items were claimed up to 3.1 s after
+their step, and results stored 5 s after they were there (logs of a play). Writes are
+idempotent: each holds only under a condition, or is the same however often it is made.
+"""
+
+import asyncio
+
+from gypsumshift import logs
+from gypsumshift.clock import Clock
+from gypsumshift.neighbours import StorePath
+from gypsumshift.outcomes import Committed, Conflict, Unavailable, Unknown, Written
+from gypsumshift.platforms import RowStore, Write
+
+__all__ = ["AnswerTime", "HedgedStore"]
+
+# Copies of one write at the most: of three, one in ten finds no answer where half of
+# them are lost.
+COPIES = 3
+# Seconds after which a copy is sent, at the least and at the most. A transaction takes
+# 5 to 10 ms; with less, a host that is busy for a moment would send twice.
+WAIT_LEAST = 0.15
+WAIT_MOST = 1.0
+# A copy is sent once an answer takes so many times the usual time: a store that is slow
+# for all answers nothing sooner when it is asked twice.
+SLOW_FACTOR = 4.0
+# Weight of the newest answer in the usual time: some five answers back, so that a store
+# that turned slow is known before a second's writes have been doubled.
+NEWEST_WEIGHT = 0.2
+
+log = logs.logger("hedging")
+
+
+class AnswerTime:
+    """Usual time of the store's answers to writes, in seconds."""
+
+    def __init__(self):
+        self.usual = 0.0
+
+    def note(self, took: float) -> None:
+        """Take the seconds that an answer took."""
+        self.usual = self.usual or took
+        self.usual += NEWEST_WEIGHT * (took - self.usual)
+
+    def patience(self) -> float:
+        """Return the seconds after which a write is sent once more."""
+        return min(max(SLOW_FACTOR * self.usual, WAIT_LEAST), WAIT_MOST)
+
+
+class HedgedStore(RowStore):
+    """Store whose writes are sent again where their answers stay away.
+
+    Parameters
+    ----------
+    inner : RowStore
+    path : StorePath
+        Tells whether the store answers at all: one that is away is not asked twice.
+    clock : Clock
+    """
+
+    def __init__(self, inner: RowStore, path: StorePath, clock: Clock):
+        self.inner = inner
+        self.path = path
+        self.clock = clock
+        self.answers = AnswerTime()
+
+    async def read(self, table, key, part=""):
+        """Return one row."""
+        return await self.inner.read(table, key, part)
+
+    async def scan(self, table, prefix, part=""):
+        """Return the rows of a part whose keys begin with ``prefix``, in order."""
+        return await self.inner.scan(table, prefix, part)
+
+    async def changes(self, table, after, wait):
+        """Return what changed after a version; waits for the first change."""
+        return await self.inner.changes(table, after, wait)
+
+    async def snapshot(self, table):
+        """Return the rows of all parts, with the version to watch from."""
+        return await self.inner.snapshot(table)
+
+    def now(self):
+        """Return the store's steady time, as estimated from its last answer."""
+        return self.inner.now()
+
+    async def commit(self, writes: list[Write]) -> Written:
+        """Apply all writes, or none where a condition does not hold.
+
+        Where a copy met what the one before had written, that is a conflict, as it is
+        for a write that is made again after a time-out.
+        """
+        copies: set[asyncio.Task] = set()
+        try:
+            return await self.race(writes, copies)
+        finally:
+            for copy in copies:
+                copy.cancel()
+
+    async def race(self, writes: list[Write], copies: set[asyncio.Task]) -> Written:
+        """Return the first outcome that is certain; an uncertain one if none is."""
+        ended: list[Written] = []
+        sent = 0
+        while True:
+            if sent < COPIES and (not sent or self.may_repeat(ended)):
+                copies.add(asyncio.create_task(self.send(writes)))
+                sent += 1
+            waits = self.answers.patience() if sent < COPIES else None
+            done, _ = await asyncio.wait(
+                copies, timeout=waits, return_when=asyncio.FIRST_COMPLETED
+            )
+            copies -= done
+            ended += [task.result() for task in done]
+            for outcome in ended:
+                if isinstance(outcome, (Committed, Conflict)):
+                    return outcome
+            if not copies:
+                return self.uncertain(ended)
+
+    def may_repeat(self, ended: list[Written]) -> bool:
+        """Tell whether one more copy may find an answer."""
+        return not ended and self.path.reaches_store
+
+    async def send(self, writes: list[Write]) -> Written:
+        """Send one copy."""
+        started = self.clock.monotonic()
+        outcome = await self.inner.commit(writes)
+        if isinstance(outcome, (Committed, Conflict)):
+            self.answers.note(self.clock.monotonic() - started)
+        return outcome
+
+    def uncertain(self, ended: list[Written]) -> Unavailable | Unknown:
+        """Return what may be said of a write of which no copy was answered."""
+        unknown = [outcome for outcome in ended if isinstance(outcome, Unknown)]
+        return unknown[0] if unknown else ended[0]
--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -13,7 +13,7 @@
 from gypsumshift.clock import Clock
 from gypsumshift.jobs.claims import Candidate, ClaimBoard
 from gypsumshift.jobs.engine import Engine
-from gypsumshift.jobs.model import AGENTS, CLAIMS, JOBS, Claim, to_row
+from gypsumshift.jobs.model import AGENTS, CLAIMS, JOBS, Claim, UnitSummary, to_row
 from gypsumshift.jobs.pace import is_slow
 from gypsumshift.jobs.room import NO_ROOM, Room
 from gypsumshift.jobs.station import Home, Station
@@ -40,6 +40,10 @@
 # a time, to be measured again: slowness was seen to last 6 to 8 s.
 SLOW_PAUSE = 2.0
 SLOW_PROBATION = 4.0
+# Claims that an agent makes side by side. One after the other, each waited for the
+# last: while half of the store's answers were lost, items were claimed up to 3.1 s
+# after their step had come (logs of a play).
+CLAIMS_AT_ONCE = 3
 # Seconds between two savings of what long runs have generated.
 SAVE_PERIOD = 1.0
 # Items that may wait for their scores, in engines full: more show that the application
@@ -86,7 +90,7 @@
         self.board = ClaimBoard(self.own.session, clock, chance)
         self.station = Station(home, directory, engine, clock)
         self.weights = WeightKeeper(self.station, self.board, clock, metrics)
-        self.work = asyncio.Event()
+        self.news = [asyncio.Event() for _ in range(CLAIMS_AT_ONCE)]
         self.runner = UnitRunner(
             self.own,
             store,
@@ -97,7 +101,7 @@
             names,
             clock,
             metrics,
-            self.work.set,
+            self.note_news,
         )
         directory.on_restart.append(self.note_restart)
         self.slow_at = float("-inf")
@@ -119,20 +123,25 @@
 
     # What is told.
 
+    def note_news(self) -> None:
+        """Have this agent look for work: there may be some, or room for it."""
+        for news in self.news:
+            news.set()
+
     def take_jobs(self, rows: list[Row]) -> None:
         """Take rows of the table of jobs."""
         for job in self.board.take_jobs(rows):
             if job.model:
                 self.weights.note_job(job)
         self.runner.drop_ended()
-        self.work.set()
+        self.note_news()
 
     def take_claims(self, rows: list[Row]) -> None:
         """Take rows of the table of claims."""
         self.board.take_claims(rows)
         for row in rows:
             self.runner.note_claim(row)
-        self.work.set()
+        self.note_news()
 
     def note_restart(self, old: BackendServer) -> None:
         """Forget what was believed of the engine's start that is no more.
@@ -146,7 +155,7 @@
         self.weights.forget_start()
         self.runner.pace.clear()
         self.slow_at = float("-inf")
-        self.work.set()
+        self.note_news()
 
     # Tasks.
 
@@ -156,7 +165,8 @@
             group.create_task(run_all(self.watches))
             group.create_task(self.beat())
             group.create_task(self.tend())
-            group.create_task(self.look())
+            for news in self.news:
+                group.create_task(self.look(news))
             group.create_task(self.save_on())
 
     async def beat(self) -> None:
@@ -191,7 +201,7 @@
         if report is not None:
             self.weights.note_report(report)
             if not was_healthy or versions != self.weights.ready_versions():
-                self.work.set()
+                self.note_news()
         if not self.station.healthy:
             self.runner.hand_over_all("the engine does not serve")
             return
@@ -224,7 +234,8 @@
 
     def room(self, limits: EngineLimits) -> Room:
         """Return what the engine should be given beside what it runs."""
-        load = self.runner.load
+        coming = self.coming()
+        load = self.runner.load + sum(len(unit.items) for unit in coming)
         since = self.clock.monotonic() - self.slow_at
         if since < SLOW_PAUSE:
             return NO_ROOM
@@ -232,16 +243,22 @@
             return NO_ROOM
         if self.runner.scoring >= SCORING_ROUNDS * limits.slots:
             return NO_ROOM
-        return Room(limits.slots - load, limits.memory, self.runner.sizes)
+        sizes = [size for unit in coming for size in [unit.memory] * len(unit.items)]
+        return Room(limits.slots - load, limits.memory, (*self.runner.sizes, *sizes))
+
+    def coming(self) -> list[UnitSummary]:
+        """Return the units whose claims are on their way."""
+        places = self.board.claiming - self.runner.units.keys()
+        return [unit for place in places if (unit := self.board.unit(*place))]
 
-    async def look(self) -> None:
+    async def look(self, news: asyncio.Event) -> None:
         """Claim units while the engine has room."""
         while True:
-            self.work.clear()
+            news.clear()
             await self.claim_all()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(LOOK_PERIOD):
-                    await self.work.wait()
+                    await news.wait()
 
     async def claim_all(self) -> None:
         """Claim one unit after another."""
@@ -262,10 +279,21 @@
     def adopt(self) -> None:
         """Start units that are held by the store but not run: an answer was lost."""
         for job, unit, held in self.board.mine():
+            if (job.id, unit.key) in self.runner.returning:
+                continue
             self.runner.start(Candidate(job, unit, held.version, True), held.version)
 
     async def claim(self, candidate: Candidate) -> bool:
         """Claim a unit; return whether to go on claiming."""
+        place = (candidate.job.id, candidate.unit.key)
+        self.board.claiming.add(place)
+        try:
+            return await self.write_claim(candidate)
+        finally:
+            self.board.claiming.discard(place)
+
+    async def write_claim(self, candidate: Candidate) -> bool:
+        """Write a claim, and run its unit where it holds."""
         job, unit = candidate.job, candidate.unit
         value = to_row(self.own)
         write = Write(CLAIMS, unit.key, value, candidate.version, part=job.id)
--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -125,6 +125,11 @@
     clock : Clock
     chance : random.Random
         Chooses among the units that come next.
+
+    Attributes
+    ----------
+    claiming : set of (str, str)
+        Job and unit of the claims that this agent has on their way.
     """
 
     def __init__(self, session: str, clock: Clock, chance: random.Random):
@@ -137,6 +142,7 @@
         self.pulses: dict[str, Pulse] = {}
         self.groups: dict[str, set[str]] = {}
         self.deaf_until = float("-inf")
+        self.claiming: set[tuple[str, str]] = set()
 
     def take_jobs(self, rows: list[Row]) -> list[Job]:
         """Take rows of the table of jobs; return the jobs that are new."""
@@ -240,6 +246,12 @@
             return True
         return not held.claim.done and not self.alive(held)
 
+    def unit(self, job_id: str, key: str) -> UnitSummary | None:
+        """Return a unit of an open job."""
+        tracked = self.open.get(job_id)
+        units = tracked.order if tracked else ()
+        return next((unit for unit in units if unit.key == key), None)
+
     def mine(self) -> list[tuple[Job, UnitSummary, Held]]:
         """Return the units that this agent holds by the store and are not done."""
         return [
@@ -298,6 +310,7 @@
                 len(found) < most
                 and room.fits(len(unit.items), unit.memory)
                 and self.free(held)
+                and (tracked.job.id, unit.key) not in self.claiming
             ):
                 version = held.version if held else ABSENT
                 found.append(Candidate(tracked.job, unit, version, held is not None))
--- a/gypsumshift/jobs/unitruns.py
+++ b/gypsumshift/jobs/unitruns.py
@@ -66,6 +66,12 @@
     metrics : Metrics
     changed : callable
         Called when there may be room for more.
+
+    Attributes
+    ----------
+    returning : set of (str, str)
+        Job and unit of those that are being given back, which the store still has as
+        this agent's.
     """
 
     def __init__(
@@ -99,6 +105,7 @@
         self.places = asyncio.Semaphore(1)
         self.place_count = 1
         self.giving: set[asyncio.Task] = set()
+        self.returning: set[tuple[str, str]] = set()
 
     @property
     def load(self) -> int:
@@ -342,6 +349,15 @@
 
     async def give_back(self, unit: UnitRun) -> None:
         """Write what was generated of a unit, and that it is free."""
+        place = (unit.job.id, unit.key)
+        self.returning.add(place)
+        try:
+            await self.write_back(unit)
+        finally:
+            self.returning.discard(place)
+
+    async def write_back(self, unit: UnitRun) -> None:
+        """Write that a unit is free until the outcome is certain."""
         writes = self.partials.writes(unit.job.id, list(unit.runs.values()))
         free = Write(CLAIMS, unit.key, to_row(Claim()), unit.version, part=unit.job.id)
         outcome = await self.store.commit([*writes, free])
