Engines stay with their models, and slow ones serve the shortest items

Change: heartbeats tell the model that an engine is set to serve; an engine changes it only where the busiest model's load falls by a fourth. Engines that are built slower serve the model of the shortest items, as far as the others can spare theirs. An agent reads what the process before it told before it tells anything: told anew, homes were lost at each restart. Ruled out: to tell an engine's model by the versions it has (all are alike on a first step).

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -126,6 +126,7 @@
         self.moved: set[tuple[str, str]] = set()
         self.leaving = False
         self.beats = 0
+        self.told = Heartbeat("")
         board = self.board
         self.watches = [
             Watch(store, JOBS, self.take_jobs, self.take_jobs, clock),
@@ -189,7 +190,15 @@
             group.create_task(self.save_on())
 
     async def beat(self) -> None:
-        """Tell the other agents that this one works."""
+        """Tell the other agents that this one works.
+
+        What the process before it had told is read first: told anew without it, the
+        engine's model was lost, and after a restart of all hosts half of the engines
+        changed theirs.
+        """
+        while not self.board.heard:
+            await self.clock.sleep(LOOK_PERIOD / 10)
+        self.told = self.board.told(self.home.name)
         while True:
             await self.send_beat()
             await self.clock.sleep(HEARTBEAT)
@@ -205,15 +214,19 @@
     def tell(self) -> dict:
         """Return the row that tells the other agents of this one."""
         server, limits = self.station.server, self.station.limits
+        engine = server.id if server else self.told.engine
+        known = self.told if engine == self.told.engine else Heartbeat("")
         places = self.room(limits).places if limits and self.station.healthy else 0
         beat = Heartbeat(
             session=self.own.session,
             beat=self.beats,
             pace=round(self.runner.pace.value(), 5),
-            usual=round(self.runner.pace.usual(), 5),
-            engine=server.id if server else "",
+            usual=round(self.usual_pace(), 5) or known.usual,
+            engine=engine,
             places=places,
+            home=self.weights.home() or known.home,
         )
+        self.told = beat
         return to_row(beat)
 
     async def tend(self) -> None:
@@ -256,9 +269,15 @@
         self.metrics.count("slow_engine")
         self.runner.hand_over_all("the engine is slow")
 
+    def usual_pace(self) -> float:
+        """Return the engine's usual pace, as an earlier start of this agent knew it."""
+        server = self.station.server
+        told = self.board.engines().get(server.id) if server else None
+        return self.runner.pace.usual() or (told.usual if told else 0.0)
+
     def slower_models(self) -> dict[str, int]:
         """Return the models that faster engines serve too, with their free places."""
-        usual = self.runner.pace.usual()
+        usual = self.usual_pace()
         found = {}
         for model in self.weights.models():
             faster = self.board.faster(usual, self.weights.engines(model))
--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -23,6 +23,7 @@
     parse_rows,
 )
 from gypsumshift.jobs.pace import is_slower
+from gypsumshift.jobs.placement import EngineView
 from gypsumshift.jobs.room import Room
 from gypsumshift.jobs.schedule import LONG_FACTOR, begin_order, long_units
 from gypsumshift.platforms import ABSENT, Row
@@ -148,6 +149,8 @@
     ----------
     claiming : set of (str, str)
         Job and unit of the claims that this agent has on their way.
+    heard : bool
+        Whether the table of agents was read.
     """
 
     def __init__(self, session: str, clock: Clock, chance: random.Random):
@@ -161,6 +164,7 @@
         self.groups: dict[str, set[str]] = {}
         self.deaf_until = float("-inf")
         self.claiming: set[tuple[str, str]] = set()
+        self.heard = False
 
     def take_jobs(self, rows: list[Row]) -> list[Job]:
         """Take rows of the table of jobs; return the jobs that are new."""
@@ -226,6 +230,7 @@
     def take_pulses(self, rows: list[Row]) -> None:
         """Take rows of the table of agents."""
         now = self.clock.monotonic()
+        self.heard = True
         written = [row for row in rows if row.value is not None]
         for row in rows:
             if row.value is None:
@@ -261,6 +266,16 @@
             if pulse.session != self.session and pulse.pace and self.recent(pulse.at)
         ]
 
+    def told(self, agent: str) -> Heartbeat:
+        """Return what an agent told last; an empty heartbeat where it told nothing."""
+        pulse = self.pulses.get(agent)
+        return pulse.beat if pulse else Heartbeat("")
+
+    def engines(self) -> dict[str, EngineView]:
+        """Return what agents told last of their engines, by the engine's id."""
+        beats = [p.beat for p in sorted(self.pulses.values(), key=lambda p: p.at)]
+        return {b.engine: EngineView(b.engine, b.home, b.usual) for b in beats}
+
     def faster(self, usual: float, engines: Collection[str]) -> list[Heartbeat]:
         """Return what agents tell whose engines are built faster than one.
 
--- a/gypsumshift/jobs/model.py
+++ b/gypsumshift/jobs/model.py
@@ -282,6 +282,8 @@
         Id of the engine beside it; empty where none is listed.
     places : int
         Items that the engine could take at once.
+    home : str
+        Model that the engine is set to serve; empty for none, or for several.
     """
 
     session: str
@@ -290,6 +292,7 @@
     usual: float = 0.0
     engine: str = ""
     places: int = 0
+    home: str = ""
 
 
 # What `cattrs` raises for a value that is not of the kind asked for.
--- a/gypsumshift/jobs/pace.py
+++ b/gypsumshift/jobs/pace.py
@@ -27,7 +27,7 @@
 USUAL_WINDOW = 10.0
 # A full engine generates a tenth slower than an empty one; engines that are built
 # slower were seen to take 1.28 times as long.
-SLOWER_FACTOR = 1.15
+SLOWER_FACTOR = 1.17
 # Peers that are needed to tell what is usual.
 LEAST_PEERS = 2
 
@@ -44,6 +44,7 @@
         self.clock = clock
         self.gaps: collections.deque[tuple[float, float]] = collections.deque()
         self.medians: collections.deque[tuple[float, float]] = collections.deque()
+        self.best = 0.0
 
     def note(self, gap: float) -> None:
         """Take the seconds between two events of one stream."""
@@ -57,15 +58,18 @@
         """Forget everything: another engine is there."""
         self.gaps.clear()
         self.medians.clear()
+        self.best = 0.0
 
     def usual(self) -> float:
-        """Return the best median of the last seconds; 0 where none is known."""
+        """Return the best median of its last busy seconds; 0 where none is known."""
         now, value = self.clock.monotonic(), self.value()
         if value:
             self.medians.append((now, value))
         while self.medians and self.medians[0][0] < now - USUAL_WINDOW:
             self.medians.popleft()
-        return min((median for _, median in self.medians), default=0.0)
+        if self.medians:
+            self.best = min(median for _, median in self.medians)
+        return self.best
 
     def value(self) -> float:
         """Return the median gap in seconds; 0 where too few are known."""
--- a/gypsumshift/jobs/placement.py
+++ b/gypsumshift/jobs/placement.py
@@ -1,22 +1,46 @@
 """Placement: which models an engine serves, and when it loads new weights.
 
-Each agent decides for its own engine from what all see alike, so no message is
-needed. Loading takes 0.9 s, and 2.3 s when more than two engines do it at once, and
-an engine loads nothing that its trainer's steps do not need: with every engine on
-every model, loads cost a tenth of what a day earned (measured on a trial).
+Each agent decides for its own engine from what all see alike: the listed engines, the
+newest steps, and what agents tell of their engines in their heartbeats. An engine stays
+with its model unless that costs balance, since one that changes it has old weights.
+Engines that are built slower serve the models of the shortest items: the longest ones
+take 7.3 s of the 7.5 s of a step, and 9.4 to 10.2 s at such an engine. Loading takes
+0.9 s, and 2.3 s when more than two engines do it at once, and an engine loads nothing
+that its trainer's steps do not need: with every engine on every model, loads cost a
+tenth of what a day earned (measured on a trial).
 """
 
+import collections
+import math
+
 import attrs
 
 from gypsumshift.jobs.model import Job
+from gypsumshift.jobs.pace import is_slower
 
-__all__ = ["Demand", "LoadChoice", "LoadQuestion", "assign", "choose_load"]
+__all__ = [
+    "Demand",
+    "EngineView",
+    "LoadChoice",
+    "LoadQuestion",
+    "assign",
+    "choose_load",
+]
 
 # Steps of a model whose sizes make up its demand.
 STEPS_KEPT = 3
 # Seconds after a version was named by which the second half of the engines loads
 # it: by then the first half has loaded, and takes the work meanwhile.
 SECOND_TURN = 1.3
+# An engine changes its model where the busiest model's load on each engine falls by
+# this factor at least: the sizes of steps differ by a fifth from one to the next, and
+# an engine that changes begins nothing for a second or two.
+WORTH_A_CHANGE = 1.25
+# Load on each engine, against that of the busiest model, up to which a model gives an
+# engine away so that a slower one serves short items: engines were a third full.
+WORTH_A_SLOW = 1.5
+# Models whose longest items are alike within this factor count as of one length.
+ALIKE = 1.3
 
 
 class Demand:
@@ -24,13 +48,21 @@
 
     def __init__(self):
         self.sizes: dict[str, dict[str, float]] = {}
+        self.longest: dict[str, dict[str, int]] = {}
 
     def add(self, job: Job) -> None:
         """Take a batch job."""
         sizes = self.sizes.setdefault(job.model, {})
         sizes[job.id] = float(sum(u.hint * len(u.items) for u in job.units))
-        while len(sizes) > STEPS_KEPT:
-            del sizes[next(iter(sizes))]
+        longest = self.longest.setdefault(job.model, {})
+        longest[job.id] = max((unit.hint for unit in job.units), default=0)
+        for kept in (sizes, longest):
+            while len(kept) > STEPS_KEPT:
+                del kept[next(iter(kept))]
+
+    def lengths(self) -> dict[str, int]:
+        """Return the longest estimate of each model, in output tokens."""
+        return {model: max(kept.values()) for model, kept in self.longest.items()}
 
     def shares(self, models: tuple[str, ...]) -> dict[str, float]:
         """Return the share of each model; equal ones where nothing is known."""
@@ -45,46 +77,141 @@
         return {model: size / total for model, size in known.items()}
 
 
-def assign(servers: list[str], shares: dict[str, float]) -> dict[str, tuple[str, ...]]:
-    """Return the models that each server is to serve.
+@attrs.frozen
+class EngineView:
+    """What is known of an engine that is to be given a model.
+
+    Attributes
+    ----------
+    id : str
+    home : str
+        Model that it serves; empty for none.
+    usual : float
+        Its usual pace; see `Pace.usual`.
+    """
+
+    id: str
+    home: str = ""
+    usual: float = 0.0
+
+
+def assign(
+    engines: list[EngineView], shares: dict[str, float], lengths: dict[str, int]
+) -> dict[str, tuple[str, ...]]:
+    """Return the models that each engine is to serve.
 
     Parameters
     ----------
-    servers : list of str
-        Ids of the ready servers of the service.
+    engines : list of EngineView
+        The ready engines of the service.
     shares : dict
         Share of the work by model, summing to 1.
+    lengths : dict
+        Longest items by model, as far as known.
 
     Returns
     -------
     dict
-        Every model has a server where there are enough; where there are fewer
-        servers than models, each serves several.
+        Every model has an engine where there are enough; where there are fewer
+        engines than models, each serves several.
     """
-    servers = sorted(servers)
+    engines = sorted(engines, key=lambda engine: engine.id)
     models = sorted(shares)
-    if not servers or not models:
+    if not engines or not models:
         return {}
-    if len(servers) <= len(models):
-        placed: dict[str, list[str]] = {server: [] for server in servers}
+    if len(engines) <= len(models):
+        placed: dict[str, list[str]] = {engine.id: [] for engine in engines}
         for number, model in enumerate(models):
-            placed[servers[number % len(servers)]].append(model)
-        return {server: tuple(own) for server, own in placed.items()}
-    counts = seats(shares, len(servers))
-    order = [model for model in models for _ in range(counts[model])]
-    return {server: (model,) for server, model in zip(servers, order, strict=True)}
-
-
-def seats(shares: dict[str, float], total: int) -> dict[str, int]:
-    """Return whole numbers that sum to ``total``, at least one for each model."""
-    counts = dict.fromkeys(shares, 1)
-    for _ in range(total - len(shares)):
-        # The next server goes where each serves the greatest share so far.
-        neediest = max(sorted(shares), key=lambda m: shares[m] / counts[m])
-        counts[neediest] += 1
+            placed[engines[number % len(engines)].id].append(model)
+        return {engine: tuple(own) for engine, own in placed.items()}
+    if len(models) == 1:
+        return {engine.id: (models[0],) for engine in engines}
+    slow = slow_engines(engines)
+    order = by_length(engines, slow, models, lengths)
+    counts = seats(engines, shares, len(slow), order[0])
+    return fill(engines, slow, order, counts)
+
+
+def slow_engines(engines: list[EngineView]) -> set[str]:
+    """Return the ids of the engines that are built slower than the fastest one."""
+    best = min((engine.usual for engine in engines if engine.usual), default=0.0)
+    return {engine.id for engine in engines if is_slower(engine.usual, best)}
+
+
+def by_length(engines, slow, models, lengths) -> list[str]:
+    """Return models from the shortest to the longest items.
+
+    Where they are alike, the one that slow engines serve already comes first.
+    """
+    homes = collections.Counter(e.home for e in engines if e.id in slow)
+
+    def rank(model: str) -> tuple[int, int, str]:
+        length = max(lengths.get(model, 0), 1)
+        return (round(math.log(length, ALIKE)), -homes[model], model)
+
+    return sorted(models, key=rank)
+
+
+def seats(engines, shares, slow: int, shortest: str) -> dict[str, int]:
+    """Return how many engines each model gets, at least one.
+
+    Parameters
+    ----------
+    engines : list of EngineView
+    shares : dict
+    slow : int
+        Engines that are built slower.
+    shortest : str
+        Model of the shortest items.
+    """
+    homes = collections.Counter(engine.home for engine in engines)
+    counts = {model: homes[model] for model in sorted(shares)}
+
+    def load(model: str, fewer: int = 0) -> float:
+        count = counts[model] - fewer
+        return shares[model] / count if count > 0 else math.inf
+
+    def give(donor: str, model: str) -> None:
+        counts[donor] -= 1
+        counts[model] += 1
+
+    def donor_for(model: str) -> str:
+        others = [other for other in counts if other != model]
+        return min(others, key=lambda other: load(other, 1))
+
+    while sum(counts.values()) < len(engines):
+        counts[max(counts, key=load)] += 1
+    while True:
+        needy = max(counts, key=load)
+        donor = donor_for(needy)
+        if load(donor, 1) * WORTH_A_CHANGE >= load(needy):
+            break
+        give(donor, needy)
+    busiest = max(map(load, counts))
+    while counts[shortest] < slow:
+        donor = donor_for(shortest)
+        if load(donor, 1) > WORTH_A_SLOW * busiest:
+            break
+        give(donor, shortest)
     return counts
 
 
+def fill(engines, slow, order, counts) -> dict[str, tuple[str, ...]]:
+    """Return the models of the engines: slow ones first to the shortest items."""
+    left = list(engines)
+    placed = {}
+    for model in order:
+
+        def rank(engine: EngineView) -> tuple[bool, int, str]:
+            stays = 0 if engine.home == model else 2 if engine.home else 1  # noqa: B023
+            return (engine.id not in slow, stays, engine.id)
+
+        left.sort(key=rank)
+        taken, left = left[: counts[model]], left[counts[model] :]
+        placed |= {engine.id: (model,) for engine in taken}
+    return placed
+
+
 @attrs.frozen
 class LoadChoice:
     """A weight version to load, and why.
--- a/gypsumshift/jobs/weights.py
+++ b/gypsumshift/jobs/weights.py
@@ -80,8 +80,15 @@
         limits = self.station.limits
         if limits is None:
             return {}
+        told = self.board.engines()
+        engines = [told.get(e, placement.EngineView(e)) for e in self.station.peers]
         shares = self.demand.shares(limits.models)
-        return placement.assign(self.station.peers, shares)
+        return placement.assign(engines, shares, self.demand.lengths())
+
+    def home(self) -> str:
+        """Return the model that the engine is set to serve; empty for several."""
+        models = self.models()
+        return models[0] if len(models) == 1 else ""
 
     def ready_versions(self) -> dict[str, int]:
         """Return the versions of the models for which the engine takes new work now."""
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -4,7 +4,7 @@
 
 from gypsumshift.jobs import ResultState
 from gypsumshift.jobs.claims import Candidate
-from gypsumshift.jobs.model import END_KEY, JOBS, PARTIALS, RESULTS
+from gypsumshift.jobs.model import AGENTS, END_KEY, JOBS, PARTIALS, RESULTS
 from gypsumshift.platforms import Write
 from tests.jobs_world import MODEL, FakeEngine, World, server
 from tests.system import until
@@ -259,3 +259,19 @@
     agent.runner.forwarder.forward = forward
     (result,) = await world.results()
     assert result.state is ResultState.WHOLE
+
+
+@scenario
+async def test_a_restarted_agent_keeps_to_what_its_engine_served(world):
+    """Told anew without it, half of the engines changed models after a restart."""
+    value = {"session": "old", "engine": "e-a", "home": MODEL, "usual": 0.05}
+    await world.store.commit([Write(AGENTS, "a", value)])
+    agent = world.agent("a")
+    agent.station.directory.forget_server("e-a")
+    await until(lambda: agent.weights.fence)
+    row = await world.store.read(AGENTS, "a")
+    told = {key: row.value[key] for key in ("engine", "home", "usual")}
+    assert told == {"engine": "e-a", "home": MODEL, "usual": 0.05}
+    agent.station.directory.set_server(server("e-new"))
+    await until(lambda: agent.told.engine == "e-new")
+    assert agent.told.usual == 0, "another engine is of another pace"
