--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -154,8 +154,10 @@
         """Add and start a stand-in of a worker."""
         store = "{}:{}".format(*self.store_address)
         runs = str(self.folder / f"{name}.runs")
+        # Every other worker starts again under the id that it had.
+        same_id = f"i-{name}" if name.endswith(("0", "2")) else ""
         arguments = ["--port", str(WORKER), "--service", service, "--store", store]
-        arguments += ["--models", models, "--runs", runs]
+        arguments += ["--models", models, "--runs", runs, "--name", same_id]
         process = self.add(name, "standins.users_worker", *arguments)
         await process.start()
         return process
@@ -179,8 +181,8 @@
         await process.start()
         return process
 
-    async def write(self, table: str, key: str, value: dict) -> None:
-        """Write into the store as the operator or a trainer does."""
+    async def write(self, table: str, key: str, value: dict | bytes) -> None:
+        """Write into the store as the operator, a trainer or anyone does."""
         row = (table, key, value)
         while True:
             if await put_row(self.fetcher, self.store_address, row):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,15 @@
 
 GAP = 0.8
 LONGEST = 3.0
+# What another writer may put where a worker's entry belongs.
+FOREIGN = [
+    b"",
+    b"\xff\x00",
+    b"[1, 2]",
+    b'{"service": "pool", "state": "ready"}',
+    b'{"service": "app", "addr": 7, "zone": [], "slots": "6", "state": "resting"}',
+    b'{"service": "pool", "addr": "x", "models": [null], "born": "now"}',
+]
 
 
 class Faults:
@@ -35,6 +44,7 @@
             self.trouble_store,
             self.kill_worker,
             self.name_version,
+            self.write_foreign,
         ]
         self.version = 1
 
@@ -115,7 +125,7 @@
         await self.deployment.set_store()
 
     async def kill_worker(self, span: float) -> None:
-        """Kill a backend server, start it again as a new one."""
+        """Kill a backend server, start it again, under its id or as a new one."""
         process = self.pick("engine", "app")
         self.note(f"kill {process.name} for {span:.1f} s")
         async with process.lock:
@@ -130,3 +140,11 @@
         self.note(f"version {version}")
         value = {"model": "m", "version": version}
         await self.deployment.write("op", "version/m", value)
+
+    async def write_foreign(self, span: float) -> None:
+        """Write an entry that is none, under the id of a worker or beside it."""
+        process = self.pick("engine", "app")
+        key = self.chance.choice([f"i-{process.name}", "i-nobody"])
+        entry = self.chance.choice(FOREIGN)
+        self.note(f"foreign entry {key}: {entry[:30]!r}")
+        await self.deployment.write("servers", key, entry)
--- a/standins/users_worker.py
+++ b/standins/users_worker.py
@@ -216,9 +216,13 @@
 
 
 async def put_row(fetcher: Fetcher, store: tuple[str, int], row: tuple) -> bool:
-    """Write a row, given as table, key and value; return whether the store took it."""
+    """Write a row, given as table, key and value; return whether the store took it.
+
+    A value of bytes is written as it is.
+    """
     table, key, value = row
-    data = base64.b64encode(json.dumps(value).encode()).decode()
+    raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+    data = base64.b64encode(raw).decode()
     write = {"table": table, "key": key, "value": data}
     body = json.dumps({"expected": [], "writes": [write], "remove": []}).encode()
     try:
