Heartbeats each 0.4 s; long items leave an engine that changed its model

A host that is lost with the longest items of a step was missed after 2.6 s, and the step ended 10.9 s after it had come: heartbeats come each 0.4 s now and four are missed. And an engine that was found to be built slower and given to another model kept the long items that it had begun for the first one (9.7 s): these are given back too. Long items of a lost host had waited "since their step came", so that a slower engine took them at once: they wait for a faster one from the moment at which they are free. Ruled out: heartbeats between agents beside the store (a second truth about who lives).

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -40,8 +40,8 @@
 
 __all__ = ["Agent"]
 
-# Seconds between heartbeats of an agent.
-HEARTBEAT = 1.0
+# Seconds between heartbeats of an agent: four are missed before it is taken for gone.
+HEARTBEAT = 0.4
 # Seconds between reports of the engine, which are free on its own host.
 REPORT_PERIOD = 0.2
 # Seconds after which the agent looks for work again though nothing was told.
@@ -276,10 +276,14 @@
         return self.runner.pace.usual() or (told.usual if told else 0.0)
 
     def slower_models(self) -> dict[str, int]:
-        """Return the models that faster engines serve too, with their free places."""
+        """Return the models that faster engines serve too, with their free places.
+
+        Also those of items that run here from before this engine changed its model.
+        """
         usual = self.usual_pace()
         found = {}
-        for model in self.weights.models():
+        running = {unit.job.model for unit in self.runner.units.values()}
+        for model in sorted(running | set(self.weights.models())):
             faster = self.board.faster(usual, self.weights.engines(model))
             if faster:
                 found[model] = sum(beat.places for beat in faster)
--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -30,9 +30,11 @@
 
 __all__ = ["Candidate", "ClaimBoard", "Held"]
 
-# Seconds without a heartbeat after which an agent's claims are free. Agents send
-# one each second, and an item may be at no backend server for 5 s at the most.
-SILENCE = 2.6
+# Seconds without a heartbeat after which an agent's claims are free. Of a host that
+# is lost with the longest items of a step, each second counts: with 2.6 s they ended
+# 10.9 s after their step came (logs of a play). Taken for gone too soon, an agent loses
+# nothing but the work that two do.
+SILENCE = 1.6
 # Seconds that a unit waits for an engine of its own model before another takes it.
 STEAL_AFTER = 0.8
 # Seconds that a unit of long items waits for an engine that is not slower than others
@@ -106,11 +108,6 @@
     long: frozenset[str]
     claims: dict[str, Held] = attrs.field(factory=dict)
 
-    def free_since(self, unit: UnitSummary) -> float:
-        """Return since when a unit that is free has been so."""
-        held = self.claims.get(unit.key)
-        return max(self.since, held.seen_at) if held else self.since
-
 
 @attrs.define
 class Pulse:
@@ -386,5 +383,17 @@
 
     def left_to_faster(self, tracked: Tracked, unit: UnitSummary) -> bool:
         """Tell whether a slower engine leaves a unit to the others of its model."""
-        waited = self.clock.monotonic() - tracked.free_since(unit)
+        waited = self.clock.monotonic() - self.free_since(tracked, unit)
         return unit.key in tracked.long and waited < LEAVE_LONG
+
+    def free_since(self, tracked: Tracked, unit: UnitSummary) -> float:
+        """Return since when a unit that is free has been so, in seconds."""
+        held = tracked.claims.get(unit.key)
+        if held is None:
+            return tracked.since
+        pulse = self.pulses.get(held.claim.agent)
+        told = max(tracked.since, held.seen_at, pulse.at if pulse else 0.0)
+        restarted = pulse is not None and pulse.session != held.claim.session
+        if not held.claim.agent or restarted:
+            return told
+        return max(told, self.deaf_until) + SILENCE
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -144,6 +144,20 @@
     assert choose(own, slower=[MODEL]).unit.hint == 100, "nobody else took it"
 
 
+def test_long_items_of_a_lost_host_are_left_to_faster_engines_too():
+    """They had waited since their step came, and went to whoever was first."""
+    own, clock = uneven_board()
+    own.take_pulses([pulse("other", "s", 1, 2)])
+    for unit in own.open["job"].order:
+        done = unit.hint < 100
+        own.take_claims([claim_row("job", unit.key, "other", "s", 3, done)])
+    clock.advance(SILENCE + 0.1)
+    assert choose(own, slower=[MODEL]) is None
+    assert choose(own).unit.hint == 100
+    clock.advance(LEAVE_LONG)
+    assert choose(own, slower=[MODEL]).unit.hint == 100
+
+
 def beat(agent, engine, usual, places=4, version=2):
     value = {"session": f"s-{agent}", "beat": 1, "usual": usual}
     value |= {"engine": engine, "places": places}
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -134,3 +134,23 @@
     assert not claim.value.get("agent"), "the faster one takes it"
     others = [place for place in agent.runner.units if place[1] != long.key]
     assert others, "the short ones stay"
+
+
+@scenario
+async def test_long_items_go_also_where_their_engine_serves_another_model(world: World):
+    """An engine found to be slower changes its model while the first step runs."""
+    engine = FakeEngine(length=400)
+    engine.gap = 0.03
+    agent = world.agent("slow", engine)
+    agent.station.directory.set_server(server("e-fast", address=("127.0.0.1", 10)))
+    await world.submit(groups=3, hints={"job-1-0": 90, "job-1-1": 90})
+    await until(lambda: len(engine.running) == 4)
+    agent.weights.models = lambda: ("another",)
+    agent.weights.engines = lambda model: ["e-fast", "e-slow"]
+    value = {"session": "f", "beat": 1, "usual": 0.001, "engine": "e-fast", "places": 4}
+    await world.store.commit([Write(AGENTS, "fast", value)])
+    rows = []
+    while not rows:
+        await asyncio.sleep(0.01)
+        rows = await world.store.scan("partials", "", "job")
+    assert {row.key.split("/")[0] for row in rows} == {"job-1-0", "job-1-1"}
