--- a/gypsumshift/agentnode.py
+++ b/gypsumshift/agentnode.py
@@ -7,6 +7,7 @@
 from gypsumshift.jobs.engine import Engine
 from gypsumshift.jobs.station import Home
 from gypsumshift.lifecycle import Node
+from gypsumshift.policy import DEFAULT, Policy
 from gypsumshift.serving.forwarder import Forwarder
 from gypsumshift.serving.pool import Pool
 from gypsumshift.serving.sender import Sender
@@ -33,6 +34,7 @@
     fetcher : Fetcher
     chance : random.Random
     metrics : Metrics
+    policy : Policy
     """
 
     def __init__(
@@ -48,14 +50,24 @@
         fetcher,
         chance,
         metrics,
+        policy: Policy = DEFAULT,
     ):
-        super().__init__(directory, watches, Pool(zone, clock, chance), clock)
+        super().__init__(directory, watches, Pool(zone, clock, chance, policy), clock)
         directory.on_restart.append(lambda old: fetcher.cut(old.address))
         sender = Sender(directory, self.pool, fetcher, names, clock, metrics)
-        forwarder = Forwarder(sender)
+        forwarder = Forwarder(sender, policy)
         engine = Engine(fetcher, names, protocol)
         self.agent = Agent(
-            home, store, directory, engine, forwarder, names, clock, chance, metrics
+            home,
+            store,
+            directory,
+            engine,
+            forwarder,
+            names,
+            clock,
+            chance,
+            metrics,
+            policy,
         )
 
     def work(self):
--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -5,6 +5,7 @@
 from gypsumshift.jobs.desk import Desk
 from gypsumshift.lifecycle import Node
 from gypsumshift.platforms import RowStore
+from gypsumshift.policy import DEFAULT, Policy
 from gypsumshift.serving.forwarder import Forwarder
 from gypsumshift.serving.pool import Pool
 from gypsumshift.serving.sender import Sender
@@ -35,6 +36,7 @@
     fetcher : Fetcher
     chance : random.Random
     metrics : Metrics
+    policy : Policy
     """
 
     body_limit = BODY_LIMIT
@@ -50,16 +52,17 @@
         fetcher,
         chance,
         metrics,
+        policy: Policy = DEFAULT,
     ):
         self.store: RowStore = store
         self.chance: random.Random = chance
         self.desk = Desk(store, clock, metrics)
         self.directory_watches: list[Watch] = directory_watches
         watches = [*directory_watches, *self.desk.watches]
-        super().__init__(directory, watches, Pool(zone, clock, chance), clock)
+        super().__init__(directory, watches, Pool(zone, clock, chance, policy), clock)
         directory.on_restart.append(lambda old: fetcher.cut(old.address))
         sender = Sender(directory, self.pool, fetcher, names, clock, metrics)
-        self.forwarder = Forwarder(sender)
+        self.forwarder = Forwarder(sender, policy)
         self.streams = StreamRelay(self.forwarder)
         self.leaving = False
 
--- a/gypsumshift/hedging.py
+++ b/gypsumshift/hedging.py
@@ -14,6 +14,7 @@
 from gypsumshift.neighbours import StorePath
 from gypsumshift.outcomes import Committed, Conflict, Unavailable, Unknown, Written
 from gypsumshift.platforms import RowStore, Write
+from gypsumshift.policy import DEFAULT, Policy
 
 __all__ = ["AnswerTime", "HedgedStore"]
 
@@ -59,9 +60,17 @@
     path : StorePath
         Tells whether the store answers at all: one that is away is not asked twice.
     clock : Clock
+    policy : Policy
     """
 
-    def __init__(self, inner: RowStore, path: StorePath, clock: Clock):
+    def __init__(
+        self,
+        inner: RowStore,
+        path: StorePath,
+        clock: Clock,
+        policy: Policy = DEFAULT,
+    ):
+        self.copies = COPIES if policy.hedged_writes else 1
         self.inner = inner
         self.path = path
         self.clock = clock
@@ -105,10 +114,10 @@
         ended: list[Written] = []
         sent = 0
         while True:
-            if sent < COPIES and (not sent or self.may_repeat(ended)):
+            if sent < self.copies and (not sent or self.may_repeat(ended)):
                 copies.add(asyncio.create_task(self.send(writes)))
                 sent += 1
-            waits = self.answers.patience() if sent < COPIES else None
+            waits = self.answers.patience() if sent < self.copies else None
             done, _ = await asyncio.wait(
                 copies, timeout=waits, return_when=asyncio.FIRST_COMPLETED
             )
--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -32,6 +32,7 @@
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Committed, Conflict, Unavailable
 from gypsumshift.platforms import Row, RowStore, Write
+from gypsumshift.policy import DEFAULT, Policy
 from gypsumshift.serving.directory import BackendServer, Directory
 from gypsumshift.serving.forwarder import Forwarder
 from gypsumshift.serving.headers import HeaderNames
@@ -85,6 +86,7 @@
     clock : Clock
     chance : random.Random
     metrics : Metrics
+    policy : Policy
     """
 
     def __init__(
@@ -98,15 +100,17 @@
         clock: Clock,
         chance: random.Random,
         metrics: Metrics,
+        policy: Policy = DEFAULT,
     ):
         self.home = home
+        self.policy = policy
         self.store = store
         self.clock = clock
         self.metrics = metrics
         self.own = Claim(home.name, f"{chance.getrandbits(64):016x}")
         self.board = ClaimBoard(self.own.session, clock, chance)
         self.station = Station(home, directory, engine, clock)
-        self.weights = WeightKeeper(self.station, self.board, clock, metrics)
+        self.weights = WeightKeeper(self.station, self.board, clock, metrics, policy)
         self.news = [asyncio.Event() for _ in range(CLAIMS_AT_ONCE)]
         self.runner = UnitRunner(
             self.own,
@@ -258,6 +262,8 @@
         own, peers = pace.value(), self.board.paces()
         if self.weights.loading or not is_slow(own, peers):
             return
+        if not self.policy.slow_handover:
+            return
         self.slow_at = self.clock.monotonic()
         pace.clear()
         logs.event(
@@ -280,6 +286,8 @@
 
         Also those of items that run here from before this engine changed its model.
         """
+        if not self.policy.long_items_to_faster:
+            return {}
         usual = self.usual_pace()
         found = {}
         running = {unit.job.model for unit in self.runner.units.values()}
@@ -316,7 +324,8 @@
         """Save what long runs have generated, again and again."""
         while True:
             await self.clock.sleep(SAVE_PERIOD)
-            await self.runner.save()
+            if self.policy.saved_runs:
+                await self.runner.save()
 
     def room(self, limits: EngineLimits) -> Room:
         """Return what the engine should be given beside what it runs."""
--- a/gypsumshift/jobs/placement.py
+++ b/gypsumshift/jobs/placement.py
@@ -249,8 +249,8 @@
         Seconds since the newest version was named, as seen here.
     step_came : bool
         Whether the step that the newest version allows has come.
-    one_version : bool
-        Whether a text must come from one version, so that a load restarts what runs.
+    restarts : bool
+        Whether a load restarts what runs, since a text must come from one version.
     """
 
     model: str
@@ -262,7 +262,7 @@
     turn: int
     named_since: float
     step_came: bool
-    one_version: bool = False
+    restarts: bool = False
 
     @property
     def begun(self) -> bool:
@@ -322,9 +322,9 @@
         if not first and asked.named_since < SECOND_TURN:
             return None
         reason = "steps to come cannot use what it has"
-    elif asked.rank < asked.missing and (asked.begun or asked.one_version):
+    elif asked.rank < asked.missing and (asked.begun or asked.restarts):
         reason = "half of the engines are to have it"
-    elif asked.half_loaded and asked.begun and not asked.one_version:
+    elif asked.half_loaded and asked.begun and not asked.restarts:
         reason = "the step that it allows has begun"
     else:
         return None
--- a/gypsumshift/jobs/weights.py
+++ b/gypsumshift/jobs/weights.py
@@ -1,5 +1,7 @@
 """Weights: keeps the weights of one engine as fresh as its trainers' steps need."""
 
+import attrs
+
 from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.jobs import placement
@@ -9,6 +11,7 @@
 from gypsumshift.jobs.station import Station
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered
+from gypsumshift.policy import DEFAULT, Policy
 
 __all__ = ["WeightKeeper"]
 
@@ -36,6 +39,7 @@
     board : ClaimBoard
     clock : Clock
     metrics : Metrics
+    policy : Policy
 
     Attributes
     ----------
@@ -51,8 +55,14 @@
     """
 
     def __init__(
-        self, station: Station, board: ClaimBoard, clock: Clock, metrics: Metrics
+        self,
+        station: Station,
+        board: ClaimBoard,
+        clock: Clock,
+        metrics: Metrics,
+        policy: Policy = DEFAULT,
     ):
+        self.policy = policy
         self.station = station
         self.board = board
         self.clock = clock
@@ -81,10 +91,21 @@
         if limits is None:
             return {}
         told = self.board.engines()
-        engines = [told.get(e, placement.EngineView(e)) for e in self.station.peers]
+        engines = [
+            self.considered(told.get(e, placement.EngineView(e)))
+            for e in self.station.peers
+        ]
         shares = self.demand.shares(limits.models)
         return placement.assign(engines, shares, self.demand.lengths())
 
+    def considered(self, engine: placement.EngineView) -> placement.EngineView:
+        """Return what the policy lets count of an engine."""
+        if not self.policy.settled_models:
+            engine = attrs.evolve(engine, home="")
+        if not self.policy.slow_engines_short_items:
+            engine = attrs.evolve(engine, usual=0.0)
+        return engine
+
     def home(self) -> str:
         """Return the model that the engine is set to serve; empty for several."""
         models = self.models()
@@ -161,6 +182,7 @@
         slack = self.slack.get(model, SLACK_USUAL)
         job = self.newest_jobs.get(model)
         route = self.station.directory.routes.find(job.host, job.path) if job else None
+        one_version = route is not None and route.one_version
         return placement.LoadQuestion(
             model=model,
             own=report.versions.get(model, 0),
@@ -171,7 +193,7 @@
             turn=engines.index(self.station.server.id),
             named_since=now - since,
             step_came=job is not None and job.oldest_version >= newest - slack,
-            one_version=route is not None and route.one_version,
+            restarts=not self.policy.loads_behind_steps or one_version,
         )
 
     async def give_order(self, server, report, choice) -> None:
--- a/gypsumshift/neighbours.py
+++ b/gypsumshift/neighbours.py
@@ -18,6 +18,7 @@
 from gypsumshift.fetch import Fetched, Fetcher, FetchError
 from gypsumshift.outcomes import Committed
 from gypsumshift.platforms import Row, RowStore, Write
+from gypsumshift.policy import DEFAULT, Policy
 from gypsumshift.server import Handler, Request, Response
 from gypsumshift.watch import Watch
 
@@ -88,6 +89,7 @@
         Availability zone of this process; neighbours in it are asked first.
     seeds : list of Neighbour
         Known before the store was read.
+    policy : Policy
 
     Attributes
     ----------
@@ -111,7 +113,9 @@
         chance: random.Random,
         zone: str,
         seeds: list[Neighbour],
+        policy: Policy = DEFAULT,
     ):
+        self.policy = policy
         self.store = store
         self.fetcher = fetcher
         self.clock = clock
@@ -193,6 +197,8 @@
 
         One of another zone is among them, since a whole zone may be cut off.
         """
+        if not self.policy.store_through_neighbours:
+            return []
         known = list(self.neighbours.values()) or list(self.seeds)
         self.chance.shuffle(known)
         near = [n for n in known if n.zone == self.zone]
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -7,11 +7,13 @@
 
 import asyncio
 import datetime
+import math
 
 import attrs
 
 from gypsumshift import logs
 from gypsumshift.outcomes import Answered, NotRun, Unknown
+from gypsumshift.policy import DEFAULT, Policy
 from gypsumshift.serving.calls import Attempt, Call, Failed, Refused
 from gypsumshift.serving.directory import BackendServer, ServerStart
 from gypsumshift.serving.sender import Sender
@@ -84,9 +86,11 @@
     Parameters
     ----------
     sender : Sender
+    policy : Policy
     """
 
-    def __init__(self, sender: Sender):
+    def __init__(self, sender: Sender, policy: Policy = DEFAULT):
+        self.policy = policy
         self.sender = sender
         self.directory = sender.directory
         self.pool = sender.pool
@@ -144,6 +148,8 @@
 
     def hedge_delay(self, call: Call) -> float:
         """Return the seconds after which a second server is asked as well."""
+        if not self.policy.second_server:
+            return math.inf
         objective = call.route.objective
         if objective is None:
             return HEDGE_DEFAULT
--- a/gypsumshift/serving/pool.py
+++ b/gypsumshift/serving/pool.py
@@ -12,6 +12,7 @@
 
 from gypsumshift.clock import Clock
 from gypsumshift.ejection import Ejection
+from gypsumshift.policy import DEFAULT, Policy
 from gypsumshift.serving.directory import BackendServer, ServerStart
 
 __all__ = ["Pool", "Record"]
@@ -81,9 +82,17 @@
     clock : Clock
     chance : random.Random
         Breaks ties, so that many processes do not choose alike.
+    policy : Policy
     """
 
-    def __init__(self, zone: str, clock: Clock, chance: random.Random):
+    def __init__(
+        self,
+        zone: str,
+        clock: Clock,
+        chance: random.Random,
+        policy: Policy = DEFAULT,
+    ):
+        self.policy = policy
         self.zone = zone
         self.clock = clock
         self.chance = chance
@@ -179,7 +188,8 @@
         record.failures += 1
         record.failed_share += AVERAGE_WEIGHT * (1 - record.failed_share)
         in_a_row = record.failures >= FAILURES_TO_EJECT
-        if not in_a_row and record.failed_share < SHARE_TO_EJECT:
+        often = in_a_row or record.failed_share >= SHARE_TO_EJECT
+        if not often or not self.policy.ejection:
             return False
         return self.eject(record, servers)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -189,7 +189,7 @@
 
 
 def test_a_load_that_would_restart_what_runs_waits_as_long_as_it_can():
-    single = {"slack": 1, "one_version": True}
+    single = {"slack": 1, "restarts": True}
     assert choose_load(question(1, 2, versions=(1,), **single)) is None
     assert choose_load(question(1, 2, versions=(2, 1), turn=1, **single)) is None
     assert choose_load(question(1, 2, versions=(1, 1), **single)).version == 2
