--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -254,7 +254,7 @@
         self.slower = self.slower_models()
         self.move_long()
         if report is not None and not self.leaving:
-            await self.weights.bring(report, self.free_share())
+            await self.weights.bring(report)
 
     def shed_if_slow(self) -> None:
         """Hand the items over where this engine is far behind its peers."""
@@ -282,17 +282,16 @@
         return self.runner.pace.usual() or (told.usual if told else 0.0)
 
     def slower_models(self) -> dict[str, int]:
-        """Return the models that faster engines serve, with their free places.
+        """Return the models that faster engines serve too, with their free places.
 
-        Of all models, since an engine runs items of others too: from before it changed
-        its model, and where it helps.
+        Also those of items that run here from before this engine changed its model.
         """
         if not self.policy.long_items_to_faster:
             return {}
         usual = self.usual_pace()
         found = {}
-        limits = self.station.limits
-        for model in limits.models if limits else ():
+        running = {unit.job.model for unit in self.runner.units.values()}
+        for model in sorted(running | set(self.weights.models())):
             faster = self.board.faster(usual, self.weights.engines(model))
             if faster:
                 found[model] = sum(beat.places for beat in faster)
@@ -328,11 +327,6 @@
             if self.policy.saved_runs:
                 await self.runner.save()
 
-    def free_share(self) -> float:
-        """Return the part of the engine's places that are free."""
-        limits = self.station.limits
-        return self.room(limits).places / limits.slots if limits else 0.0
-
     def room(self, limits: EngineLimits) -> Room:
         """Return what the engine should be given beside what it runs."""
         coming = self.coming()
--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -328,17 +328,6 @@
         ]
         return max(versions, default=-1)
 
-    def waited(self, model: str) -> float:
-        """Return the seconds that a unit of a model has waited; 0 where none does."""
-        since = [
-            self.free_since(tracked, unit)
-            for tracked in self.open.values()
-            if tracked.job.model == model
-            for unit in tracked.order
-            if self.free(tracked.claims.get(unit.key))
-        ]
-        return self.clock.monotonic() - min(since) if since else 0.0
-
     def choose(
         self,
         models: Collection[str],
--- a/gypsumshift/jobs/placement.py
+++ b/gypsumshift/jobs/placement.py
@@ -24,7 +24,6 @@
     "LoadChoice",
     "LoadQuestion",
     "assign",
-    "choose_help",
     "choose_load",
 ]
 
@@ -40,14 +39,6 @@
 # Load on each engine, against that of the busiest model, up to which a model gives an
 # engine away so that a slower one serves short items: engines were a third full.
 WORTH_A_SLOW = 1.5
-# Seconds that a model's units wait until an engine of another model helps, and between
-# one helper and the next. Units wait a second at the most for a load or for a faster
-# engine; after an outage, two steps of a model whose second engine was lost had waited
-# for 5.7 s beside engines with free places (logs of a play).
-HELP_AFTER = 1.2
-HELP_NEXT = 0.3
-# Part of its places that a helper has free.
-HELP_SHARE = 0.5
 # Models whose longest items are alike within this factor count as of one length.
 ALIKE = 1.3
 
@@ -338,45 +329,3 @@
     else:
         return None
     return LoadChoice(asked.model, asked.newest, reason)
-
-
-@attrs.frozen
-class HelpQuestion:
-    """What decides whether an engine loads the weights of a model to help its own ones.
-
-    Attributes
-    ----------
-    model : str
-    own, newest : int
-        Versions that the engine has and that is named.
-    needed : int
-        Version that waiting work asks for at least; -1 where none waits.
-    waited : float
-        Seconds that a unit of the model has waited.
-    free : float
-        Part of the engine's places that are free.
-    rank : int
-        Place of the engine among those of other models, from 0.
-    """
-
-    model: str
-    own: int
-    newest: int
-    needed: int
-    waited: float
-    free: float
-    rank: int
-
-
-def choose_help(asked: HelpQuestion) -> LoadChoice | None:
-    """Return the weights to load for a model that is short of engines; None for none.
-
-    The decision answers steps that come two at a time after an outage, or after a
-    model's engine was lost, while engines of other models stand half empty: an engine
-    with other models' weights may begin nothing of them. Loading does not stop what
-    runs for its own model.
-    """
-    due = HELP_AFTER + HELP_NEXT * asked.rank
-    if asked.own >= asked.needed or asked.waited < due or asked.free < HELP_SHARE:
-        return None
-    return LoadChoice(asked.model, asked.newest, "its own engines are full")
--- a/gypsumshift/jobs/weights.py
+++ b/gypsumshift/jobs/weights.py
@@ -148,15 +148,8 @@
         self.loading = ""
         self.order_at = float("-inf")
 
-    async def bring(self, report: EngineReport, free: float) -> None:
-        """Order newer weights where they are due.
-
-        Parameters
-        ----------
-        report : EngineReport
-        free : float
-            Part of the engine's places that are free.
-        """
+    async def bring(self, report: EngineReport) -> None:
+        """Order newer weights where they are due."""
         server = self.station.server
         if server is None or report.busy or not self.fence:
             return
@@ -168,32 +161,6 @@
             if choice is not None:
                 await self.give_order(server, report, choice)
                 return
-        choice = self.help(report, free) if self.policy.helping else None
-        if choice is not None:
-            await self.give_order(server, report, choice)
-
-    def help(self, report: EngineReport, free: float) -> placement.LoadChoice | None:
-        """Return the weights of another model that is short of engines, if any."""
-        own = self.models()
-        limits = self.station.limits
-        for model in limits.models if limits else ():
-            if model in own:
-                continue
-            engines = self.engines(model)
-            others = [peer for peer in self.station.peers if peer not in engines]
-            asked = placement.HelpQuestion(
-                model=model,
-                own=report.versions.get(model, 0),
-                newest=self.station.directory.newest.get(model, FIRST_VERSION),
-                needed=self.board.waiting(model),
-                waited=self.board.waited(model),
-                free=free,
-                rank=others.index(self.station.server.id),
-            )
-            choice = placement.choose_help(asked)
-            if choice is not None:
-                return choice
-        return None
 
     def question(self, report, model: str, engines) -> placement.LoadQuestion:
         """Return what decides whether the engine loads weights of a model now.
--- a/gypsumshift/policy.py
+++ b/gypsumshift/policy.py
@@ -36,9 +36,6 @@
     settled_models : bool
         An engine stays with its model while that costs no balance
         (`jobs/placement.py`).
-    helping : bool
-        Engines with free places load the weights of a model whose own ones are full
-        (`jobs/placement.py`).
     slow_handover : bool
         An engine that turned slow hands everything over (`jobs/pace.py`).
     saved_runs : bool
@@ -58,7 +55,6 @@
     long_items_to_faster: bool = True
     slow_engines_short_items: bool = True
     settled_models: bool = True
-    helping: bool = True
     slow_handover: bool = True
     saved_runs: bool = True
     store_through_neighbours: bool = True
