Heartbeats and the moving of long items in modules of their own

Pace and model are told with the start of the engine, so that both end with it: by its id alone they were kept over a start under the same id. Measured: whole test run green, with a test that an engine's pace and model end with its start, which failed before (usual_pace kept 0.05).

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -13,20 +13,19 @@
 from gypsumshift.clock import Clock
 from gypsumshift.jobs.claims import Candidate, ClaimBoard
 from gypsumshift.jobs.engine import Engine
+from gypsumshift.jobs.heart import Heart
 from gypsumshift.jobs.model import (
     AGENTS,
     CLAIMS,
     JOBS,
     Claim,
-    Heartbeat,
     UnitSummary,
     to_row,
 )
+from gypsumshift.jobs.mover import Mover
 from gypsumshift.jobs.pace import is_slow
 from gypsumshift.jobs.room import NO_ROOM, Room
-from gypsumshift.jobs.schedule import long_units
 from gypsumshift.jobs.station import Home, Station
-from gypsumshift.jobs.unit import UnitRun
 from gypsumshift.jobs.unitruns import UnitRunner
 from gypsumshift.jobs.weights import WeightKeeper
 from gypsumshift.metrics import Metrics
@@ -41,8 +40,6 @@
 
 __all__ = ["Agent"]
 
-# Seconds between heartbeats of an agent: four are missed before it is taken for gone.
-HEARTBEAT = 0.4
 # Seconds between reports of the engine, which are free on its own host.
 REPORT_PERIOD = 0.2
 # Seconds after which the agent looks for work again though nothing was told.
@@ -51,13 +48,6 @@
 # a time, to be measured again: slowness was seen to last 6 to 8 s.
 SLOW_PAUSE = 2.0
 SLOW_PROBATION = 4.0
-# An item goes to a faster engine where its estimate is this many times the usual one,
-# and within so many seconds of its claim: an engine's pace is known after half a second
-# of its first step. The longest items take 10.2 s at an engine that is built slower,
-# and 7.5 s elsewhere (logs of a play); the move takes some 0.1 s and reads the prompt
-# again. Estimates are off by half, and later there is less to gain.
-MOVE_FACTOR = 3.0
-MOVE_WITHIN = 3.0
 # Claims that an agent makes side by side. One after the other, each waited for the
 # last: while half of the store's answers were lost, items were claimed up to 3.1 s
 # after their step had come (logs of a play).
@@ -124,13 +114,20 @@
             metrics,
             self.note_news,
         )
+        self.heart = Heart(
+            self.own.session,
+            self.station,
+            self.weights,
+            self.board,
+            self.runner.pace,
+            store,
+            clock,
+            self.places,
+        )
+        self.mover = Mover(self.heart, self.weights, self.board, self.runner, clock)
         directory.on_restart.append(self.note_restart)
         self.slow_at = float("-inf")
-        self.slower: dict[str, int] = {}
-        self.moved: set[tuple[str, str]] = set()
         self.leaving = False
-        self.beats = 0
-        self.told = Heartbeat("")
         board = self.board
         self.watches = [
             Watch(store, JOBS, self.take_jobs, self.take_jobs, clock),
@@ -187,52 +184,12 @@
         """Work until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(run_all(self.watches))
-            group.create_task(self.beat())
+            group.create_task(self.heart.run())
             group.create_task(self.tend())
             for news in self.news:
                 group.create_task(self.look(news))
             group.create_task(self.save_on())
 
-    async def beat(self) -> None:
-        """Tell the other agents that this one works.
-
-        What the process before it had told is read first: told anew without it, the
-        engine's model was lost, and after a restart of all hosts half of the engines
-        changed theirs.
-        """
-        while not self.board.heard:
-            await self.clock.sleep(LOOK_PERIOD / 10)
-        self.told = self.board.told(self.home.name)
-        while True:
-            await self.send_beat()
-            await self.clock.sleep(HEARTBEAT)
-
-    async def send_beat(self) -> None:
-        """Write one heartbeat; its first transaction gives the fence of orders."""
-        self.beats += 1
-        outcome = await self.store.commit([Write(AGENTS, self.home.name, self.tell())])
-        if isinstance(outcome, Committed) and not self.weights.fence:
-            self.weights.fence = outcome.version
-            logs.event(log, "This agent may give orders.", fence=outcome.version)
-
-    def tell(self) -> dict:
-        """Return the row that tells the other agents of this one."""
-        server, limits = self.station.server, self.station.limits
-        engine = server.id if server else self.told.engine
-        known = self.told if engine == self.told.engine else Heartbeat("")
-        places = self.room(limits).places if limits and self.station.healthy else 0
-        beat = Heartbeat(
-            session=self.own.session,
-            beat=self.beats,
-            pace=round(self.runner.pace.value(), 5),
-            usual=round(self.usual_pace(), 5) or known.usual,
-            engine=engine,
-            places=places,
-            home=self.weights.home() or known.home,
-        )
-        self.told = beat
-        return to_row(beat)
-
     async def tend(self) -> None:
         """Watch the engine, and bring it the weights that it needs."""
         while True:
@@ -251,8 +208,8 @@
             self.runner.hand_over_all("the engine does not serve")
             return
         self.shed_if_slow()
-        self.slower = self.slower_models()
-        self.move_long()
+        if self.policy.long_items_to_faster:
+            self.mover.look()
         if report is not None and not self.leaving:
             await self.weights.bring(report)
 
@@ -275,51 +232,6 @@
         self.metrics.count("slow_engine")
         self.runner.hand_over_all("the engine is slow")
 
-    def usual_pace(self) -> float:
-        """Return the engine's usual pace, as an earlier start of this agent knew it."""
-        server = self.station.server
-        told = self.board.engines().get(server.id) if server else None
-        return self.runner.pace.usual() or (told.usual if told else 0.0)
-
-    def slower_models(self) -> dict[str, int]:
-        """Return the models that faster engines serve too, with their free places.
-
-        Also those of items that run here from before this engine changed its model.
-        """
-        if not self.policy.long_items_to_faster:
-            return {}
-        usual = self.usual_pace()
-        found = {}
-        running = {unit.job.model for unit in self.runner.units.values()}
-        for model in sorted(running | set(self.weights.models())):
-            faster = self.board.faster(usual, self.weights.engines(model))
-            if faster:
-                found[model] = sum(beat.places for beat in faster)
-        return found
-
-    def move_long(self) -> None:
-        """Hand long items over that were begun here before the pace was known."""
-        for model, places in self.slower.items():
-            for unit in self.movable(model):
-                places -= unit.load
-                if places < 0:
-                    break
-                self.moved.add((unit.job.id, unit.key))
-                self.runner.hand_over(unit, "a faster engine has room")
-
-    def movable(self, model: str) -> list[UnitRun]:
-        """Return the units of a model that a faster engine would end sooner."""
-        since = self.clock.monotonic() - MOVE_WITHIN
-        return [
-            unit
-            for unit in self.runner.units.values()
-            if unit.job.model == model
-            and unit.claimed_at > since
-            and "" not in unit.tasks
-            and (unit.job.id, unit.key) not in self.moved
-            and unit.key in long_units(unit.job, MOVE_FACTOR)
-        ]
-
     async def save_on(self) -> None:
         """Save what long runs have generated, again and again."""
         while True:
@@ -327,6 +239,11 @@
             if self.policy.saved_runs:
                 await self.runner.save()
 
+    def places(self) -> int:
+        """Return the items that the engine could take now."""
+        limits = self.station.limits
+        return self.room(limits).places if limits and self.station.healthy else 0
+
     def room(self, limits: EngineLimits) -> Room:
         """Return what the engine should be given beside what it runs."""
         coming = self.coming()
@@ -367,7 +284,7 @@
                 self.weights.models(),
                 self.weights.ready_versions(),
                 self.room(limits),
-                self.slower,
+                self.mover.slower,
             )
             if candidate is None or not await self.claim(candidate):
                 return
--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -27,6 +27,7 @@
 from gypsumshift.jobs.room import Room
 from gypsumshift.jobs.schedule import LONG_FACTOR, begin_order, long_units
 from gypsumshift.platforms import ABSENT, Row
+from gypsumshift.serving.directory import ServerStart
 
 __all__ = ["Candidate", "ClaimBoard", "Held"]
 
@@ -268,10 +269,10 @@
         pulse = self.pulses.get(agent)
         return pulse.beat if pulse else Heartbeat("")
 
-    def engines(self) -> dict[str, EngineView]:
-        """Return what agents told last of their engines, by the engine's id."""
+    def engines(self) -> dict[ServerStart, EngineView]:
+        """Return what agents told last of their engines, by the engine's start."""
         beats = [p.beat for p in sorted(self.pulses.values(), key=lambda p: p.at)]
-        return {b.engine: EngineView(b.engine, b.home, b.usual) for b in beats}
+        return {b.start: EngineView(b.engine, b.home, b.usual) for b in beats}
 
     def faster(self, usual: float, engines: Collection[str]) -> list[Heartbeat]:
         """Return what agents tell whose engines are built faster than one.
--- /dev/null
+++ b/gypsumshift/jobs/heart.py
@@ -0,0 +1,117 @@
+"""Heart: tells the other agents that one works, and what is known of its engine."""
+
+from collections.abc import Callable
+
+from gypsumshift import logs
+from gypsumshift.clock import Clock
+from gypsumshift.jobs.claims import ClaimBoard
+from gypsumshift.jobs.model import AGENTS, Heartbeat, to_row
+from gypsumshift.jobs.pace import Pace
+from gypsumshift.jobs.station import Station
+from gypsumshift.jobs.weights import WeightKeeper
+from gypsumshift.outcomes import Committed
+from gypsumshift.platforms import RowStore, Write
+
+__all__ = ["Heart"]
+
+# Seconds between heartbeats of an agent: four are missed before it is taken for gone.
+HEARTBEAT = 0.4
+# Seconds between looks whether the table of agents was read.
+READ_PERIOD = 0.025
+
+log = logs.logger("agent")
+
+
+class Heart:
+    """Writes an agent's heartbeats.
+
+    Parameters
+    ----------
+    session : str
+        Start of the agent.
+    station : Station
+    weights : WeightKeeper
+        Told its fence, which is the number of the first heartbeat's transaction.
+    board : ClaimBoard
+    pace : Pace
+    store : RowStore
+    clock : Clock
+    places : callable
+        Returns the items that the engine could take now.
+
+    Attributes
+    ----------
+    told : Heartbeat
+        The last one.
+    """
+
+    def __init__(
+        self,
+        session: str,
+        station: Station,
+        weights: WeightKeeper,
+        board: ClaimBoard,
+        pace: Pace,
+        store: RowStore,
+        clock: Clock,
+        places: Callable[[], int],
+    ):
+        self.session = session
+        self.station = station
+        self.weights = weights
+        self.board = board
+        self.pace = pace
+        self.store = store
+        self.clock = clock
+        self.places = places
+        self.told = Heartbeat("")
+
+    async def run(self) -> None:
+        """Beat until cancelled.
+
+        What the process before this one had told is read first: told anew without it,
+        the engine's model was lost, and after a restart of all hosts half of the
+        engines changed theirs.
+        """
+        while not self.board.heard:
+            await self.clock.sleep(READ_PERIOD)
+        self.told = self.board.told(self.station.home.name)
+        while True:
+            await self.beat()
+            await self.clock.sleep(HEARTBEAT)
+
+    async def beat(self) -> None:
+        """Write a heartbeat; the first one's transaction is the fence of orders."""
+        self.told = self.heartbeat()
+        write = Write(AGENTS, self.station.home.name, to_row(self.told))
+        outcome = await self.store.commit([write])
+        if isinstance(outcome, Committed) and not self.weights.fence:
+            self.weights.fence = outcome.version
+            logs.event(log, "This agent may give orders.", fence=outcome.version)
+
+    def heartbeat(self) -> Heartbeat:
+        """Return what there is to tell.
+
+        Pace and model are those of one start of the engine; while none is listed, they
+        stay as they were told.
+        """
+        server = self.station.server
+        start = server.start if server else self.told.start
+        known = self.told if start == self.told.start else Heartbeat("")
+        beat = self.told.beat + 1 if self.told.session == self.session else 1
+        return Heartbeat(
+            session=self.session,
+            beat=beat,
+            pace=round(self.pace.value(), 5),
+            usual=round(self.pace.usual(), 5) or known.usual,
+            engine=start.id,
+            born=start.born,
+            places=self.places(),
+            home=self.weights.home() or known.home,
+        )
+
+    def usual_pace(self) -> float:
+        """Return the engine's usual pace, as an earlier process knew it if need be."""
+        server = self.station.server
+        known = server is not None and self.told.start == server.start
+        return self.pace.usual() or (self.told.usual if known else 0.0)
--- a/gypsumshift/jobs/model.py
+++ b/gypsumshift/jobs/model.py
@@ -13,6 +13,7 @@
 
 from gypsumshift import logs
 from gypsumshift.platforms import Row
+from gypsumshift.serving.directory import ServerStart
 
 __all__ = [
     "AGENTS",
@@ -279,7 +280,9 @@
     usual : float
         The same at its best of the last seconds; see `Pace.usual`.
     engine : str
-        Id of the engine beside it; empty where none is listed.
+        Id of the engine beside it; empty where none was listed.
+    born : int
+        Start of that engine; see `ServerStart`.
     places : int
         Items that the engine could take at once.
     home : str
@@ -291,9 +294,15 @@
     pace: float = 0.0
     usual: float = 0.0
     engine: str = ""
+    born: int = 0
     places: int = 0
     home: str = ""
 
+    @property
+    def start(self) -> ServerStart:
+        """Start of the engine of which this tells."""
+        return ServerStart(self.engine, self.born)
+
 
 # What `cattrs` raises for a value that is not of the kind asked for.
 MISFITS = (cattrs.BaseValidationError, AttributeError, KeyError, TypeError, ValueError)
--- a/gypsumshift/jobs/station.py
+++ b/gypsumshift/jobs/station.py
@@ -99,9 +99,9 @@
         return self.report.versions
 
     @property
-    def peers(self) -> list[str]:
-        """Ids of the ready engines of the service, this one among them."""
-        return [s.id for s in self.directory.service(self.home.service)]
+    def peers(self) -> list[BackendServer]:
+        """Ready engines of the service, this one among them."""
+        return self.directory.service(self.home.service)
 
     def tells_of(self, report: EngineReport, server: BackendServer | None) -> bool:
         """Tell whether a report is of the start that is listed now."""
--- a/gypsumshift/jobs/weights.py
+++ b/gypsumshift/jobs/weights.py
@@ -92,8 +92,8 @@
             return {}
         told = self.board.engines()
         engines = [
-            self.considered(told.get(e, placement.EngineView(e)))
-            for e in self.station.peers
+            self.considered(told.get(peer.start, placement.EngineView(peer.id)))
+            for peer in self.station.peers
         ]
         shares = self.demand.shares(limits.models)
         return placement.assign(engines, shares, self.demand.lengths())
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -2,10 +2,12 @@
 
 import asyncio
 
+import attrs
+
 from gypsumshift.jobs import ResultState
 from gypsumshift.jobs.claims import Candidate
 from gypsumshift.jobs.model import AGENTS, END_KEY, JOBS, PARTIALS, RESULTS
-from gypsumshift.platforms import Write
+from gypsumshift.platforms import Row, Write
 from tests.jobs_world import MODEL, FakeEngine, World, server
 from tests.system import until
 
@@ -125,7 +127,9 @@
     stored = {"item": "job-0-0", "state": "whole", "text": "first"}
     await world.store.commit([Write(RESULTS, "job-0-0", stored, 0, part="job")])
     agent = world.agent("a")
-    await until(lambda: agent.board.open and not agent.runner.units and agent.beats)
+    await until(
+        lambda: agent.board.open and not agent.runner.units and agent.heart.told.beat
+    )
     await asyncio.sleep(0)
     await until(
         lambda: not agent.runner.committer.writers and agent.runner.forwarder.calls
@@ -273,5 +277,21 @@
     told = {key: row.value[key] for key in ("engine", "home", "usual")}
     assert told == {"engine": "e-a", "home": MODEL, "usual": 0.05}
     agent.station.directory.set_server(server("e-new"))
-    await until(lambda: agent.told.engine == "e-new")
-    assert agent.told.usual == 0, "another engine is of another pace"
+    await until(lambda: agent.heart.told.engine == "e-new")
+    assert agent.heart.told.usual == 0, "another engine is of another pace"
+
+
+@scenario
+async def test_pace_and_model_of_an_engine_end_with_its_start(world):
+    agent = world.agent("a")
+    directory = agent.station.directory
+    value = {"session": "old", "engine": "e-a", "born": 1, "home": "x", "usual": 0.05}
+    directory.set_server(attrs.evolve(server("e-a"), born=1))
+    await until(lambda: agent.weights.fence)
+    agent.board.take_pulses([Row(AGENTS, "a", 9, value)])
+    agent.heart.told = agent.board.told("a")
+    assert agent.heart.usual_pace() == 0.05
+    directory.set_server(attrs.evolve(server("e-a"), born=2))
+    assert agent.heart.usual_pace() == 0
+    told = agent.heart.heartbeat()
+    assert (told.born, told.usual, told.home) == (2, 0, MODEL)
