--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,7 @@
 from gypsumshift.fetch import FetchError
 from gypsumshift.neighbours import StorePath
 from standins.users_documents import config, job_body, route, settings_text
-from standins.users_store import Faults
+from standins.users_store import RAW, Faults
 from standins.users_worker import UsersWorker, event_text, plain_answer
 from tests.platform_world import PlatformWorld
 from tests.system import until
@@ -283,3 +283,41 @@
         await until(lambda: path.via is None)
 
     play(scenario, tmp_path)
+
+
+def test_a_worker_that_starts_again_under_its_id_ends_what_it_had(tmp_path):
+    async def scenario(world):
+        world.engine.events, world.engine.pause = 40, 0.03
+        exchange, _ = await world.ask("POST", "/batch/1", "job", job_body("job"))
+        assert exchange.status == 202
+        await until(lambda: len(world.engine.runs) == 4)
+        before = {run["request"] for run in world.engine.runs}
+        world.engine.start_again()
+        await world.register(world.engine)
+        # Its runs are cut and begun anew at once, behind what had come of them.
+        await until(lambda: len(world.engine.runs) == 8)
+        again = world.engine.runs[4:]
+        assert {run["request"] for run in again} == before
+        results = await world.results()
+        for one in results:
+            whole = "\n".join(event_text(one["id"], n) for n in range(1, 41))
+            assert (one["state"], one["text"]) == ("succeeded", whole)
+
+    play(scenario, tmp_path)
+
+
+def test_foreign_rows_end_no_process_and_no_work(tmp_path):
+    async def scenario(world):
+        for table in ("op", "servers", "jobs", "claims", "results", "agents"):
+            for key, value in (("x", {"a": 1}), ("config", {RAW: "/w=="})):
+                await world.store.put(table, key, value)
+        await world.store.put("neighbours", "x", {"address": "y", "zone": 1})
+        await world.store.put("op", "version/m", {"model": ["m"], "version": "2"})
+        exchange, _ = await world.ask("POST", "/batch/1", "job", job_body("job"))
+        assert exchange.status == 202
+        assert len(await world.results()) == 4
+        exchange, _ = await world.ask("POST", "/app/1", "a1")
+        assert exchange.status == 200
+        assert not any(task.done() for task in world.tasks)
+
+    play(scenario, tmp_path)
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -9,7 +9,8 @@
 from gypsumshift.fetch import Fetcher, FetchError
 from gypsumshift.jobs.engine import EngineReport
 from gypsumshift.jobs.station import Home, Station
-from gypsumshift.serving import Directory
+from gypsumshift.serving import BackendServer, Directory
+from gypsumshift.serving.directory import ServerStart
 from gypsumshift.serving.pool import Pool
 from tests.builders import ManualClock
 from tests.jobs_world import ADDRESS, SERVICE, FakeEngine, World, server
@@ -156,3 +157,15 @@
         listener.close()
 
     asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_a_mutant_that_knows_servers_by_their_ids_alone_is_caught(monkeypatch):
+    by_id = property(lambda server: ServerStart(server.id, 0))
+    monkeypatch.setattr(BackendServer, "start", by_id)
+    for caught in (
+        test_who_asked_is_told_of_the_old_start,
+        test_failures_load_and_pace_of_the_old_start_are_not_held_against_the_new_one,
+        test_a_report_of_another_start_is_not_believed,
+    ):
+        with pytest.raises(AssertionError):
+            caught()
