--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -19,6 +19,32 @@
 from tests.test_agent import scenario
 
 
+async def saved_rows(world):
+    """Wait for what agents saved of the job's items; return its rows."""
+    rows = []
+    while not rows:
+        await asyncio.sleep(0.01)
+        rows = await world.store.scan("partials", "", "job")
+    return rows
+
+
+async def slower_agent(world):
+    """Start an agent whose engine runs two long items; return it and the units."""
+    engine = FakeEngine(length=400)
+    engine.gap = 0.03
+    agent = world.agent("slow", engine)
+    agent.station.directory.set_server(server("e-fast", address=("127.0.0.1", 10)))
+    units = await world.submit(groups=3, hints={"job-1-0": 90, "job-1-1": 90})
+    await until(lambda: len(engine.running) == 4)
+    return agent, units
+
+
+async def tell_of_a_faster_engine(world):
+    """Write the heartbeat of an agent beside an engine that is faster than any."""
+    value = {"session": "f", "beat": 1, "usual": 0.001, "engine": "e-fast", "places": 4}
+    await world.store.commit([Write(AGENTS, "fast", value)])
+
+
 def test_a_pace_needs_enough_recent_gaps():
     clock = ManualClock()
     pace = Pace(clock)
@@ -79,11 +105,7 @@
     await world.submit(groups=1)
     await until(lambda: agent.slow_at > 0)
     await until(lambda: not slow.running)
-    partials = await world.store.scan("partials", "", "job")
-    while not partials:
-        await asyncio.sleep(0.01)
-        partials = await world.store.scan("partials", "", "job")
-    assert all(row.value["events"] for row in partials)
+    assert all(row.value["events"] for row in await saved_rows(world))
     assert agent.room(agent.station.limits).places == 0
 
 
@@ -116,19 +138,10 @@
 @scenario
 async def test_long_items_that_a_slower_engine_began_are_given_back(world: World):
     """Begun before its pace was known, they would end a fourth later than elsewhere."""
-    engine = FakeEngine(length=400)
-    engine.gap = 0.03
-    agent = world.agent("slow", engine)
-    agent.station.directory.set_server(server("e-fast", address=("127.0.0.1", 10)))
-    units = await world.submit(groups=3, hints={"job-1-0": 90, "job-1-1": 90})
-    await until(lambda: len(engine.running) == 4)
-    value = {"session": "f", "beat": 1, "usual": 0.001, "engine": "e-fast", "places": 4}
-    await world.store.commit([Write(AGENTS, "fast", value)])
+    agent, units = await slower_agent(world)
+    await tell_of_a_faster_engine(world)
     long = next(unit for unit in units if unit.items[0].hint == 90)
-    rows = []
-    while not rows:
-        await asyncio.sleep(0.01)
-        rows = await world.store.scan("partials", "", "job")
+    rows = await saved_rows(world)
     assert {row.key.split("/")[0] for row in rows} == {i.id for i in long.items}
     claim = await world.store.read("claims", long.key, "job")
     assert not claim.value.get("agent"), "the faster one takes it"
@@ -139,18 +152,9 @@
 @scenario
 async def test_long_items_go_also_where_their_engine_serves_another_model(world: World):
     """An engine found to be slower changes its model while the first step runs."""
-    engine = FakeEngine(length=400)
-    engine.gap = 0.03
-    agent = world.agent("slow", engine)
-    agent.station.directory.set_server(server("e-fast", address=("127.0.0.1", 10)))
-    await world.submit(groups=3, hints={"job-1-0": 90, "job-1-1": 90})
-    await until(lambda: len(engine.running) == 4)
+    agent, _ = await slower_agent(world)
     agent.weights.models = lambda: ("another",)
     agent.weights.engines = lambda model: ["e-fast", "e-slow"]
-    value = {"session": "f", "beat": 1, "usual": 0.001, "engine": "e-fast", "places": 4}
-    await world.store.commit([Write(AGENTS, "fast", value)])
-    rows = []
-    while not rows:
-        await asyncio.sleep(0.01)
-        rows = await world.store.scan("partials", "", "job")
+    await tell_of_a_faster_engine(world)
+    rows = await saved_rows(world)
     assert {row.key.split("/")[0] for row in rows} == {"job-1-0", "job-1-1"}
