--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -20,6 +20,7 @@
     Heartbeat,
     Job,
     UnitSummary,
+    parse_row,
     parse_rows,
 )
 from gypsumshift.jobs.pace import is_slower
@@ -173,7 +174,9 @@
             elif row.key == END_KEY:
                 self.close(row.part)
             elif row.key == JOB_KEY and not self.known(row.part):
-                new += [job for _, job in parse_rows([row], Job) if self.add(row, job)]
+                job = parse_row(row, Job)
+                if job is not None and self.add(row, job):
+                    new.append(job)
         return new
 
     def known(self, job_id: str) -> bool:
--- a/gypsumshift/jobs/desk.py
+++ b/gypsumshift/jobs/desk.py
@@ -26,7 +26,7 @@
     Result,
     Unit,
     from_row,
-    parse_rows,
+    parse_row,
     to_row,
 )
 from gypsumshift.jobs.resultlog import ResultLog
@@ -128,10 +128,16 @@
             if row.value is None:
                 self.forget(row.part)
             elif row.key == JOB_KEY:
-                self.jobs.update((r.part, job) for r, job in parse_rows([row], Job))
+                self.take_job(row)
             elif row.key == END_KEY:
                 self.ended.setdefault(row.part, self.clock.monotonic())
 
+    def take_job(self, row: Row) -> None:
+        """Take the row that makes a batch job exist."""
+        job = parse_row(row, Job)
+        if job is not None:
+            self.jobs[row.part] = job
+
     def take_results(self, rows: list[Row]) -> None:
         """Take rows of the table of results."""
         parts: dict[str, list[Row]] = {}
--- a/gypsumshift/jobs/heart.py
+++ b/gypsumshift/jobs/heart.py
@@ -11,6 +11,7 @@
 from gypsumshift.jobs.weights import WeightKeeper
 from gypsumshift.outcomes import Committed
 from gypsumshift.platforms import RowStore, Write
+from gypsumshift.serving.directory import ServerStart
 
 __all__ = ["Heart"]
 
@@ -97,13 +98,13 @@
         """
         server = self.station.server
         start = server.start if server else self.told.start
-        known = self.told if start == self.told.start else Heartbeat("")
+        known = self.known(start)
         beat = self.told.beat + 1 if self.told.session == self.session else 1
         return Heartbeat(
             session=self.session,
             beat=beat,
             pace=round(self.pace.value(), 5),
-            usual=round(self.pace.usual(), 5) or known.usual,
+            usual=round(self.usual(known), 5),
             engine=start.id,
             born=start.born,
             places=self.places(),
@@ -113,5 +114,12 @@
     def usual_pace(self) -> float:
         """Return the engine's usual pace, as an earlier process knew it if need be."""
         server = self.station.server
-        known = server is not None and self.told.start == server.start
-        return self.pace.usual() or (self.told.usual if known else 0.0)
+        return self.usual(self.known(server.start) if server else Heartbeat(""))
+
+    def usual(self, known: Heartbeat) -> float:
+        """Return the usual pace as measured here, or else as it was told."""
+        return self.pace.usual() or known.usual
+
+    def known(self, start: ServerStart) -> Heartbeat:
+        """Return what was told last of a start of the engine; empty of another one."""
+        return self.told if start == self.told.start else Heartbeat("")
--- a/gypsumshift/jobs/model.py
+++ b/gypsumshift/jobs/model.py
@@ -38,6 +38,7 @@
     "Unit",
     "UnitSummary",
     "from_row",
+    "parse_row",
     "parse_rows",
     "summary",
     "to_row",
@@ -327,10 +328,18 @@
 def parse_rows(rows: Iterable[Row], kind: type) -> Iterator[tuple[Row, object]]:
     """Yield rows with their values; those that are not of the kind are left out."""
     for row in rows:
-        try:
-            yield row, from_row(row.value, kind)
-        except ForeignRow as error:
-            log.error("Cannot read {}/{}/{}: {}", row.table, row.part, row.key, error)
+        value = parse_row(row, kind)
+        if value is not None:
+            yield row, value
+
+
+def parse_row(row: Row, kind: type):
+    """Return the value of a row; None, with a log line, where it is not of the kind."""
+    try:
+        return from_row(row.value, kind)
+    except ForeignRow as error:
+        log.error("Cannot read {}/{}/{}: {}", row.table, row.part, row.key, error)
+        return None
 
 
 def summary(unit: Unit) -> UnitSummary:
--- a/gypsumshift/jobs/mover.py
+++ b/gypsumshift/jobs/mover.py
@@ -38,6 +38,8 @@
     ----------
     slower : dict
         Free places of the faster engines, by model.
+    moved : set of (str, str)
+        Job and unit of those that went, while their jobs are open.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
 
     def look(self) -> None:
         """Find the models that faster engines serve too; move long items of them."""
+        self.moved = {place for place in self.moved if place[0] in self.board.open}
         self.slower = self.slower_models()
         for model, places in self.slower.items():
             self.move(model, places)
--- a/gypsumshift/jobs/placement.py
+++ b/gypsumshift/jobs/placement.py
@@ -11,6 +11,7 @@
 """
 
 import collections
+import functools
 import math
 
 import attrs
@@ -23,6 +24,7 @@
     "EngineView",
     "LoadChoice",
     "LoadQuestion",
+    "Remembered",
     "assign",
     "choose_load",
 ]
@@ -201,17 +203,38 @@
     left = list(engines)
     placed = {}
     for model in order:
-
-        def rank(engine: EngineView) -> tuple[bool, int, str]:
-            stays = 0 if engine.home == model else 2 if engine.home else 1  # noqa: B023
-            return (engine.id not in slow, stays, engine.id)
-
-        left.sort(key=rank)
+        left.sort(key=functools.partial(seat_rank, model, slow))
         taken, left = left[: counts[model]], left[counts[model] :]
         placed |= {engine.id: (model,) for engine in taken}
     return placed
 
 
+def seat_rank(model: str, slow, engine: EngineView) -> tuple[bool, int, str]:
+    """Return the rank of an engine for a model: slow ones first, then who stays."""
+    stays = 0 if engine.home == model else 2 if engine.home else 1
+    return (engine.id not in slow, stays, engine.id)
+
+
+class Remembered:
+    """Answers `assign`, working it out anew only where something changed.
+
+    An agent asks two to four times in each look at its work, five times a second, and
+    the work grows with the engines: 0.07 ms a time with 22 of them.
+    """
+
+    def __init__(self):
+        self.asked: tuple = ()
+        self.answer: dict[str, tuple[str, ...]] = {}
+
+    def assign(self, engines, shares, lengths) -> dict[str, tuple[str, ...]]:
+        """Return the models that each engine is to serve; see `assign`."""
+        asked = (engines, shares, lengths)
+        if asked != self.asked:
+            self.asked = asked
+            self.answer = assign(engines, shares, lengths)
+        return self.answer
+
+
 @attrs.frozen
 class LoadChoice:
     """A weight version to load, and why.
--- a/gypsumshift/jobs/unitruns.py
+++ b/gypsumshift/jobs/unitruns.py
@@ -23,7 +23,7 @@
     Result,
     Unit,
     from_row,
-    parse_rows,
+    parse_row,
     to_row,
 )
 from gypsumshift.jobs.pace import Pace
@@ -144,12 +144,10 @@
         unit = self.units.get((row.part, row.key))
         if unit is None or row.value is None or row.version <= unit.version:
             return
-        for _, claim in parse_rows([row], Claim):
-            if claim.session != self.own.session:
-                logs.event(
-                    log, "Another agent runs a unit.", job=row.part, unit=row.key
-                )
-                self.drop(unit)
+        claim = parse_row(row, Claim)
+        if claim is not None and claim.session != self.own.session:
+            logs.event(log, "Another agent runs a unit.", job=row.part, unit=row.key)
+            self.drop(unit)
 
     def start(self, candidate: Candidate, version: int) -> None:
         """Run a claimed unit."""
--- a/gypsumshift/jobs/weights.py
+++ b/gypsumshift/jobs/weights.py
@@ -74,6 +74,7 @@
         self.named_at: dict[str, tuple[int, float]] = {}
         self.slack: dict[str, int] = {}
         self.newest_jobs: dict[str, Job] = {}
+        self.placement = placement.Remembered()
 
     def note_job(self, job: Job) -> None:
         """Learn from a new batch job what is asked of its model, and how fresh."""
@@ -96,7 +97,7 @@
             for peer in self.station.peers
         ]
         shares = self.demand.shares(limits.models)
-        return placement.assign(engines, shares, self.demand.lengths())
+        return self.placement.assign(engines, shares, self.demand.lengths())
 
     def considered(self, engine: placement.EngineView) -> placement.EngineView:
         """Return what the policy lets count of an engine."""
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -158,3 +158,12 @@
     await tell_of_a_faster_engine(world)
     rows = await saved_rows(world)
     assert {row.key.split("/")[0] for row in rows} == {"job-1-0", "job-1-1"}
+
+
+@scenario
+async def test_units_that_went_are_forgotten_with_their_jobs(world: World):
+    agent, _ = await slower_agent(world)
+    await tell_of_a_faster_engine(world)
+    await until(lambda: agent.mover.moved)
+    agent.board.close("job")
+    await until(lambda: not agent.mover.moved)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,6 +10,7 @@
     Demand,
     EngineView,
     LoadQuestion,
+    Remembered,
     assign,
     choose_load,
 )
@@ -228,3 +229,12 @@
     """Before, none of one engine could begin every other step, and half of several."""
     trainer = Trainer(engines)
     assert [trainer.step(newest) for newest in range(2, 9)] == [engines] * 7
+
+
+def test_a_placement_is_worked_out_again_only_where_something_changed():
+    known = Remembered()
+    first = known.assign(views(6), THREE, LENGTHS)
+    assert known.assign(views(6), dict(THREE), dict(LENGTHS)) is first
+    assert known.assign(views(6, slow=("s1",)), THREE, LENGTHS) == assign(
+        views(6, slow=("s1",)), THREE, LENGTHS
+    )
