Agents are judged only by silences in which the store told of others

Cause: an agent counted the silence of the others by its own clock, also while the store answered nobody. After 1.6 s of an outage every unit looked free, and each agent's claim went out again and again until the store returned: it was carried out before the first heartbeat was heard. Ruled out: results written late (all stored 0.25 s after the return), reads held up by the gateway (answered within 0.1 s), claims of new steps (0.2 s).

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -24,6 +24,7 @@
 )
 from gypsumshift.jobs.mover import Mover
 from gypsumshift.jobs.pace import is_slow
+from gypsumshift.jobs.peers import Peers
 from gypsumshift.jobs.room import NO_ROOM, Room
 from gypsumshift.jobs.station import Home, Station
 from gypsumshift.jobs.unitruns import UnitRunner
@@ -98,7 +99,8 @@
         self.clock = clock
         self.metrics = metrics
         self.own = Claim(home.name, f"{chance.getrandbits(64):016x}")
-        self.board = ClaimBoard(self.own.session, clock, chance)
+        self.peers = Peers(self.own.session, clock, self.listened_at)
+        self.board = ClaimBoard(self.own.session, clock, chance, self.peers)
         self.station = Station(home, directory, engine, clock)
         self.weights = WeightKeeper(self.station, self.board, clock, metrics, policy)
         self.news = [asyncio.Event() for _ in range(CLAIMS_AT_ONCE)]
@@ -128,22 +130,22 @@
         directory.on_restart.append(self.note_restart)
         self.slow_at = float("-inf")
         self.leaving = False
-        board = self.board
+        peers = self.peers
+        self.peer_watch = Watch(
+            store, AGENTS, peers.take, peers.take, clock, peers.note_store_back
+        )
         self.watches = [
             Watch(store, JOBS, self.take_jobs, self.take_jobs, clock),
             Watch(store, CLAIMS, self.take_claims, self.take_claims, clock),
-            Watch(
-                store,
-                AGENTS,
-                board.take_pulses,
-                board.take_pulses,
-                clock,
-                board.note_store_back,
-            ),
+            self.peer_watch,
         ]
 
     # What is told.
 
+    def listened_at(self) -> float:
+        """Return when the store last told of the other agents, in seconds."""
+        return self.peer_watch.current_at
+
     def note_news(self) -> None:
         """Have this agent look for work: there may be some, or room for it."""
         for news in self.news:
@@ -216,7 +218,7 @@
     def shed_if_slow(self) -> None:
         """Hand the items over where this engine is far behind its peers."""
         pace = self.runner.pace
-        own, peers = pace.value(), self.board.paces()
+        own, peers = pace.value(), self.peers.paces()
         if self.weights.loading or not is_slow(own, peers):
             return
         if not self.policy.slow_handover:
--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -17,26 +17,18 @@
     END_KEY,
     JOB_KEY,
     Claim,
-    Heartbeat,
     Job,
     UnitSummary,
     parse_row,
     parse_rows,
 )
-from gypsumshift.jobs.pace import is_slower
-from gypsumshift.jobs.placement import EngineView
+from gypsumshift.jobs.peers import Peers
 from gypsumshift.jobs.room import Room
 from gypsumshift.jobs.schedule import LONG_FACTOR, begin_order, long_units
 from gypsumshift.platforms import ABSENT, Row
-from gypsumshift.serving.directory import ServerStart
 
 __all__ = ["Candidate", "ClaimBoard", "Held"]
 
-# Seconds without a heartbeat after which an agent's claims are free. Of a host that
-# is lost with the longest items of a step, each second counts: with 2.6 s they ended
-# 10.9 s after their step came (logs of a play). Taken for gone too soon, an agent loses
-# nothing but the work that two do.
-SILENCE = 1.6
 # Seconds that a unit waits for an engine of its own model before another takes it.
 STEAL_AFTER = 0.8
 # Seconds that a unit of long items waits for an engine that is not slower than others
@@ -111,30 +103,8 @@
     claims: dict[str, Held] = attrs.field(factory=dict)
 
 
-@attrs.define
-class Pulse:
-    """Heartbeat of one agent as seen here.
-
-    Attributes
-    ----------
-    session : str
-    at : float
-        When it changed last, by the monotonic clock, in seconds.
-    beat : Heartbeat
-    """
-
-    session: str
-    at: float
-    beat: Heartbeat = Heartbeat("")
-
-    @property
-    def pace(self) -> float:
-        """Seconds between two events at its engine now; 0 for unknown."""
-        return self.beat.pace
-
-
 class ClaimBoard:
-    """What is known of open jobs, claims and agents.
+    """What is known of open jobs and claims.
 
     Parameters
     ----------
@@ -143,27 +113,25 @@
     clock : Clock
     chance : random.Random
         Chooses among the units that come next.
+    peers : Peers
+        Tell which agents still work on what they claimed.
 
     Attributes
     ----------
     claiming : set of (str, str)
         Job and unit of the claims that this agent has on their way.
-    heard : bool
-        Whether the table of agents was read.
     """
 
-    def __init__(self, session: str, clock: Clock, chance: random.Random):
+    def __init__(self, session: str, clock: Clock, chance: random.Random, peers: Peers):
         self.session = session
         self.clock = clock
         self.chance = chance
+        self.peers = peers
         self.open: dict[str, Tracked] = {}
         self.ended: set[str] = set()
         self.early: dict[str, dict[str, Held]] = {}
-        self.pulses: dict[str, Pulse] = {}
         self.groups: dict[str, set[str]] = {}
-        self.deaf_until = float("-inf")
         self.claiming: set[tuple[str, str]] = set()
-        self.heard = False
 
     def take_jobs(self, rows: list[Row]) -> list[Job]:
         """Take rows of the table of jobs; return the jobs that are new."""
@@ -228,82 +196,11 @@
             if known is None or known.version < held.version or claim.done:
                 claims[row.key] = held
 
-    def take_pulses(self, rows: list[Row]) -> None:
-        """Take rows of the table of agents."""
-        now = self.clock.monotonic()
-        self.heard = True
-        written = [row for row in rows if row.value is not None]
-        for row in rows:
-            if row.value is None:
-                self.pulses[row.key] = Pulse("", now)
-        for row, beat in parse_rows(written, Heartbeat):
-            self.pulses[row.key] = Pulse(beat.session, now, beat)
-
-    def note_store_back(self) -> None:
-        """Take that nothing could be heard until now."""
-        self.deaf_until = self.clock.monotonic()
-
-    def alive(self, held: Held) -> bool:
-        """Tell whether the agent that holds a claim still works on it.
-
-        A claim is itself a sign of life, and heartbeats that could not be heard
-        while the store was away say nothing: without these two, agents that were
-        cut off together took each other's units over at once when they returned.
-        """
-        claim = held.claim
-        if claim.session == self.session:
-            return True
-        pulse = self.pulses.get(claim.agent)
-        if pulse is not None and pulse.session != claim.session:
-            return held.seen_at > pulse.at and self.recent(held.seen_at)
-        heard = pulse.at if pulse is not None else held.seen_at
-        return self.recent(max(heard, held.seen_at, self.deaf_until))
-
-    def paces(self) -> list[float]:
-        """Return the known paces of the other agents' engines."""
-        return [
-            pulse.pace
-            for pulse in self.pulses.values()
-            if pulse.session != self.session and pulse.pace and self.recent(pulse.at)
-        ]
-
-    def told(self, agent: str) -> Heartbeat:
-        """Return what an agent told last; an empty heartbeat where it told nothing."""
-        pulse = self.pulses.get(agent)
-        return pulse.beat if pulse else Heartbeat("")
-
-    def engines(self) -> dict[ServerStart, EngineView]:
-        """Return what agents told last of their engines, by the engine's start."""
-        beats = [p.beat for p in sorted(self.pulses.values(), key=lambda p: p.at)]
-        return {b.start: EngineView(b.engine, b.home, b.usual) for b in beats}
-
-    def faster(self, usual: float, engines: Collection[str]) -> list[Heartbeat]:
-        """Return what agents tell whose engines are built faster than one.
-
-        Parameters
-        ----------
-        usual : float
-            Usual pace of that one; see `Pace.usual`.
-        engines : collection of str
-            Ids of the engines among which to look.
-        """
-        return [
-            pulse.beat
-            for pulse in self.pulses.values()
-            if pulse.beat.engine in engines
-            and self.recent(pulse.at)
-            and is_slower(usual, pulse.beat.usual)
-        ]
-
-    def recent(self, at: float) -> bool:
-        """Tell whether a sign of life is young enough."""
-        return self.clock.monotonic() - at < SILENCE
-
     def free(self, held: Held | None) -> bool:
         """Tell whether a unit may be claimed."""
         if held is None or not held.claim.agent:
             return True
-        return not held.claim.done and not self.alive(held)
+        return not held.claim.done and not self.peers.alive(held.claim, held.seen_at)
 
     def unit(self, job_id: str, key: str) -> UnitSummary | None:
         """Return a unit of an open job."""
@@ -395,9 +292,4 @@
         held = tracked.claims.get(unit.key)
         if held is None:
             return tracked.since
-        pulse = self.pulses.get(held.claim.agent)
-        told = max(tracked.since, held.seen_at, pulse.at if pulse else 0.0)
-        restarted = pulse is not None and pulse.session != held.claim.session
-        if not held.claim.agent or restarted:
-            return told
-        return max(told, self.deaf_until) + SILENCE
+        return max(tracked.since, self.peers.gone_since(held.claim, held.seen_at))
--- a/gypsumshift/jobs/heart.py
+++ b/gypsumshift/jobs/heart.py
@@ -74,9 +74,9 @@
         the engine's model was lost, and after a restart of all hosts half of the
         engines changed theirs.
         """
-        while not self.board.heard:
+        while not self.board.peers.heard:
             await self.clock.sleep(READ_PERIOD)
-        self.told = self.board.told(self.station.home.name)
+        self.told = self.board.peers.told(self.station.home.name)
         while True:
             await self.beat()
             await self.clock.sleep(HEARTBEAT)
--- a/gypsumshift/jobs/mover.py
+++ b/gypsumshift/jobs/mover.py
@@ -74,7 +74,7 @@
         found = {}
         running = {unit.job.model for unit in self.runner.units.values()}
         for model in sorted(running | set(self.weights.models())):
-            faster = self.board.faster(usual, self.weights.engines(model))
+            faster = self.board.peers.faster(usual, self.weights.engines(model))
             if faster:
                 found[model] = sum(beat.places for beat in faster)
         return found
--- /dev/null
+++ b/gypsumshift/jobs/peers.py
@@ -0,0 +1,177 @@
+"""Peers: the other agents, as their heartbeats tell of them.
+
+The decision answers hosts that are lost in the midst of a step: their units are free
+for others once nothing was heard of them for a while. Nobody is judged by a silence in
+which nothing could be heard: while the store is away, no heartbeat comes from anyone.
+"""
+
+import math
+from collections.abc import Callable, Collection
+
+import attrs
+
+from gypsumshift.clock import Clock
+from gypsumshift.jobs.model import Claim, Heartbeat, parse_rows
+from gypsumshift.jobs.pace import is_slower
+from gypsumshift.jobs.placement import EngineView
+from gypsumshift.platforms import Row
+from gypsumshift.serving.directory import ServerStart
+
+__all__ = ["SILENCE", "Peers"]
+
+# Seconds without a heartbeat after which an agent's claims are free. Of a host that
+# is lost with the longest items of a step, each second counts: with 2.6 s they ended
+# 10.9 s after their step came (logs of a play). Taken for gone too soon, an agent loses
+# nothing but the work that two do.
+SILENCE = 1.6
+# Seconds since the table of agents was last told within which a silence counts. Its
+# feed answers each 0.8 s at the latest. Less than `SILENCE` by more than a heartbeat, so
+# that nobody is missed between the last heartbeat and the outage: agents took each
+# other's units over in the moment of the store's return (12 units in three plays with
+# 5 engines), and what had been generated meanwhile was lost.
+LISTENING = 1.0
+
+
+@attrs.define
+class Pulse:
+    """Heartbeat of one agent as seen here.
+
+    Attributes
+    ----------
+    session : str
+    at : float
+        When it changed last, by the monotonic clock, in seconds.
+    beat : Heartbeat
+    """
+
+    session: str
+    at: float
+    beat: Heartbeat = Heartbeat("")
+
+    @property
+    def pace(self) -> float:
+        """Seconds between two events at its engine now; 0 for unknown."""
+        return self.beat.pace
+
+
+class Peers:
+    """What is known of the agents.
+
+    Parameters
+    ----------
+    session : str
+        Start of this agent.
+    clock : Clock
+    listened_at : callable or None
+        Returns when the table of agents was last told, by the monotonic clock, in
+        seconds; by default it is told all the time.
+
+    Attributes
+    ----------
+    heard : bool
+        Whether the table of agents was read.
+    """
+
+    def __init__(
+        self,
+        session: str,
+        clock: Clock,
+        listened_at: Callable[[], float] | None = None,
+    ):
+        self.session = session
+        self.clock = clock
+        self.listened_at = listened_at or clock.monotonic
+        self.pulses: dict[str, Pulse] = {}
+        self.deaf_until = -math.inf
+        self.heard = False
+
+    def take(self, rows: list[Row]) -> None:
+        """Take rows of the table of agents."""
+        now = self.clock.monotonic()
+        self.heard = True
+        written = [row for row in rows if row.value is not None]
+        for row in rows:
+            if row.value is None:
+                self.pulses[row.key] = Pulse("", now)
+        for row, beat in parse_rows(written, Heartbeat):
+            self.pulses[row.key] = Pulse(beat.session, now, beat)
+
+    def note_store_back(self) -> None:
+        """Take that nothing could be heard until now."""
+        self.deaf_until = self.clock.monotonic()
+
+    def alive(self, claim: Claim, seen_at: float) -> bool:
+        """Tell whether the agent that holds a claim still works on it.
+
+        A claim is itself a sign of life, and heartbeats that could not be heard
+        while the store was away say nothing: without these two, agents that were
+        cut off together took each other's units over at once when they returned.
+
+        Parameters
+        ----------
+        claim : Claim
+        seen_at : float
+            When it was told here, by the monotonic clock, in seconds.
+        """
+        if claim.session == self.session:
+            return True
+        pulse = self.pulses.get(claim.agent)
+        if pulse is not None and pulse.session != claim.session:
+            return seen_at > pulse.at and self.audible(seen_at)
+        heard = pulse.at if pulse is not None else seen_at
+        return self.audible(max(heard, seen_at, self.deaf_until))
+
+    def audible(self, at: float) -> bool:
+        """Tell whether nothing younger than a sign of life had to be heard yet."""
+        now, listened = self.clock.monotonic(), self.listened_at()
+        until = now if now - listened < LISTENING else listened
+        return until - at < SILENCE
+
+    def recent(self, at: float) -> bool:
+        """Tell whether what an agent told is young enough to hold now."""
+        return self.clock.monotonic() - at < SILENCE
+
+    def gone_since(self, claim: Claim, seen_at: float) -> float:
+        """Return when a claim became free whose holder is not alive, in seconds."""
+        pulse = self.pulses.get(claim.agent)
+        told = max(seen_at, pulse.at if pulse else 0.0)
+        restarted = pulse is not None and pulse.session != claim.session
+        if not claim.agent or restarted:
+            return told
+        return max(told, self.deaf_until) + SILENCE
+
+    def paces(self) -> list[float]:
+        """Return the known paces of the other agents' engines."""
+        return [
+            pulse.pace
+            for pulse in self.pulses.values()
+            if pulse.session != self.session and pulse.pace and self.recent(pulse.at)
+        ]
+
+    def told(self, agent: str) -> Heartbeat:
+        """Return what an agent told last; an empty heartbeat where it told nothing."""
+        pulse = self.pulses.get(agent)
+        return pulse.beat if pulse else Heartbeat("")
+
+    def engines(self) -> dict[ServerStart, EngineView]:
+        """Return what agents told last of their engines, by the engine's start."""
+        beats = [p.beat for p in sorted(self.pulses.values(), key=lambda p: p.at)]
+        return {b.start: EngineView(b.engine, b.home, b.usual) for b in beats}
+
+    def faster(self, usual: float, engines: Collection[str]) -> list[Heartbeat]:
+        """Return what agents tell whose engines are built faster than one.
+
+        Parameters
+        ----------
+        usual : float
+            Usual pace of that one; see `Pace.usual`.
+        engines : collection of str
+            Ids of the engines among which to look.
+        """
+        return [
+            pulse.beat
+            for pulse in self.pulses.values()
+            if pulse.beat.engine in engines
+            and self.recent(pulse.at)
+            and is_slower(usual, pulse.beat.usual)
+        ]
--- a/gypsumshift/jobs/weights.py
+++ b/gypsumshift/jobs/weights.py
@@ -91,7 +91,7 @@
         limits = self.station.limits
         if limits is None:
             return {}
-        told = self.board.engines()
+        told = self.board.peers.engines()
         engines = [
             self.considered(told.get(peer.start, placement.EngineView(peer.id)))
             for peer in self.station.peers
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -20,6 +20,7 @@
     summary,
     to_row,
 )
+from gypsumshift.jobs.peers import Peers
 from gypsumshift.jobs.station import Home
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered
@@ -261,7 +262,7 @@
 
 
 def board(session="mine", clock=None):
-    return ClaimBoard(session, clock, random.Random(1))
+    return ClaimBoard(session, clock, random.Random(1), Peers(session, clock))
 
 
 def entry(**changes):
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -288,8 +288,8 @@
     value = {"session": "old", "engine": "e-a", "born": 1, "home": "x", "usual": 0.05}
     directory.set_server(attrs.evolve(server("e-a"), born=1))
     await until(lambda: agent.weights.fence)
-    agent.board.take_pulses([Row(AGENTS, "a", 9, value)])
-    agent.heart.told = agent.board.told("a")
+    agent.peers.take([Row(AGENTS, "a", 9, value)])
+    agent.heart.told = agent.peers.told("a")
     assert agent.heart.usual_pace() == 0.05
     directory.set_server(attrs.evolve(server("e-a"), born=2))
     assert agent.heart.usual_pace() == 0
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,8 +1,9 @@
 """Which unit an agent claims, and when a claim of another is free."""
 
 from gypsumshift.jobs import split
-from gypsumshift.jobs.claims import LEAVE_LONG, SILENCE
+from gypsumshift.jobs.claims import LEAVE_LONG
 from gypsumshift.jobs.model import AGENTS, END_KEY, JOB_KEY, JOBS, Item
+from gypsumshift.jobs.peers import LISTENING, SILENCE
 from gypsumshift.jobs.room import Room
 from gypsumshift.jobs.schedule import begin_order
 from gypsumshift.platforms import Row
@@ -28,7 +29,7 @@
 
 def test_claims_of_a_living_agent_stay():
     own, clock, _ = make_board(groups=1)
-    own.take_pulses([pulse("other", "s", 1, 2)])
+    own.peers.take([pulse("other", "s", 1, 2)])
     own.take_claims([claim_row("job", "00000", "other", "s", 3)])
     assert choose(own) is None
     clock.advance(SILENCE + 0.1)
@@ -37,15 +38,15 @@
 
 def test_claims_of_a_restarted_agent_are_free_at_once():
     own, _, _ = make_board(groups=1)
-    own.take_pulses([pulse("other", "s", 1, 2)])
+    own.peers.take([pulse("other", "s", 1, 2)])
     own.take_claims([claim_row("job", "00000", "other", "s", 3)])
-    own.take_pulses([pulse("other", "s2", 1, 4)])
+    own.peers.take([pulse("other", "s2", 1, 4)])
     assert choose(own) is not None
 
 
 def test_a_fresh_claim_is_a_sign_of_life_before_the_heartbeat_comes():
     own, clock, _ = make_board(groups=1)
-    own.take_pulses([pulse("other", "s", 1, 2)])
+    own.peers.take([pulse("other", "s", 1, 2)])
     clock.advance(10 * SILENCE)
     own.take_claims([claim_row("job", "00000", "other", "s", 3)])
     assert choose(own) is None
@@ -53,15 +54,43 @@
 
 def test_nobody_is_taken_for_dead_while_the_store_is_away():
     own, clock, _ = make_board(groups=1)
-    own.take_pulses([pulse("other", "s", 1, 2)])
+    own.peers.take([pulse("other", "s", 1, 2)])
     own.take_claims([claim_row("job", "00000", "other", "s", 3)])
     clock.advance(10)
-    own.note_store_back()
+    own.peers.note_store_back()
     assert choose(own) is None, "its heartbeats could not be heard"
     clock.advance(SILENCE + 0.1)
     assert choose(own) is not None
 
 
+def test_a_unit_stays_with_its_agent_while_the_store_is_away():
+    """Claims reach a store that returns before the first heartbeat is heard."""
+    own, clock, _ = make_board(groups=1)
+    own.peers.take([pulse("other", "s", 1, 2)])
+    own.take_claims([claim_row("job", "00000", "other", "s", 3)])
+    silent_since = clock.monotonic()
+    own.peers.listened_at = lambda: silent_since
+    for _ in range(100):
+        clock.advance(0.1)
+        assert choose(own) is None, "it may beat, and nobody hears it"
+    own.peers.note_store_back()
+    own.peers.listened_at = clock.monotonic
+    assert choose(own) is None
+    clock.advance(SILENCE + 0.1)
+    assert choose(own) is not None
+
+
+def test_a_host_that_was_lost_before_the_store_went_is_missed_in_time():
+    own, clock, _ = make_board(groups=1)
+    own.peers.take([pulse("other", "s", 1, 2)])
+    own.take_claims([claim_row("job", "00000", "other", "s", 3)])
+    clock.advance(SILENCE + 0.1)
+    listened = clock.monotonic()
+    own.peers.listened_at = lambda: listened
+    clock.advance(LISTENING)
+    assert choose(own) is not None
+
+
 def test_a_done_or_ended_unit_is_not_claimed():
     own, _, _ = make_board(groups=2)
     own.take_claims([claim_row("job", "00000", "gone", "s", 3, done=True)])
@@ -80,7 +109,7 @@
 def test_a_claim_told_before_its_job_counts():
     clock = ManualClock()
     own = board(clock=clock)
-    own.take_pulses([pulse("other", "s", 1, 2)])
+    own.peers.take([pulse("other", "s", 1, 2)])
     own.take_claims([claim_row("job", "00000", "other", "s", 3)])
     own.take_jobs([job_row(job(split(items(1))))])
     assert choose(own) is None
@@ -147,7 +176,7 @@
 def test_long_items_of_a_lost_host_are_left_to_faster_engines_too():
     """They had waited since their step came, and went to whoever was first."""
     own, clock = uneven_board()
-    own.take_pulses([pulse("other", "s", 1, 2)])
+    own.peers.take([pulse("other", "s", 1, 2)])
     for unit in own.open["job"].order:
         done = unit.hint < 100
         own.take_claims([claim_row("job", unit.key, "other", "s", 3, done)])
@@ -167,9 +196,9 @@
 def test_faster_are_those_of_the_same_model_that_live():
     own, clock, _ = make_board()
     rows = [beat("a", "e1", 0.04), beat("b", "e2", 0.05), beat("c", "e3", 0.04)]
-    own.take_pulses(rows)
-    assert [b.engine for b in own.faster(0.052, ["e1", "e2"])] == ["e1"]
-    assert own.faster(0.045, ["e1", "e2"]) == [], "a full engine is no slower one"
-    assert own.faster(0.0, ["e1"]) == [], "its own pace is not known"
+    own.peers.take(rows)
+    assert [b.engine for b in own.peers.faster(0.052, ["e1", "e2"])] == ["e1"]
+    assert own.peers.faster(0.045, ["e1", "e2"]) == [], "a full engine is no slower one"
+    assert own.peers.faster(0.0, ["e1"]) == [], "its own pace is not known"
     clock.advance(SILENCE + 0.1)
-    assert own.faster(0.052, ["e1"]) == []
+    assert own.peers.faster(0.052, ["e1"]) == []
