Silent agents are asked before their work is taken; heartbeats stay within the store

Cause: an agent of which nothing was heard for 1.6 s lost its units unasked, so each had to beat each 0.4 s whatever the size of the fleet, all in one part of the store. A part takes 200 transactions a second: with 80 agents it is full, heartbeats come late, and all take each other for gone; 1,600 agents would ask 4,000 writes a second of a store that takes 3,200. Ruled out: longer silences (a lost host's longest item then ends 10.9 s after its step came), leases by rounds among agents (two holders of a unit do no harm). Heartbeats take a tenth of the store's writes at the most, in eight parts: each 0.4 s up to 128 agents at 3,200 writes a second, each 5 s with 1,600. Silence is 1.2 s now (1.6 s). A silent agent's unit comes before those of newer steps.

--- a/gypsumshift/agentnode.py
+++ b/gypsumshift/agentnode.py
@@ -5,6 +5,8 @@
 from gypsumshift import logs
 from gypsumshift.jobs.agent import Agent
 from gypsumshift.jobs.engine import Engine
+from gypsumshift.jobs.heart import STORE_WRITES
+from gypsumshift.jobs.presence import UNASKED, Presence
 from gypsumshift.jobs.station import Home
 from gypsumshift.lifecycle import Node
 from gypsumshift.policy import DEFAULT, Policy
@@ -35,6 +37,9 @@
     chance : random.Random
     metrics : Metrics
     policy : Policy
+    presence : Presence
+    store_writes : float
+        Writes a second that the store takes from all processes.
     """
 
     def __init__(
@@ -51,6 +56,8 @@
         chance,
         metrics,
         policy: Policy = DEFAULT,
+        presence: Presence = UNASKED,
+        store_writes: float = STORE_WRITES,
     ):
         super().__init__(directory, watches, Pool(zone, clock, chance, policy), clock)
         directory.on_restart.append(lambda old: fetcher.cut(old.address))
@@ -68,6 +75,8 @@
             chance,
             metrics,
             policy,
+            presence,
+            store_writes,
         )
 
     def work(self):
--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -13,7 +13,7 @@
 from gypsumshift.clock import Clock
 from gypsumshift.jobs.claims import Candidate, ClaimBoard
 from gypsumshift.jobs.engine import Engine
-from gypsumshift.jobs.heart import Heart
+from gypsumshift.jobs.heart import STORE_WRITES, Heart
 from gypsumshift.jobs.model import (
     AGENTS,
     CLAIMS,
@@ -25,6 +25,7 @@
 from gypsumshift.jobs.mover import Mover
 from gypsumshift.jobs.pace import is_slow
 from gypsumshift.jobs.peers import Peers
+from gypsumshift.jobs.presence import UNASKED, Presence
 from gypsumshift.jobs.room import NO_ROOM, Room
 from gypsumshift.jobs.station import Home, Station
 from gypsumshift.jobs.unitruns import UnitRunner
@@ -53,6 +54,9 @@
 # last: while half of the store's answers were lost, items were claimed up to 3.1 s
 # after their step had come (logs of a play).
 CLAIMS_AT_ONCE = 3
+# Seconds between two questions to silent agents. In a fleet of 1,600, most agents are
+# silent for longer than the usual time, and each is asked as often as it asks.
+ASK_PAUSE = 0.1
 # Seconds between two savings of what long runs have generated.
 SAVE_PERIOD = 1.0
 # Items that may wait for their scores, in engines full: more show that the application
@@ -78,6 +82,10 @@
     chance : random.Random
     metrics : Metrics
     policy : Policy
+    presence : Presence
+        Asks agents that were not heard of for a while.
+    store_writes : float
+        Writes a second that the store takes from all processes.
     """
 
     def __init__(
@@ -92,6 +100,8 @@
         chance: random.Random,
         metrics: Metrics,
         policy: Policy = DEFAULT,
+        presence: Presence = UNASKED,
+        store_writes: float = STORE_WRITES,
     ):
         self.home = home
         self.policy = policy
@@ -104,6 +114,7 @@
         self.station = Station(home, directory, engine, clock)
         self.weights = WeightKeeper(self.station, self.board, clock, metrics, policy)
         self.news = [asyncio.Event() for _ in range(CLAIMS_AT_ONCE)]
+        self.presence = presence
         self.runner = UnitRunner(
             self.own,
             store,
@@ -125,10 +136,12 @@
             store,
             clock,
             self.places,
+            store_writes,
         )
         self.mover = Mover(self.heart, self.weights, self.board, self.runner, clock)
         directory.on_restart.append(self.note_restart)
         self.slow_at = float("-inf")
+        self.asked_at = float("-inf")
         self.leaving = False
         peers = self.peers
         self.peer_watch = Watch(
@@ -287,9 +300,29 @@
                 self.weights.ready_versions(),
                 self.room(limits),
                 self.mover.slower,
+                self.may_ask,
             )
-            if candidate is None or not await self.claim(candidate):
+            if candidate is None:
                 return
+            if candidate.silent and await self.holder_works(candidate.silent):
+                continue
+            if not await self.claim(candidate):
+                return
+
+    @property
+    def may_ask(self) -> bool:
+        """Whether a silent agent may be asked now."""
+        return self.clock.monotonic() - self.asked_at >= ASK_PAUSE
+
+    async def holder_works(self, claim: Claim) -> bool:
+        """Ask the silent holder of a claim whether it works."""
+        self.asked_at = self.clock.monotonic()
+        works = await self.presence.works(claim)
+        if works:
+            self.peers.note_works(claim)
+        logs.event(log, "Asked a silent agent.", agent=claim.agent, works=works)
+        self.metrics.count("asked", works=str(works).lower())
+        return works
 
     def adopt(self) -> None:
         """Start units that are held by the store but not run: an answer was lost."""
--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -22,7 +22,7 @@
     parse_row,
     parse_rows,
 )
-from gypsumshift.jobs.peers import Peers
+from gypsumshift.jobs.peers import Peers, Standing
 from gypsumshift.jobs.room import Room
 from gypsumshift.jobs.schedule import LONG_FACTOR, begin_order, long_units
 from gypsumshift.platforms import ABSENT, Row
@@ -70,12 +70,15 @@
         Version that the row of its claim must have.
     taken_over : bool
         Whether another agent held it before.
+    silent : Claim or None
+        Claim of an agent that was not heard of for a while, and is to be asked first.
     """
 
     job: Job
     unit: UnitSummary
     version: int
     taken_over: bool
+    silent: Claim | None = None
 
 
 @attrs.define
@@ -197,10 +200,20 @@
                 claims[row.key] = held
 
     def free(self, held: Held | None) -> bool:
-        """Tell whether a unit may be claimed."""
+        """Tell whether a unit may be claimed, once a silent holder was asked."""
         if held is None or not held.claim.agent:
             return True
-        return not held.claim.done and not self.peers.alive(held.claim, held.seen_at)
+        return not held.claim.done and self.standing(held) is not Standing.WORKS
+
+    def standing(self, held: Held) -> Standing:
+        """Return what is believed of the agent that holds a claim."""
+        return self.peers.standing(held.claim, held.seen_at)
+
+    def silent(self, held: Held | None) -> Claim | None:
+        """Return the claim whose holder is to be asked before its unit is taken."""
+        if held is None or not held.claim.agent:
+            return None
+        return held.claim if self.standing(held) is Standing.SILENT else None
 
     def unit(self, job_id: str, key: str) -> UnitSummary | None:
         """Return a unit of an open job."""
@@ -235,9 +248,13 @@
         versions: dict[str, int],
         room: Room,
         slower: Collection[str] = (),
+        ask: bool = True,
     ) -> Candidate | None:
         """Return the unit to claim next; None where there is none.
 
+        A unit of a silent agent comes behind those of its step that are free, and
+        before those of newer steps: it has waited longest.
+
         Parameters
         ----------
         models : collection of str
@@ -248,6 +265,8 @@
             What the engine has room for.
         slower : collection of str
             Models that faster engines serve as well.
+        ask : bool
+            Whether units of silent agents, which are to be asked first, may be chosen.
         """
         now = self.clock.monotonic()
         found: list[Candidate] = []
@@ -259,27 +278,31 @@
             if not own and now - tracked.since < STEAL_AFTER:
                 continue
             behind = job.model in slower
-            found += self.candidates(tracked, room, SPREAD - len(found), behind)
-            if len(found) == SPREAD:
+            candidates = self.candidates(tracked, room, behind)
+            found += [c for c in candidates if not c.silent][: SPREAD - len(found)]
+            if found and len(found) < SPREAD:
+                continue
+            silent = [c for c in candidates if c.silent] if ask else []
+            found = found or silent
+            if found:
                 break
         return self.chance.choice(found) if found else None
 
-    def candidates(
-        self, tracked: Tracked, room: Room, most: int, slower: bool
-    ) -> list[Candidate]:
-        """Return the next free units of a job for which there is room."""
+    def candidates(self, tracked: Tracked, room: Room, slower: bool) -> list[Candidate]:
+        """Return the units of a job that may be claimed and for which there is room."""
         found = []
         for unit in tracked.short_order if slower else tracked.order:
             held = tracked.claims.get(unit.key)
             if (
-                len(found) < most
-                and not (slower and self.left_to_faster(tracked, unit))
+                not (slower and self.left_to_faster(tracked, unit))
                 and room.fits(len(unit.items), unit.memory)
                 and self.free(held)
                 and (tracked.job.id, unit.key) not in self.claiming
             ):
                 version = held.version if held else ABSENT
-                found.append(Candidate(tracked.job, unit, version, held is not None))
+                before = held is not None
+                silent = self.silent(held)
+                found.append(Candidate(tracked.job, unit, version, before, silent))
         return found
 
     def left_to_faster(self, tracked: Tracked, unit: UnitSummary) -> bool:
--- a/gypsumshift/jobs/heart.py
+++ b/gypsumshift/jobs/heart.py
@@ -1,5 +1,6 @@
 """Heart: tells the other agents that one works, and what is known of its engine."""
 
+import zlib
 from collections.abc import Callable
 
 from gypsumshift import logs
@@ -13,10 +14,20 @@
 from gypsumshift.platforms import RowStore, Write
 from gypsumshift.serving.directory import ServerStart
 
-__all__ = ["Heart"]
+__all__ = ["STORE_WRITES", "Heart", "beat_part", "beat_period"]
 
-# Seconds between heartbeats of an agent: four are missed before it is taken for gone.
+# Seconds between heartbeats of an agent in a small fleet: three are missed before it
+# is asked whether it works.
 HEARTBEAT = 0.4
+# Part of the store's writes that heartbeats of all agents may take together. Agents
+# that beat each 0.4 s whatever their number take all 3,200 writes a second of a large
+# store with 1,280 of them; so they beat less often beyond 128 (each 5 s with 1,600).
+BEAT_SHARE = 0.1
+# Parts of the store over which heartbeats lie. A part takes 200 transactions a second,
+# and a tenth of the largest store's writes is 320.
+BEAT_PARTS = 8
+# Writes a second that a store is taken to carry where nobody says, as the smallest.
+STORE_WRITES = 800.0
 # Seconds between looks whether the table of agents was read.
 READ_PERIOD = 0.025
 
@@ -39,6 +50,8 @@
     clock : Clock
     places : callable
         Returns the items that the engine could take now.
+    store_writes : float
+        Writes a second that the store takes from all processes.
 
     Attributes
     ----------
@@ -56,6 +69,7 @@
         store: RowStore,
         clock: Clock,
         places: Callable[[], int],
+        store_writes: float = STORE_WRITES,
     ):
         self.session = session
         self.station = station
@@ -65,6 +79,7 @@
         self.store = store
         self.clock = clock
         self.places = places
+        self.store_writes = store_writes
         self.told = Heartbeat("")
 
     async def run(self) -> None:
@@ -79,12 +94,14 @@
         self.told = self.board.peers.told(self.station.home.name)
         while True:
             await self.beat()
-            await self.clock.sleep(HEARTBEAT)
+            agents = len(self.board.peers.pulses)
+            await self.clock.sleep(beat_period(agents, self.store_writes))
 
     async def beat(self) -> None:
         """Write a heartbeat; the first one's transaction is the fence of orders."""
         self.told = self.heartbeat()
-        write = Write(AGENTS, self.station.home.name, to_row(self.told))
+        name = self.station.home.name
+        write = Write(AGENTS, name, to_row(self.told), part=beat_part(name))
         outcome = await self.store.commit([write])
         if isinstance(outcome, Committed) and not self.weights.fence:
             self.weights.fence = outcome.version
@@ -123,3 +140,13 @@
     def known(self, start: ServerStart) -> Heartbeat:
         """Return what was told last of a start of the engine; empty of another one."""
         return self.told if start == self.told.start else Heartbeat("")
+
+
+def beat_period(agents: int, store_writes: float) -> float:
+    """Return the seconds between two heartbeats of an agent, in a fleet of so many."""
+    return max(HEARTBEAT, agents / (BEAT_SHARE * store_writes))
+
+
+def beat_part(agent: str) -> str:
+    """Return the part of the store in which the heartbeats of an agent lie."""
+    return str(zlib.crc32(agent.encode()) % BEAT_PARTS)
--- a/gypsumshift/jobs/peers.py
+++ b/gypsumshift/jobs/peers.py
@@ -1,10 +1,12 @@
 """Peers: the other agents, as their heartbeats tell of them.
 
-The decision answers hosts that are lost in the midst of a step: their units are free
-for others once nothing was heard of them for a while. Nobody is judged by a silence in
-which nothing could be heard: while the store is away, no heartbeat comes from anyone.
+The decision answers hosts that are lost in the midst of a step: once nothing was heard
+of one for a while, who would take its units over asks it (`presence.py`), and takes
+them where it does not answer. Nobody is judged by a silence in which nothing could be
+heard: while the store is away, no heartbeat comes from anyone.
 """
 
+import enum
 import math
 from collections.abc import Callable, Collection
 
@@ -17,19 +19,19 @@
 from gypsumshift.platforms import Row
 from gypsumshift.serving.directory import ServerStart
 
-__all__ = ["SILENCE", "Peers"]
+__all__ = ["SILENCE", "Peers", "Standing"]
 
-# Seconds without a heartbeat after which an agent's claims are free. Of a host that
-# is lost with the longest items of a step, each second counts: with 2.6 s they ended
-# 10.9 s after their step came (logs of a play). Taken for gone too soon, an agent loses
-# nothing but the work that two do.
-SILENCE = 1.6
-# Seconds since the table of agents was last told within which a silence counts. Its
-# feed answers each 0.8 s at the latest. Less than `SILENCE` by more than a heartbeat, so
+# Seconds without a heartbeat after which an agent is asked whether it works. Of a host
+# that is lost with the longest items of a step, each second counts: with 2.6 s they
+# ended 10.9 s after their step came (logs of a play). Three heartbeats of a small
+# fleet; in a large one, agents beat less often and are asked more.
+SILENCE = 1.2
+# Seconds since the table of agents was last told within which a silence counts. Less
+# than `SILENCE` by more than a heartbeat, so
 # that nobody is missed between the last heartbeat and the outage: agents took each
 # other's units over in the moment of the store's return (12 units in three plays with
 # 5 engines), and what had been generated meanwhile was lost.
-LISTENING = 1.0
+LISTENING = 0.7
 
 
 @attrs.define
@@ -54,6 +56,14 @@
         return self.beat.pace
 
 
+class Standing(enum.Enum):
+    """What is believed of the agent that holds a claim."""
+
+    WORKS = "works"
+    SILENT = "silent"
+    GONE = "gone"
+
+
 class Peers:
     """What is known of the agents.
 
@@ -100,7 +110,7 @@
         """Take that nothing could be heard until now."""
         self.deaf_until = self.clock.monotonic()
 
-    def alive(self, claim: Claim, seen_at: float) -> bool:
+    def standing(self, claim: Claim, seen_at: float) -> Standing:
         """Tell whether the agent that holds a claim still works on it.
 
         A claim is itself a sign of life, and heartbeats that could not be heard
@@ -114,12 +124,21 @@
             When it was told here, by the monotonic clock, in seconds.
         """
         if claim.session == self.session:
-            return True
+            return Standing.WORKS
         pulse = self.pulses.get(claim.agent)
         if pulse is not None and pulse.session != claim.session:
-            return seen_at > pulse.at and self.audible(seen_at)
+            newer = seen_at > pulse.at and self.audible(seen_at)
+            return Standing.WORKS if newer else Standing.GONE
         heard = pulse.at if pulse is not None else seen_at
-        return self.audible(max(heard, seen_at, self.deaf_until))
+        audible = self.audible(max(heard, seen_at, self.deaf_until))
+        return Standing.WORKS if audible else Standing.SILENT
+
+    def note_works(self, claim: Claim) -> None:
+        """Take that the holder of a claim said itself that it works."""
+        now = self.clock.monotonic()
+        pulse = self.pulses.setdefault(claim.agent, Pulse(claim.session, now))
+        if pulse.session == claim.session:
+            pulse.at = now
 
     def audible(self, at: float) -> bool:
         """Tell whether nothing younger than a sign of life had to be heard yet."""
--- a/gypsumshift/neighbours.py
+++ b/gypsumshift/neighbours.py
@@ -134,6 +134,11 @@
         """Whether the store answers this process directly."""
         return self.clock.monotonic() - self.reached_at < RECENT
 
+    @property
+    def works(self) -> bool:
+        """Whether the store is reached, directly or through a neighbour."""
+        return self.via is not None or self.reaches_store
+
     async def fetch(
         self, method: str, target: str, headers, body: bytes, timeout: float
     ) -> Fetched:
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -21,6 +21,7 @@
     to_row,
 )
 from gypsumshift.jobs.peers import Peers
+from gypsumshift.jobs.presence import UNASKED, Presence
 from gypsumshift.jobs.station import Home
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered
@@ -195,6 +196,18 @@
         return Answered(status, ((NAMES.signature, f"signed-{call.id}"),))
 
 
+class ToldPresence(Presence):
+    """Presence by a script: the agents that work, and who was asked."""
+
+    def __init__(self, *working):
+        self.working = set(working)
+        self.asked = []
+
+    async def works(self, claim):
+        self.asked.append(claim.agent)
+        return claim.agent in self.working
+
+
 @attrs.define
 class World:
     """A store, a desk and agents over it."""
@@ -207,7 +220,7 @@
     def __attrs_post_init__(self):
         self.desk = Desk(self.store, SystemClock(), METRICS)
 
-    def agent(self, name="a", engine=None, store=None):
+    def agent(self, name="a", engine=None, store=None, presence=UNASKED):
         """Start an agent beside an engine."""
         directory = Directory()
         directory.set_routes(routes())
@@ -223,6 +236,7 @@
             SystemClock(),
             chance,
             METRICS,
+            presence=presence,
         )
         self.agents[name] = agent
         self.tasks.append(asyncio.create_task(agent.run()))
