A table that lost its history is read once for a zone

Cause: when the store forgets its history, every process reads every table that it follows anew at once: 542 whole reads in one second by 107 processes, each of a table of batch jobs a call for every job that is kept (some 110). 1,950 processes would take all 16,000 calls a second of the store for half a minute. Ruled out: a random wait (half a minute at that size, and a configuration must be in force within 2 s), copies of all tables at all processes. Change: for each table the processes of a zone agree on two readers by a hash, among hosts with half of the widest link or more; the others take it from them with version and age, never older than what they knew; without an answer in 0.5 s from either, or where the store does not answer, each reads by itself. Switch: shared_rereads.

--- a/gypsumshift/hedging.py
+++ b/gypsumshift/hedging.py
@@ -88,9 +88,9 @@
         """Return what changed after a version; waits for the first change."""
         return await self.inner.changes(table, after, wait)
 
-    async def snapshot(self, table):
+    async def snapshot(self, table, after=0):
         """Return the rows of all parts, with the version to watch from."""
-        return await self.inner.snapshot(table)
+        return await self.inner.snapshot(table, after)
 
     def now(self):
         """Return the store's steady time, as estimated from its last answer."""
--- a/gypsumshift/memory.py
+++ b/gypsumshift/memory.py
@@ -106,7 +106,7 @@
         """Return the changes of a table after a version."""
         return [r for r in self.history if r.table == table and r.version > after]
 
-    async def snapshot(self, table):
+    async def snapshot(self, table, after=0):
         """Return the rows of all parts, with the version to watch from."""
         rows = [row for place, row in self.rows.items() if place[0] == table]
         return Changes(sorted(rows, key=lambda row: row.version), self.version)
--- a/gypsumshift/neighbours.py
+++ b/gypsumshift/neighbours.py
@@ -69,11 +69,14 @@
         Where it passes calls to the store on.
     zone : str
         Empty where it is not known.
+    link : float
+        Mbit/s of its host; 0 where it is not known.
     """
 
     name: str
     address: tuple[str, int]
     zone: str = ""
+    link: float = 0.0
 
 
 class StorePath:
@@ -262,7 +265,10 @@
     ipaddress.IPv4Address(ip)
     if type(port) is not int or not isinstance(row.value["zone"], str):
         raise TypeError("no port, or no availability zone")
-    return Neighbour(row.key, (ip, port), row.value["zone"])
+    link = row.value.get("link", 0.0)
+    if type(link) not in (int, float):
+        raise TypeError("no width of a link")
+    return Neighbour(row.key, (ip, port), row.value["zone"], link)
 
 
 class Relay:
@@ -282,8 +288,8 @@
 
     async def serve(self, request: Request) -> Response:
         """Answer a neighbour."""
-        if request.target in self.others:
-            return await self.others[request.target](request)
+        if request.path in self.others:
+            return await self.others[request.path](request)
         if request.target == REACHES_STORE:
             return Response(200 if self.path.reaches_store else 503)
         try:
@@ -339,7 +345,8 @@
 
     async def announce(self) -> None:
         """Write the own entry, and remove those of processes that are gone."""
-        value = {"address": list(self.own.address), "zone": self.own.zone}
+        own = self.own
+        value = {"address": list(own.address), "zone": own.zone, "link": own.link}
         writes = [Write(NEIGHBOURS, self.own.name, value)]
         horizon = self.clock.monotonic() - FORGOTTEN
         gone = [name for name, at in self.seen_at.items() if at < horizon]
--- a/gypsumshift/platforms.py
+++ b/gypsumshift/platforms.py
@@ -96,10 +96,13 @@
         Each row as it was written last; without a value where it was removed.
     version : int
         Ask for what changed after this one next.
+    age : float
+        Seconds since the store was asked, where another process handed them on.
     """
 
     rows: list[Row]
     version: int
+    age: float = 0.0
 
 
 @attrs.frozen
@@ -171,8 +174,15 @@
         """Return what changed after a version; waits for the first change."""
 
     @abc.abstractmethod
-    async def snapshot(self, table: str) -> Changes | Unavailable:
-        """Return the rows of all parts, with the version to watch from."""
+    async def snapshot(self, table: str, after: int = 0) -> Changes | Unavailable:
+        """Return the rows of all parts, with the version to watch from.
+
+        Parameters
+        ----------
+        table : str
+        after : int
+            The rows are at least as new as this version.
+        """
 
     @abc.abstractmethod
     def now(self) -> datetime.timedelta:
--- a/gypsumshift/policy.py
+++ b/gypsumshift/policy.py
@@ -50,6 +50,8 @@
         Servers that fail are avoided for a while (`serving/pool.py`).
     shared_sight : bool
         Processes tell each other what they saw of servers (`gossip.py`).
+    shared_rereads : bool
+        One process of a zone reads a whole table for the others (`rereads.py`).
     """
 
     hedged_writes: bool = True
@@ -63,6 +65,7 @@
     second_server: bool = True
     ejection: bool = True
     shared_sight: bool = True
+    shared_rereads: bool = True
 
 
 DEFAULT = Policy()
--- /dev/null
+++ b/gypsumshift/rereads.py
@@ -0,0 +1,227 @@
+"""Rereads: one process of a zone reads a whole table for the others.
+
+The decision answers a store that lost its history or comes back: every process then
+reads every table that it follows anew, in the same second. A table of batch jobs costs
+a call for each job that is kept, some 110. Of 107 processes, 542 whole reads were seen
+in a second; those of 1,950 would take all calls of a large store for half a minute. So
+each table has a reader in each zone, the same at all processes that know the same
+neighbours; the others take what it read. Who is not answered soon reads by itself, and
+nothing is kept: a copy is handed on for as long as it takes the zone to ask.
+"""
+
+import asyncio
+import hashlib
+import json
+import urllib.parse
+import zlib
+
+import attrs
+
+from gypsumshift import logs
+from gypsumshift.clock import Clock
+from gypsumshift.fetch import FetchError
+from gypsumshift.neighbours import Neighbour, StorePath
+from gypsumshift.outcomes import Unavailable
+from gypsumshift.platforms import Changes, Row, RowStore
+from gypsumshift.policy import DEFAULT, Policy
+from gypsumshift.server import Request, Response
+
+__all__ = ["TABLE", "SharedReads", "pack", "readers", "unpack"]
+
+# Target by which a process is asked to read a table.
+TABLE = "/neighbour/table"
+# Seconds for which a table that was read is handed on. All that lost their history
+# learn of it within a feed's longest answer.
+HANDED_ON = 1.0
+# Processes asked before one reads by itself, and seconds for the answer of each: with
+# two, a configuration is in force within its bound of 2 s also when both are gone.
+ASKED = 2
+ASK_TIMEOUT = 0.5
+# Hosts with less than this part of the widest link of their zone read for nobody: the
+# jobs of a large step are some 2 MB, and entry hosts have links of 30 Mbit/s and more.
+LINK_SHARE = 0.5
+# Least effort of compression: a fifth of the bytes for 10 ms a megabyte.
+FAST = 1
+
+log = logs.logger("rereads")
+
+
+@attrs.frozen
+class Copy:
+    """A table that was read here.
+
+    Attributes
+    ----------
+    changes : Changes
+    read_at : float
+        When it was asked for, by the monotonic clock, in seconds.
+    """
+
+    changes: Changes
+    read_at: float
+
+
+class SharedReads(RowStore):
+    """Store whose whole tables are read once for a zone.
+
+    Parameters
+    ----------
+    inner : RowStore
+    path : StorePath
+        Knows the other processes.
+    own : Neighbour
+        This process.
+    clock : Clock
+    policy : Policy
+    """
+
+    def __init__(
+        self,
+        inner: RowStore,
+        path: StorePath,
+        own: Neighbour,
+        clock: Clock,
+        policy: Policy = DEFAULT,
+    ):
+        self.inner = inner
+        self.path = path
+        self.own = own
+        self.clock = clock
+        self.policy = policy
+        self.copies: dict[str, Copy] = {}
+        self.reading: dict[str, asyncio.Task] = {}
+
+    async def read(self, table, key, part=""):
+        """Return one row."""
+        return await self.inner.read(table, key, part)
+
+    async def scan(self, table, prefix, part=""):
+        """Return the rows of a part whose keys begin with ``prefix``, in order."""
+        return await self.inner.scan(table, prefix, part)
+
+    async def commit(self, writes):
+        """Apply all writes, or none where a condition does not hold."""
+        return await self.inner.commit(writes)
+
+    async def changes(self, table, after, wait):
+        """Return what changed after a version; waits for the first change."""
+        return await self.inner.changes(table, after, wait)
+
+    def now(self):
+        """Return the store's steady time, as estimated from its last answer."""
+        return self.inner.now()
+
+    async def snapshot(self, table, after=0):
+        """Return the rows of all parts, as read here or by the zone's reader."""
+        for reader in self.asked(table):
+            changes = await self.ask(reader, table, after)
+            if changes is not None:
+                return changes
+        return await self.read_once(table, after)
+
+    def asked(self, table: str) -> list[Neighbour]:
+        """Return the processes to ask for a table; none where this one reads it.
+
+        Nor while the store does not answer here: others would wait for it as well.
+        """
+        if not self.policy.shared_rereads or not self.path.reaches_store:
+            return []
+        others = self.path.neighbours.values()
+        near = [n for n in others if n.zone == self.own.zone]
+        found = readers(table, [self.own, *near])[:ASKED]
+        return [] if self.own in found else found
+
+    async def ask(self, reader: Neighbour, table: str, after: int) -> Changes | None:
+        """Have another process read a table; None where it does not."""
+        query = urllib.parse.urlencode({"name": table, "after": after})
+        try:
+            answer = await self.path.fetcher.fetch(
+                reader.address, "GET", f"{TABLE}?{query}", timeout=ASK_TIMEOUT
+            )
+            if answer.status != 200:
+                return None
+            changes = unpack(answer.body)
+        except (FetchError, AttributeError, KeyError, TypeError, ValueError) as error:
+            log.debug("{} does not read {}: {}", reader.name, table, error)
+            return None
+        if changes.version < after:
+            return None
+        logs.event(log, "Took a table from its reader.", table=table, of=reader.name)
+        return changes
+
+    async def serve(self, request: Request) -> Response:
+        """Answer a process that asks for a table."""
+        after = request.parameter("after", "0")
+        if not after.isdigit():
+            return Response(400)
+        changes = await self.read_once(request.parameter("name"), int(after))
+        if isinstance(changes, Unavailable):
+            return Response(503)
+        return Response(200, [], pack(changes))
+
+    async def read_once(self, table: str, after: int) -> Changes | Unavailable:
+        """Read a table, or return what was read a moment ago or is being read."""
+        copy = self.copies.get(table)
+        young = copy and self.clock.monotonic() - copy.read_at < HANDED_ON
+        if young and copy.changes.version >= after:
+            age = self.clock.monotonic() - copy.read_at
+            return attrs.evolve(copy.changes, age=age)
+        if table not in self.reading:
+            task = asyncio.create_task(self.read_whole(table))
+            self.reading[table] = task
+            task.add_done_callback(lambda _: self.reading.pop(table, None))
+        changes = await asyncio.shield(self.reading[table])
+        if isinstance(changes, Changes) and changes.version < after:
+            # It was begun before the asker heard of that version.
+            return await self.inner.snapshot(table, after)
+        return changes
+
+    async def read_whole(self, table: str) -> Changes | Unavailable:
+        """Read a table from the store, and keep it for a moment."""
+        read_at = self.clock.monotonic()
+        changes = await self.inner.snapshot(table)
+        if isinstance(changes, Changes):
+            self.copies[table] = Copy(changes, read_at)
+        return changes
+
+    async def run(self) -> None:
+        """Forget what nobody asks for any more, until cancelled."""
+        while True:
+            await self.clock.sleep(HANDED_ON)
+            horizon = self.clock.monotonic() - HANDED_ON
+            for table in [t for t, c in self.copies.items() if c.read_at < horizon]:
+                del self.copies[table]
+
+
+def readers(table: str, processes: list[Neighbour]) -> list[Neighbour]:
+    """Return who may read a table for the others, in the order of asking.
+
+    Each table has another order, so that one process does not read all of them, and
+    it changes little when a process comes or goes.
+    """
+    widest = max(process.link for process in processes)
+    able = [p for p in processes if p.link >= LINK_SHARE * widest]
+    return sorted(able, key=lambda process: rank(table, process.name))
+
+
+def rank(table: str, name: str) -> bytes:
+    """Return what decides the place of a process among the readers of a table."""
+    return hashlib.blake2b(f"{table}/{name}".encode(), digest_size=8).digest()
+
+
+def pack(changes: Changes) -> bytes:
+    """Return a table as one process hands it to another."""
+    rows = [
+        [r.table, r.key, r.version, r.value, r.part, r.readable] for r in changes.rows
+    ]
+    value = [changes.version, round(changes.age, 3), rows]
+    return zlib.compress(json.dumps(value).encode(), FAST)
+
+
+def unpack(body: bytes) -> Changes:
+    """Return a table that was packed; raises TypeError or ValueError."""
+    try:
+        version, age, rows = json.loads(zlib.decompress(body))
+    except (zlib.error, RecursionError) as error:
+        raise ValueError(f"no packed table: {error}") from error
+    return Changes([Row(*row) for row in rows], version, age)
--- a/gypsumshift/watch.py
+++ b/gypsumshift/watch.py
@@ -50,6 +50,8 @@
     ----------
     version : int
         Everything up to this version is known; -1 before the first answer.
+    known_version : int
+        The same before changes were lost; what is read anew must not be older.
     current_at : float
         When the copy was last known to be current, by the monotonic clock.
     recovered_at : float
@@ -77,6 +79,7 @@
         self.replace = replace
         self.clock = clock
         self.version = -1
+        self.known_version = 0
         self.current_at = float("-inf")
         self.recovered_at = float("-inf")
         self.failures = 0
@@ -95,12 +98,13 @@
     async def step(self) -> None:
         """Ask once, and take what was told."""
         if self.version < 0:
-            answer = await self.store.snapshot(self.table)
+            answer = await self.store.snapshot(self.table, self.known_version)
         else:
             wait = POLL_SILENT if self.failures else POLL
             answer = await self.store.changes(self.table, self.version, wait)
         if isinstance(answer, HistoryLost):
             logs.event(log, "Changes were lost; reading anew.", table=self.table)
+            self.known_version = max(self.version, 0)
             self.version = -1
             return
         if isinstance(answer, Unavailable):
@@ -118,7 +122,7 @@
         if answer.version < self.version:
             # The store may serve an old copy; nothing steps back.
             return
-        self.current_at = self.clock.monotonic()
+        self.current_at = self.clock.monotonic() - answer.age
         self.accept(answer)
 
     def accept(self, answer: Changes) -> None:
--- a/tests/test_bootstrap.py
+++ b/tests/test_bootstrap.py
@@ -40,8 +40,10 @@
 
     away = True
 
-    async def snapshot(self, table):
-        return Unavailable("away") if self.away else await super().snapshot(table)
+    async def snapshot(self, table, after=0):
+        if self.away:
+            return Unavailable("away")
+        return await super().snapshot(table, after)
 
     async def changes(self, table, after, wait):
         if self.away:
