Reward calls of all agents take half of an application's places

Cause: each agent had three reward calls under way, which is half of the application with five agents and 57 calls on 36 places with 19: callers' requests stood behind them, all the more while the application was slow. Change: the share of an agent comes from the listed places of the application and the listed engines; below one, it has one call under way for that part of the time. Gate can be resized. Small sites have as many calls as before. Without a network: at most 19 calls of 19 agents on 36 places (57 before); over time the calls of any fleet hold about half of the places (hypothesis).

--- a/gypsumshift/jobs/gate.py
+++ b/gypsumshift/jobs/gate.py
@@ -19,6 +19,7 @@
     """
 
     def __init__(self, places: int):
+        self.places = places
         self.free = places
         self.waiting: list[tuple[tuple, int, asyncio.Future]] = []
         self.numbers = itertools.count()
@@ -32,9 +33,18 @@
         finally:
             self.release()
 
+    def resize(self, places: int) -> None:
+        """Have another number of holders; who holds a place already keeps it."""
+        added = places - self.places
+        self.places = places
+        if added < 0:
+            self.free += added
+        for _ in range(added):
+            self.release()
+
     async def acquire(self, rank: tuple) -> None:
         """Wait for a place."""
-        if self.free:
+        if self.free > 0:
             self.free -= 1
             return
         turn = asyncio.get_running_loop().create_future()
@@ -48,8 +58,8 @@
             raise
 
     def release(self) -> None:
-        """Pass a place on to the next waiter."""
-        while self.waiting:
+        """Pass a place on to the next waiter, unless there are fewer places now."""
+        while self.waiting and self.free >= 0:
             turn = heapq.heappop(self.waiting)[2]
             if not turn.done():
                 turn.set_result(None)
--- a/gypsumshift/jobs/heart.py
+++ b/gypsumshift/jobs/heart.py
@@ -94,7 +94,7 @@
         self.told = self.board.peers.told(self.station.home.name)
         while True:
             await self.beat()
-            agents = len(self.board.peers.pulses)
+            agents = len(self.station.directory.engines())
             await self.clock.sleep(beat_period(agents, self.store_writes))
 
     async def beat(self) -> None:
--- a/gypsumshift/jobs/unitruns.py
+++ b/gypsumshift/jobs/unitruns.py
@@ -11,7 +11,6 @@
 from gypsumshift.eventstream import StreamBroken
 from gypsumshift.jobs.claims import Candidate, ClaimBoard
 from gypsumshift.jobs.committer import Committer, Finished
-from gypsumshift.jobs.gate import Gate
 from gypsumshift.jobs.itemrun import PAUSE, ItemRun
 from gypsumshift.jobs.model import (
     CLAIMS,
@@ -28,6 +27,7 @@
 )
 from gypsumshift.jobs.pace import Pace
 from gypsumshift.jobs.partials import Partials, read_rows
+from gypsumshift.jobs.rewards import UNKNOWN_SHARE, RewardGate, share_of_places
 from gypsumshift.jobs.station import Station
 from gypsumshift.jobs.unit import UnitRun
 from gypsumshift.jobs.weights import WeightKeeper
@@ -39,9 +39,6 @@
 
 __all__ = ["UnitRunner"]
 
-# Reward calls of one agent at once: the application answers callers too, and five
-# agents with three each take half of its places at the most.
-SCORES_AT_ONCE = 3
 # Seconds after which a unit is given back that met an error of the program.
 BROKEN_PAUSE = 1.0
 
@@ -101,7 +98,7 @@
         self.committer = Committer(store, clock)
         self.partials = Partials(store, own.session, clock)
         self.units: dict[tuple[str, str], UnitRun] = {}
-        self.scores = Gate(SCORES_AT_ONCE)
+        self.rewards = RewardGate(clock)
         self.places = asyncio.Semaphore(1)
         self.place_count = 1
         self.giving: set[asyncio.Task] = set()
@@ -267,9 +264,20 @@
         """Have an item scored that left its place."""
         run.generated = True
         self.changed()
-        async with self.scores.enter(score_rank(run)):
+        self.rewards.set_share(self.reward_share(run))
+        async with self.rewards.enter(score_rank(run)):
             return await run.finish()
 
+    def reward_share(self, run: ItemRun) -> float:
+        """Return the reward calls that this agent may have under way."""
+        directory, reward = self.station.directory, run.item.reward
+        route = directory.routes.find(reward.host, reward.path) if reward else None
+        if route is None:
+            return UNKNOWN_SHARE
+        servers = directory.service(route.service_for(reward.id))
+        places = sum(server.slots for server in servers)
+        return share_of_places(places, len(directory.engines()))
+
     async def generate(self, run: ItemRun) -> Result | None:
         """Generate one item in a place of the engine."""
         while True:
--- a/gypsumshift/serving/directory.py
+++ b/gypsumshift/serving/directory.py
@@ -213,3 +213,9 @@
         """Return the ready backend servers of a service, by id."""
         found = [s for s in self.servers.values() if s.service == name and s.ready]
         return sorted(found, key=lambda server: server.id)
+
+    def engines(self) -> list[BackendServer]:
+        """Return the ready model engines of all services."""
+        services = self.routes.services
+        engine = {name for name, service in services.items() if service.engine}
+        return [s for s in self.servers.values() if s.ready and s.service in engine]
