A look for work examines no more units than it needs

Cause: since silent agents are asked, each look examined every unit of every open step for its room before it asked whether the unit is free at all. An agent looks some 20 times a second. Same choice (tests/test_claims.py, tests/test_presence.py).

--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -8,7 +8,7 @@
 """
 
 import random
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 
 import attrs
 
@@ -277,33 +277,30 @@
             own = not job.model or job.model in models
             if not own and now - tracked.since < STEAL_AFTER:
                 continue
-            behind = job.model in slower
-            candidates = self.candidates(tracked, room, behind)
-            found += [c for c in candidates if not c.silent][: SPREAD - len(found)]
-            if found and len(found) < SPREAD:
-                continue
-            silent = [c for c in candidates if c.silent] if ask else []
-            found = found or silent
-            if found:
-                break
+            silent: list[Candidate] = []
+            for candidate in self.candidates(tracked, room, job.model in slower):
+                (silent if candidate.silent else found).append(candidate)
+                if len(found) == SPREAD:
+                    return self.chance.choice(found)
+            if silent and ask and not found:
+                return self.chance.choice(silent)
         return self.chance.choice(found) if found else None
 
-    def candidates(self, tracked: Tracked, room: Room, slower: bool) -> list[Candidate]:
-        """Return the units of a job that may be claimed and for which there is room."""
-        found = []
+    def candidates(
+        self, tracked: Tracked, room: Room, slower: bool
+    ) -> Iterator[Candidate]:
+        """Yield the units of a job that may be claimed and for which there is room."""
         for unit in tracked.short_order if slower else tracked.order:
             held = tracked.claims.get(unit.key)
-            if (
-                not (slower and self.left_to_faster(tracked, unit))
-                and room.fits(len(unit.items), unit.memory)
-                and self.free(held)
-                and (tracked.job.id, unit.key) not in self.claiming
-            ):
+            if not self.free(held) or (tracked.job.id, unit.key) in self.claiming:
+                continue
+            if slower and self.left_to_faster(tracked, unit):
+                continue
+            if room.fits(len(unit.items), unit.memory):
                 version = held.version if held else ABSENT
                 before = held is not None
                 silent = self.silent(held)
-                found.append(Candidate(tracked.job, unit, version, before, silent))
-        return found
+                yield Candidate(tracked.job, unit, version, before, silent)
 
     def left_to_faster(self, tracked: Tracked, unit: UnitSummary) -> bool:
         """Tell whether a slower engine leaves a unit to the others of its model."""
