Servers with an open connection go first among equals

An entry host with a request each two seconds spread them over six servers, and idle connections are kept for four. Ruled out: a fixed subset of servers for each process (the own zone goes first already, so a process uses few servers; which few was left to chance). Change: a server without an idle connection looks busier by 0.15, less than one of another zone. Without a network: 12 entry hosts with a request each two seconds open 126 connections for 180 requests before, 35 after.

--- a/gypsumshift/agentnode.py
+++ b/gypsumshift/agentnode.py
@@ -61,6 +61,7 @@
     ):
         super().__init__(directory, watches, Pool(zone, clock, chance, policy), clock)
         directory.on_restart.append(lambda old: fetcher.cut(old.address))
+        self.pool.connected = fetcher.connected
         sender = Sender(directory, self.pool, fetcher, names, clock, metrics)
         forwarder = Forwarder(sender, policy)
         engine = Engine(fetcher, names, protocol)
--- a/gypsumshift/fetch.py
+++ b/gypsumshift/fetch.py
@@ -191,6 +191,12 @@
             wire.close()
         return None
 
+    def connected(self, address: tuple[str, int]) -> bool:
+        """Tell whether a connection lies idle that may be used again."""
+        now = asyncio.get_running_loop().time()
+        wires = self.idle.get(address, ())
+        return any(wire.idle_until > now and wire.untouched() for wire in wires)
+
     async def open(
         self,
         address: tuple[str, int],
--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -61,6 +61,7 @@
         watches = [*directory_watches, *self.desk.watches]
         super().__init__(directory, watches, Pool(zone, clock, chance, policy), clock)
         directory.on_restart.append(lambda old: fetcher.cut(old.address))
+        self.pool.connected = fetcher.connected
         sender = Sender(directory, self.pool, fetcher, names, clock, metrics)
         self.forwarder = Forwarder(sender, policy)
         self.streams = StreamRelay(self.forwarder)
--- a/gypsumshift/serving/pool.py
+++ b/gypsumshift/serving/pool.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -22,6 +23,11 @@
 # Share by which a server of another zone looks busier. Zones lie 3 ms apart there
 # and back, a tenth of a short service time of 30 ms; bytes between zones are dear.
 OTHER_ZONE_PENALTY = 0.3
+# Share by which a server looks busier to which no connection is open: opening one takes
+# a round trip, and holds a place there for a moment. Less than the way to another zone.
+# Entry hosts that spread a request each two seconds over six servers opened one for
+# nearly each, since idle ones are kept for four.
+NEW_CONNECTION_PENALTY = 0.15
 # A load that was told is halved after this many seconds: about ten service times.
 LOAD_HALF_LIFE = 0.3
 # Weight of the newest answer in the moving averages: some ten answers back.
@@ -99,6 +105,8 @@
     ----------
     shared : Sightings
         What other processes saw.
+    connected : callable
+        Tells whether a connection to an address lies idle; none do by default.
     """
 
     def __init__(
@@ -114,6 +122,7 @@
         self.chance = chance
         self.records: dict[ServerStart, Record] = {}
         self.shared = Sightings(clock)
+        self.connected: Callable[[tuple[str, int]], bool] = lambda address: False
 
     def record(self, server: BackendServer) -> Record:
         """Return what is known of a start of a server."""
@@ -161,6 +170,8 @@
         busy = max(told, record.outstanding)
         slowness = min(max(sighting.slowness, 1.0), SLOWEST_FACTOR)
         penalty = 0.0 if server.zone == self.zone else OTHER_ZONE_PENALTY
+        if not self.connected(server.address):
+            penalty += NEW_CONNECTION_PENALTY
         return (1.0 + busy / max(server.slots, 1)) * slowness + penalty
 
     def sighting(self, server: BackendServer, usual: float) -> Sighting:
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -91,3 +91,43 @@
         for _ in range(60):
             pool.sent(server)
     assert pool.choose(listed, set()).id == "s0"
+
+
+def test_an_open_connection_goes_first_among_equals_and_not_before_the_own_zone():
+    pool, _ = make_pool()
+    listed = servers(4, ("here", "there"))
+    pool.connected = lambda address: address == listed[2].address
+    assert {pool.choose(listed, set()).id for _ in range(20)} == {"s2"}
+    pool.told(listed[2], 2)
+    assert pool.choose(listed, set()).id == "s0"
+    pool.connected = lambda address: address == listed[1].address
+    pool, _ = make_pool()
+    assert {pool.choose(listed, set()).id for _ in range(20)} == {"s0", "s2"}
+
+
+def play_light_load(connected):
+    """Return the connections that 12 entry hosts open in 30 s, with idle ones kept."""
+    chance, clock, opened = random.Random(3), ManualClock(), 0
+    listed = servers(6, ("there",))
+    entries = [Pool("here", clock, random.Random(n)) for n in range(12)]
+    idle_until = {}
+    for entry in entries:
+        if connected:
+            entry.connected = lambda address, entry=entry: (
+                idle_until.get((id(entry), address), 0) > clock.monotonic()
+            )
+    for _ in range(180):
+        entry = chance.choice(entries)
+        server = entry.choose(listed, set())
+        key = (id(entry), server.address)
+        opened += idle_until.get(key, 0) <= clock.monotonic()
+        idle_until[key] = clock.monotonic() + 4.0
+        entry.answered(server, 0.03)
+        clock.advance(1 / 6)
+    return opened
+
+
+def test_few_requests_open_fewer_connections():
+    """A request each two seconds at 12 entry hosts: 126 of 180 opened one before."""
+    assert play_light_load(connected=False) > 120
+    assert play_light_load(connected=True) < 40
