--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -54,6 +54,9 @@
 # last: while half of the store's answers were lost, items were claimed up to 3.1 s
 # after their step had come (logs of a play).
 CLAIMS_AT_ONCE = 3
+# Seconds between answers of the table of agents: half of a heartbeat, by which a lost
+# agent is missed later.
+PEERS_GATHER = 0.2
 # Seconds between two questions to silent agents. In a fleet of 1,600, most agents are
 # silent for longer than the usual time, and each is asked as often as it asks.
 ASK_PAUSE = 0.1
@@ -145,7 +148,13 @@
         self.leaving = False
         peers = self.peers
         self.peer_watch = Watch(
-            store, AGENTS, peers.take, peers.take, clock, peers.note_store_back
+            store,
+            AGENTS,
+            peers.take,
+            peers.take,
+            clock,
+            peers.note_store_back,
+            gather=PEERS_GATHER,
         )
         self.watches = [
             Watch(store, JOBS, self.take_jobs, self.take_jobs, clock),
--- a/gypsumshift/jobs/desk.py
+++ b/gypsumshift/jobs/desk.py
@@ -61,6 +61,9 @@
 FRESH = 0.9
 # Seconds after which a caller may submit again: the store refuses for moments.
 RETRY_AFTER = 0.5
+# Seconds between answers of the table of results, which every gateway follows: a fifth
+# of the time between two reads of a trainer.
+RESULTS_GATHER = 0.1
 # Seconds that ended jobs are kept for readers; the users ask for 120.
 KEEP_ENDED = 150.0
 # Chance with which a process removes an old job, at each of its sweeps a second
@@ -118,7 +121,12 @@
         self.reading = asyncio.Semaphore(READS_AT_ONCE)
         self.job_watch = Watch(store, JOBS, self.take_jobs, self.take_jobs, clock)
         self.result_watch = Watch(
-            store, RESULTS, self.take_results, self.take_results, clock
+            store,
+            RESULTS,
+            self.take_results,
+            self.take_results,
+            clock,
+            gather=RESULTS_GATHER,
         )
         self.watches = [self.job_watch, self.result_watch]
 
--- a/gypsumshift/neighbours.py
+++ b/gypsumshift/neighbours.py
@@ -30,6 +30,8 @@
 # was not written again is left out: its process is gone.
 ANNOUNCE_PERIOD = 15.0
 FORGOTTEN = 60.0
+# Seconds between answers of the table: who needs a neighbour asks three that it knows.
+GATHER = 1.0
 # Target by which a process is asked whether the store answers it.
 REACHES_STORE = "/neighbour/reaches-store"
 # Seconds within which the store must have answered a neighbour: its feeds bring an
@@ -320,7 +322,9 @@
         self.store = store
         self.clock = clock
         self.seen_at: dict[str, float] = {}
-        self.watch = Watch(store, NEIGHBOURS, self.take, self.take, clock)
+        self.watch = Watch(
+            store, NEIGHBOURS, self.take, self.take, clock, gather=GATHER
+        )
 
     def take(self, rows: list[Row]) -> None:
         """Take rows of the table of neighbours."""
--- a/gypsumshift/watch.py
+++ b/gypsumshift/watch.py
@@ -16,8 +16,9 @@
 POLL = datetime.timedelta(seconds=0.8)
 # The same while the store does not answer, so that its return is noticed soon.
 POLL_SILENT = datetime.timedelta(seconds=0.1)
-# Seconds between answers that hold changes: many small changes then come in one
-# answer, which bounds the calls of each process to ten a second and table.
+# Seconds between answers that hold changes, unless the owner of a table asks for
+# others: many small changes then come in one answer, which bounds the calls of each
+# process to some 15 a second and table.
 GATHER = 0.05
 # Seconds before another try where the store could not be asked.
 RETRY_FIRST = 0.05
@@ -45,6 +46,10 @@
         Keep the rows, for neighbours that ask.
     unreadable : callable or None
         Takes a row that holds no JSON object; by default it is left out.
+    gather : float
+        Seconds between answers that hold changes. What changes all the time is asked
+        for as seldom as its reader can wait: the cost grows with the fleet twice, by
+        those who write and by those who follow.
 
     Attributes
     ----------
@@ -68,7 +73,9 @@
         on_return: Callable[[], None] = lambda: None,
         keep: bool = False,
         unreadable: Callable[[Row], None] | None = None,
+        gather: float = GATHER,
     ):
+        self.gather = gather
         self.keep = keep
         self.unreadable = unreadable or log_unreadable
         self.rows: dict[tuple[str, str], Row] = {}
@@ -93,7 +100,7 @@
                 pause = min(RETRY_FIRST * 2 ** (self.failures - 1), RETRY_MOST)
                 await self.clock.sleep(pause)
             elif self.version != before:
-                await self.clock.sleep(GATHER)
+                await self.clock.sleep(self.gather)
 
     async def step(self) -> None:
         """Ask once, and take what was told."""
