--- a/gypsumshift/hedging.py
+++ b/gypsumshift/hedging.py
@@ -13,7 +13,7 @@
 from gypsumshift.clock import Clock
 from gypsumshift.neighbours import StorePath
 from gypsumshift.outcomes import Committed, Conflict, Unavailable, Unknown, Written
-from gypsumshift.platforms import RowStore, Write
+from gypsumshift.platforms import RowStore, WrappedStore, Write
 from gypsumshift.policy import DEFAULT, Policy
 
 __all__ = ["AnswerTime", "HedgedStore"]
@@ -51,7 +51,7 @@
         return min(max(SLOW_FACTOR * self.usual, WAIT_LEAST), WAIT_MOST)
 
 
-class HedgedStore(RowStore):
+class HedgedStore(WrappedStore):
     """Store whose writes are sent again where their answers stay away.
 
     Parameters
@@ -71,31 +71,11 @@
         policy: Policy = DEFAULT,
     ):
         self.copies = COPIES if policy.hedged_writes else 1
-        self.inner = inner
+        super().__init__(inner)
         self.path = path
         self.clock = clock
         self.answers = AnswerTime()
 
-    async def read(self, table, key, part=""):
-        """Return one row."""
-        return await self.inner.read(table, key, part)
-
-    async def scan(self, table, prefix, part=""):
-        """Return the rows of a part whose keys begin with ``prefix``, in order."""
-        return await self.inner.scan(table, prefix, part)
-
-    async def changes(self, table, after, wait):
-        """Return what changed after a version; waits for the first change."""
-        return await self.inner.changes(table, after, wait)
-
-    async def snapshot(self, table, after=0):
-        """Return the rows of all parts, with the version to watch from."""
-        return await self.inner.snapshot(table, after)
-
-    def now(self):
-        """Return the store's steady time, as estimated from its last answer."""
-        return self.inner.now()
-
     async def commit(self, writes: list[Write]) -> Written:
         """Apply all writes, or none where a condition does not hold.
 
--- a/gypsumshift/jobs/rewards.py
+++ b/gypsumshift/jobs/rewards.py
@@ -14,8 +14,10 @@
 
 from gypsumshift.clock import Clock
 from gypsumshift.jobs.gate import Gate
+from gypsumshift.jobs.model import RewardCall
+from gypsumshift.serving.directory import Directory
 
-__all__ = ["UNKNOWN_SHARE", "RewardGate", "share_of_places"]
+__all__ = ["RewardGate", "share_of_places"]
 
 # Part of an application's places that reward calls of all agents may take, rounded up
 # for each agent. Half of 36 places carries the 280 calls of a step, of 80 ms each, in a
@@ -56,14 +58,27 @@
     Parameters
     ----------
     clock : Clock
+    directory : Directory
+        Lists the application's servers and the engines.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, directory: Directory):
         self.clock = clock
+        self.directory = directory
         self.gate = Gate(1)
         self.share = UNKNOWN_SHARE
         self.pausing: set[asyncio.Task] = set()
 
+    def fit(self, reward: RewardCall | None) -> None:
+        """Let as many calls be under way as the application of a call has room for."""
+        routes = self.directory.routes
+        route = routes.find(reward.host, reward.path) if reward else None
+        if route is None:
+            return
+        servers = self.directory.service(route.service_for(reward.id))
+        places = sum(server.slots for server in servers)
+        self.set_share(share_of_places(places, len(self.directory.engines())))
+
     def set_share(self, share: float) -> None:
         """Let so many calls be under way; see `share_of_places`."""
         self.share = share
--- a/gypsumshift/jobs/unitruns.py
+++ b/gypsumshift/jobs/unitruns.py
@@ -27,7 +27,7 @@
 )
 from gypsumshift.jobs.pace import Pace
 from gypsumshift.jobs.partials import Partials, read_rows
-from gypsumshift.jobs.rewards import UNKNOWN_SHARE, RewardGate, share_of_places
+from gypsumshift.jobs.rewards import RewardGate
 from gypsumshift.jobs.station import Station
 from gypsumshift.jobs.unit import UnitRun
 from gypsumshift.jobs.weights import WeightKeeper
@@ -98,7 +98,7 @@
         self.committer = Committer(store, clock)
         self.partials = Partials(store, own.session, clock)
         self.units: dict[tuple[str, str], UnitRun] = {}
-        self.rewards = RewardGate(clock)
+        self.rewards = RewardGate(clock, station.directory)
         self.places = asyncio.Semaphore(1)
         self.place_count = 1
         self.giving: set[asyncio.Task] = set()
@@ -264,20 +264,10 @@
         """Have an item scored that left its place."""
         run.generated = True
         self.changed()
-        self.rewards.set_share(self.reward_share(run))
+        self.rewards.fit(run.item.reward)
         async with self.rewards.enter(score_rank(run)):
             return await run.finish()
 
-    def reward_share(self, run: ItemRun) -> float:
-        """Return the reward calls that this agent may have under way."""
-        directory, reward = self.station.directory, run.item.reward
-        route = directory.routes.find(reward.host, reward.path) if reward else None
-        if route is None:
-            return UNKNOWN_SHARE
-        servers = directory.service(route.service_for(reward.id))
-        places = sum(server.slots for server in servers)
-        return share_of_places(places, len(directory.engines()))
-
     async def generate(self, run: ItemRun) -> Result | None:
         """Generate one item in a place of the engine."""
         while True:
--- a/gypsumshift/platforms.py
+++ b/gypsumshift/platforms.py
@@ -25,6 +25,7 @@
     "RowStore",
     "Tables",
     "Weights",
+    "WrappedStore",
     "Write",
     "connect",
     "register",
@@ -189,6 +190,42 @@
         """Return the store's steady time, as estimated from its last answer."""
 
 
+class WrappedStore(RowStore):
+    """Store that passes every call on; what differs is for its subclasses to say.
+
+    Parameters
+    ----------
+    inner : RowStore
+    """
+
+    def __init__(self, inner: RowStore):
+        self.inner = inner
+
+    async def read(self, table, key, part=""):
+        """Return one row."""
+        return await self.inner.read(table, key, part)
+
+    async def scan(self, table, prefix, part=""):
+        """Return the rows of a part whose keys begin with ``prefix``, in order."""
+        return await self.inner.scan(table, prefix, part)
+
+    async def commit(self, writes):
+        """Apply all writes, or none where a condition does not hold."""
+        return await self.inner.commit(writes)
+
+    async def changes(self, table, after, wait):
+        """Return what changed after a version; waits for the first change."""
+        return await self.inner.changes(table, after, wait)
+
+    async def snapshot(self, table, after=0):
+        """Return the rows of all parts, with the version to watch from."""
+        return await self.inner.snapshot(table, after)
+
+    def now(self):
+        """Return the store's steady time, as estimated from its last answer."""
+        return self.inner.now()
+
+
 class Objects(abc.ABC):
     """Object store."""
 
--- a/gypsumshift/rereads.py
+++ b/gypsumshift/rereads.py
@@ -22,7 +22,7 @@
 from gypsumshift.fetch import FetchError
 from gypsumshift.neighbours import Neighbour, StorePath
 from gypsumshift.outcomes import Unavailable
-from gypsumshift.platforms import Changes, Row, RowStore
+from gypsumshift.platforms import Changes, Row, RowStore, WrappedStore
 from gypsumshift.policy import DEFAULT, Policy
 from gypsumshift.server import Request, Response
 
@@ -61,7 +61,7 @@
     read_at: float
 
 
-class SharedReads(RowStore):
+class SharedReads(WrappedStore):
     """Store whose whole tables are read once for a zone.
 
     Parameters
@@ -83,7 +83,7 @@
         clock: Clock,
         policy: Policy = DEFAULT,
     ):
-        self.inner = inner
+        super().__init__(inner)
         self.path = path
         self.own = own
         self.clock = clock
@@ -91,26 +91,6 @@
         self.copies: dict[str, Copy] = {}
         self.reading: dict[str, asyncio.Task] = {}
 
-    async def read(self, table, key, part=""):
-        """Return one row."""
-        return await self.inner.read(table, key, part)
-
-    async def scan(self, table, prefix, part=""):
-        """Return the rows of a part whose keys begin with ``prefix``, in order."""
-        return await self.inner.scan(table, prefix, part)
-
-    async def commit(self, writes):
-        """Apply all writes, or none where a condition does not hold."""
-        return await self.inner.commit(writes)
-
-    async def changes(self, table, after, wait):
-        """Return what changed after a version; waits for the first change."""
-        return await self.inner.changes(table, after, wait)
-
-    def now(self):
-        """Return the store's steady time, as estimated from its last answer."""
-        return self.inner.now()
-
     async def snapshot(self, table, after=0):
         """Return the rows of all parts, as read here or by the zone's reader."""
         for reader in self.asked(table):
--- a/tests/test_rewards.py
+++ b/tests/test_rewards.py
@@ -7,9 +7,11 @@
 from hypothesis import strategies as st
 
 from gypsumshift.jobs.gate import Gate
+from gypsumshift.jobs.model import RewardCall
 from gypsumshift.jobs.rewards import MOST, RewardGate, share_of_places
+from gypsumshift.serving import BackendServer, Directory
 from tests.builders import ManualClock
-from tests.jobs_world import FakeEngine, World
+from tests.jobs_world import HOST, FakeEngine, World, routes, server
 from tests.test_agent import scenario
 from tests.test_gate import hold, play
 
@@ -20,7 +22,7 @@
 )
 def test_calls_of_all_agents_at_once(places, agents, most):
     """Small fleets as before; 19 agents had 57 calls under way on 36 places."""
-    gate = RewardGate(ManualClock())
+    gate = RewardGate(ManualClock(), Directory())
     gate.set_share(share_of_places(places, agents))
     assert gate.gate.places * agents == most
 
@@ -28,7 +30,7 @@
 @given(st.integers(1, 5000), st.integers(1, 5000), st.floats(0.01, 0.5))
 def test_calls_hold_about_half_of_the_places_over_time(places, agents, took):
     share = share_of_places(places, agents)
-    gate = RewardGate(ManualClock())
+    gate = RewardGate(ManualClock(), Directory())
     gate.set_share(share)
     busy = gate.gate.places * took / (took + gate.pause(took))
     assert busy <= share + 1
@@ -50,7 +52,7 @@
 
     async def run():
         clock = Paused()
-        gate = RewardGate(clock)
+        gate = RewardGate(clock, Directory())
         gate.set_share(0.5)
         async with gate.enter((0,)):
             clock.advance(0.2)
@@ -95,3 +97,19 @@
     await world.submit(groups=4)
     assert len(await world.results()) == 8
     assert agent.runner.rewards.gate.places == 1, "the application is not listed"
+
+
+def test_the_share_follows_from_what_is_listed():
+    directory = Directory()
+    directory.set_routes(routes())
+    for number in range(6):
+        address = ("127.0.0.1", number)
+        directory.set_server(BackendServer(f"app{number}", "app", address, "here", 6))
+    for number in range(6):
+        directory.set_server(server(f"e{number}"))
+    gate = RewardGate(ManualClock(), directory)
+    gate.fit(RewardCall("r", HOST, "/score/", b""))
+    assert gate.share == 3
+    gate.fit(RewardCall("r", HOST, "/unknown/", b""))
+    gate.fit(None)
+    assert gate.share == 3, "what is not routed says nothing"
