--- a/gypsumshift/serving/pool.py
+++ b/gypsumshift/serving/pool.py
@@ -25,8 +25,8 @@
 OTHER_ZONE_PENALTY = 0.3
 # Share by which a server looks busier to which no connection is open: opening one takes
 # a round trip, and holds a place there for a moment. Less than for another zone. Entry
-# hosts with a request each two seconds, spread over six servers, opened a connection for
-# 126 of 180 requests, and 35 with this, since idle ones are kept for 4 s (played without
+# hosts with a request each two seconds, spread over six servers, opened connections for
+# 126 of 180 requests, and for 35 with this, since idle ones are kept for 4 s (without
 # a network).
 NEW_CONNECTION_PENALTY = 0.15
 # A load that was told is halved after this many seconds: about ten service times.
