--- a/gypsumshift/jobs/peers.py
+++ b/gypsumshift/jobs/peers.py
@@ -27,10 +27,10 @@
 # fleet; in a large one, agents beat less often and are asked more.
 SILENCE = 1.2
 # Seconds since the table of agents was last told within which a silence counts. Less
-# than `SILENCE` by more than a heartbeat, so
-# that nobody is missed between the last heartbeat and the outage: agents took each
-# other's units over in the moment of the store's return (12 units in three plays with
-# 5 engines), and what had been generated meanwhile was lost.
+# than `SILENCE` by more than a heartbeat, so that nobody is missed between the last
+# heartbeat and an outage: agents took each other's units over in the moment of the
+# store's return (12 units in three plays with 5 engines), and what had been generated
+# meanwhile was lost.
 LISTENING = 0.7
 
 
