Sight: claims told before they are answered, results that are told twice or move others

Cause: the output of the processes could not tell three hypotheses of the incident apart: who started the second run of a unit, and how a result came to a second position.

Change: an agent logs a claim that the store's changes told before its answer came, with the seconds until the answer and whether the unit is done by then. A gateway logs a result that is told twice in one answer, by another transaction than before, or in front of known ones. No decision reads any of it.

Before and after: a store that answers claims 0.3 s late, 4 units: no line before; one line for each of 4 units now, each with done true and answered_s 0.3. 44 tests of agents, claims, desks and results pass.

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -354,9 +354,11 @@
         job, unit = candidate.job, candidate.unit
         value = to_row(self.own)
         write = Write(CLAIMS, unit.key, value, candidate.version, part=job.id)
+        asked_at = self.clock.monotonic()
         outcome = await self.store.commit([write])
         if isinstance(outcome, Committed):
             row = Row(CLAIMS, unit.key, outcome.version, value, job.id)
+            self.note_late_answer(row, asked_at)
             self.board.take_claims([row])
             self.runner.start(candidate, outcome.version)
             return True
@@ -364,6 +366,22 @@
             return await self.learn_claims(job.id)
         return False
 
+    def note_late_answer(self, row: Row, asked_at: float) -> None:
+        """Log that a claim was told by the store's changes before it was answered."""
+        held = self.board.held(row.part, row.key)
+        if held is None or held.version < row.version:
+            return
+        logs.event(
+            log,
+            "A claim was told before it was answered.",
+            job=row.part,
+            unit=row.key,
+            claim_version=row.version,
+            known_version=held.version,
+            done=held.claim.done,
+            answered_s=round(self.clock.monotonic() - asked_at, 3),
+        )
+
     async def learn_claims(self, job_id: str) -> bool:
         """Read who holds the units of a job; return whether that worked."""
         rows = await self.store.scan(CLAIMS, "", job_id)
--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -221,6 +221,11 @@
         units = tracked.order if tracked else ()
         return next((unit for unit in units if unit.key == key), None)
 
+    def held(self, job_id: str, key: str) -> Held | None:
+        """Return the claim of a unit of an open job; None where none is known."""
+        tracked = self.open.get(job_id)
+        return tracked.claims.get(key) if tracked else None
+
     def mine(self) -> list[tuple[Job, UnitSummary, Held]]:
         """Return the units that this agent holds by the store and are not done."""
         return [
--- a/gypsumshift/jobs/resultlog.py
+++ b/gypsumshift/jobs/resultlog.py
@@ -9,11 +9,14 @@
 
 import attrs
 
+from gypsumshift import logs
 from gypsumshift.jobs.model import Result, parse_rows
 from gypsumshift.platforms import Row
 
 __all__ = ["Entry", "ResultLog"]
 
+log = logs.logger("resultlog")
+
 
 @attrs.frozen(order=True)
 class Entry:
@@ -41,13 +44,15 @@
     Attributes
     ----------
     entries : list of Entry
+    items : dict
+        Transaction that wrote the result, by item.
     changed : asyncio.Event
         Set, and replaced by a new one, when a result comes.
     """
 
     def __init__(self):
         self.entries: list[Entry] = []
-        self.items: set[str] = set()
+        self.items: dict[str, int] = {}
         self.changed = asyncio.Event()
 
     def __len__(self) -> int:
@@ -56,13 +61,37 @@
     def take(self, rows: list[Row]) -> None:
         """Take rows of the table of results."""
         fresh = [row for row in rows if row.key not in self.items]
+        self.note_rewritten(rows)
+        last = self.entries[-1] if self.entries else None
         for row, result in parse_rows(fresh, Result):
-            self.items.add(row.key)
-            bisect.insort(self.entries, Entry(row.version, row.key, result))
+            entry = Entry(row.version, row.key, result)
+            self.note_moved(row, entry, last)
+            self.items[row.key] = row.version
+            bisect.insort(self.entries, entry)
         if fresh:
             self.changed.set()
             self.changed = asyncio.Event()
 
+    def note_rewritten(self, rows: list[Row]) -> None:
+        """Log results that are told as of another transaction than before."""
+        for row in rows:
+            known = self.items.get(row.key, row.version)
+            if known != row.version:
+                log.error(
+                    "A result was written twice: {} of {}, in {} and {}",
+                    row.key,
+                    row.part,
+                    known,
+                    row.version,
+                )
+
+    def note_moved(self, row: Row, entry: Entry, last: Entry | None) -> None:
+        """Log a result that moves others, or that is told twice in one answer."""
+        if row.key in self.items:
+            log.error("A result is told twice at once: {} of {}", row.key, row.part)
+        if last is not None and entry < last:
+            log.error("A result moves those behind it: {} of {}", row.key, row.part)
+
     def page(self, after: int, limit: int) -> list[Result]:
         """Return results from a position on.
 
