Failing tests: a late answer runs a unit again, and an item stands at two positions

Cause, as reproduced: an agent runs a unit once the store's changes tell its claim, and again when the answer to the claim comes after that run; both results of an item may wait behind others of the step and go into one transaction, whose conditions are checked once. A gateway that follows the changes is told the row twice and lists the item twice.

Ruled out: a write carried out late (every write of a result is conditional; in these tests none is late) and a gap between two sources of results (the desk has the only one here).

--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -37,6 +37,7 @@
     Service,
     Target,
 )
+from gypsumshift.watch import run_all
 
 NAMES = HeaderNames(
     request_id="request-id",
@@ -196,6 +197,33 @@
         return Answered(status, ((NAMES.signature, f"signed-{call.id}"),))
 
 
+class HeldAnswers(memory.MemoryTables):
+    """Tables that carry writes out at once, and answer some of them when told to.
+
+    Attributes
+    ----------
+    held : dict
+        Event that the answers of writes to a table wait for, by table.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.held = {}
+
+    def hold(self, table):
+        self.held[table] = asyncio.Event()
+
+    def answer(self, table):
+        self.held.pop(table).set()
+
+    async def commit(self, writes):
+        outcome = await super().commit(writes)
+        for table in {write.table for write in writes}:
+            if table in self.held:
+                await self.held[table].wait()
+        return outcome
+
+
 class ToldPresence(Presence):
     """Presence by a script: the agents that work, and who was asked."""
 
@@ -269,6 +297,10 @@
                 return found
             await asyncio.sleep(0.01)
 
+    def follow(self):
+        """Have the desk follow the store's changes, as a gateway does."""
+        self.tasks.append(asyncio.create_task(run_all(self.desk.watches)))
+
     async def close(self):
         for task in self.tasks:
             task.cancel()
--- /dev/null
+++ b/tests/test_late_answers.py
@@ -0,0 +1,131 @@
+"""Answers to claims that come after the store's changes told the claims.
+
+What users saw: a trainer that read on in its step got two items again, at positions 5
+and 7, though it had them before, and all results behind them had moved.
+
+Order of events: the store was slow for some seconds. It carried an agent's claim of a
+unit out and told it in its changes, and answered it 0.46 s later. The agent ran the
+unit as soon as it was told, had both results, and then took the late answer for a new
+claim and ran both items again. Other results of the step were on their way to the
+store, and behind them both results of each item waited. They went into one transaction,
+each row written only where there was none, which held for both. Gateways that follow
+the changes were told the row twice and listed the item twice; those that read it were
+told it once.
+
+Evidence: by the engines' record the same agent sent the same two items 0.11 s after
+their first runs had ended; the positions are odd and lie two apart, as those of the
+second halves of two pairs do; and with the store's answers held as below, the agents
+start each unit twice, the transaction holds each item twice, and readers get it twice.
+"""
+
+import asyncio
+
+from gypsumshift.jobs import Result, ResultState
+from gypsumshift.jobs.committer import Committer, Finished
+from gypsumshift.jobs.model import CLAIMS, RESULTS, to_row
+from gypsumshift.jobs.resultlog import ResultLog
+from gypsumshift.memory import MemoryTables
+from gypsumshift.platforms import Row
+from tests.jobs_world import FakeEngine, HeldAnswers, World
+
+
+def play(scenario):
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+async def until(holds):
+    while not holds():
+        await asyncio.sleep(0.005)
+
+
+class Slow:
+    """A step of four units, of which the last two are claimed by late answers."""
+
+    def __init__(self):
+        self.store = HeldAnswers()
+        self.world = World(store=self.store)
+        self.engine = FakeEngine()
+        self.agent = self.world.agent(engine=self.engine)
+
+    @property
+    def runner(self):
+        return self.agent.runner
+
+    @property
+    def waiting(self):
+        """Results that the store has not answered."""
+        return sum(map(len, self.runner.committer.waiting.values()))
+
+    async def play(self):
+        """Play the step until every answer to a claim has come."""
+        self.engine.hold.clear()
+        await self.world.submit(groups=4, size=2)
+        await until(lambda: len(self.engine.running) == 4)
+        await until(lambda: not self.agent.board.claiming)
+        self.store.hold(CLAIMS)
+        self.store.hold(RESULTS)
+        self.engine.hold.set()
+        await until(lambda: self.waiting == 8)
+        self.store.answer(CLAIMS)
+        await until(lambda: not self.agent.board.claiming and not self.runner.units)
+        self.store.answer(RESULTS)
+
+
+def test_a_late_answer_starts_no_unit_that_is_done():
+    async def scenario():
+        slow = Slow()
+        await slow.play()
+        started = sorted(item for item, _ in slow.engine.started)
+        assert started == sorted(set(started)), "an item ran twice at one agent"
+        await slow.world.close()
+
+    play(scenario)
+
+
+def test_each_item_stands_at_one_position():
+    async def scenario():
+        slow = Slow()
+        slow.world.follow()
+        await slow.play()
+        await until(lambda: not slow.waiting)
+        results = await slow.world.results()
+        items = [result.item for result in results]
+        assert sorted(items) == sorted(set(items)), "an item stands twice"
+        assert len(items) == 8
+        await slow.world.close()
+
+    play(scenario)
+
+
+def test_two_results_of_an_item_are_never_in_one_transaction():
+    class Watched(MemoryTables):
+        def __init__(self):
+            super().__init__()
+            self.transactions = []
+
+        async def commit(self, writes):
+            outcome = await super().commit(writes)
+            self.transactions.append([(w.table, w.part, w.key) for w in writes])
+            return outcome
+
+    async def scenario():
+        store = Watched()
+        committer = Committer(store, World().desk.clock)
+        for text in ("one", "two"):
+            result = Result("i", ResultState.WHOLE, text, (1,), "score")
+            committer.put(Finished("job", "unit", result))
+        await committer.drain()
+        for places in store.transactions:
+            assert len(places) == len(set(places)), "a row is written twice at once"
+        row = await store.read(RESULTS, "i", "job")
+        assert row.value["size"] == len("one"), "the first result stays"
+
+    play(scenario)
+
+
+def test_a_result_that_is_told_twice_at_once_is_listed_once():
+    log = ResultLog()
+    value = to_row(Result("i", ResultState.WHOLE, size=3))
+    row = Row(RESULTS, "i", 5, value, "job")
+    log.take([row, row])
+    assert [result.item for result in log.page(0, 100)] == ["i"]
