A transaction holds one result of an item at the most

Cause: results of a job are gathered and stored together. Two of one item could be among them, and a transaction checks once that a row is absent: both were written. The store's changes told the row twice, and texts of different lengths mixed their rows.

Change: a batch ends before an item that it holds. The second result goes by itself and meets the first one, which stays.

Ruled out: keeping waiting results by item (the claim that ends a unit travels with its last result and would have to move to another one).

--- a/gypsumshift/jobs/committer.py
+++ b/gypsumshift/jobs/committer.py
@@ -134,12 +134,20 @@
 
 
 def first_batch(waiting: list[Finished]) -> list[Finished]:
-    """Return the results that fit into one transaction, at least one."""
+    """Return the results that fit into one transaction, at least one.
+
+    Never two of one item: each row is written only where there is none, and the store
+    looks once for all of a transaction. Both were written, the changes told the item
+    twice, and the rows of the longer text stood behind the shorter one.
+    """
     size = 0
+    items: set[str] = set()
     for count, finished in enumerate(waiting[:RESULTS_AT_ONCE]):
         size += len(finished.result.text)
-        if count and size > TEXT_AT_ONCE:
+        full = count and size > TEXT_AT_ONCE
+        if full or finished.result.item in items:
             return waiting[:count]
+        items.add(finished.result.item)
     return waiting[:RESULTS_AT_ONCE]
 
 
