A gateway lists a result once, also where one answer tells it twice

Cause: results were compared with what was known before an answer, not with the rows before them in the same answer. A row that one transaction wrote twice was listed twice, at two positions, and all results behind it stood one further than at gateways that read them.

Change: rows are taken one by one. A result told as of another transaction, and one that moves others, are logged as errors, since positions never move.

Ruled out: dropping duplicates where the answer is decoded: a reader of another table may need both.

Figures: one row told twice in one answer: 2 entries before, 1 now.

--- a/gypsumshift/jobs/resultlog.py
+++ b/gypsumshift/jobs/resultlog.py
@@ -10,7 +10,7 @@
 import attrs
 
 from gypsumshift import logs
-from gypsumshift.jobs.model import Result, parse_rows
+from gypsumshift.jobs.model import Result, parse_row
 from gypsumshift.platforms import Row
 
 __all__ = ["Entry", "ResultLog"]
@@ -60,37 +60,37 @@
 
     def take(self, rows: list[Row]) -> None:
         """Take rows of the table of results."""
-        fresh = [row for row in rows if row.key not in self.items]
-        self.note_rewritten(rows)
+        known = len(self)
         last = self.entries[-1] if self.entries else None
-        for row, result in parse_rows(fresh, Result):
-            entry = Entry(row.version, row.key, result)
-            self.note_moved(row, entry, last)
-            self.items[row.key] = row.version
-            bisect.insort(self.entries, entry)
-        if fresh:
+        for row in rows:
+            # Looked up row by row: one answer may tell a row twice.
+            if row.key in self.items:
+                self.note_known(row)
+            elif (result := parse_row(row, Result)) is not None:
+                self.add(row, result, last)
+        if len(self) > known:
             self.changed.set()
             self.changed = asyncio.Event()
 
-    def note_rewritten(self, rows: list[Row]) -> None:
-        """Log results that are told as of another transaction than before."""
-        for row in rows:
-            known = self.items.get(row.key, row.version)
-            if known != row.version:
-                log.error(
-                    "A result was written twice: {} of {}, in {} and {}",
-                    row.key,
-                    row.part,
-                    known,
-                    row.version,
-                )
-
-    def note_moved(self, row: Row, entry: Entry, last: Entry | None) -> None:
-        """Log a result that moves others, or that is told twice in one answer."""
-        if row.key in self.items:
-            log.error("A result is told twice at once: {} of {}", row.key, row.part)
+    def add(self, row: Row, result: Result, last: Entry | None) -> None:
+        """Add a result; one in front of the last that was known moves others."""
+        entry = Entry(row.version, row.key, result)
         if last is not None and entry < last:
             log.error("A result moves those behind it: {} of {}", row.key, row.part)
+        self.items[row.key] = row.version
+        bisect.insort(self.entries, entry)
+
+    def note_known(self, row: Row) -> None:
+        """Log a result that is told as of another transaction than before."""
+        known = self.items[row.key]
+        if known != row.version:
+            log.error(
+                "A result was written twice: {} of {}, in {} and {}",
+                row.key,
+                row.part,
+                known,
+                row.version,
+            )
 
     def page(self, after: int, limit: int) -> list[Result]:
         """Return results from a position on.
