A unit that comes back waits for its own results that are not stored yet

Cause: another way to two results of an item at one agent. A unit is given back and claimed again by the same agent while a result of it waits for the store, behind others of the step. The agent asked the store alone which results exist, and ran the item again.

Change: an agent that takes a unit over first lets its own results of it be stored.

Ruled out: counting what waits as stored. The claim that says that a unit is done would then be written in front of the result, and an agent that dies in between would lose it.

--- a/gypsumshift/jobs/committer.py
+++ b/gypsumshift/jobs/committer.py
@@ -1,6 +1,7 @@
 """Committer: writes results to the store, each once, a few in one transaction."""
 
 import asyncio
+from collections.abc import Collection
 
 import attrs
 
@@ -65,6 +66,11 @@
     ----------
     store : RowStore
     clock : Clock
+
+    Attributes
+    ----------
+    settled : asyncio.Event
+        Set, and replaced by a new one, when results are stored.
     """
 
     def __init__(self, store: RowStore, clock: Clock):
@@ -72,6 +78,7 @@
         self.clock = clock
         self.waiting: dict[str, list[Finished]] = {}
         self.writers: dict[str, asyncio.Task] = {}
+        self.settled = asyncio.Event()
 
     def put(self, finished: Finished) -> None:
         """Have a result stored."""
@@ -80,6 +87,15 @@
             task = asyncio.create_task(self.write(finished.job))
             self.writers[finished.job] = task
 
+    def holds(self, job: str, items: Collection[str]) -> bool:
+        """Tell whether a result of one of these items is not stored yet."""
+        return any(f.result.item in items for f in self.waiting.get(job, ()))
+
+    async def wait_for(self, job: str, items: Collection[str]) -> None:
+        """Wait until no result of these items is on its way to the store."""
+        while self.holds(job, items):
+            await self.settled.wait()
+
     async def write(self, job: str) -> None:
         """Store the results of one job until none waits."""
         try:
@@ -88,6 +104,8 @@
                 batch = first_batch(self.waiting[job])
                 await self.settle(job, batch)
                 del self.waiting[job][: len(batch)]
+                self.settled.set()
+                self.settled = asyncio.Event()
         finally:
             del self.writers[job]
             if not self.waiting.get(job):
--- a/gypsumshift/jobs/unitruns.py
+++ b/gypsumshift/jobs/unitruns.py
@@ -177,6 +177,8 @@
         known: set[str] = set()
         partials: dict[str, Partial | None] = {}
         if taken_over:
+            # What this agent has itself and has not stored yet is no row to be read.
+            await self.committer.wait_for(unit.job.id, unit.summary.items)
             rows = await read_rows(self.store, self.clock, RESULTS, unit.job.id)
             known = {row.key for row in rows}
             for item in items:
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -38,6 +38,20 @@
         await asyncio.sleep(0.005)
 
 
+class Stuck(FakeEngine):
+    """Engine at which some items wait for an event of their own before they begin."""
+
+    def __init__(self, *stuck):
+        super().__init__()
+        self.stuck = {item: asyncio.Event() for item in stuck}
+
+    async def stream(self, server, item, host, after, urgency):
+        if item.id in self.stuck:
+            await self.stuck[item.id].wait()
+        async for event in super().stream(server, item, host, after, urgency):
+            yield event
+
+
 class Slow:
     """A step of four units, of which the last two are claimed by late answers."""
 
@@ -123,6 +137,44 @@
     play(scenario)
 
 
+def test_a_unit_that_comes_back_does_not_run_what_waits_for_the_store():
+    """A unit is given back and claimed again while a result of it is on its way.
+
+    The agent asked the store which results exist. One of its own waited behind others
+    for an answer, so its item ran again, and both results were stored together.
+    """
+
+    async def scenario():
+        store = HeldAnswers()
+        world = World(store=store)
+        world.follow()
+        engine = Stuck("job-1-0", "job-1-1")
+        agent = world.agent(engine=engine)
+        committer = agent.runner.committer
+        store.hold(RESULTS)
+        units = await world.submit(groups=2, size=2)
+        await until(lambda: ("results", "job", "job-0-0") in store.rows)
+        engine.stuck["job-1-0"].set()
+        await until(lambda: len(committer.waiting["job"]) == 3)
+        first = agent.runner.units["job", units[1].key]
+        agent.runner.hand_over(first, "the engine is slow")
+        await until(
+            lambda: agent.runner.units.get(("job", units[1].key)) not in (None, first)
+        )
+        for _ in range(500):
+            # As many turns of the loop as a run of the item takes, and more.
+            await asyncio.sleep(0)
+        engine.stuck["job-1-1"].set()
+        store.answer(RESULTS)
+        results = await world.results()
+        assert [item for item, _ in engine.started].count("job-1-0") == 1
+        items = [result.item for result in results]
+        assert sorted(items) == sorted(item.id for u in units for item in u.items)
+        await world.close()
+
+    play(scenario)
+
+
 def test_a_result_that_is_told_twice_at_once_is_listed_once():
     log = ResultLog()
     value = to_row(Result("i", ResultState.WHOLE, size=3))
