A unit counts as returning from the moment it is given up, until its claim is known

The store has a unit as this agent's until its return is carried out and known, and whoever looked for work meanwhile began it again: before the first turn of the task that gives it back, in the pause of a unit that failed, and after a return that was carried out while its answer was lost.

Change: a unit is marked at once, and a return that conflicts reads the claim before the mark goes.

Ruled out: writing the return within the call (it waits for the store).

--- a/gypsumshift/jobs/unitruns.py
+++ b/gypsumshift/jobs/unitruns.py
@@ -32,7 +32,7 @@
 from gypsumshift.jobs.unit import UnitRun
 from gypsumshift.jobs.weights import WeightKeeper
 from gypsumshift.metrics import Metrics
-from gypsumshift.outcomes import Committed, Conflict
+from gypsumshift.outcomes import Committed, Conflict, Unavailable
 from gypsumshift.platforms import Row, RowStore, Write
 from gypsumshift.serving.forwarder import Forwarder
 from gypsumshift.serving.headers import HeaderNames
@@ -229,14 +229,8 @@
         self.metrics.count("broken_units")
         if self.units.get((unit.job.id, unit.key)) is unit:
             self.drop(unit)
-            giving = asyncio.create_task(self.give_back_later(unit))
-            self.giving.add(giving)
-            giving.add_done_callback(self.giving.discard)
-
-    async def give_back_later(self, unit: UnitRun) -> None:
-        """Give a unit back after a pause, so that it does not come at once again."""
-        await self.clock.sleep(BROKEN_PAUSE)
-        await self.give_back(unit)
+            # After a pause, so that it does not come at once again.
+            self.begin_return(unit, BROKEN_PAUSE)
 
     async def run_item(self, unit: UnitRun, run: ItemRun) -> None:
         """Generate, score and store one item."""
@@ -344,19 +338,28 @@
             reason=reason,
             items=list(unit.runs),
         )
-        giving = asyncio.create_task(self.give_back(unit))
+        return self.begin_return(unit)
+
+    def begin_return(self, unit: UnitRun, pause: float = 0.0) -> asyncio.Task:
+        """Begin to give a unit back, after a pause in seconds.
+
+        It counts as returning from this moment on, not from the first turn of its
+        task: the store still has it as this agent's, and whoever looks for work in
+        between began it again (6 runs of an item that fails, in its pause, for 1 due).
+        """
+        self.returning.add((unit.job.id, unit.key))
+        giving = asyncio.create_task(self.give_back(unit, pause))
         self.giving.add(giving)
         giving.add_done_callback(self.giving.discard)
         return giving
 
-    async def give_back(self, unit: UnitRun) -> None:
+    async def give_back(self, unit: UnitRun, pause: float) -> None:
         """Write what was generated of a unit, and that it is free."""
-        place = (unit.job.id, unit.key)
-        self.returning.add(place)
         try:
+            await self.clock.sleep(pause)
             await self.write_back(unit)
         finally:
-            self.returning.discard(place)
+            self.returning.discard((unit.job.id, unit.key))
 
     async def write_back(self, unit: UnitRun) -> None:
         """Write that a unit is free until the outcome is certain."""
@@ -370,6 +373,23 @@
             row = Row(CLAIMS, unit.key, outcome.version, free.value, unit.job.id)
             self.board.take_claims([row])
             self.changed()
+        else:
+            await self.learn_claim(unit)
+
+    async def learn_claim(self, unit: UnitRun) -> None:
+        """Read who holds a unit by the store.
+
+        A conflict says that the claim has changed: an earlier try was carried out and
+        its answer lost, or another agent holds the unit. Known only as this agent's,
+        it was begun again.
+        """
+        row = await self.store.read(CLAIMS, unit.key, unit.job.id)
+        while isinstance(row, Unavailable):
+            await self.clock.sleep(PAUSE)
+            row = await self.store.read(CLAIMS, unit.key, unit.job.id)
+        if isinstance(row, Row):
+            self.board.take_claims([row])
+            self.changed()
 
     async def save(self) -> None:
         """Save what long runs have generated."""
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -25,6 +25,7 @@
 from gypsumshift.jobs.model import CLAIMS, RESULTS, to_row
 from gypsumshift.jobs.resultlog import ResultLog
 from gypsumshift.memory import MemoryTables
+from gypsumshift.outcomes import Unknown
 from gypsumshift.platforms import Row
 from tests.jobs_world import FakeEngine, HeldAnswers, World
 
@@ -52,6 +53,42 @@
             yield event
 
 
+class Broken(FakeEngine):
+    """Engine whose client meets an error of the program."""
+
+    async def stream(self, server, item, host, after, urgency):
+        self.started.append((item.id, after))
+        raise RuntimeError("an error of the program")
+        yield
+
+
+class LosesReturns(HeldAnswers):
+    """Tables that lose the answer to the first unit given back, and tell no change."""
+
+    def __init__(self):
+        super().__init__()
+        self.lost = 0
+        self.told = asyncio.Event()
+        self.told.set()
+
+    async def changes(self, table, after, wait):
+        await self.told.wait()
+        return await super().changes(table, after, wait)
+
+    async def commit(self, writes):
+        outcome = await super().commit(writes)
+        if not self.lost and any(w.table == CLAIMS and w.value == {} for w in writes):
+            self.lost += 1
+            return Unknown("the answer was lost")
+        return outcome
+
+
+async def turns(count=500):
+    """Let as many turns of the loop pass as a run of an item takes, and more."""
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
 class Slow:
     """A step of four units, of which the last two are claimed by late answers."""
 
@@ -161,9 +198,7 @@
         await until(
             lambda: agent.runner.units.get(("job", units[1].key)) not in (None, first)
         )
-        for _ in range(500):
-            # As many turns of the loop as a run of the item takes, and more.
-            await asyncio.sleep(0)
+        await turns()
         engine.stuck["job-1-1"].set()
         store.answer(RESULTS)
         results = await world.results()
@@ -175,6 +210,83 @@
     play(scenario)
 
 
+def test_a_unit_that_is_handed_over_is_not_begun_by_who_looks_for_work_then():
+    """An engine was slow, and its unit began anew on it instead of elsewhere.
+
+    The agent was about to look for work when the unit was handed over. Its look came
+    before the first turn of the task that gives the unit back.
+    """
+
+    async def scenario():
+        store = HeldAnswers()
+        world = World(store=store)
+        engine = FakeEngine()
+        engine.hold.clear()
+        agent = world.agent(engine=engine)
+        await world.submit(groups=1, size=2)
+        await until(lambda: len(engine.running) == 2)
+        await turns()
+        store.hold(CLAIMS)
+        agent.note_news()
+        agent.runner.hand_over_all("the engine is slow")
+        await turns()
+        assert len(engine.started) == 2, "the unit began again where it was given back"
+        await world.close()
+
+    play(scenario)
+
+
+def test_a_unit_that_fails_is_left_alone_until_it_was_given_back():
+    """A unit that meets an error of the program ran again and again at one agent.
+
+    It is given back after a pause, in which the store has it as this agent's. Whoever
+    looked for work in the pause began it.
+    """
+
+    async def scenario():
+        world = World()
+        engine = Broken()
+        agent = world.agent(engine=engine)
+        await world.submit(groups=1, size=1)
+        await until(lambda: engine.started and not agent.runner.units)
+        for _ in range(5):
+            agent.note_news()
+            await turns()
+        assert len(engine.started) == 1
+        await world.close()
+
+    play(scenario)
+
+
+def test_a_unit_whose_return_was_carried_out_unanswered_is_not_begun():
+    """An engine began units anew that its agent had given back.
+
+    The answer to the return was lost, its second try conflicted, and until the store's
+    changes came the agent took the unit for its own.
+    """
+
+    async def scenario():
+        store = LosesReturns()
+        world = World(store=store)
+        engine = FakeEngine()
+        engine.hold.clear()
+        agent = world.agent(engine=engine)
+        await world.submit(groups=1, size=2)
+        await until(lambda: len(engine.running) == 2)
+        store.told.clear()
+        await turns()
+        # A slow engine gets nothing new for two seconds.
+        agent.slow_at = agent.clock.monotonic()
+        agent.runner.hand_over_all("the engine is slow")
+        await until(lambda: store.lost and not agent.runner.returning)
+        agent.note_news()
+        await turns()
+        assert len(engine.started) == 2
+        await world.close()
+
+    play(scenario)
+
+
 def test_a_result_that_is_told_twice_at_once_is_listed_once():
     log = ResultLog()
     value = to_row(Result("i", ResultState.WHOLE, size=3))
