A unit is claimed from a silent agent only if it is still silent after the question

Who would take a unit over asks its holder, and claimed it when the question found no answer, whatever had been told in the meantime.

Change: what made the unit a candidate is looked at again after the question: the claim's version, the holder's heartbeats, claims on their way.

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -313,7 +313,7 @@
             )
             if candidate is None:
                 return
-            if candidate.silent and await self.holder_works(candidate.silent):
+            if candidate.silent and not await self.holder_gone(candidate):
                 continue
             if not await self.claim(candidate):
                 return
@@ -323,6 +323,16 @@
         """Whether a silent agent may be asked now."""
         return self.clock.monotonic() - self.asked_at >= ASK_PAUSE
 
+    async def holder_gone(self, candidate: Candidate) -> bool:
+        """Ask the silent holder of a unit; tell whether the unit may be claimed.
+
+        A heartbeat or another claim that came while it was asked goes before an answer
+        that did not come.
+        """
+        if await self.holder_works(candidate.silent):
+            return False
+        return self.board.claimable(candidate)
+
     async def holder_works(self, claim: Claim) -> bool:
         """Ask the silent holder of a claim whether it works."""
         self.asked_at = self.clock.monotonic()
--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -205,6 +205,14 @@
             return True
         return not held.claim.done and self.standing(held) is not Standing.WORKS
 
+    def claimable(self, candidate: Candidate) -> bool:
+        """Tell whether what made a unit a candidate still holds."""
+        place = (candidate.job.id, candidate.unit.key)
+        held = self.held(*place)
+        version = held.version if held else ABSENT
+        unchanged = candidate.job.id in self.open and version == candidate.version
+        return unchanged and self.free(held) and place not in self.claiming
+
     def standing(self, held: Held) -> Standing:
         """Return what is believed of the agent that holds a claim."""
         return self.peers.standing(held.claim, held.seen_at)
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -22,11 +22,12 @@
 
 from gypsumshift.jobs import Result, ResultState
 from gypsumshift.jobs.committer import Committer, Finished
-from gypsumshift.jobs.model import CLAIMS, RESULTS, to_row
+from gypsumshift.jobs.model import AGENTS, CLAIMS, RESULTS, Claim, Heartbeat, to_row
+from gypsumshift.jobs.presence import Presence
 from gypsumshift.jobs.resultlog import ResultLog
 from gypsumshift.memory import MemoryTables
 from gypsumshift.outcomes import Unknown
-from gypsumshift.platforms import Row
+from gypsumshift.platforms import Row, Write
 from tests.jobs_world import FakeEngine, HeldAnswers, World
 
 
@@ -287,6 +288,42 @@
     play(scenario)
 
 
+def test_a_unit_is_not_taken_from_an_agent_that_is_heard_while_it_is_asked():
+    """A step was late, since its items ran at two agents.
+
+    An agent was silent, and the question to it found no answer; its heartbeat came
+    while it was asked, and its unit was taken over all the same.
+    """
+
+    class Overtaken(Presence):
+        def __init__(self):
+            self.answered = False
+
+        async def works(self, claim):
+            beat = to_row(Heartbeat(claim.session, 2))
+            await world.store.commit([Write(AGENTS, claim.agent, beat)])
+            await until(lambda: agent.peers.told(claim.agent).beat == 2)
+            self.answered = True
+            return False
+
+    async def scenario():
+        nonlocal world, agent
+        world, presence, engine = World(), Overtaken(), FakeEngine()
+        beat = to_row(Heartbeat("other", 1))
+        await world.store.commit([Write(AGENTS, "b", beat)])
+        (unit,) = await world.submit(groups=1, size=2)
+        claim = to_row(Claim("b", "other"))
+        await world.store.commit([Write(CLAIMS, unit.key, claim, part="job")])
+        agent = world.agent(engine=engine, presence=presence)
+        await until(lambda: presence.answered)
+        await turns()
+        assert not engine.started, "the unit of an agent that works was taken"
+        await world.close()
+
+    world = agent = None
+    play(scenario)
+
+
 def test_a_result_that_is_told_twice_at_once_is_listed_once():
     log = ResultLog()
     value = to_row(Result("i", ResultState.WHOLE, size=3))
