A transaction names each row once, and a store's client refuses one that does not

Cause: nothing said that a transaction with two writes to one row is an error. Stores differ in what they make of it; the users' store carries out both and tells both.

Ruled out: keeping the last of two writes silently: which one is meant is the caller's to say.

--- a/gypsumshift/memory.py
+++ b/gypsumshift/memory.py
@@ -52,6 +52,7 @@
 
     async def commit(self, writes):
         """Apply all writes, or none where a condition does not hold."""
+        platforms.check_distinct(writes)
         for write in writes:
             if not self.holds(write):
                 return Conflict(f"{write.table}/{write.key}")
--- a/gypsumshift/platforms.py
+++ b/gypsumshift/platforms.py
@@ -27,6 +27,7 @@
     "Weights",
     "WrappedStore",
     "Write",
+    "check_distinct",
     "connect",
     "register",
 ]
@@ -87,6 +88,18 @@
     part: str = ""
 
 
+def check_distinct(writes: list[Write]) -> None:
+    """Raise ValueError where a transaction names a row twice.
+
+    Its conditions are looked at once, so of two writes to an absent row both are
+    carried out, and a feed tells the row twice: that is an error of the caller.
+    """
+    places = [(write.table, write.part, write.key) for write in writes]
+    if len(set(places)) < len(places):
+        twice = next(place for place in places if places.count(place) > 1)
+        raise ValueError(f"a transaction names a row twice: {'/'.join(twice)}")
+
+
 @attrs.frozen
 class Changes:
     """What changed in a table, in the order of writing.
@@ -146,7 +159,10 @@
 
     @abc.abstractmethod
     async def commit(self, writes: list[Write]) -> Written:
-        """Apply all writes, or none where a condition does not hold."""
+        """Apply all writes, or none where a condition does not hold.
+
+        Each row stands once among them; see `check_distinct`.
+        """
 
 
 class RowStore(Tables):
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -20,6 +20,8 @@
 
 import asyncio
 
+import pytest
+
 from gypsumshift.jobs import Result, ResultState
 from gypsumshift.jobs.committer import Committer, Finished
 from gypsumshift.jobs.model import AGENTS, CLAIMS, RESULTS, Claim, Heartbeat, to_row
@@ -27,7 +29,7 @@
 from gypsumshift.jobs.resultlog import ResultLog
 from gypsumshift.memory import MemoryTables
 from gypsumshift.outcomes import Unknown
-from gypsumshift.platforms import Row, Write
+from gypsumshift.platforms import ABSENT, Row, Write
 from tests.jobs_world import FakeEngine, HeldAnswers, World
 
 
@@ -324,6 +326,12 @@
     play(scenario)
 
 
+def test_a_transaction_that_names_a_row_twice_is_an_error_of_the_caller():
+    writes = [Write(RESULTS, "i", {"text": text}, ABSENT, part="job") for text in "ab"]
+    with pytest.raises(ValueError, match="names a row twice: results/job/i"):
+        asyncio.run(MemoryTables().commit(writes))
+
+
 def test_a_result_that_is_told_twice_at_once_is_listed_once():
     log = ResultLog()
     value = to_row(Result("i", ResultState.WHOLE, size=3))
