Claims and returns of an agent in modules of their own

Change: jobs/claimer.py writes claims and begins units, jobs/returns.py gives units back. Moved code only; names follow. Two tests read the moved attributes.

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -11,7 +11,8 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
-from gypsumshift.jobs.claims import Candidate, ClaimBoard
+from gypsumshift.jobs.claimer import Claimer
+from gypsumshift.jobs.claims import ClaimBoard
 from gypsumshift.jobs.engine import Engine
 from gypsumshift.jobs.heart import STORE_WRITES, Heart
 from gypsumshift.jobs.model import (
@@ -19,8 +20,6 @@
     CLAIMS,
     JOBS,
     Claim,
-    UnitSummary,
-    to_row,
 )
 from gypsumshift.jobs.mover import Mover
 from gypsumshift.jobs.pace import is_slow
@@ -31,8 +30,7 @@
 from gypsumshift.jobs.unitruns import UnitRunner
 from gypsumshift.jobs.weights import WeightKeeper
 from gypsumshift.metrics import Metrics
-from gypsumshift.outcomes import Committed, Conflict, Unavailable
-from gypsumshift.platforms import ABSENT, Row, RowStore, Write
+from gypsumshift.platforms import Row, RowStore
 from gypsumshift.policy import DEFAULT, Policy
 from gypsumshift.serving.directory import BackendServer, Directory
 from gypsumshift.serving.forwarder import Forwarder
@@ -57,9 +55,6 @@
 # Seconds between answers of the table of agents: half of a heartbeat, by which a lost
 # agent is missed later.
 PEERS_GATHER = 0.2
-# Seconds between two questions to silent agents. In a fleet of 1,600, most agents are
-# silent for longer than the usual time, and each is asked as often as it asks.
-ASK_PAUSE = 0.1
 # Seconds between two savings of what long runs have generated.
 SAVE_PERIOD = 1.0
 # Items that may wait for their scores, in engines full: more show that the application
@@ -117,7 +112,6 @@
         self.station = Station(home, directory, engine, clock)
         self.weights = WeightKeeper(self.station, self.board, clock, metrics, policy)
         self.news = [asyncio.Event() for _ in range(CLAIMS_AT_ONCE)]
-        self.presence = presence
         self.runner = UnitRunner(
             self.own,
             store,
@@ -130,6 +124,9 @@
             metrics,
             self.note_news,
         )
+        self.claimer = Claimer(
+            self.own, store, self.board, self.runner, presence, clock, metrics
+        )
         self.heart = Heart(
             self.own.session,
             self.station,
@@ -144,7 +141,6 @@
         self.mover = Mover(self.heart, self.weights, self.board, self.runner, clock)
         directory.on_restart.append(self.note_restart)
         self.slow_at = float("-inf")
-        self.asked_at = float("-inf")
         self.leaving = False
         peers = self.peers
         self.peer_watch = Watch(
@@ -270,7 +266,7 @@
 
     def room(self, limits: EngineLimits) -> Room:
         """Return what the engine should be given beside what it runs."""
-        coming = self.coming()
+        coming = self.claimer.coming()
         load = self.runner.load + sum(len(unit.items) for unit in coming)
         since = self.clock.monotonic() - self.slow_at
         if since < SLOW_PAUSE:
@@ -282,11 +278,6 @@
         sizes = [size for unit in coming for size in [unit.memory] * len(unit.items)]
         return Room(limits.slots - load, limits.memory, (*self.runner.sizes, *sizes))
 
-    def coming(self) -> list[UnitSummary]:
-        """Return the units whose claims are on their way."""
-        places = self.board.claiming.keys() - self.runner.units.keys()
-        return [unit for place in places if (unit := self.board.unit(*place))]
-
     async def look(self, news: asyncio.Event) -> None:
         """Claim units while the engine has room."""
         while True:
@@ -303,116 +294,21 @@
             if limits is None:
                 return
             self.runner.set_places(limits.slots)
-            self.adopt()
+            self.claimer.adopt()
             candidate = self.board.choose(
                 self.weights.models(),
                 self.weights.ready_versions(),
                 self.room(limits),
                 self.mover.slower,
-                self.may_ask,
+                self.claimer.may_ask,
             )
             if candidate is None:
                 return
-            if candidate.silent and not await self.holder_gone(candidate):
+            if candidate.silent and not await self.claimer.holder_gone(candidate):
                 continue
-            if not await self.claim(candidate):
+            if not await self.claimer.claim(candidate):
                 return
 
-    @property
-    def may_ask(self) -> bool:
-        """Whether a silent agent may be asked now."""
-        return self.clock.monotonic() - self.asked_at >= ASK_PAUSE
-
-    async def holder_gone(self, candidate: Candidate) -> bool:
-        """Ask the silent holder of a unit; tell whether the unit may be claimed.
-
-        A heartbeat or another claim that came while it was asked goes before an answer
-        that did not come.
-        """
-        if await self.holder_works(candidate.silent):
-            return False
-        return self.board.claimable(candidate)
-
-    async def holder_works(self, claim: Claim) -> bool:
-        """Ask the silent holder of a claim whether it works."""
-        self.asked_at = self.clock.monotonic()
-        works = await self.presence.works(claim)
-        if works:
-            self.peers.note_works(claim)
-        logs.event(log, "Asked a silent agent.", agent=claim.agent, works=works)
-        self.metrics.count("asked", works=str(works).lower())
-        return works
-
-    def adopt(self) -> None:
-        """Start units that are held by the store but not run, answered or not."""
-        for job, unit in self.board.mine():
-            asked = self.board.claiming.get((job.id, unit.key))
-            self.begin(asked or Candidate(job, unit, ABSENT, True))
-
-    def begin(self, candidate: Candidate) -> None:
-        """Run a unit if this agent holds it, by the newest that is known of its claim.
-
-        The answer to a claim may be old: the store's changes tell the claim too, and
-        by then its unit may be done, given back or held by another agent. Begun by
-        answers alone, units ran again (16 runs of 8 items where the store answered
-        0.3 s after it had told), and their results met in one transaction.
-        """
-        job, unit = candidate.job, candidate.unit
-        held = self.board.held(job.id, unit.key)
-        returning = (job.id, unit.key) in self.runner.returning
-        if self.board.own(held) and not returning:
-            self.runner.start(candidate, held.version)
-
-    async def claim(self, candidate: Candidate) -> bool:
-        """Claim a unit; return whether to go on claiming."""
-        place = (candidate.job.id, candidate.unit.key)
-        self.board.claiming[place] = candidate
-        try:
-            return await self.write_claim(candidate)
-        finally:
-            self.board.claiming.pop(place, None)
-
-    async def write_claim(self, candidate: Candidate) -> bool:
-        """Write a claim, and run its unit where it holds."""
-        job, unit = candidate.job, candidate.unit
-        value = to_row(self.own)
-        write = Write(CLAIMS, unit.key, value, candidate.version, part=job.id)
-        asked_at = self.clock.monotonic()
-        outcome = await self.store.commit([write])
-        if isinstance(outcome, Committed):
-            row = Row(CLAIMS, unit.key, outcome.version, value, job.id)
-            self.note_late_answer(row, asked_at)
-            self.board.take_claims([row])
-            self.begin(candidate)
-            return True
-        if isinstance(outcome, Conflict):
-            return await self.learn_claims(job.id)
-        return False
-
-    def note_late_answer(self, row: Row, asked_at: float) -> None:
-        """Log that a claim was told by the store's changes before it was answered."""
-        held = self.board.held(row.part, row.key)
-        if held is None or held.version < row.version:
-            return
-        logs.event(
-            log,
-            "A claim was told before it was answered.",
-            job=row.part,
-            unit=row.key,
-            claim_version=row.version,
-            known_version=held.version,
-            done=held.claim.done,
-            answered_s=round(self.clock.monotonic() - asked_at, 3),
-        )
-
-    async def learn_claims(self, job_id: str) -> bool:
-        """Read who holds the units of a job; return whether that worked."""
-        rows = await self.store.scan(CLAIMS, "", job_id)
-        if isinstance(rows, Unavailable):
-            return False
-        self.board.take_claims(rows)
-        return True
-
     async def leave(self) -> None:
         """Give all work back, and wait until results are stored."""
         self.leaving = True
--- /dev/null
+++ b/gypsumshift/jobs/returns.py
@@ -0,0 +1,104 @@
+"""Returns: units that an agent gives back, until the store has them as free."""
+
+import asyncio
+from collections.abc import Callable
+
+from gypsumshift.clock import Clock
+from gypsumshift.jobs.claims import ClaimBoard
+from gypsumshift.jobs.itemrun import PAUSE
+from gypsumshift.jobs.model import CLAIMS, Claim, to_row
+from gypsumshift.jobs.partials import Partials
+from gypsumshift.jobs.unit import UnitRun
+from gypsumshift.outcomes import Committed, Conflict, Unavailable
+from gypsumshift.platforms import Row, RowStore, Write
+
+__all__ = ["Returns"]
+
+
+class Returns:
+    """Gives units back, with what was generated of them.
+
+    Parameters
+    ----------
+    store : RowStore
+    board : ClaimBoard
+        Told what becomes of the claims.
+    partials : Partials
+    clock : Clock
+    changed : callable
+        Called when a unit is free.
+
+    Attributes
+    ----------
+    places : set of (str, str)
+        Job and unit of those that are being given back, which the store still has as
+        this agent's.
+    tasks : set of asyncio.Task
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        board: ClaimBoard,
+        partials: Partials,
+        clock: Clock,
+        changed: Callable[[], None],
+    ):
+        self.store = store
+        self.board = board
+        self.partials = partials
+        self.clock = clock
+        self.changed = changed
+        self.places: set[tuple[str, str]] = set()
+        self.tasks: set[asyncio.Task] = set()
+
+    def begin(self, unit: UnitRun, pause: float = 0.0) -> asyncio.Task:
+        """Begin to give a unit back, after a pause in seconds.
+
+        It counts as returning from this moment on, not from the first turn of its
+        task: the store still has it as this agent's, and whoever looks for work in
+        between began it again (6 runs of an item that fails, in its pause, for 1 due).
+        """
+        self.places.add((unit.job.id, unit.key))
+        task = asyncio.create_task(self.give_back(unit, pause))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def give_back(self, unit: UnitRun, pause: float) -> None:
+        """Write what was generated of a unit, and that it is free."""
+        try:
+            await self.clock.sleep(pause)
+            await self.write(unit)
+        finally:
+            self.places.discard((unit.job.id, unit.key))
+
+    async def write(self, unit: UnitRun) -> None:
+        """Write that a unit is free until the outcome is certain."""
+        writes = self.partials.writes(unit.job.id, list(unit.runs.values()))
+        free = Write(CLAIMS, unit.key, to_row(Claim()), unit.version, part=unit.job.id)
+        outcome = await self.store.commit([*writes, free])
+        while not isinstance(outcome, (Committed, Conflict)):
+            await self.clock.sleep(PAUSE)
+            outcome = await self.store.commit([*writes, free])
+        if isinstance(outcome, Conflict):
+            await self.learn(unit)
+            return
+        row = Row(CLAIMS, unit.key, outcome.version, free.value, unit.job.id)
+        self.board.take_claims([row])
+        self.changed()
+
+    async def learn(self, unit: UnitRun) -> None:
+        """Read who holds a unit by the store.
+
+        A conflict says that the claim has changed: an earlier try was carried out and
+        its answer lost, or another agent holds the unit. Known only as this agent's,
+        it was begun again.
+        """
+        row = await self.store.read(CLAIMS, unit.key, unit.job.id)
+        while isinstance(row, Unavailable):
+            await self.clock.sleep(PAUSE)
+            row = await self.store.read(CLAIMS, unit.key, unit.job.id)
+        if isinstance(row, Row):
+            self.board.take_claims([row])
+            self.changed()
--- a/gypsumshift/jobs/unitruns.py
+++ b/gypsumshift/jobs/unitruns.py
@@ -27,12 +27,12 @@
 )
 from gypsumshift.jobs.pace import Pace
 from gypsumshift.jobs.partials import Partials, read_rows
+from gypsumshift.jobs.returns import Returns
 from gypsumshift.jobs.rewards import RewardGate
 from gypsumshift.jobs.station import Station
 from gypsumshift.jobs.unit import UnitRun
 from gypsumshift.jobs.weights import WeightKeeper
 from gypsumshift.metrics import Metrics
-from gypsumshift.outcomes import Committed, Conflict, Unavailable
 from gypsumshift.platforms import Row, RowStore, Write
 from gypsumshift.serving.forwarder import Forwarder
 from gypsumshift.serving.headers import HeaderNames
@@ -63,12 +63,6 @@
     metrics : Metrics
     changed : callable
         Called when there may be room for more.
-
-    Attributes
-    ----------
-    returning : set of (str, str)
-        Job and unit of those that are being given back, which the store still has as
-        this agent's.
     """
 
     def __init__(
@@ -101,8 +95,7 @@
         self.rewards = RewardGate(clock, station.directory)
         self.places = asyncio.Semaphore(1)
         self.place_count = 1
-        self.giving: set[asyncio.Task] = set()
-        self.returning: set[tuple[str, str]] = set()
+        self.returns = Returns(store, board, self.partials, clock, changed)
 
     @property
     def load(self) -> int:
@@ -230,7 +223,7 @@
         if self.units.get((unit.job.id, unit.key)) is unit:
             self.drop(unit)
             # After a pause, so that it does not come at once again.
-            self.begin_return(unit, BROKEN_PAUSE)
+            self.returns.begin(unit, BROKEN_PAUSE)
 
     async def run_item(self, unit: UnitRun, run: ItemRun) -> None:
         """Generate, score and store one item."""
@@ -338,58 +331,7 @@
             reason=reason,
             items=list(unit.runs),
         )
-        return self.begin_return(unit)
-
-    def begin_return(self, unit: UnitRun, pause: float = 0.0) -> asyncio.Task:
-        """Begin to give a unit back, after a pause in seconds.
-
-        It counts as returning from this moment on, not from the first turn of its
-        task: the store still has it as this agent's, and whoever looks for work in
-        between began it again (6 runs of an item that fails, in its pause, for 1 due).
-        """
-        self.returning.add((unit.job.id, unit.key))
-        giving = asyncio.create_task(self.give_back(unit, pause))
-        self.giving.add(giving)
-        giving.add_done_callback(self.giving.discard)
-        return giving
-
-    async def give_back(self, unit: UnitRun, pause: float) -> None:
-        """Write what was generated of a unit, and that it is free."""
-        try:
-            await self.clock.sleep(pause)
-            await self.write_back(unit)
-        finally:
-            self.returning.discard((unit.job.id, unit.key))
-
-    async def write_back(self, unit: UnitRun) -> None:
-        """Write that a unit is free until the outcome is certain."""
-        writes = self.partials.writes(unit.job.id, list(unit.runs.values()))
-        free = Write(CLAIMS, unit.key, to_row(Claim()), unit.version, part=unit.job.id)
-        outcome = await self.store.commit([*writes, free])
-        while not isinstance(outcome, (Committed, Conflict)):
-            await self.clock.sleep(PAUSE)
-            outcome = await self.store.commit([*writes, free])
-        if isinstance(outcome, Committed):
-            row = Row(CLAIMS, unit.key, outcome.version, free.value, unit.job.id)
-            self.board.take_claims([row])
-            self.changed()
-        else:
-            await self.learn_claim(unit)
-
-    async def learn_claim(self, unit: UnitRun) -> None:
-        """Read who holds a unit by the store.
-
-        A conflict says that the claim has changed: an earlier try was carried out and
-        its answer lost, or another agent holds the unit. Known only as this agent's,
-        it was begun again.
-        """
-        row = await self.store.read(CLAIMS, unit.key, unit.job.id)
-        while isinstance(row, Unavailable):
-            await self.clock.sleep(PAUSE)
-            row = await self.store.read(CLAIMS, unit.key, unit.job.id)
-        if isinstance(row, Row):
-            self.board.take_claims([row])
-            self.changed()
+        return self.returns.begin(unit)
 
     async def save(self) -> None:
         """Save what long runs have generated."""
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -259,7 +259,7 @@
     forward = agent.runner.forwarder.forward
     agent.runner.forwarder.forward = None
     await world.submit(groups=1, size=1)
-    await until(lambda: agent.runner.giving)
+    await until(lambda: agent.runner.returns.tasks)
     agent.runner.forwarder.forward = forward
     (result,) = await world.results()
     assert result.state is ResultState.WHOLE
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -281,7 +281,7 @@
         # A slow engine gets nothing new for two seconds.
         agent.slow_at = agent.clock.monotonic()
         agent.runner.hand_over_all("the engine is slow")
-        await until(lambda: store.lost and not agent.runner.returning)
+        await until(lambda: store.lost and not agent.runner.returns.places)
         agent.note_news()
         await turns()
         assert len(engine.started) == 2
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -4,7 +4,8 @@
 import random
 
 from gypsumshift.jobs import split
-from gypsumshift.jobs.agent import ASK_PAUSE, LOOK_PERIOD
+from gypsumshift.jobs.agent import LOOK_PERIOD
+from gypsumshift.jobs.claimer import ASK_PAUSE
 from gypsumshift.jobs.claims import ClaimBoard
 from gypsumshift.jobs.heart import HEARTBEAT, beat_part, beat_period
 from gypsumshift.jobs.model import AGENTS, CLAIMS, Claim, to_row
