Rows of agents that are told again are no signs of life

Cause: the table of agents took each row as a heartbeat of the moment, whatever version was known. A table that is read anew (its history lost) tells the last row of a lost host again, so for another 1.2 s nobody asked whether it works. A copy behind the changes put an old session in the place of the new one, whose claims were then those of an agent that is gone. Within one list, a row stood though its removal was written later (read in the code: removals were taken first).

Change: a row is taken where its version is newer than the known one, one after the other.

Ruled out: a version that falls. In tests/test_presence.py the builder of heartbeats gave each the version 3 and the number 1, which no store does; it now gives both as they grow.

Figures before: both new tests fail (WORKS for SILENT; session old for new). After: both pass.

Conclusion: heartbeats count once, in the order of the store.

--- a/gypsumshift/jobs/peers.py
+++ b/gypsumshift/jobs/peers.py
@@ -13,7 +13,7 @@
 import attrs
 
 from gypsumshift.clock import Clock
-from gypsumshift.jobs.model import Claim, Heartbeat, parse_rows
+from gypsumshift.jobs.model import Claim, Heartbeat, parse_row
 from gypsumshift.jobs.pace import is_slower
 from gypsumshift.jobs.placement import EngineView
 from gypsumshift.platforms import ABSENT, Row
@@ -99,14 +99,22 @@
         self.heard = False
 
     def take(self, rows: list[Row]) -> None:
-        """Take rows of the table of agents."""
-        now = self.clock.monotonic()
+        """Take rows of the table of agents.
+
+        Those that are known are left out: in a table that is read anew, the last
+        heartbeat of a lost host would be a sign of life for another 1.2 s.
+        """
         self.heard = True
-        written = [row for row in rows if row.value is not None]
         for row in rows:
-            if row.value is None:
-                self.pulses[row.key] = Pulse("", now)
-        for row, beat in parse_rows(written, Heartbeat):
+            if row.version > self.version(row.key):
+                self.take_newer(row)
+
+    def take_newer(self, row: Row) -> None:
+        """Take a row that was written after the one known; without a value, its end."""
+        removed = row.value is None
+        beat = Heartbeat("") if removed else parse_row(row, Heartbeat)
+        if beat is not None:
+            now = self.clock.monotonic()
             self.pulses[row.key] = Pulse(beat.session, now, beat, row.version)
 
     def note_store_back(self) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -24,6 +24,7 @@
 from gypsumshift.jobs.weights import WeightKeeper
 from gypsumshift.memory import MemoryTables
 from gypsumshift.outcomes import Unavailable, Unknown
+from gypsumshift.platforms import Row
 from gypsumshift.serving import Directory
 from tests.builders import ManualClock
 from tests.jobs_world import ADDRESS, METRICS, SERVICE, FakeEngine, board
@@ -258,3 +259,46 @@
         heart.board.peers.take(list(fleet.store.rows.values()))
     assert fleet.store.calls == ["commit"] * 10
     assert fleet.row() == ("s", 10)
+
+
+@scenario
+async def test_rows_that_are_told_again_are_no_signs_of_life(fleet):
+    """A lost host's units waited longer where the table of agents was read anew.
+
+    Its last heartbeat was told; the store's history was lost, so the table was read
+    again, and the host's row in it counted as a heartbeat of that moment. For another
+    1.2 s (`SILENCE`) nobody asked whether it works. Cause: a row was taken without
+    comparing its version with the one known.
+    """
+    heart = fleet.start("s")
+    await heart.beat()
+    fleet.hear()
+    fleet.clock.advance(SILENCE + 0.1)
+    claim = Claim(AGENT, "s")
+    assert fleet.reader.standing(claim, 0.0) is Standing.SILENT
+    fleet.reader.take(list(fleet.store.rows.values()))
+    assert fleet.reader.standing(claim, 0.0) is Standing.SILENT
+    await heart.beat()
+    fleet.hear()
+    assert fleet.reader.standing(claim, 0.0) is Standing.WORKS
+
+
+@scenario
+async def test_an_older_row_of_an_agent_is_left_out(fleet):
+    """A table that was read for several processes may be told behind its changes."""
+    old = fleet.start("old")
+    await old.beat()
+    before = list(fleet.store.rows.values())
+    new = fleet.start("new")
+    await new.beat()
+    fleet.hear()
+    fleet.reader.take(before)
+    assert fleet.reader.told(AGENT).session == "new"
+    gone = Row(AGENTS, AGENT, fleet.store.version + 1, None, beat_part(AGENT))
+    fleet.reader.take([*fleet.store.rows.values(), gone])
+    assert fleet.reader.told(AGENT).session == "", "its row was removed since"
+    fleet.reader.take(list(fleet.store.rows.values()))
+    assert fleet.reader.told(AGENT).session == ""
+    late = board("late", fleet.clock).peers
+    late.take([*fleet.store.rows.values(), gone])
+    assert late.told(AGENT).session == "", "nor within one answer"
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -128,12 +128,12 @@
 
 def beats_since(phases, period, before, now):
     """Return the heartbeats that were written between two moments."""
-    due = [
-        agent
-        for agent, phase in phases.items()
-        if (now - phase) // period > (before - phase) // period
-    ]
-    return [Row(AGENTS, agent, 3, {"session": "s", "beat": 1}) for agent in due]
+    found = []
+    for agent, phase in phases.items():
+        beat = int((now - phase) // period)
+        if beat > (before - phase) // period:
+            found.append(Row(AGENTS, agent, beat, {"session": "s", "beat": beat}))
+    return found
 
 
 def seconds_to_go_on(agents, fleet, seed, lost="a150"):
