Units of a restarted agent are free since its restart, not since its last heartbeat

Cause: an engine that is built slower leaves long items to faster ones for 1.0 s from when they became free. For those of an agent that had started again, each heartbeat of the new process (0.4 s apart) counted as that moment: newer knowledge of another kind took its place.

Change: the moment in which a session was heard first is kept with its heartbeat, one number for each agent, and counts.

Ruled out: silent and lost agents. There the last heartbeat is what counts, and stays so.

Conclusion: a unit of a restarted agent waits for a faster engine for its second only.

--- a/gypsumshift/jobs/peers.py
+++ b/gypsumshift/jobs/peers.py
@@ -46,12 +46,15 @@
     beat : Heartbeat
     version : int
         Of its row; 0 where none was read.
+    since : float
+        When its session was heard first, by the monotonic clock, in seconds.
     """
 
     session: str
     at: float
     beat: Heartbeat = Heartbeat("")
     version: int = ABSENT
+    since: float = attrs.field(default=attrs.Factory(lambda p: p.at, takes_self=True))
 
     @property
     def pace(self) -> float:
@@ -113,9 +116,12 @@
         """Take a row that was written after the one known; without a value, its end."""
         removed = row.value is None
         beat = Heartbeat("") if removed else parse_row(row, Heartbeat)
-        if beat is not None:
-            now = self.clock.monotonic()
-            self.pulses[row.key] = Pulse(beat.session, now, beat, row.version)
+        if beat is None:
+            return
+        now, known = self.clock.monotonic(), self.pulses.get(row.key)
+        same = known is not None and known.session == beat.session
+        since = known.since if same else now
+        self.pulses[row.key] = Pulse(beat.session, now, beat, row.version, since)
 
     def note_store_back(self) -> None:
         """Take that nothing could be heard until now."""
@@ -167,11 +173,12 @@
     def gone_since(self, claim: Claim, seen_at: float) -> float:
         """Return when a claim became free whose holder is not alive, in seconds."""
         pulse = self.pulses.get(claim.agent)
+        if pulse is not None and pulse.session != claim.session:
+            # Not its last heartbeat: one comes each 0.4 s, and long items that are left
+            # to faster engines for a second (`LEAVE_LONG`) would be left for good.
+            return max(seen_at, pulse.since)
         told = max(seen_at, pulse.at if pulse else 0.0)
-        restarted = pulse is not None and pulse.session != claim.session
-        if not claim.agent or restarted:
-            return told
-        return max(told, self.deaf_until) + SILENCE
+        return max(told, self.deaf_until) + SILENCE if claim.agent else told
 
     def paces(self) -> list[float]:
         """Return the known paces of the other agents' engines."""
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -2,6 +2,7 @@
 
 from gypsumshift.jobs import split
 from gypsumshift.jobs.claims import LEAVE_LONG
+from gypsumshift.jobs.heart import HEARTBEAT
 from gypsumshift.jobs.model import AGENTS, END_KEY, JOB_KEY, JOBS, Item
 from gypsumshift.jobs.peers import LISTENING, SILENCE
 from gypsumshift.jobs.room import Room
@@ -187,6 +188,27 @@
     assert choose(own, slower=[MODEL]).unit.hint == 100
 
 
+def test_long_items_of_a_restarted_agent_are_taken_though_it_goes_on_beating():
+    """Long items of an agent that had started again waited though an engine had room.
+
+    An engine that is built slower leaves long items to faster ones for a second from
+    when they became free. Each heartbeat of the new process, 0.4 s apart, counted as
+    that moment, so the second never ended, and where no faster engine had room, nobody
+    took them. Cause: the newest heartbeat was taken for the first of its session.
+    """
+    own, clock = uneven_board()
+    own.peers.take([pulse("other", "s", 1, 2)])
+    for unit in own.open["job"].order:
+        done = unit.hint < 100
+        own.take_claims([claim_row("job", unit.key, "other", "s", 3, done)])
+    own.peers.take([pulse("other", "s2", 1, 4)])
+    assert choose(own, slower=[MODEL]) is None, "a faster engine may take it"
+    for number in range(2, 5):
+        clock.advance(HEARTBEAT)
+        own.peers.take([pulse("other", "s2", number, number + 3)])
+    assert choose(own, slower=[MODEL]).unit.hint == 100
+
+
 def beat(agent, engine, usual, places=4, version=2):
     value = {"session": f"s-{agent}", "beat": 1, "usual": usual}
     value |= {"engine": engine, "places": places}
