Of a claim and a heartbeat of two processes, the one that was written last counts

Which of the two lives was decided by what was told last here. A claim told before an older heartbeat made a new process one that is gone, whose units are taken unasked; a claim of an ended process told after its successor's heartbeat held its unit for 1.2 s; and a new process that was not heard counted as gone instead of being asked.

Change: rows are compared by the transaction that wrote them, which all processes see alike.

--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -215,7 +215,7 @@
 
     def standing(self, held: Held) -> Standing:
         """Return what is believed of the agent that holds a claim."""
-        return self.peers.standing(held.claim, held.seen_at)
+        return self.peers.standing(held.claim, held.seen_at, held.version)
 
     def silent(self, held: Held | None) -> Claim | None:
         """Return the claim whose holder is to be asked before its unit is taken."""
--- a/gypsumshift/jobs/peers.py
+++ b/gypsumshift/jobs/peers.py
@@ -127,7 +127,7 @@
         """Take that nothing could be heard until now."""
         self.deaf_until = self.clock.monotonic()
 
-    def standing(self, claim: Claim, seen_at: float) -> Standing:
+    def standing(self, claim: Claim, seen_at: float, version: int = ABSENT) -> Standing:
         """Return whether the agent that holds a claim works on it, as far as is known.
 
         A claim is itself a sign of life, and heartbeats that could not be heard
@@ -139,15 +139,18 @@
         claim : Claim
         seen_at : float
             When it was told here, by the monotonic clock, in seconds.
+        version : int
+            Of its row. Where claim and heartbeat tell of two processes, the row that
+            was written last tells of the one that lives, whichever was told last here.
         """
         if claim.session == self.session:
             return Standing.WORKS
-        pulse = self.pulses.get(claim.agent)
-        if pulse is not None and pulse.session != claim.session:
-            newer = seen_at > pulse.at and self.audible(seen_at)
-            return Standing.WORKS if newer else Standing.GONE
-        heard = pulse.at if pulse is not None else seen_at
-        audible = self.audible(max(heard, seen_at, self.deaf_until))
+        heard, pulse = seen_at, self.pulses.get(claim.agent)
+        if pulse is not None and pulse.session == claim.session:
+            heard = max(heard, pulse.at)
+        elif pulse is not None and pulse.version > version:
+            return Standing.GONE
+        audible = self.audible(max(heard, self.deaf_until))
         return Standing.WORKS if audible else Standing.SILENT
 
     def note_works(self, claim: Claim) -> None:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -53,6 +53,41 @@
     assert choose(own) is None
 
 
+def test_a_claim_outlives_an_older_heartbeat_that_is_told_after_it():
+    """Items of a healthy agent ran at another one as well, and their step was late.
+
+    The agent had just started again and claimed a unit. Another agent was told the
+    claim first, and then, by a table that was read a moment before, the heartbeat of
+    the process before. What came last was taken for the newest, so the unit was taken.
+    """
+    own, _, _ = make_board(groups=1)
+    own.take_claims([claim_row("job", "00000", "other", "s2", 5)])
+    own.peers.take([pulse("other", "s", 7, 4)])
+    assert choose(own) is None
+
+
+def test_a_claim_of_an_ended_process_is_free_though_it_is_told_late():
+    """Units waited 1.2 s for nobody after all processes had started again.
+
+    An agent that started read the table of agents first, and then the claims of the
+    processes before; each counted as a sign of life of its holder.
+    """
+    own, clock, _ = make_board(groups=1)
+    own.peers.take([pulse("other", "s2", 1, 4)])
+    clock.advance(0.1)
+    own.take_claims([claim_row("job", "00000", "other", "s", 3)])
+    candidate = choose(own)
+    assert candidate is not None and candidate.silent is None
+
+
+def test_a_claim_of_a_new_process_that_is_not_heard_is_asked_for():
+    own, clock, _ = make_board(groups=1)
+    own.peers.take([pulse("other", "s", 7, 4)])
+    own.take_claims([claim_row("job", "00000", "other", "s2", 5)])
+    clock.advance(SILENCE + 0.1)
+    assert choose(own).silent is not None
+
+
 def test_nobody_is_taken_for_dead_while_the_store_is_away():
     own, clock, _ = make_board(groups=1)
     own.peers.take([pulse("other", "s", 1, 2)])
