Nobody is forgotten for a silence in which nothing was heard, nor without a condition

Cause: an entry counted as gone by local silence alone, also while the table could not be told here; it was removed without a condition, beside the own entry in one transaction.

Change: silence counts only while the table is told (Watch.heard, gaps left out), and anew once this process could not announce itself. An entry is removed only by its version, 16 at the most in a transaction of their own, after the own entry. The whole table replaces what was known; an entry that is read again as it was is no sign of life; one that turned unreadable is dropped, since its old version would hold up the removals beside it.

Weighed: silence from the last return of the store on, as of agents (peers.py): one lost answer a minute would keep who is gone for ever. Removal by one chosen process: another role to lose.

Conclusion: others are judged only by what was heard, and acted on only as they are known.

--- a/gypsumshift/neighbours.py
+++ b/gypsumshift/neighbours.py
@@ -20,7 +20,7 @@
 from gypsumshift.platforms import Row, RowStore, Write
 from gypsumshift.policy import DEFAULT, Policy
 from gypsumshift.server import Handler, Request, Response
-from gypsumshift.watch import Watch
+from gypsumshift.watch import Silences, Watch
 
 __all__ = ["Neighbour", "Neighbourhood", "Relay", "StorePath"]
 
@@ -30,6 +30,9 @@
 # was not written again is left out: its process is gone.
 ANNOUNCE_PERIOD = 15.0
 FORGOTTEN = 60.0
+# Entries removed in one transaction: a store takes 100 rows, and one that was written
+# meanwhile holds up those beside it. They are drawn, since many remove at once.
+REMOVED_AT_ONCE = 16
 # Seconds between answers of the table: who needs a neighbour asks three that it knows.
 GATHER = 1.0
 # Target by which a process is asked whether the store answers it.
@@ -321,25 +324,46 @@
         self.path = path
         self.store = store
         self.clock = clock
-        self.seen_at: dict[str, float] = {}
         self.watch = Watch(
-            store, NEIGHBOURS, self.take, self.take, clock, gather=GATHER
+            store,
+            NEIGHBOURS,
+            self.take,
+            self.replace,
+            clock,
+            unreadable=self.leave_out,
+            gather=GATHER,
         )
+        self.silences = Silences(self.watch)
+
+    def replace(self, rows: list[Row]) -> None:
+        """Take the whole table of neighbours; who is not in it is gone."""
+        for name in self.path.neighbours.keys() - {row.key for row in rows}:
+            self.forget(name)
+        self.take(rows)
 
     def take(self, rows: list[Row]) -> None:
         """Take rows of the table of neighbours."""
         for row in rows:
             if row.value is None or row.key == self.own.name:
-                self.path.neighbours.pop(row.key, None)
-                self.seen_at.pop(row.key, None)
+                self.forget(row.key)
                 continue
             try:
                 neighbour = parse_neighbour(row)
             except (KeyError, TypeError, ValueError) as error:
-                log.error("Cannot read {}/{}: {!r}", row.table, row.key, error)
+                self.leave_out(row, error)
                 continue
             self.path.neighbours[row.key] = neighbour
-            self.seen_at[row.key] = self.clock.monotonic()
+            self.silences.note(row)
+
+    def leave_out(self, row: Row, error: object = "no JSON object") -> None:
+        """Drop an entry that cannot be read: its version known here is an old one."""
+        log.error("Cannot read {}/{}: {!r}", row.table, row.key, error)
+        self.forget(row.key)
+
+    def forget(self, name: str) -> None:
+        """Drop a process that is gone."""
+        self.path.neighbours.pop(name, None)
+        self.silences.drop(name)
 
     async def run(self) -> None:
         """Announce this process until cancelled."""
@@ -348,14 +372,27 @@
             await self.clock.sleep(ANNOUNCE_PERIOD)
 
     async def announce(self) -> None:
-        """Write the own entry, and remove those of processes that are gone."""
+        """Write the own entry alone, then remove those of processes that are gone.
+
+        Where this process could not write, perhaps nobody could: else, of 5 processes,
+        the first to write again after 75 s would remove the 4 others.
+        """
         own = self.own
         value = {"address": list(own.address), "zone": own.zone, "link": own.link}
-        writes = [Write(NEIGHBOURS, self.own.name, value)]
-        horizon = self.clock.monotonic() - FORGOTTEN
-        gone = [name for name, at in self.seen_at.items() if at < horizon]
-        writes += [Write(NEIGHBOURS, name, None) for name in gone]
-        outcome = await self.store.commit(writes)
-        if not isinstance(outcome, Committed):
-            reason = getattr(outcome, "reason", type(outcome).__name__)
-            log.debug("This process is not announced yet: {}", reason)
+        outcome = await self.store.commit([Write(NEIGHBOURS, own.name, value)])
+        if isinstance(outcome, Committed):
+            await self.remove_gone()
+            return
+        self.silences.restart()
+        reason = getattr(outcome, "reason", type(outcome).__name__)
+        log.debug("This process is not announced yet: {}", reason)
+
+    async def remove_gone(self) -> None:
+        """Remove some entries, drawn, only as known: newer ones may not be told yet."""
+        gone = self.silences.longer_than(FORGOTTEN)
+        drawn = self.path.chance.sample(gone, min(len(gone), REMOVED_AT_ONCE))
+        if drawn:
+            writes = [Write(NEIGHBOURS, r.key, expected=r.version) for r in drawn]
+            outcome = type(await self.store.commit(writes)).__name__
+            names = [row.key for row in drawn]
+            logs.event(log, "Remove who is gone.", names=names, outcome=outcome)
--- a/gypsumshift/watch.py
+++ b/gypsumshift/watch.py
@@ -9,7 +9,7 @@
 from gypsumshift.outcomes import Unavailable
 from gypsumshift.platforms import Changes, HistoryLost, Row, RowStore
 
-__all__ = ["Watch"]
+__all__ = ["Silences", "Watch"]
 
 # A feed answers after this time at the latest, so that one that fell silent is
 # found out soon: changes must be in force everywhere within two seconds.
@@ -23,6 +23,10 @@
 # Seconds before another try where the store could not be asked.
 RETRY_FIRST = 0.05
 RETRY_MOST = 0.2
+# Seconds between two answers up to which a table counts as heard in between. Longer
+# than a pause of a second to gather changes, a feed's longest wait and 0.7 s for its
+# answer; a feed that failed takes longer.
+HEARD_GAP = 2.6
 
 log = logs.logger("watch")
 
@@ -61,6 +65,8 @@
         When the copy was last known to be current, by the monotonic clock.
     recovered_at : float
         When the store last answered again after a failure.
+    heard : float
+        Seconds for which the table was told, gaps left out.
     """
 
     def __init__(
@@ -89,6 +95,7 @@
         self.known_version = 0
         self.current_at = float("-inf")
         self.recovered_at = float("-inf")
+        self.heard = 0.0
         self.failures = 0
 
     async def run(self) -> None:
@@ -129,9 +136,17 @@
         if answer.version < self.version:
             # The store may serve an old copy; nothing steps back.
             return
-        self.current_at = self.clock.monotonic() - answer.age
+        self.note_current(self.clock.monotonic() - answer.age)
         self.accept(answer)
 
+    def note_current(self, at: float) -> None:
+        """Take that the copy is known to be current at a time."""
+        passed = at - self.current_at
+        if 0 < passed < HEARD_GAP:
+            self.heard += passed
+        # What others read before may come later; each second is heard once.
+        self.current_at = max(at, self.current_at)
+
     def accept(self, answer: Changes) -> None:
         """Tell the rows of an answer, and remember how far it goes."""
         whole = self.version < 0
@@ -180,6 +195,52 @@
             )
 
 
+class Silences:
+    """How long rows that are written again and again have not been written.
+
+    Only time in which the table was told counts: else, after 61 s of an outage, each of
+    5 processes takes the 4 others for gone.
+
+    Parameters
+    ----------
+    watch : Watch
+        Follows the table.
+
+    Attributes
+    ----------
+    told : dict
+        Row and `Watch.heard` at the time when it was told first, by key.
+    since : float
+        `Watch.heard` before which silence says nothing.
+    """
+
+    def __init__(self, watch: Watch):
+        self.watch = watch
+        self.told: dict[str, tuple[Row, float]] = {}
+        self.since = 0.0
+
+    def note(self, row: Row) -> None:
+        """Take a row; one that is read again as it was is no sign of life."""
+        known = self.told.get(row.key)
+        if known is None or known[0].version != row.version:
+            self.told[row.key] = row, self.watch.heard
+
+    def drop(self, key: str) -> None:
+        """Take that a row is removed, or not known."""
+        self.told.pop(key, None)
+
+    def restart(self) -> None:
+        """Take that silence until now says nothing."""
+        self.since = self.watch.heard
+
+    def longer_than(self, seconds: float) -> list[Row]:
+        """Return the rows, as told last, that have been silent for longer."""
+        horizon = self.watch.heard - seconds
+        if self.since > horizon:
+            return []
+        return [row for row, at in self.told.values() if at < horizon]
+
+
 def log_unreadable(row: Row) -> None:
     """Say that a row of another writer is left out."""
     log.error("A row holds no JSON object: {}/{}", row.table, row.key)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -5,9 +5,10 @@
 
 from gypsumshift.jobs.heart import HEARTBEAT
 from gypsumshift.memory import MemoryTables
+from gypsumshift.neighbours import GATHER as NEIGHBOURS_GATHER
 from gypsumshift.platforms import Changes, Row
 from gypsumshift.serving import Directory
-from gypsumshift.watch import GATHER, Watch
+from gypsumshift.watch import GATHER, HEARD_GAP, POLL, Watch
 from tests.builders import ManualClock
 from tests.jobs_world import World
 from tests.platform_world import FOLDER
@@ -85,3 +86,32 @@
     gathers = {watch.table: watch.gather for watch in agent.watches}
     assert gathers["claims"] == gathers["jobs"] == GATHER
     assert gathers["agents"] <= HEARTBEAT / 2
+
+
+def test_a_table_counts_as_heard_between_its_rarest_answers():
+    """Else nobody's silence would ever count: no process that is gone was forgotten."""
+    assert FOLDER.is_dir()
+    from row_store import FEED_SLACK
+
+    assert NEIGHBOURS_GATHER + POLL.total_seconds() + FEED_SLACK < HEARD_GAP
+
+
+def test_time_counts_as_heard_once_and_without_gaps():
+    """A copy that others read is older than what is known; an outage is no hearing."""
+
+    async def run():
+        clock = ManualClock()
+        watch = Watch(None, TABLE, lambda rows: None, lambda rows: None, clock)
+        for passed, age, heard in (
+            (0.0, 0.0, 0.0),
+            (1.0, 0.0, 1.0),
+            (0.5, 1.0, 1.0),
+            (0.5, 0.0, 2.0),
+            (HEARD_GAP, 0.0, 2.0),
+            (1.0, 0.0, 3.0),
+        ):
+            clock.advance(passed)
+            watch.take(Changes([], 1, age))
+            assert watch.heard == heard
+
+    asyncio.run(run())
