What was asked decides whether an answer is the whole table; old copies of it are refused

Cause: a watch decided when an answer came whether it replaces or changes what is known. Where a neighbour told the table while it was read from the store, the reading was taken as changes, and a row removed meanwhile was believed from then on. After lost changes, a whole table was compared with version -1, and what a neighbour tells with nothing, so both could step back.

Change: what was asked goes with the answer. A whole table older than what was known before changes were lost is refused with a line in the log and counted as a failure, so it is asked for again after the usual pause; nor is such a table learnt from a neighbour.

Weighed: leaving the reading out where a neighbour was faster (it is the newer word); the same count of a failure for feeds that step back (they are left out already, as before). Ruled out: shared reads and hedging in between. A shared read compares with the version that is asked for and passes a copy on that stays older, which is what is refused here; hedging sends only writes again.

The test of heard time goes through step() now, with the same steps and figures.

Conclusion: a watch compares every whole table with the newest that it knew, lost or not.

--- a/gypsumshift/watch.py
+++ b/gypsumshift/watch.py
@@ -110,8 +110,14 @@
                 await self.clock.sleep(self.gather)
 
     async def step(self) -> None:
-        """Ask once, and take what was told."""
-        if self.version < 0:
+        """Ask once, and take what was told.
+
+        What was asked decides what the answer is: a neighbour may tell the table while
+        the store reads it, and a whole table taken as changes would keep what was
+        removed.
+        """
+        whole = self.version < 0
+        if whole:
             answer = await self.store.snapshot(self.table, self.known_version)
         else:
             wait = POLL_SILENT if self.failures else POLL
@@ -124,10 +130,13 @@
         if isinstance(answer, Unavailable):
             self.note_failure(answer.reason)
             return
-        self.take(answer)
+        self.take(answer, whole)
 
-    def take(self, answer: Changes) -> None:
+    def take(self, answer: Changes, whole: bool) -> None:
         """Take an answer, unless it is older than what is known."""
+        if whole and answer.version < self.known_version:
+            self.refuse(answer)
+            return
         if self.failures:
             logs.event(log, "The store answers again.", table=self.table)
             self.failures = 0
@@ -137,7 +146,18 @@
             # The store may serve an old copy; nothing steps back.
             return
         self.note_current(self.clock.monotonic() - answer.age)
-        self.accept(answer)
+        self.accept(answer, whole)
+
+    def refuse(self, answer: Changes) -> None:
+        """Leave out a whole table from before changes were lost; it is asked again."""
+        logs.event(
+            log,
+            "An old copy is refused.",
+            table=self.table,
+            version=answer.version,
+            known=self.known_version,
+        )
+        self.note_failure("an old copy")
 
     def note_current(self, at: float) -> None:
         """Take that the copy is known to be current at a time."""
@@ -147,9 +167,8 @@
         # What others read before may come later; each second is heard once.
         self.current_at = max(at, self.current_at)
 
-    def accept(self, answer: Changes) -> None:
+    def accept(self, answer: Changes, whole: bool = False) -> None:
         """Tell the rows of an answer, and remember how far it goes."""
-        whole = self.version < 0
         self.version = answer.version
         if self.keep:
             self.keep_rows(answer.rows, whole)
@@ -176,10 +195,13 @@
         return Changes(list(self.rows.values()), self.version)
 
     def learn(self, changes: Changes) -> bool:
-        """Take what a neighbour knows, unless something is known; return whether."""
-        if self.version >= 0:
+        """Take what a neighbour knows, unless something is known; return whether.
+
+        Nor while changes are lost where it is older than what was known before.
+        """
+        if self.version >= 0 or changes.version < self.known_version:
             return False
-        self.accept(changes)
+        self.accept(changes, whole=True)
         return True
 
     def note_failure(self, reason: str) -> None:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -3,10 +3,12 @@
 import asyncio
 import datetime
 
+import logbook
+
 from gypsumshift.jobs.heart import HEARTBEAT
 from gypsumshift.memory import MemoryTables
 from gypsumshift.neighbours import GATHER as NEIGHBOURS_GATHER
-from gypsumshift.platforms import Changes, Row
+from gypsumshift.platforms import Changes, Row, Write
 from gypsumshift.serving import Directory
 from gypsumshift.watch import GATHER, HEARD_GAP, POLL, Watch
 from tests.builders import ManualClock
@@ -96,12 +98,24 @@
     assert NEIGHBOURS_GATHER + POLL.total_seconds() + FEED_SLACK < HEARD_GAP
 
 
+class Aged(MemoryTables):
+    """A table whose answers are of the age that is set."""
+
+    age = 0.0
+
+    async def snapshot(self, table, after=0):
+        return Changes([], 1, self.age)
+
+    async def changes(self, table, after, wait):
+        return Changes([], 1, self.age)
+
+
 def test_time_counts_as_heard_once_and_without_gaps():
     """A copy that others read is older than what is known; an outage is no hearing."""
 
     async def run():
-        clock = ManualClock()
-        watch = Watch(None, TABLE, lambda rows: None, lambda rows: None, clock)
+        store, clock = Aged(), ManualClock()
+        watch = Watch(store, TABLE, lambda rows: None, lambda rows: None, clock)
         for passed, age, heard in (
             (0.0, 0.0, 0.0),
             (1.0, 0.0, 1.0),
@@ -111,7 +125,163 @@
             (1.0, 0.0, 3.0),
         ):
             clock.advance(passed)
-            watch.take(Changes([], 1, age))
+            store.age = age
+            await watch.step()
             assert watch.heard == heard
 
     asyncio.run(run())
+
+
+class Copied(MemoryTables):
+    """Tables that answer whole reads when they may, from a copy where there is one."""
+
+    copy = None
+
+    def __init__(self):
+        super().__init__()
+        self.asked = asyncio.Event()
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
+
+    async def snapshot(self, table, after=0):
+        self.asked.set()
+        await self.may_answer.wait()
+        return self.copy or await super().snapshot(table, after)
+
+    async def changes(self, table, after, wait):
+        return await super().changes(table, after, datetime.timedelta())
+
+
+class Follower:
+    """A watch, and what it was told: the keys by its owner's reckoning."""
+
+    def __init__(self, store):
+        self.keys = set()
+        self.clock = ManualClock()
+        self.watch = Watch(
+            store, TABLE, self.apply, self.replace, self.clock, keep=True
+        )
+
+    def replace(self, rows):
+        self.keys.clear()
+        self.apply(rows)
+
+    def apply(self, rows):
+        for row in rows:
+            (self.keys.discard if row.value is None else self.keys.add)(row.key)
+
+    def kept(self):
+        return {row.key for row in self.watch.known().rows}
+
+
+async def written(store, *keys):
+    """Write rows, each in a transaction; return the whole table."""
+    for key in keys:
+        await store.commit([Write(TABLE, key, {})])
+    return await MemoryTables.snapshot(store, TABLE)
+
+
+async def overtaken(store, follower, changes):
+    """Have a neighbour tell what it knows while the table is read."""
+    store.may_answer.clear()
+    step = asyncio.create_task(follower.watch.step())
+    await store.asked.wait()
+    assert follower.watch.learn(changes)
+    store.may_answer.set()
+    await step
+
+
+def test_a_whole_table_stays_one_where_a_neighbour_was_faster():
+    """A server that was removed got requests until the process was restarted.
+
+    Users see requests fail at a server that is gone. A process starts; its first
+    reading of the table is under way; a neighbour tells what it knows, a server among
+    it that is removed meanwhile; the reading comes and is taken as changes, since
+    something is known by then, so that no change ever tells of the removal.
+    """
+
+    async def run():
+        store = Copied()
+        old = await written(store, "gone", "stays")
+        await store.commit([Write(TABLE, "gone", None)])
+        follower = Follower(store)
+        await overtaken(store, follower, old)
+        assert follower.watch.version == store.version
+        assert follower.keys == follower.kept() == {"stays"}
+
+    asyncio.run(run())
+
+
+def test_a_whole_table_older_than_what_a_neighbour_told_is_left_out():
+    """Nothing steps back, also where the older answer comes later."""
+
+    async def run():
+        store = Copied()
+        store.copy = await written(store, "gone")
+        await store.commit([Write(TABLE, "gone", None)])
+        follower = Follower(store)
+        await overtaken(store, follower, await written(store, "new"))
+        assert follower.keys == follower.kept() == {"new"}
+        await written(store, "newest")
+        await follower.watch.step()
+        assert follower.keys == follower.kept() == {"new", "newest"}
+
+    asyncio.run(run())
+
+
+async def without_history(store, follower):
+    """Have a follower know the table, and learn that changes are lost."""
+    await follower.watch.step()
+    await store.commit([Write("other", "row", {})])
+    store.forget()
+    await follower.watch.step()
+    assert follower.watch.version == -1
+
+
+def test_a_copy_older_than_what_was_known_is_refused_and_asked_for_again():
+    """A configuration that had been withdrawn was in force again.
+
+    Users see old limits for a while. The store drops its history; the table is read
+    anew, from an old copy of it; the copy is taken, since after the loss its version
+    is compared with none.
+    """
+
+    async def run():
+        store = Copied()
+        old = await written(store, "a", "withdrawn")
+        await store.commit([Write(TABLE, "withdrawn", None)])
+        follower = Follower(store)
+        watch = follower.watch
+        await without_history(store, follower)
+        heard_at = watch.current_at
+        store.copy = old
+        follower.clock.advance(1)
+        with logbook.TestHandler() as lines:
+            await watch.step()
+            await watch.step()
+        assert follower.keys == follower.kept() == {"a"}
+        assert watch.failures == 2, "run() pauses, then asks again"
+        assert (watch.version, watch.current_at) == (-1, heard_at)
+        told = [record.message for record in lines.records]
+        assert told.count("An old copy is refused.") == 2
+        store.copy = None
+        await watch.step()
+        assert (watch.version, watch.failures) == (store.version, 0)
+        assert follower.keys == follower.kept() == {"a"}
+
+    asyncio.run(run())
+
+
+def test_nothing_older_than_what_was_known_is_learnt_from_a_neighbour():
+    """The same, where a neighbour tells the old copy while the history is lost."""
+
+    async def run():
+        store = Copied()
+        old = await written(store, "a", "withdrawn")
+        await store.commit([Write(TABLE, "withdrawn", None)])
+        follower = Follower(store)
+        await without_history(store, follower)
+        assert not follower.watch.learn(old)
+        assert follower.keys == {"a"}
+
+    asyncio.run(run())
