The soak answers writes late and reads jobs as they go

A claim was told by the feed before its own answer came: an agent adopted and ran the unit, and the late answer started it again. The soak could not show it: no fault delayed the answers of writes that had taken effect while the feed went on, and gateways were read only once all faults had ended.

The stand-in store has such a fault, and the soak switches it on beside the others, by chances of its own: what a seed draws for the others is the same as before. Readers ask changing gateways for results from positions read before, and tell an item at two positions and a position with two results.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,7 @@
 
 CALLERS = 4
 TRAINERS = 2
+READERS = 4
 # Seconds after the last fault in which every accepted job must be whole.
 SETTLE = 60.0
 
@@ -31,6 +32,7 @@
         await deployment.start()
         callers = [asyncio.create_task(workload.call()) for _ in range(CALLERS)]
         callers += [asyncio.create_task(workload.train()) for _ in range(TRAINERS)]
+        callers += [asyncio.create_task(workload.read_on()) for _ in range(READERS)]
         await faults.run(seconds)
         workload.stopping = True
         await asyncio.gather(*callers)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,8 @@
 
 GAP = 0.8
 LONGEST = 3.0
+# Seconds by which the store's answers to writes come late. A client waits longer.
+ANSWERS_LATE = (0.3, 0.6, 0.9)
 # What another writer may put where a worker's entry belongs.
 FOREIGN = [
     b"",
@@ -47,11 +49,17 @@
             self.write_foreign,
         ]
         self.version = 1
+        # Chances of their own: what a seed draws for the faults above stays the same.
+        self.late_chance = random.Random(f"{seed} late answers")
+        self.trouble: dict[str, str | float] = {}
+        self.lateness: dict[str, float] = {}
+        self.switching = asyncio.Lock()
 
     async def run(self, seconds: float) -> None:
         """Inject faults for a time, then wait until all have ended."""
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
+        late = asyncio.create_task(self.delay_answers(until))
         while loop.time() < until:
             kind = self.chance.choice(self.kinds)
             span = self.chance.uniform(0.2, LONGEST)
@@ -61,6 +69,7 @@
             await asyncio.sleep(self.chance.uniform(0.1, 2 * GAP))
         if self.running:
             await asyncio.wait(set(self.running))
+        await late
 
     def pick(self, *kinds: str) -> Process:
         """Return a process of one of the kinds."""
@@ -120,9 +129,31 @@
             ]
         )
         self.note(f"store {faults} for {span:.1f} s")
-        await self.deployment.set_store(**faults)
+        self.trouble = faults
+        await self.switch_store()
         await asyncio.sleep(span)
-        await self.deployment.set_store()
+        self.trouble = {}
+        await self.switch_store()
+
+    async def delay_answers(self, until: float) -> None:
+        """Have the store answer writes late, again and again beside other faults."""
+        while True:
+            await asyncio.sleep(self.late_chance.uniform(0.1, 2 * LONGEST))
+            if asyncio.get_running_loop().time() >= until:
+                return
+            seconds = self.late_chance.choice(ANSWERS_LATE)
+            span = self.late_chance.uniform(0.2, LONGEST)
+            self.note(f"answers to writes {seconds} s late for {span:.1f} s")
+            self.lateness = {"answer_late": seconds}
+            await self.switch_store()
+            await asyncio.sleep(span)
+            self.lateness = {}
+            await self.switch_store()
+
+    async def switch_store(self) -> None:
+        """Tell the store its faults; the last one told has all that hold then."""
+        async with self.switching:
+            await self.deployment.set_store(**self.trouble, **self.lateness)
 
     async def kill_worker(self, span: float) -> None:
         """Kill a backend server, start it again, under its id or as a new one."""
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -9,6 +9,7 @@
 
 from gypsumshift.fetch import Fetcher, FetchError
 from soak.deployment import FRONT, Deployment
+from soak.positions import Positions
 from standins.users_documents import HOST, job_body, results_target
 from standins.users_worker import plain_answer
 
@@ -16,6 +17,8 @@
 
 GROUPS, SIZE = 3, 3
 PATIENCE = 4.0
+# Of the newest jobs, so many are read while faults run.
+RECENT = 8
 
 
 @attrs.define
@@ -32,6 +35,8 @@
         Requests that may not be repeated.
     jobs : dict
         Items by accepted job.
+    positions : dict
+        `Positions` by job, from what was read.
     served : int
     """
 
@@ -39,6 +44,7 @@
     refused: set[str] = attrs.field(factory=set)
     once: set[str] = attrs.field(factory=set)
     jobs: dict[str, set[str]] = attrs.field(factory=dict)
+    positions: dict[str, Positions] = attrs.field(factory=dict)
     served: int = 0
 
 
@@ -54,6 +60,7 @@
     def __init__(self, deployment: Deployment, seed: int):
         self.deployment = deployment
         self.chance = random.Random(seed)
+        self.reads = random.Random(f"{seed} reads")
         self.fetcher = Fetcher()
         self.seen = Seen()
         self.numbers = itertools.count()
@@ -117,17 +124,44 @@
                 await asyncio.sleep(0.2)
             await asyncio.sleep(self.chance.uniform(0.2, 1.0))
 
-    async def read(self, job: str, gateway=None) -> list[dict]:
-        """Read all results of a job, however long that takes."""
+    async def read_on(self) -> None:
+        """Read newer jobs from positions read before, at changing gateways."""
+        while not self.stopping:
+            await asyncio.sleep(self.reads.uniform(0, 0.1))
+            if not self.seen.jobs:
+                continue
+            job = self.reads.choice(list(self.seen.jobs)[-RECENT:])
+            after = self.reads.randint(0, len(self.known(job).held))
+            gateway = self.reads.choice(self.deployment.of_kind("gateway"))
+            answer = await self.ask_results(job, after, gateway)
+            if answer is not None and answer[0] == 200:
+                self.take_page(job, after, answer[1], gateway.name)
+
+    async def ask_results(self, job: str, after: int, gateway):
+        """Ask a gateway for results from a position on."""
+        target = results_target(job, after)
+        return await self.ask("GET", target, self.new_id(), gateway=gateway)
+
+    def known(self, job: str) -> Positions:
+        """Return what was read of a job."""
+        return self.seen.positions.setdefault(job, Positions(job))
+
+    def take_page(self, job: str, after: int, content: bytes, reader: str) -> list:
+        """Take results of a job from a position on, and return them."""
+        results = json.loads(content)["results"]
+        self.seen.wrong += self.known(job).take(after, results, reader)
+        return results
+
+    async def read(self, job: str, gateway) -> list[dict]:
+        """Read all results of a job at a gateway, however long that takes."""
         found: list[dict] = []
         while len(found) < len(self.seen.jobs[job]):
-            target = results_target(job, len(found))
-            answer = await self.ask("GET", target, self.new_id(), gateway=gateway)
+            answer = await self.ask_results(job, len(found), gateway)
             if answer is None or answer[0] != 200:
                 if answer is not None and answer[0] in (404, 410):
                     self.seen.wrong.append(f"{job}: an accepted job is not known")
                     return found
                 await asyncio.sleep(0.1)
                 continue
-            found += json.loads(answer[1])["results"]
+            found += self.take_page(job, len(found), answer[1], gateway.name)
         return found
--- a/standins/users_store.py
+++ b/standins/users_store.py
@@ -42,12 +42,16 @@
         Share of the writes that take effect and are not answered.
     late : float
         Seconds by which lost writes take effect later.
+    answer_late : float
+        Seconds by which answers to writes come after they took effect, while the feed
+        goes on.
     """
 
     down: str = ""
     slow: float = 0.0
     lose: float = 0.0
     late: float = 0.0
+    answer_late: float = 0.0
 
 
 async def cut():
@@ -104,8 +108,12 @@
             return Response(200, [], cut())
         outcome = await self.tables.commit(writes)
         if isinstance(outcome, Committed):
-            return self.answer()
-        return Response(412, [], json.dumps({"rows": []}).encode())
+            # Made before the pause: its version is that of this transaction.
+            answer = self.answer()
+        else:
+            answer = Response(412, [], json.dumps({"rows": []}).encode())
+        await asyncio.sleep(self.faults.answer_late)
+        return answer
 
     async def commit_late(self, writes: list[Write]) -> None:
         """Apply a transaction whose answer is lost, at once or later."""
