A batch job that names an item twice is refused whole

Cause: nothing compared the ids of one submission with each other, only a second submission with the first. One row holds the result of an item, so both copies run, one transaction names the row twice, and the total is never reached.

Change: split, which every job passes, raises RepeatedItem; the face answers 400 with the id in one line. An id that is no text is refused too: 1 and "1" are one row.

Weighed: dropping the copies. The caller's count of its items would then be wrong without a word, and two copies may differ in body or group.

Before, on the whole path over loopback, 3 of 3 new cases fail: ids (one, one), (one, two, one) and (1, "1") are each answered 202; total 2, 3 and 2 against 1, 2 and 1 rows of results; the gateway that follows changes lists item one at two positions each time. After: 400 for each, 0 rows of the job stored; 3 of 3 pass, and the test of split with copies in one group and in two.

--- a/gypsumshift/jobs/schedule.py
+++ b/gypsumshift/jobs/schedule.py
@@ -5,12 +5,13 @@
 third of the items. A long item that waits makes the step late; a short one does not.
 """
 
+import collections
 import statistics
 from collections.abc import Collection
 
 from gypsumshift.jobs.model import Item, Job, Unit, UnitSummary
 
-__all__ = ["begin_order", "long_units", "split", "urgency"]
+__all__ = ["RepeatedItem", "begin_order", "long_units", "split", "urgency"]
 
 # Items of a group that are claimed together, both of which begin at once. They share a
 # prompt, which costs 1 to 5 ms to read again, the tenth of an event. With four, places
@@ -28,12 +29,21 @@
 URGENCY = 5
 
 
+class RepeatedItem(ValueError):
+    """Several items of a batch job have one id."""
+
+
 def split(items: list[Item]) -> list[Unit]:
     """Return the units of a batch job, groups in the order of their first items.
 
     Items of one group lie in the order of their estimates, so that a unit holds
     items of about the same length.
+
+    Raises
+    ------
+    RepeatedItem
     """
+    check_ids(items)
     groups: dict[str, list[Item]] = {}
     for number, item in enumerate(items):
         groups.setdefault(item.group or f"item-{number}", []).append(item)
@@ -45,6 +55,18 @@
     return units
 
 
+def check_ids(items: list[Item]) -> None:
+    """Raise `RepeatedItem` where several items have one id.
+
+    One row holds the result of an item: two copies had 1 row for a total of 2, so that
+    the job could not end.
+    """
+    counts = collections.Counter(item.id for item in items)
+    repeated = [item_id for item_id, count in counts.items() if count > 1]
+    if repeated:
+        raise RepeatedItem(f"several items have the id {repeated[0]!r}")
+
+
 def chunks(members: list[Item]) -> list[list[Item]]:
     """Return the items of one group, cut where a unit would grow too large."""
     found: list[list[Item]] = []
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -3,10 +3,14 @@
 import asyncio
 import random
 
+import attrs
+import pytest
+
 from gypsumshift.jobs import Desk, Result, ResultState, split
 from gypsumshift.jobs.committer import TEXT_IN_ROW, Committer, Finished
 from gypsumshift.jobs.desk import KEEP_ENDED
 from gypsumshift.jobs.model import JOB_KEY, JOBS, RESULTS, Claim, to_row
+from gypsumshift.jobs.schedule import RepeatedItem
 from gypsumshift.memory import MemoryTables
 from gypsumshift.outcomes import Committed, NotRun, Unavailable, Unknown
 from gypsumshift.platforms import Row
@@ -51,6 +55,22 @@
     asyncio.run(play())
 
 
+def test_items_with_one_id_make_no_job_and_are_named():
+    """Two items with one id are refused before anything is stored of them.
+
+    What users would see: a job of 5 items that never has more than 4 results. The
+    copies may stand in one group or in two, far from each other.
+
+    Cause: one row holds the result of an item, whatever the number of its copies.
+    """
+    found = items(2)
+    again = attrs.evolve(found[0], group="other")
+    for repeated in ([*found, again], [again, *found], [found[0], again]):
+        with pytest.raises(RepeatedItem, match=found[0].id):
+            split(repeated)
+    assert len(split(found)) == 2
+
+
 def test_a_read_during_an_outage_says_so_where_it_cannot_be_sure():
     async def play():
         store = FaultyTables()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -239,6 +239,35 @@
     play(scenario, tmp_path)
 
 
+@pytest.mark.parametrize("ids", [("one", "one"), ("one", "two", "one"), (1, "1")])
+def test_a_batch_job_that_names_an_item_twice_is_refused_whole(tmp_path, ids):
+    """A batch job with two items of one id is not accepted.
+
+    What users would see: a batch job that is answered 202. Its item stands at two
+    positions for those whose gateway was told both results at once; for others one of
+    two results never comes, and the job never ends.
+
+    Order of events: both copies of the item run, as two items of one unit. Their
+    results are one row of the store, written twice in one transaction.
+
+    Cause: nothing looked at the ids of one submission beside each other; only a second
+    submission was told from the first. A number and its digits are one row, too.
+    """
+
+    async def scenario(world):
+        value = json.loads(job_body("job", size=len(ids), groups=1))
+        for one, item_id in zip(value["requests"], ids, strict=True):
+            one["id"] = item_id
+        body = json.dumps(value).encode()
+        exchange, content = await world.ask("POST", "/batch/1", "job", body)
+        assert exchange.status == 400
+        line = json.loads(content)["error"]
+        assert str(ids[0]) in line and "\n" not in line
+        assert not [place for place in world.store.tables.rows if place[1] == "job"]
+
+    play(scenario, tmp_path)
+
+
 @pytest.mark.parametrize(
     ("text", "what"),
     [
