A late read of a job does not bring it back behind its removal

Cause: Desk.find put what a read answered among the known jobs, also where the removal of the job was told while the read was on its way. Changes tell a removal once, and a known job is taken as stored, so the next submission of that id was answered 202 with nothing stored, and an end wrote its row for a job that was gone.

Change: the desk counts the removals that it is told; a read across one is repeated. A read that begins after a removal was told cannot find the job, since reads are linearizable.

Weighed: remembering removed ids (grows, or forgets too early); a mark for each id that is being read (as sound, with more state, and it cannot tell a removal from a failed read beside it). The count is one number; it costs a second read where any removal falls into a read of another job.

--- a/gypsumshift/jobs/desk.py
+++ b/gypsumshift/jobs/desk.py
@@ -107,6 +107,9 @@
         `Job` by id, as far as known here.
     ended : dict
         When a job was seen to have ended, by the monotonic clock, in seconds.
+    removals : int
+        How often a job was told to be removed; any of them has a read of a job repeated
+        that was in flight, so that none need be remembered by its id.
     watches : list of Watch
         To be run by the owner.
     """
@@ -117,6 +120,7 @@
         self.metrics = metrics
         self.jobs: dict[str, Job] = {}
         self.ended: dict[str, float] = {}
+        self.removals = 0
         self.logs: dict[str, ResultLog] = {}
         self.reading = asyncio.Semaphore(READS_AT_ONCE)
         self.job_watch = Watch(store, JOBS, self.take_jobs, self.take_jobs, clock)
@@ -187,6 +191,7 @@
 
     def forget(self, job_id: str) -> None:
         """Drop what is held in memory of a job; the store may still have it."""
+        self.removals += 1
         self.jobs.pop(job_id, None)
         self.ended.pop(job_id, None)
         self.logs.pop(job_id, None)
@@ -278,15 +283,19 @@
 
     async def find(self, job_id: str) -> Job | Missing | Unavailable:
         """Return a job, from the store where it is not known here."""
-        if job_id in self.jobs:
-            return self.jobs[job_id]
-        row = await self.store.read(JOBS, JOB_KEY, job_id)
-        if not isinstance(row, Row):
-            return row
-        try:
-            self.jobs[job_id] = from_row(row.value, Job)
-        except ForeignRow as error:
-            return Unavailable(str(error))
+        while job_id not in self.jobs:
+            removals = self.removals
+            row = await self.store.read(JOBS, JOB_KEY, job_id)
+            if not isinstance(row, Row):
+                return row
+            try:
+                job = from_row(row.value, Job)
+            except ForeignRow as error:
+                return Unavailable(str(error))
+            # An answer may be older than a removal told while it was on its way. Kept,
+            # it had the next submission of the job answered 202 with 0 rows stored.
+            if self.removals == removals:
+                self.jobs[job_id] = job
         return self.jobs[job_id]
 
     async def read(
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -9,10 +9,10 @@
 from gypsumshift.jobs import Desk, Result, ResultState, split
 from gypsumshift.jobs.committer import TEXT_IN_ROW, Committer, Finished
 from gypsumshift.jobs.desk import KEEP_ENDED
-from gypsumshift.jobs.model import JOB_KEY, JOBS, RESULTS, Claim, to_row
+from gypsumshift.jobs.model import END_KEY, JOB_KEY, JOBS, RESULTS, Claim, to_row
 from gypsumshift.jobs.schedule import RepeatedItem
 from gypsumshift.memory import MemoryTables
-from gypsumshift.outcomes import Committed, NotRun, Unavailable, Unknown
+from gypsumshift.outcomes import Committed, Missing, NotRun, Unavailable, Unknown
 from gypsumshift.platforms import Row
 from tests.builders import FaultyTables, ManualClock
 from tests.jobs_world import METRICS, items, job
@@ -119,6 +119,101 @@
     asyncio.run(play())
 
 
+class HeldReads(MemoryTables):
+    """Tables that carry reads of a table out at once, and answer when told to."""
+
+    def __init__(self):
+        super().__init__()
+        self.held = {}
+        self.asked = asyncio.Event()
+
+    async def read(self, table, key, part=""):
+        row = await super().read(table, key, part)
+        if table in self.held:
+            self.asked.set()
+            await self.held[table].wait()
+        return row
+
+
+class Removal:
+    """One of two jobs is removed, and a desk is told so while it reads a job."""
+
+    def __init__(self):
+        self.store = HeldReads()
+        self.desk, self.clock = make_desk(self.store)
+        self.other, _ = make_desk(self.store)
+
+    async def play(self, call):
+        """Return what becomes of a call at that desk whose read is answered last."""
+        for name in ("job", "kept"):
+            units = split(items(step=name))
+            deadline = self.clock.monotonic() + 2
+            await self.other.submit(job(units, name), units, deadline)
+        answered = self.store.held[JOBS] = asyncio.Event()
+        calling = asyncio.create_task(call)
+        async with asyncio.timeout(5):
+            await self.store.asked.wait()
+        await self.other.remove("job")
+        self.desk.take_jobs([Row(JOBS, JOB_KEY, self.store.version, None, "job")])
+        del self.store.held[JOBS]
+        answered.set()
+        return await calling
+
+
+def test_a_late_read_does_not_bring_a_removed_job_back():
+    """A read that was in flight while a job was removed leaves nothing of the job.
+
+    What users would see: a batch job that is submitted and answered 202, and of which
+    nothing is stored. It never has a result, and other gateways answer 404 for it.
+
+    Order of events: a gateway asks the store for a job that it does not know. The job
+    is removed, and the gateway is told so, before that answer comes. The job is
+    submitted again under its id at this gateway.
+
+    Cause: the late answer was put among the known jobs without regard to the removal,
+    which is told once, and a known job is taken as stored.
+    """
+
+    async def play():
+        removal = Removal()
+        await removal.play(removal.desk.read("job", 0, 0))
+        assert not removal.desk.jobs and not removal.desk.logs
+        assert isinstance(await submit(removal.desk, removal.clock), Committed)
+        assert (JOBS, "job", JOB_KEY) in removal.store.rows
+
+    asyncio.run(play())
+
+
+def test_a_late_read_does_not_end_a_removed_job():
+    """A job that is removed while its end is asked for is not there any more.
+
+    What users would see: a batch job that is submitted anew and whose items never
+    start, since a row that ends it was written behind the removal of the one before.
+
+    Cause: as above; the answer to the read was older than the removal that was told.
+    """
+
+    async def play():
+        removal = Removal()
+        deadline = removal.clock.monotonic() + 1
+        outcome = await removal.play(removal.desk.end("job", deadline))
+        assert isinstance(outcome, Missing)
+        assert (JOBS, "job", END_KEY) not in removal.store.rows
+
+    asyncio.run(play())
+
+
+def test_a_job_that_is_read_while_another_is_removed_is_found():
+    """The removal of one job costs a second read of another, and no answer."""
+
+    async def play():
+        removal = Removal()
+        page = await removal.play(removal.desk.read("kept", 0, 0))
+        assert page.total == 4 and set(removal.desk.jobs) == {"kept"}
+
+    asyncio.run(play())
+
+
 def test_nothing_is_held_of_a_job_whose_rows_were_removed():
     desk, _ = make_desk()
     result = to_row(Result("i", ResultState.WHOLE))
