Rows of an item are not taken for those of one whose id begins alike

Cause: texts and partials lie under ITEM/NUMBER and ITEM/SESSION and were read by the prefix ITEM/, which those of an item ITEM/y have too. The count of the pieces of x then never matched, and the longest text that was saved of either was taken for x.

Change: rows_of_item takes only rows whose key without its last part is the item.

Weighed: another separator (rows that are stored would no longer be found, and any letter may stand in an id); comparing Partial.item (helps partials only, texts do not name their item).

Before: 2 of 2 new tests fail. Of the items x, x/0000, x/y and x/y/z, each with its whole text stored, the page is Unavailable (a text is not whole yet) at every read; for x the partial of x/y is returned (2 events against 1). After: 2 of 2 pass: 4 texts whole, each item resumed from its own events, none where it has none.

Conclusion: stays; the rows of the other item are still read, which costs nothing elsewhere.

--- a/gypsumshift/jobs/desk.py
+++ b/gypsumshift/jobs/desk.py
@@ -29,6 +29,7 @@
     parse_row,
     to_row,
 )
+from gypsumshift.jobs.partials import rows_of_item
 from gypsumshift.jobs.resultlog import ResultLog
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import (
@@ -340,9 +341,10 @@
             rows = await self.store.scan(TEXTS, f"{result.item}/", job_id)
         if isinstance(rows, Unavailable):
             return rows
-        if len(rows) != result.pieces:
+        own = rows_of_item(rows, result.item)
+        if len(own) != result.pieces:
             return Unavailable("a text is not whole yet")
-        return "".join(str(row.value.get("text", "")) for row in rows)
+        return "".join(str(row.value.get("text", "")) for row in own)
 
     async def refresh(self, job_id: str, after: int, known: bool) -> Unavailable | None:
         """Read a job's results from the store where the copy may be behind."""
--- a/gypsumshift/jobs/partials.py
+++ b/gypsumshift/jobs/partials.py
@@ -11,7 +11,7 @@
 from gypsumshift.outcomes import Committed, Unavailable
 from gypsumshift.platforms import Row, RowStore, Write
 
-__all__ = ["Partials", "read_rows"]
+__all__ = ["Partials", "read_rows", "rows_of_item"]
 
 # Runs that are saved in one transaction, below the 1 MB that a store takes.
 SAVED_AT_ONCE = 8
@@ -64,10 +64,20 @@
     async def read(self, job: str, item: str) -> Partial | None:
         """Return the longest text that an agent left of an item."""
         rows = await read_rows(self.store, self.clock, PARTIALS, job, f"{item}/")
-        found = [partial for _, partial in parse_rows(rows, Partial)]
+        own = rows_of_item(rows, item)
+        found = [partial for _, partial in parse_rows(own, Partial)]
         return max(found, key=lambda partial: len(partial.events), default=None)
 
 
+def rows_of_item(rows: list[Row], item: str) -> list[Row]:
+    """Return the rows whose keys are those of an item and one part more.
+
+    A scan by prefix finds those of the item ``x/y`` for ``x``, too: with these, the
+    text of ``x`` was never whole, and it went on from events of the other one.
+    """
+    return [row for row in rows if row.key.rpartition("/")[0] == item]
+
+
 async def read_rows(
     store: RowStore, clock: Clock, table: str, job: str, prefix: str = ""
 ) -> list[Row]:
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -8,12 +8,22 @@
 
 from gypsumshift.jobs import Desk, Result, ResultState, split
 from gypsumshift.jobs.committer import TEXT_IN_ROW, Committer, Finished
-from gypsumshift.jobs.desk import KEEP_ENDED
-from gypsumshift.jobs.model import END_KEY, JOB_KEY, JOBS, RESULTS, Claim, to_row
+from gypsumshift.jobs.desk import KEEP_ENDED, Page
+from gypsumshift.jobs.model import (
+    END_KEY,
+    JOB_KEY,
+    JOBS,
+    PARTIALS,
+    RESULTS,
+    Claim,
+    Partial,
+    to_row,
+)
+from gypsumshift.jobs.partials import Partials
 from gypsumshift.jobs.schedule import RepeatedItem
 from gypsumshift.memory import MemoryTables
 from gypsumshift.outcomes import Committed, Missing, NotRun, Unavailable, Unknown
-from gypsumshift.platforms import Row
+from gypsumshift.platforms import Row, Write
 from tests.builders import FaultyTables, ManualClock
 from tests.jobs_world import METRICS, items, job
 
@@ -102,6 +112,66 @@
     asyncio.run(play())
 
 
+def test_texts_of_items_whose_ids_begin_alike_are_each_read_whole():
+    """The text of an item is made of its own rows, whatever other items are called.
+
+    What users would see: a batch job that is answered 503 from one position on, for
+    good, though the store answers and all its items are done.
+
+    Cause: the texts' rows are ``ITEM/NUMBER``, and all rows that begin with ``x/`` were
+    taken for those of ``x``, also those of the item ``x/y``.
+    """
+
+    async def play():
+        desk, clock = make_desk()
+        names = ["x", "x/0000", "x/y", "x/y/z"]
+        found = [
+            attrs.evolve(item, id=n) for item, n in zip(items(), names, strict=True)
+        ]
+        units = split(found)
+        await desk.submit(job(units), units, clock.monotonic() + 2)
+        committer = Committer(desk.store, clock)
+        for name in names:
+            text = f"{name} " * (TEXT_IN_ROW // 2)
+            result = Result(name, ResultState.WHOLE, text, (1,), "x")
+            committer.put(Finished("job", "00000", result))
+        await committer.drain()
+        page = await desk.read("job", 0, 0)
+        assert isinstance(page, Page), page
+        assert [r.item for r in page.results] == names
+        for result in page.results:
+            assert set(result.text.split()) == {result.item}
+            assert len(result.text) == result.size
+
+    asyncio.run(play())
+
+
+def test_an_item_is_resumed_from_its_own_events_only():
+    """What was saved of an item is not taken for another whose id begins alike.
+
+    What users would see: a result whose text begins with the events of another item.
+
+    Order of events: the agent that runs ``x`` and ``x/y`` ends; of ``x/y`` more was
+    saved. The next agent goes on with ``x`` behind the longest text that was saved.
+
+    Cause: as above, for rows ``ITEM/SESSION``.
+    """
+
+    async def play():
+        store, clock = MemoryTables(), ManualClock()
+        rows = {"x/s": ("x", 1), "x/y/s": ("x/y", 2), "z/y/s": ("z/y", 1)}
+        for key, (item, count) in rows.items():
+            events = tuple(f"{item}:{n}" for n in range(count))
+            value = to_row(Partial(item, events, (1,)))
+            await store.commit([Write(PARTIALS, key, value, part="job")])
+        partials = Partials(store, "other", clock)
+        assert (await partials.read("job", "x")).item == "x"
+        assert (await partials.read("job", "x/y")).item == "x/y"
+        assert await partials.read("job", "z") is None
+
+    asyncio.run(play())
+
+
 def test_an_old_job_is_removed_whole_and_a_young_one_is_kept():
     async def play():
         desk, clock = make_desk()
