Units of an accepted job stay, whatever comes under its id

Cause: of a job of several transactions only the last was conditional on the absence of the job; those before it wrote their units over those that stood there. A second submission with another body (or cut into other units by another release), at a gateway that did not know the job, or a late copy of such a write, replaced the units of a job that ran.

A conflict means, as before, that the job is there.

Weighed: units only where absent, a conflict taken for an earlier try: a try that was cut off, with another body, would leave its units in the job that the next one makes.

Before: 3 of 3 new tests fail. Of 200 units in 3 transactions 180 hold the second body, after a Committed; a cut-off try that comes again behind the accepted one does the same; the state machine with each unit a transaction finds a unit rewritten by two submissions. After: 3 of 3 pass, 0 of 200 rewritten; late copies are refused; a try that was cut off behind 2 of 3 transactions is made whole at another gateway, by the same or another body.

--- a/gypsumshift/jobs/desk.py
+++ b/gypsumshift/jobs/desk.py
@@ -261,14 +261,16 @@
             batches[-1].append(Write(UNITS, unit.key, to_row(unit), part=job.id))
             size += added
         row = Write(JOBS, JOB_KEY, to_row(job), ABSENT, part=job.id)
-        batches[-1].append(row)
-        return batches
+        # Units are written only while there is no job: else another body under its id
+        # replaced 180 of 200 units of a job that ran, and a late write may do so, too.
+        absent = attrs.evolve(row, value=None, check=True)
+        return [[*batch, absent] for batch in batches[:-1]] + [[*batches[-1], row]]
 
     async def write(self, writes: list[Write], deadline: float):
         """Write until the outcome is certain, or the deadline has passed.
 
-        The rows are either the same on each try or written only where absent, so
-        trying again does no harm.
+        The rows are the same on each try, or conditional on what is absent, so trying
+        again does no harm.
         """
         uncertain = None
         while True:
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -1,6 +1,7 @@
 """Batch jobs at the desk: accepted once, read by position, removed when old."""
 
 import asyncio
+import collections
 import random
 
 import attrs
@@ -15,14 +16,24 @@
     JOBS,
     PARTIALS,
     RESULTS,
+    UNITS,
     Claim,
     Partial,
+    Unit,
+    parse_rows,
     to_row,
 )
 from gypsumshift.jobs.partials import Partials
 from gypsumshift.jobs.schedule import RepeatedItem
 from gypsumshift.memory import MemoryTables
-from gypsumshift.outcomes import Committed, Missing, NotRun, Unavailable, Unknown
+from gypsumshift.outcomes import (
+    Committed,
+    Conflict,
+    Missing,
+    NotRun,
+    Unavailable,
+    Unknown,
+)
 from gypsumshift.platforms import Row, Write
 from tests.builders import FaultyTables, ManualClock
 from tests.jobs_world import METRICS, items, job
@@ -81,6 +92,64 @@
     assert len(split(found)) == 2
 
 
+def large_job(body):
+    """Return the units of a job of three transactions, whose items have a body."""
+    return split([attrs.evolve(item, body=body) for item in items(200)])
+
+
+def unit_bodies(store):
+    """Return how many units of the store have each body."""
+    rows = [row for place, row in store.rows.items() if place[0] == UNITS]
+    units = [unit for _, unit in parse_rows(rows, Unit)]
+    return collections.Counter(unit.items[0].body for unit in units)
+
+
+def test_units_of_a_job_stay_as_they_were_accepted():
+    """Another body under the id of a job that runs changes none of its units.
+
+    What users would see: a batch job whose later items are run with a body that was
+    sent after the job was accepted, and results that fit neither body as a whole.
+
+    Order of events: a job of several transactions is accepted. It comes again, with
+    another body or cut into other units by another release, at a gateway that does not
+    know it; or a transaction of an earlier try is carried out late.
+
+    Cause: only the last transaction was conditional. All those before it wrote their
+    units over those that stood there.
+    """
+
+    async def play():
+        one, clock = make_desk()
+        other, _ = make_desk(one.store)
+        first, second = large_job(b"first"), large_job(b"second")
+        deadline = clock.monotonic() + 2
+        assert isinstance(await one.submit(job(first), first, deadline), Committed)
+        assert isinstance(await other.submit(job(second), second, deadline), Committed)
+        assert unit_bodies(one.store) == {b"first": 200}
+        for late in other.batches(job(second), second):
+            assert isinstance(await one.store.commit(late), Conflict)
+
+    asyncio.run(play())
+
+
+def test_a_job_whose_first_try_was_cut_off_is_whole_after_the_next_one():
+    """A try at another gateway makes a job whole, also with another body."""
+
+    async def play(body):
+        one, clock = make_desk()
+        other, _ = make_desk(one.store)
+        first, second = large_job(b"first"), large_job(body)
+        for batch in one.batches(job(first), first)[:-1]:
+            assert isinstance(await one.store.commit(batch), Committed)
+        deadline = clock.monotonic() + 2
+        assert isinstance(await other.submit(job(second), second, deadline), Committed)
+        assert isinstance(await one.submit(job(first), first, deadline), Committed)
+        assert unit_bodies(one.store) == {body: 200}
+
+    asyncio.run(play(b"first"))
+    asyncio.run(play(b"second"))
+
+
 def test_a_read_during_an_outage_says_so_where_it_cannot_be_sure():
     async def play():
         store = FaultyTables()
--- a/tests/test_desk_machine.py
+++ b/tests/test_desk_machine.py
@@ -2,11 +2,14 @@
 
 import asyncio
 
+import attrs
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from gypsumshift.jobs import Desk, Result, ResultState, split
+from gypsumshift.jobs import Desk, Result, ResultState, Unit, split
+from gypsumshift.jobs import desk as desk_module
 from gypsumshift.jobs.committer import Finished, result_writes
+from gypsumshift.jobs.model import UNITS, parse_rows
 from gypsumshift.outcomes import Committed, NotRun, Unavailable
 from tests.builders import FaultyTables, ManualClock
 from tests.jobs_world import METRICS, items, job
@@ -97,4 +100,43 @@
             assert ("jobs", name, "job") not in self.store.rows
 
 
+class TwoDesksManyWrites(TwoDesks):
+    """The same where each unit is a transaction, and other bodies come under an id.
+
+    A job's units are stored before the job. What users would see where they change
+    behind it: items that are run with a body that came after the job was accepted.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.writes_at_once = desk_module.WRITES_AT_ONCE
+        desk_module.WRITES_AT_ONCE = 1
+        self.units_before = {}
+
+    def teardown(self):
+        desk_module.WRITES_AT_ONCE = self.writes_at_once
+
+    @rule(desk=DESKS, name=st.sampled_from(JOBS), body=st.sampled_from([b"x", b"y"]))
+    def submit_another_body(self, desk, name, body):
+        found = [attrs.evolve(item, body=body) for item in items(2, step=name)]
+        units = split(found)
+        deadline = self.clock.monotonic() + 1
+        outcome = self.do(self.desks[desk].submit(job(units, name), units, deadline))
+        if isinstance(outcome, Committed):
+            self.accepted.add(name)
+        if not isinstance(outcome, NotRun):
+            self.refused_always.discard(name)
+
+    @invariant()
+    def units_of_a_job_stay(self):
+        for name in JOBS:
+            if ("jobs", name, "job") not in self.store.rows:
+                continue
+            units = {p: r for p, r in self.store.rows.items() if p[:2] == (UNITS, name)}
+            assert self.units_before.setdefault(name, units) == units, "a unit changed"
+            found = [unit for _, unit in parse_rows(units.values(), Unit)]
+            assert len({i.body for unit in found for i in unit.items}) == 1
+
+
 TestTwoDesks = TwoDesks.TestCase
+TestTwoDesksManyWrites = TwoDesksManyWrites.TestCase
