A seeded simulation of agents and desks over a store whose answers come late

Cause: the order of events that put an item at two positions was found by hand; nothing played agents, desks and late answers together by chance.

Change: two agents, a desk that follows and one that reads, writes that are answered late, lost, refused or carried out later, units handed over and agents started again, in the loop's own time.

Ruled out: real time (the same needs 20 s a seed and bounds on the machine's speed).

--- /dev/null
+++ b/tests/test_late_machine.py
@@ -0,0 +1,198 @@
+"""Agents and desks over a store whose answers come late: no item stands twice.
+
+What users saw is told in `test_late_answers.py`. Here the order of events is left to
+chance, in the loop's own time, so that seconds cost nothing and a seed plays alike.
+"""
+
+import asyncio
+import collections
+import random
+
+import pytest
+
+from gypsumshift.clock import SystemClock
+from gypsumshift.jobs import Desk, Event, split
+from gypsumshift.jobs.agent import Agent
+from gypsumshift.jobs.station import Home
+from gypsumshift.memory import MemoryTables
+from gypsumshift.outcomes import Unavailable, Unknown
+from gypsumshift.platforms import WrappedStore
+from gypsumshift.serving import Directory
+from gypsumshift.watch import run_all
+from tests import jobs_world as jw
+
+# Seconds with faults, until all is listed, and for what is still on its way.
+FAULTS, CALM, REST = 8.0, 40.0, 6.0
+
+
+class OwnTime(asyncio.SelectorEventLoop):
+    """Loop whose time goes on at once to the next thing that waits for it."""
+
+    seconds = 100.0
+
+    def time(self):
+        return self.seconds
+
+    def _run_once(self):
+        if not self._ready and self._scheduled:
+            self.seconds = max(self.seconds, self._scheduled[0]._when)
+        super()._run_once()
+
+
+class LoopClock(SystemClock):
+    def monotonic(self):
+        return asyncio.get_running_loop().time()
+
+
+class Way(WrappedStore):
+    """The way of one process to the store, on which writes and answers are late."""
+
+    def __init__(self, world):
+        super().__init__(world.tables)
+        self.world = world
+        self.chance = world.chances()
+        self.ended = False
+
+    async def pass_(self, most):
+        await asyncio.sleep(self.chance.uniform(0.001, most))
+        if self.ended:
+            await asyncio.Event().wait()
+
+    async def commit(self, writes):
+        await self.pass_(0.005)
+        fates = ("late", "late", "late", "lost", "later", "refused", "well")
+        fate = self.chance.choice(fates) if self.world.faulty else "well"
+        if fate == "refused":
+            return Unavailable("429")
+        if fate == "later":
+            late = self.carry_out(writes, self.chance.uniform(0.4, 5.0))
+            self.world.tasks.append(asyncio.create_task(late))
+            await self.pass_(0.4)
+            return Unknown("no answer, and not carried out yet")
+        rows = [(w.table, w.part, w.key) for w in writes]
+        self.world.doubled += [row for row in rows if rows.count(row) > 1]
+        outcome = await self.inner.commit(writes)
+        await self.pass_(0.005 if fate == "well" else 1.0)
+        return Unknown("its answer was lost") if fate == "lost" else outcome
+
+    async def carry_out(self, writes, after):
+        await asyncio.sleep(after)
+        await self.inner.commit(writes)
+
+    async def scan(self, table, prefix, part=""):
+        rows = await self.inner.scan(table, prefix, part)
+        await self.pass_(0.01)
+        return rows
+
+
+class Engine(jw.FakeEngine):
+    """Engine whose texts differ from run to run."""
+
+    def __init__(self, world):
+        super().__init__()
+        self.chance = world.chances()
+        self.runs = 0
+
+    async def stream(self, server, item, host, after, urgency):
+        self.runs = run = self.runs + 1
+        for number in range(after + 1, 5):
+            await asyncio.sleep(self.chance.uniform(0.0, 0.1))
+            yield Event(number, f"{item.id}:{number}:{run}", self.version)
+
+
+class Fleet:
+    """Two agents, a desk that follows the store and one that reads it."""
+
+    def __init__(self, seed):
+        self.chance = random.Random(seed)
+        self.tables, self.clock = MemoryTables(), LoopClock()
+        self.faulty, self.doubled, self.tasks = True, [], []
+        self.agents, self.ways = {}, {}
+        self.desks = [Desk(Way(self), self.clock, jw.METRICS) for _ in range(2)]
+        self.jobs, self.stood = {}, collections.defaultdict(dict)
+
+    def chances(self):
+        return random.Random(self.chance.getrandbits(64))
+
+    def start(self, name):
+        directory, way = Directory(), Way(self)
+        directory.set_routes(jw.routes())
+        directory.set_server(jw.server(f"e-{name}"))
+        self.agents[name] = agent = Agent(
+            Home(name, jw.SERVICE, jw.ADDRESS),
+            way,
+            directory,
+            Engine(self),
+            jw.FakeForwarder(),
+            jw.NAMES,
+            self.clock,
+            self.chances(),
+            jw.METRICS,
+        )
+        self.ways[name] = way
+        self.tasks.append(asyncio.create_task(agent.run()))
+
+    async def submit(self, name):
+        units = split(jw.items(self.chance.randint(2, 4), 2, step=name))
+        self.jobs[name] = job = jw.job(units, name)
+        await self.desks[0].submit(job, units, self.clock.monotonic() + CALM)
+        for desk in self.desks:
+            self.tasks.append(asyncio.create_task(self.read_on(desk, name)))
+
+    async def read_on(self, desk, name):
+        """Read as trainers do; what stood somewhere stands there at every desk."""
+        chance, after = self.chances(), 0
+        while True:
+            page = await desk.read(name, chance.choice((0, after)), 0.2)
+            after = max(after, page.next)
+            for place, result in enumerate(page.results, page.next - len(page.results)):
+                known = self.stood[name].setdefault(place, result)
+                assert known == result, f"{place} of {name} holds another result"
+            await asyncio.sleep(chance.uniform(0.02, 0.2))
+
+    async def disturb(self):
+        agent = self.agents[name := self.chance.choice("ab")]
+        if self.chance.random() < 0.1:
+            self.ways[name].ended = True
+            self.start(name)
+        elif agent.runner.units and self.chance.random() < 0.5:
+            units = list(agent.runner.units.values())
+            agent.runner.hand_over(self.chance.choice(units), "chance")
+        await asyncio.sleep(self.chance.uniform(0.0, 0.5))
+
+    async def play(self):
+        self.tasks.append(asyncio.create_task(run_all(self.desks[0].watches)))
+        for name in "ab":
+            self.start(name)
+        for name in ("one", "two"):
+            self.tasks.append(asyncio.create_task(self.submit(name)))
+        until = self.clock.monotonic() + FAULTS
+        while self.clock.monotonic() < until:
+            await self.disturb()
+        self.faulty, until = False, until + CALM
+        due = sum(job.total for job in self.jobs.values())
+        while self.clock.monotonic() < until:
+            if sum(map(len, self.stood.values())) >= due:
+                break
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(REST)
+        self.check()
+
+    def check(self):
+        for task in self.tasks:
+            if task.done() and not task.cancelled():
+                task.result()
+        assert not self.doubled, "a transaction names a row twice"
+        for name, job in self.jobs.items():
+            items = [result.item for result in self.stood[name].values()]
+            due = [item for unit in job.units for item in unit.items]
+            assert sorted(items) == sorted(due), "each item stands once"
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_items_stand_once_whatever_comes_late(seed):
+    async def play():
+        await Fleet(seed).play()
+
+    with asyncio.Runner(loop_factory=OwnTime) as runner:
+        runner.run(play())
