Claims that a silent engine's agent holds are returned; unexplained refusals are not repeated at once

Cause: two neighbours of the late answer. A claim that was carried out unanswered while the engine fell silent was neither begun nor given back, since only who looks for work began it. And a claim that was refused, with nothing read that says why, was tried again without a pause.

Change: what the store has as this agent's is begun before all is given back; after a refusal that no claim explains an agent waits for news as after any other failure.

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -225,6 +225,8 @@
             if not was_healthy or versions != self.weights.ready_versions():
                 self.note_news()
         if not self.station.healthy:
+            # Claims that were carried out unanswered are given back as well.
+            self.claimer.adopt()
             self.runner.hand_over_all("the engine does not serve")
             return
         self.shed_if_slow()
--- a/gypsumshift/jobs/claimer.py
+++ b/gypsumshift/jobs/claimer.py
@@ -127,9 +127,18 @@
             self.begin(candidate)
             return True
         if isinstance(outcome, Conflict):
-            return await self.learn_claims(job.id)
+            return await self.learn_claims(job.id) and self.explained(candidate)
         return False
 
+    def explained(self, candidate: Candidate) -> bool:
+        """Tell whether what was read of a claim says why it was refused.
+
+        Else the next try is the same: 133 a second were seen for a job whose removal
+        had not been told.
+        """
+        held = self.board.held(candidate.job.id, candidate.unit.key)
+        return held is not None and held.version != candidate.version
+
     def note_late_answer(self, row: Row, asked_at: float) -> None:
         """Log that a claim was told by the store's changes before it was answered."""
         held = self.board.held(row.part, row.key)
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -23,12 +23,13 @@
 import pytest
 
 from gypsumshift.jobs import Result, ResultState
+from gypsumshift.jobs.agent import CLAIMS_AT_ONCE
 from gypsumshift.jobs.committer import Committer, Finished
 from gypsumshift.jobs.model import AGENTS, CLAIMS, RESULTS, Claim, Heartbeat, to_row
 from gypsumshift.jobs.presence import Presence
 from gypsumshift.jobs.resultlog import ResultLog
 from gypsumshift.memory import MemoryTables
-from gypsumshift.outcomes import Unknown
+from gypsumshift.outcomes import Conflict, Unknown
 from gypsumshift.platforms import ABSENT, Row, Write
 from tests.jobs_world import FakeEngine, HeldAnswers, World
 
@@ -86,6 +87,43 @@
         return outcome
 
 
+class LosesClaims(HeldAnswers):
+    """Tables that carry claims out, and say nothing of them until told to."""
+
+    def __init__(self):
+        super().__init__()
+        self.lost = 0
+        self.told = asyncio.Event()
+
+    async def changes(self, table, after, wait):
+        answer = await super().changes(table, after, wait)
+        if self.lost:
+            await self.told.wait()
+        return answer
+
+    async def commit(self, writes):
+        outcome = await super().commit(writes)
+        if any(w.table == CLAIMS and w.value for w in writes):
+            self.lost += 1
+            await self.told.wait()
+            return Unknown("the answer was lost")
+        return outcome
+
+
+class Refuses(MemoryTables):
+    """Tables that refuse claims and have none."""
+
+    def __init__(self):
+        super().__init__()
+        self.refused = 0
+
+    async def commit(self, writes):
+        if any(w.table == CLAIMS for w in writes):
+            self.refused += 1
+            return Conflict("the job is gone")
+        return await super().commit(writes)
+
+
 async def turns(count=500):
     """Let as many turns of the loop pass as a run of an item takes, and more."""
     for _ in range(count):
@@ -326,6 +364,53 @@
     play(scenario)
 
 
+def test_a_claim_that_was_carried_out_while_the_engine_fell_silent_is_returned():
+    """Items of a step waited for an engine that did not serve, though others had room.
+
+    The engine fell silent while its agent's claim was on its way. The claim was carried
+    out and its answer lost, and who does not look for work did not begin the unit, so
+    it was not given back either.
+    """
+
+    async def scenario():
+        store = LosesClaims()
+        world = World(store=store)
+        engine = FakeEngine()
+        agent = world.agent(engine=engine)
+        await until(lambda: agent.station.healthy)
+        await world.submit(groups=1, size=2)
+        await until(lambda: store.lost)
+        engine.serves = False
+        await until(lambda: not agent.station.healthy)
+        store.told.set()
+        await until(lambda: store.rows["claims", "job", "00000"].value == {})
+        assert not engine.started
+        await world.close()
+
+    play(scenario)
+
+
+def test_a_conflict_that_no_claim_explains_is_not_tried_again_at_once():
+    """An agent asked the store without pause, 133 times a second, for one unit.
+
+    Its job had been removed, and that was not told. Its claim conflicted, the claims
+    that it read did not say why, and the next try was the same.
+    """
+
+    async def scenario():
+        store = Refuses()
+        world = World(store=store)
+        agent = world.agent()
+        await until(lambda: agent.station.healthy)
+        await world.submit(groups=1, size=2)
+        await until(lambda: store.refused)
+        await turns()
+        assert store.refused <= CLAIMS_AT_ONCE
+        await world.close()
+
+    play(scenario)
+
+
 def test_a_transaction_that_names_a_row_twice_is_an_error_of_the_caller():
     writes = [Write(RESULTS, "i", {"text": text}, ABSENT, part="job") for text in "ab"]
     with pytest.raises(ValueError, match="names a row twice: results/job/i"):
