A process that stops returns what its claims bring, and room is looked at after a question

A claim answered after a stopping process had given its units back began its unit, which others then missed for 1.5 s; and a unit was claimed on the room that there was before its holder was asked.

Change: stopping goes on until no claim is on its way and no unit is held; after a question, room and stopping are looked at again.

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -12,7 +12,7 @@
 from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.jobs.claimer import Claimer
-from gypsumshift.jobs.claims import ClaimBoard
+from gypsumshift.jobs.claims import Candidate, ClaimBoard
 from gypsumshift.jobs.engine import Engine
 from gypsumshift.jobs.heart import STORE_WRITES, Heart
 from gypsumshift.jobs.model import (
@@ -61,6 +61,10 @@
 # is slow, and other agents may have better luck with it.
 SCORING_ROUNDS = 2
 
+# Seconds between two looks at what claims bring while this process stops: several
+# usual answers of the store.
+LEAVE_PAUSE = 0.05
+
 log = logs.logger("agent")
 
 
@@ -306,12 +310,32 @@
             )
             if candidate is None:
                 return
-            if candidate.silent and not await self.claimer.holder_gone(candidate):
+            if candidate.silent and not await self.may_take(candidate, limits):
                 continue
             if not await self.claimer.claim(candidate):
                 return
 
+    async def may_take(self, candidate: Candidate, limits: EngineLimits) -> bool:
+        """Tell whether a unit of a silent agent may be claimed, once it was asked.
+
+        Meanwhile other claims may have taken the room, or this process been stopped.
+        """
+        if not await self.claimer.may_take(candidate):
+            return False
+        unit = candidate.unit
+        fits = self.room(limits).fits(len(unit.items), unit.memory)
+        return fits and not self.leaving
+
     async def leave(self) -> None:
-        """Give all work back, and wait until results are stored."""
+        """Give all work back, and wait until results are stored.
+
+        Claims that are on their way bring work as long as they are: not returned, a
+        unit waits for others to miss this process, 1.5 s.
+        """
         self.leaving = True
-        await self.runner.leave()
+        while True:
+            self.claimer.adopt()
+            await self.runner.leave()
+            if not self.board.claiming and not self.runner.units:
+                return
+            await self.clock.sleep(LEAVE_PAUSE)
--- a/gypsumshift/jobs/claimer.py
+++ b/gypsumshift/jobs/claimer.py
@@ -64,7 +64,7 @@
         """Whether a silent agent may be asked now."""
         return self.clock.monotonic() - self.asked_at >= ASK_PAUSE
 
-    async def holder_gone(self, candidate: Candidate) -> bool:
+    async def may_take(self, candidate: Candidate) -> bool:
         """Ask the silent holder of a unit; tell whether the unit may be claimed.
 
         A heartbeat or another claim that came while it was asked goes before an answer
@@ -85,7 +85,7 @@
         return works
 
     def adopt(self) -> None:
-        """Start units that are held by the store but not run, answered or not."""
+        """Run units that the store has as this agent's, whether that was answered."""
         for job, unit in self.board.mine():
             asked = self.board.claiming.get((job.id, unit.key))
             self.begin(asked or Candidate(job, unit, ABSENT, True))
@@ -100,8 +100,8 @@
         """
         job, unit = candidate.job, candidate.unit
         held = self.board.held(job.id, unit.key)
-        returning = (job.id, unit.key) in self.runner.returns.places
-        if self.board.own(held) and not returning:
+        returning = (job.id, unit.key) in self.runner.returns.pending
+        if self.board.is_own(held) and not returning:
             self.runner.start(candidate, held.version)
 
     async def claim(self, candidate: Candidate) -> bool:
--- a/gypsumshift/jobs/claims.py
+++ b/gypsumshift/jobs/claims.py
@@ -234,7 +234,7 @@
         tracked = self.open.get(job_id)
         return tracked.claims.get(key) if tracked else None
 
-    def own(self, held: Held | None) -> bool:
+    def is_own(self, held: Held | None) -> bool:
         """Tell whether a claim is this agent's, of a unit that is not done."""
         if held is None:
             return False
@@ -246,7 +246,7 @@
             (tracked.job, unit)
             for tracked in self.open.values()
             for unit in tracked.order
-            if self.own(tracked.claims.get(unit.key))
+            if self.is_own(tracked.claims.get(unit.key))
         ]
 
     def waiting(self, model: str) -> int:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -88,6 +88,25 @@
     assert choose(own).silent is not None
 
 
+def test_a_candidate_is_claimed_only_as_it_was_chosen():
+    """What was told while its holder was asked goes first: claims, an end, own ones."""
+    own, clock, value = make_board(groups=2)
+    for key in ("00000", "00001"):
+        own.take_claims([claim_row("job", key, "other", "s", 3)])
+    clock.advance(SILENCE + 0.1)
+    chosen = choose(own)
+    assert own.claimable(chosen)
+    own.claiming["job", chosen.unit.key] = chosen
+    assert not own.claimable(chosen), "its claim is on its way"
+    own.claiming.clear()
+    own.take_claims([claim_row("job", chosen.unit.key, "third", "t", 4)])
+    clock.advance(SILENCE + 0.1)
+    assert not own.claimable(chosen), "another agent held it meanwhile"
+    chosen = choose(own)
+    own.close(value.id)
+    assert not own.claimable(chosen), "its job has ended"
+
+
 def test_nobody_is_taken_for_dead_while_the_store_is_away():
     own, clock, _ = make_board(groups=1)
     own.peers.take([pulse("other", "s", 1, 2)])
--- /dev/null
+++ b/tests/test_late_claims.py
@@ -0,0 +1,246 @@
+"""What an agent knows of its claims may be old by the time it acts on it.
+
+The store has a unit as one agent's until another write is carried out, and each answer
+and each question takes time in which more may be told. Each test opens with what users
+saw of it.
+"""
+
+import asyncio
+
+from gypsumshift.jobs.agent import CLAIMS_AT_ONCE
+from gypsumshift.jobs.model import AGENTS, CLAIMS, Claim, Heartbeat, to_row
+from gypsumshift.jobs.presence import Presence
+from gypsumshift.platforms import Write
+from tests.jobs_world import FakeEngine, HeldAnswers, World
+from tests.late_world import (
+    Broken,
+    LosesClaims,
+    LosesReturns,
+    Refuses,
+    TellsNoClaims,
+    play,
+    turns,
+    until,
+)
+
+
+def test_a_unit_that_is_handed_over_is_not_begun_by_who_looks_for_work_then():
+    """An engine was slow, and its unit began anew on it instead of elsewhere.
+
+    The agent was about to look for work when the unit was handed over. Its look came
+    before the first turn of the task that gives the unit back.
+    """
+
+    async def scenario():
+        store = HeldAnswers()
+        world = World(store=store)
+        engine = FakeEngine()
+        engine.hold.clear()
+        agent = world.agent(engine=engine)
+        await world.submit(groups=1, size=2)
+        await until(lambda: len(engine.running) == 2)
+        await turns()
+        store.hold(CLAIMS)
+        agent.note_news()
+        agent.runner.hand_over_all("the engine is slow")
+        await turns()
+        assert len(engine.started) == 2, "the unit began again where it was given back"
+        await world.close()
+
+    play(scenario)
+
+
+def test_a_unit_that_fails_is_left_alone_until_it_was_given_back():
+    """A unit that meets an error of the program ran again and again at one agent.
+
+    It is given back after a pause, in which the store has it as this agent's. Whoever
+    looked for work in the pause began it.
+    """
+
+    async def scenario():
+        world = World()
+        engine = Broken()
+        agent = world.agent(engine=engine)
+        await world.submit(groups=1, size=1)
+        await until(lambda: engine.started and not agent.runner.units)
+        for _ in range(5):
+            agent.note_news()
+            await turns()
+        assert len(engine.started) == 1
+        await world.close()
+
+    play(scenario)
+
+
+def test_a_unit_whose_return_was_carried_out_unanswered_is_not_begun():
+    """An engine began units anew that its agent had given back.
+
+    The answer to the return was lost, its second try conflicted, and until the store's
+    changes came the agent took the unit for its own.
+    """
+
+    async def scenario():
+        store = LosesReturns()
+        world = World(store=store)
+        engine = FakeEngine()
+        engine.hold.clear()
+        agent = world.agent(engine=engine)
+        await world.submit(groups=1, size=2)
+        await until(lambda: len(engine.running) == 2)
+        store.told.clear()
+        await turns()
+        # A slow engine gets nothing new for two seconds.
+        agent.slow_at = agent.clock.monotonic()
+        agent.runner.hand_over_all("the engine is slow")
+        await until(lambda: store.lost and not agent.runner.returns.pending)
+        agent.note_news()
+        await turns()
+        assert len(engine.started) == 2
+        await world.close()
+
+    play(scenario)
+
+
+def test_a_unit_is_not_taken_from_an_agent_that_is_heard_while_it_is_asked():
+    """A step was late, since its items ran at two agents.
+
+    An agent was silent, and the question to it found no answer; its heartbeat came
+    while it was asked, and its unit was taken over all the same.
+    """
+
+    class Overtaken(Presence):
+        def __init__(self):
+            self.answered = False
+
+        async def works(self, claim):
+            beat = to_row(Heartbeat(claim.session, 2))
+            await world.store.commit([Write(AGENTS, claim.agent, beat)])
+            await until(lambda: agent.peers.told(claim.agent).beat == 2)
+            self.answered = True
+            return False
+
+    async def scenario():
+        nonlocal world, agent
+        world, presence, engine = World(), Overtaken(), FakeEngine()
+        beat = to_row(Heartbeat("other", 1))
+        await world.store.commit([Write(AGENTS, "b", beat)])
+        (unit,) = await world.submit(groups=1, size=2)
+        claim = to_row(Claim("b", "other"))
+        await world.store.commit([Write(CLAIMS, unit.key, claim, part="job")])
+        agent = world.agent(engine=engine, presence=presence)
+        await until(lambda: presence.answered)
+        await turns()
+        assert not engine.started, "the unit of an agent that works was taken"
+        await world.close()
+
+    world = agent = None
+    play(scenario)
+
+
+def test_a_claim_that_was_carried_out_while_the_engine_fell_silent_is_returned():
+    """Items of a step waited for an engine that did not serve, though others had room.
+
+    The engine fell silent while its agent's claim was on its way. The claim was carried
+    out and its answer lost, and who does not look for work did not begin the unit, so
+    it was not given back either.
+    """
+
+    async def scenario():
+        store = LosesClaims()
+        world = World(store=store)
+        engine = FakeEngine()
+        agent = world.agent(engine=engine)
+        await until(lambda: agent.station.healthy)
+        await world.submit(groups=1, size=2)
+        await until(lambda: store.lost)
+        engine.serves = False
+        await until(lambda: not agent.station.healthy)
+        store.told.set()
+        await until(lambda: store.rows["claims", "job", "00000"].value == {})
+        assert not engine.started
+        await world.close()
+
+    play(scenario)
+
+
+def test_a_conflict_that_no_claim_explains_is_not_tried_again_at_once():
+    """An agent asked the store without pause, 133 times a second, for one unit.
+
+    Its job had been removed, and that was not told. Its claim conflicted, the claims
+    that it read did not say why, and the next try was the same.
+    """
+
+    async def scenario():
+        store = Refuses()
+        world = World(store=store)
+        agent = world.agent()
+        await until(lambda: agent.station.healthy)
+        await world.submit(groups=1, size=2)
+        await until(lambda: store.refused)
+        await turns()
+        assert store.refused <= CLAIMS_AT_ONCE
+        await world.close()
+
+    play(scenario)
+
+
+def test_an_agent_that_leaves_returns_what_its_claims_bring():
+    """Units of a host that was stopped in turn waited 1.5 s for nobody.
+
+    Its process had given its units back and was ending when a claim of it was answered;
+    it began the unit, and the store had it as held until others missed the process.
+    """
+
+    async def scenario():
+        store = TellsNoClaims()
+        world = World(store=store)
+        engine = FakeEngine()
+        engine.hold.clear()
+        agent = world.agent(engine=engine)
+        await until(lambda: agent.station.healthy)
+        store.hold(CLAIMS)
+        await world.submit(groups=1, size=2)
+        await until(lambda: ("claims", "job", "00000") in store.rows)
+        engine.hold.clear()
+        leaving = asyncio.create_task(agent.leave())
+        await turns()
+        store.answer(CLAIMS)
+        await leaving
+        assert store.rows["claims", "job", "00000"].value == {}
+        await world.close()
+
+    play(scenario)
+
+
+def test_a_unit_is_not_claimed_where_room_went_while_its_holder_was_asked():
+    """An engine was given six items for four places, and its items were late.
+
+    While the holder of a unit was asked, other claims took the room for it.
+    """
+
+    class Slow(Presence):
+        def __init__(self):
+            self.asked = 0
+            self.answer = asyncio.Event()
+
+        async def works(self, claim):
+            self.asked += 1
+            await self.answer.wait()
+            return False
+
+    async def scenario():
+        world, presence, engine = World(), Slow(), FakeEngine()
+        engine.hold.clear()
+        (unit,) = await world.submit("old", groups=1, size=2)
+        claim = to_row(Claim("b", "other"))
+        await world.store.commit([Write(CLAIMS, unit.key, claim, part="old")])
+        agent = world.agent(engine=engine, presence=presence)
+        await until(lambda: presence.asked)
+        await world.submit("new", groups=2, size=2)
+        await until(lambda: agent.runner.load == 4)
+        presence.answer.set()
+        await turns()
+        assert agent.runner.load == 4
+        await world.close()
+
+    play(scenario)
