--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -60,7 +60,6 @@
 # Items that may wait for their scores, in engines full: more show that the application
 # is slow, and other agents may have better luck with it.
 SCORING_ROUNDS = 2
-
 # Seconds between two looks at what claims bring while this process stops: several
 # usual answers of the store.
 LEAVE_PAUSE = 0.05
--- a/gypsumshift/jobs/heart.py
+++ b/gypsumshift/jobs/heart.py
@@ -3,8 +3,7 @@
 The decision answers heartbeats that the store carries out late: behind those of a new
 process, one of the process before it made its claims those of an agent that is gone,
 until its next heartbeat (0.4 to 5 s). So each is written only over the row that its
-writer knows. Weighed: readers that remember the order of sessions; one that started in
-between takes the late one for the newer.
+writer knows.
 """
 
 import zlib
--- a/tests/test_late_claims.py
+++ b/tests/test_late_claims.py
@@ -24,6 +24,17 @@
 )
 
 
+async def busy(store):
+    """Return a world, and an agent with its engine, at which two items run."""
+    world = World(store=store)
+    engine = FakeEngine()
+    engine.hold.clear()
+    agent = world.agent(engine=engine)
+    await world.submit(groups=1, size=2)
+    await until(lambda: len(engine.running) == 2)
+    return world, agent, engine
+
+
 def test_a_unit_that_is_handed_over_is_not_begun_by_who_looks_for_work_then():
     """An engine was slow, and its unit began anew on it instead of elsewhere.
 
@@ -33,12 +44,7 @@
 
     async def scenario():
         store = HeldAnswers()
-        world = World(store=store)
-        engine = FakeEngine()
-        engine.hold.clear()
-        agent = world.agent(engine=engine)
-        await world.submit(groups=1, size=2)
-        await until(lambda: len(engine.running) == 2)
+        world, agent, engine = await busy(store)
         await turns()
         store.hold(CLAIMS)
         agent.note_news()
@@ -81,12 +87,7 @@
 
     async def scenario():
         store = LosesReturns()
-        world = World(store=store)
-        engine = FakeEngine()
-        engine.hold.clear()
-        agent = world.agent(engine=engine)
-        await world.submit(groups=1, size=2)
-        await until(lambda: len(engine.running) == 2)
+        world, agent, engine = await busy(store)
         store.told.clear()
         await turns()
         # A slow engine gets nothing new for two seconds.
