Logs tell which requests are one, and whether a server was gone behind a broken connection

Callers saw: nothing new.

Change: a fingerprint of method, host, target, caller and body (a digest, so that no body and no key is told) stands in the lines of failed attempts and requests. Behind a connection that its server closed, the address is looked at once: where nobody listens, the server has ended. A connection that this opens is kept for the next exchange.

No decision reads either yet.

--- a/gypsumshift/fetch.py
+++ b/gypsumshift/fetch.py
@@ -35,12 +35,26 @@
     reused : bool
         Whether the connection had lain idle before and broke before an answer:
         the server may have closed it before the request came.
+    closed : bool
+        Whether the server ended the connection, as one that ends does with all of its
+        own; one that keeps silent, or sends what is no answer, has not.
+    refused : bool
+        Whether nobody listens at the address.
     """
 
-    def __init__(self, reason: str, sent: bool, reused: bool = False):
+    def __init__(
+        self,
+        reason: str,
+        sent: bool,
+        reused: bool = False,
+        closed: bool = False,
+        refused: bool = False,
+    ):
         super().__init__(reason)
         self.sent = sent
         self.reused = reused
+        self.closed = closed
+        self.refused = refused
 
 
 @attrs.frozen
@@ -110,14 +124,20 @@
 
     async def event(self):
         """Return the next event of the answer."""
+        data = None
         try:
             while True:
                 event = self.wire.state.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self.wire.state.receive_data(await self.wire.reader.read(READ_SIZE))
-        except (h11.RemoteProtocolError, ConnectionError) as error:
-            raise FetchError(f"the answer broke: {error}", True) from error
+                data = await self.wire.reader.read(READ_SIZE)
+                self.wire.state.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            reason = f"the answer broke: {error}"
+            raise FetchError(reason, True, closed=data == b"") from error
+        except ConnectionError as error:
+            reason = f"the answer broke: {error}"
+            raise FetchError(reason, True, closed=True) from error
 
     async def read_head(self) -> None:
         """Read up to the answer's header fields."""
@@ -125,7 +145,8 @@
         while isinstance(event, h11.InformationalResponse):
             event = await self.event()
         if not isinstance(event, h11.Response):
-            raise FetchError("the connection closed before the answer", True)
+            reason = "the connection closed before the answer"
+            raise FetchError(reason, True, closed=True)
         self.status = event.status_code
         self.headers = list(event.headers)
 
@@ -137,7 +158,8 @@
                 self.whole = True
                 return
             if not isinstance(event, h11.Data):
-                raise FetchError("the answer ended before its end", True)
+                reason = "the answer ended before its end"
+                raise FetchError(reason, True, closed=True)
             yield bytes(event.data)
 
     async def read(self) -> bytes:
@@ -178,7 +200,20 @@
                 return Wire(*await asyncio.open_connection(*address))
         except (OSError, TimeoutError) as error:
             reason = f"no connection to {address[0]}:{address[1]}: {error}"
-            raise FetchError(reason, False) from error
+            refused = isinstance(error, ConnectionRefusedError)
+            raise FetchError(reason, False, refused=refused) from error
+
+    async def refuses(self, address: tuple[str, int], timeout: float) -> bool:
+        """Tell whether nobody listens at an address; one that is silent may be cut off.
+
+        A connection that this opens is kept for the next exchange.
+        """
+        try:
+            wire = await self.connect(address, timeout)
+        except FetchError as error:
+            return error.refused
+        self.keep(address, wire, IDLE_TIMEOUT)
+        return False
 
     def take(self, address: tuple[str, int]) -> Wire | None:
         """Return an idle connection that is still clean."""
@@ -265,7 +300,7 @@
             self.drop(address, wire)
             if isinstance(error, ConnectionError):
                 reason = f"the connection broke: {error}"
-                raise FetchError(reason, True, reused) from error
+                raise FetchError(reason, True, reused, closed=True) from error
             if isinstance(error, FetchError):
                 error.reused = reused
             raise
@@ -288,13 +323,20 @@
         """Keep the connection of an exchange where it is clean, else cut it."""
         wire = exchange.wire
         self.forget(exchange.address, wire)
-        wires = self.idle.setdefault(exchange.address, [])
-        if not wire.reusable() or len(wires) >= IDLE_PER_ADDRESS:
+        if not wire.reusable():
             wire.close()
             return
         wire.state.start_next_cycle()
         granted = keep_alive(exchange.header(b"keep-alive"))
-        wire.idle_until = asyncio.get_running_loop().time() + granted
+        self.keep(exchange.address, wire, granted)
+
+    def keep(self, address: tuple[str, int], wire: Wire, seconds: float) -> None:
+        """Keep a clean connection for so long, unless many are kept already."""
+        wires = self.idle.setdefault(address, [])
+        if len(wires) >= IDLE_PER_ADDRESS:
+            wire.close()
+            return
+        wire.idle_until = asyncio.get_running_loop().time() + seconds
         wires.append(wire)
 
     def drop(self, address: tuple[str, int], wire: Wire) -> None:
--- a/gypsumshift/serving/calls.py
+++ b/gypsumshift/serving/calls.py
@@ -1,8 +1,11 @@
 """Calls: a request to be answered, and how one attempt at it can end."""
 
+import functools
+
 import attrs
 
 from gypsumshift.outcomes import Answered
+from gypsumshift.serving.fingerprints import fingerprint
 from gypsumshift.serving.routes import RequestKind, Route
 
 __all__ = ["Attempt", "Call", "Failed", "Refused"]
@@ -28,6 +31,8 @@
     suspect : bool
         Whether a server answered it with a failure before: some requests fail at
         every server, which says nothing about the others.
+    caller : str
+        What names the caller, such as its key; empty where callers are not told apart.
     """
 
     id: str
@@ -39,6 +44,12 @@
     route: Route
     deadline: float
     suspect: bool = False
+    caller: str = ""
+
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """What is the same each time that this request comes, whatever its id."""
+        return fingerprint(self.method, self.host, self.target, self.caller, self.body)
 
     @property
     def repeatable(self) -> bool:
@@ -63,10 +74,21 @@
 
 @attrs.frozen
 class Failed:
-    """An attempt came to nothing; ``sent`` tells whether it may have run."""
+    """An attempt came to nothing.
+
+    Attributes
+    ----------
+    reason : str
+    sent : bool
+        Whether it may have run.
+    ended : bool
+        Whether the server ended under it: its connection broke, and nobody listens
+        at its address any more.
+    """
 
     reason: str
     sent: bool
+    ended: bool = False
 
 
 Attempt = Answered | Refused | Failed
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -114,6 +114,7 @@
                 log,
                 "A request was not served.",
                 request=call.id,
+                fingerprint=call.fingerprint,
                 route=call.route.name,
                 outcome=ending,
                 reason=outcome.reason,
--- a/gypsumshift/serving/headers.py
+++ b/gypsumshift/serving/headers.py
@@ -52,6 +52,8 @@
         Rank among the requests of a model engine, 0 for the most urgent.
     wait : str
         Milliseconds for which the caller lets an answer wait for news.
+    caller : str
+        Key that names the caller.
     """
 
     request_id: str
@@ -67,3 +69,4 @@
     token_counts: str
     urgency: str
     wait: str
+    caller: str
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -21,6 +21,10 @@
 # the delay after which a second one is asked.
 CONNECT_TIMEOUT = 0.3
 
+# Seconds to find out whether a server is gone that ended a connection: a round trip,
+# which callers wait for before another server is asked.
+GONE_TIMEOUT = 0.1
+
 log = logs.logger("sender")
 
 
@@ -79,8 +83,10 @@
                 log,
                 "An attempt failed.",
                 request=call.id,
+                fingerprint=call.fingerprint,
                 server=server.id,
                 reason=reason,
+                ended=getattr(outcome, "ended", False),
                 took_s=round(took, 4),
                 ejected=ejected,
             )
@@ -91,12 +97,21 @@
         try:
             return await self.exchange_once(call, server, fresh)
         except FetchError as error:
-            if not error.reused:
-                return Failed(str(error), error.sent)
+            first = error
+        if not first.reused:
+            return Failed(str(first), first.sent, await self.ended(first, server))
         try:
             return await self.exchange_once(call, server, True)
         except FetchError as error:
-            return Failed(str(error), True)
+            refused = first.closed and error.refused
+            ended = refused or await self.ended(error, server)
+            return Failed(str(error), True, ended)
+
+    async def ended(self, error: FetchError, server: BackendServer) -> bool:
+        """Tell whether a server ended under a request whose connection it closed."""
+        if not (error.sent and error.closed):
+            return False
+        return await self.fetcher.refuses(server.address, GONE_TIMEOUT)
 
     async def exchange_once(self, call, server, fresh: bool) -> Attempt:
         """Exchange on one connection.
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -53,6 +53,7 @@
     token_counts="token-counts",
     urgency="urgency",
     wait="wait",
+    caller="caller",
 )
 MODEL = "m"
 SERVICE = "engines"
--- /dev/null
+++ b/tests/test_ended.py
@@ -0,0 +1,116 @@
+"""What a broken connection says of its server: that it is gone, or that it is not."""
+
+import asyncio
+import random
+
+import attrs
+
+from gypsumshift.clock import SystemClock
+from gypsumshift.fetch import Fetcher
+from gypsumshift.serving import BackendServer, Directory
+from gypsumshift.serving.calls import Call, Failed
+from gypsumshift.serving.pool import Pool
+from gypsumshift.serving.sender import Sender
+from tests.jobs_world import HOST, METRICS, NAMES, routes
+
+ANSWER = (
+    b"HTTP/1.1 200 OK\r\nrequest-id: %s\r\nsignature: s\r\ncontent-length: 2\r\n\r\nok"
+)
+
+
+@attrs.define
+class Peer:
+    """A server that does as a body tells it."""
+
+    listener: asyncio.Server = None
+    runs: list = attrs.field(factory=list)
+
+    async def listen(self):
+        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return self.listener.sockets[0].getsockname()[:2]
+
+    async def serve(self, reader, writer):
+        while (body := await self.read(reader)) is not None:
+            self.runs.append(body)
+            if body == b"end":
+                self.listener.close()
+            if body in (b"end", b"break"):
+                break
+            writer.write(b"no answer\r\n\r\n" if body == b"spoil" else ANSWER % b"r")
+        writer.close()
+
+    async def read(self, reader):
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            return None
+        length = head.lower().partition(b"content-length: ")[2].partition(b"\r")[0]
+        return await reader.readexactly(int(length))
+
+
+async def attempt(sender, server, body, kind="/score/"):
+    route = routes().find(HOST, kind)
+    deadline = sender.clock.monotonic() + 5
+    call = Call("r", "POST", kind, HOST, [], body, route, deadline)
+    return await sender.attempt(call, server)
+
+
+def play(scenario):
+    async def run():
+        clock, directory, fetcher = SystemClock(), Directory(), Fetcher()
+        pool = Pool("here", clock, random.Random(1))
+        peer = Peer()
+        server = BackendServer("s", "app", await peer.listen(), "here")
+        sender = Sender(directory, pool, fetcher, NAMES, clock, METRICS)
+        try:
+            await scenario(sender, server, peer)
+        finally:
+            fetcher.close()
+            peer.listener.close()
+
+    asyncio.run(asyncio.wait_for(run(), 20))
+
+
+def test_a_server_that_is_gone_behind_a_broken_connection_has_ended():
+    async def scenario(sender, server, peer):
+        outcome = await attempt(sender, server, b"end")
+        assert outcome == Failed(outcome.reason, sent=True, ended=True)
+
+    play(scenario)
+
+
+def test_it_has_ended_also_where_the_connection_had_lain_idle():
+    async def scenario(sender, server, peer):
+        await attempt(sender, server, b"well")
+        outcome = await attempt(sender, server, b"end")
+        assert outcome == Failed(outcome.reason, sent=True, ended=True)
+        assert peer.runs == [b"well", b"end"]
+
+    play(scenario)
+
+
+def test_a_server_that_breaks_off_or_spoils_an_answer_and_is_there_has_not():
+    async def scenario(sender, server, peer):
+        for body in (b"break", b"spoil"):
+            outcome = await attempt(sender, server, body)
+            assert outcome == Failed(outcome.reason, sent=True, ended=False)
+
+    play(scenario)
+
+
+def test_the_connection_that_found_it_there_serves_the_next_request():
+    async def scenario(sender, server, peer):
+        await attempt(sender, server, b"break")
+        assert sender.fetcher.connected(server.address)
+        assert (await attempt(sender, server, b"well")).status == 200
+
+    play(scenario)
+
+
+def test_a_server_that_cannot_be_reached_has_not_ended_under_the_request():
+    async def scenario(sender, server, peer):
+        peer.listener.close()
+        outcome = await attempt(sender, server, b"well")
+        assert outcome == Failed(outcome.reason, sent=False, ended=False)
+
+    play(scenario)
