A failing test: a request under which servers end, at three gateways, without a network

Callers saw: 502 and 503 for seconds at a service all of whose servers ended, again and again.

Test: gateways as they are, over servers in the loop's own time that end 0.11 s into a request and are back after 3.5 s. The request comes each 0.25 s for 20 s under new ids, at three gateways in turn, beside others.

The loop and clock of the late answers' simulation moved to tests/own_time.py as they were.

--- /dev/null
+++ b/tests/crash_world.py
@@ -0,0 +1,303 @@
+"""Builders for tests of servers that end: gateways before servers, without a network.
+
+A server ends under each request whose body is in `CrashWorld.fatal`, and comes back
+some seconds later under a new id. All time is the loop's own.
+"""
+
+import asyncio
+import itertools
+import random
+
+import attrs
+
+from gypsumshift.fetch import FetchError
+from gypsumshift.gateway import Gateway
+from gypsumshift.memory import MemoryTables
+from gypsumshift.serving import (
+    BackendServer,
+    Call,
+    Directory,
+    RequestKind,
+    Route,
+    RouteTable,
+    Service,
+    Target,
+)
+from tests.jobs_world import HOST, METRICS, NAMES
+from tests.own_time import LoopClock
+
+# Seconds: of work, until a request ends its server, until that is back, until gateways
+# are told that it is, and for which the entry of one that is gone stays.
+WORK, FATAL_AFTER, BACK_AFTER, TOLD_AFTER, ENTRY_STAYS = 0.03, 0.11, 3.5, 0.3, 3.6
+# Seconds on the way, in each direction.
+WAY = 0.0015
+# Seconds that a caller waits.
+PATIENCE = 2.0
+KINDS = {
+    "/safe/": RequestKind.SAFE,
+    "/once/": RequestKind.UNSAFE,
+    "/flow/": RequestKind.STREAM,
+}
+POISON = b"poison"
+
+
+def routes(attempts=2):
+    """Return a configuration with one route of each kind to one service."""
+    found = [
+        Route(
+            prefix,
+            HOST,
+            prefix,
+            kind,
+            (Target("app"),),
+            attempts=attempts,
+            resumable=kind is RequestKind.STREAM,
+        )
+        for prefix, kind in KINDS.items()
+    ]
+    return RouteTable(1, found, [Service("app")])
+
+
+@attrs.define
+class Run:
+    """One request as a server began it."""
+
+    at: float
+    request: str
+    body: bytes
+    sender: str
+    server: str
+
+
+@attrs.define(eq=False)
+class Worker:
+    """A server, through all of its starts.
+
+    Attributes
+    ----------
+    broken : asyncio.Event
+        Set when this start ends.
+    """
+
+    address: tuple[str, int]
+    id: str = ""
+    up: bool = True
+    broken: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+
+class Exchange:
+    """A whole answer, or a stream of events."""
+
+    def __init__(self, headers, body=b"ok", status=200):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def header(self, name):
+        return next((v.decode() for k, v in self.headers if k == name), "")
+
+    async def read(self):
+        return self.body
+
+    def close(self):
+        """Nothing is held."""
+
+
+class Wires:
+    """The way of one gateway to the servers, in place of a `Fetcher`."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.cut_off = False
+
+    def connected(self, address):
+        return True
+
+    def cut(self, address):
+        """Nothing lies idle."""
+
+    async def refuses(self, address, timeout):
+        await self.reach(timeout)
+        return not self.world.worker(address).up
+
+    async def reach(self, timeout):
+        """Wait for the way there and back; silent where this gateway is cut off."""
+        await asyncio.sleep(timeout if self.cut_off else 2 * WAY)
+        if self.cut_off:
+            raise FetchError("no connection", False)
+
+    async def open(self, address, method, target, fields, body=b"", **options):
+        await self.reach(options.get("connect_timeout", 0.3))
+        worker = self.world.worker(address)
+        if not worker.up:
+            raise FetchError("nobody listens", False, refused=True)
+        fields = dict(fields)
+        if fields[NAMES.expected_server] != worker.id:
+            return Exchange([], status=421)
+        return await self.world.run(worker, fields[NAMES.request_id], body, self.name)
+
+
+class CrashWorld:
+    """Gateways before the servers of one service, over one store.
+
+    Parameters
+    ----------
+    seed : int
+    gateways, servers : int
+    attempts : int
+        Servers that a request may run on, by its route.
+
+    Attributes
+    ----------
+    fatal : set of bytes
+        Bodies under which servers end.
+    runs : list of Run
+    ended : list of (float, bytes)
+        When a server ended, and under which body.
+    """
+
+    def __init__(self, seed=1, gateways=3, servers=5, attempts=2):
+        self.chance = random.Random(seed)
+        self.clock = LoopClock()
+        self.tables = MemoryTables()
+        self.routes = routes(attempts)
+        self.numbers = itertools.count(1)
+        self.fatal = {POISON}
+        self.runs = []
+        self.ended = []
+        self.tasks = []
+        self.gateways = {}
+        self.workers = [Worker(("10.0.0.1", n)) for n in range(servers)]
+        for worker in self.workers:
+            worker.id = self.new_id()
+        for number in range(gateways):
+            self.start_gateway(f"g{number}")
+
+    def new_id(self):
+        return f"i-{next(self.numbers)}"
+
+    def start_gateway(self, name):
+        """Start a gateway anew, which knows what is listed."""
+        directory = Directory()
+        directory.set_routes(self.routes)
+        for worker in self.workers:
+            if worker.up:
+                directory.set_server(self.entry(worker))
+        self.gateways[name] = gateway = Gateway(
+            self.tables,
+            directory,
+            [],
+            NAMES,
+            "here",
+            self.clock,
+            Wires(self, name),
+            random.Random(self.chance.getrandbits(32)),
+            METRICS,
+        )
+        self.begin(gateway.run())
+        return gateway
+
+    def begin(self, work):
+        task = asyncio.create_task(work)
+        self.tasks.append(task)
+        return task
+
+    def entry(self, worker):
+        return BackendServer(worker.id, "app", worker.address, "here", 6)
+
+    def worker(self, address):
+        return next(w for w in self.workers if w.address == address)
+
+    # Servers.
+
+    async def run(self, worker, request, body, sender):
+        """Run a request at a server; raises where the server ends meanwhile."""
+        now = self.clock.monotonic()
+        self.runs.append(Run(now, request, body, sender, worker.id))
+        broken = worker.broken
+        fatal = body in self.fatal
+        if fatal:
+            self.begin(self.end_later(worker, worker.id, body))
+        try:
+            async with asyncio.timeout(60.0 if fatal else WORK):
+                await broken.wait()
+        except TimeoutError:
+            return Exchange(
+                [
+                    (NAMES.request_id.encode(), request.encode()),
+                    (NAMES.signature.encode(), b"s"),
+                ]
+            )
+        raise FetchError("the connection broke", True, closed=True)
+
+    async def end_later(self, worker, started, body):
+        await asyncio.sleep(FATAL_AFTER)
+        if worker.up and worker.id == started:
+            self.ended.append((self.clock.monotonic(), body))
+            await self.end(worker)
+
+    async def end(self, worker, back_after=BACK_AFTER):
+        """End a server, and bring it back as a new one."""
+        old = worker.id
+        worker.up = False
+        worker.broken.set()
+        self.begin(self.unlist(old))
+        await asyncio.sleep(back_after)
+        worker.id, worker.up, worker.broken = self.new_id(), True, asyncio.Event()
+        await asyncio.sleep(TOLD_AFTER)
+        for gateway in self.gateways.values():
+            gateway.directory.set_server(self.entry(worker))
+
+    async def unlist(self, server_id):
+        await asyncio.sleep(ENTRY_STAYS)
+        for gateway in self.gateways.values():
+            gateway.directory.forget_server(server_id)
+
+    # Callers.
+
+    def call(self, body, prefix="/safe/", caller=""):
+        """Return a request under a new id."""
+        target = f"{prefix}1"
+        name = f"r-{next(self.numbers)}"
+        return Call(
+            name,
+            "POST",
+            target,
+            HOST,
+            [(NAMES.request_id, name)],
+            body,
+            self.routes.find(HOST, target),
+            self.clock.monotonic() + PATIENCE,
+            caller=caller,
+        )
+
+    async def ask(self, name, body, prefix="/safe/", caller=""):
+        """Have a gateway answer a request."""
+        forwarder = self.gateways[name].forwarder
+        return await forwarder.forward(self.call(body, prefix, caller))
+
+    async def keep_asking(self, body, seconds, period, names=None, prefix="/safe/"):
+        """Send a body again and again at gateways in turn; return the outcomes."""
+        begun = []
+        until = self.clock.monotonic() + seconds
+        for name in itertools.cycle(names or list(self.gateways)):
+            if self.clock.monotonic() >= until:
+                return await asyncio.gather(*begun)
+            begun.append(self.begin(self.ask(name, body, prefix)))
+            await asyncio.sleep(period)
+
+    # What is checked.
+
+    def runs_of(self, body, since=0.0):
+        """Return the runs of a body that began later than a time."""
+        return [run for run in self.runs if run.body == body and run.at > since]
+
+    def third_end(self, body):
+        """Return when the third server had ended under a body."""
+        return [at for at, under in self.ended if under == body][2]
+
+    async def close(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/tests/test_late_machine.py
+++ b/tests/test_late_machine.py
@@ -10,7 +10,6 @@
 
 import pytest
 
-from gypsumshift.clock import SystemClock
 from gypsumshift.jobs import Desk, Event, split
 from gypsumshift.jobs.agent import Agent
 from gypsumshift.jobs.station import Home
@@ -20,30 +19,12 @@
 from gypsumshift.serving import Directory
 from gypsumshift.watch import run_all
 from tests import jobs_world as jw
+from tests.own_time import LoopClock, OwnTime
 
 # Seconds with faults, until all is listed, and for what is still on its way.
 FAULTS, CALM, REST = 8.0, 40.0, 6.0
 
 
-class OwnTime(asyncio.SelectorEventLoop):
-    """Loop whose time goes on at once to the next thing that waits for it."""
-
-    seconds = 100.0
-
-    def time(self):
-        return self.seconds
-
-    def _run_once(self):
-        if not self._ready and self._scheduled:
-            self.seconds = max(self.seconds, self._scheduled[0]._when)
-        super()._run_once()
-
-
-class LoopClock(SystemClock):
-    def monotonic(self):
-        return asyncio.get_running_loop().time()
-
-
 class Way(WrappedStore):
     """The way of one process to the store, on which writes and answers are late."""
 
