A server that is gone is no suspect once it is back

Callers saw: after servers ended under a request, those that come back under the id that they had were kept from sound work: each refused connection counted as a failure of the server.

Cause: a closed port was taken like any failure: in a row, ejected for 1, 2, 4, 8 s, told to others as a share of failures.

Change: nobody listening at an address says just that; the server is avoided for 1 s, without a failure.

--- a/gypsumshift/serving/calls.py
+++ b/gypsumshift/serving/calls.py
@@ -81,14 +81,18 @@
     reason : str
     sent : bool
         Whether it may have run.
-    ended : bool
-        Whether the server ended under it: its connection broke, and nobody listens
-        at its address any more.
+    gone : bool
+        Whether the server is: nobody listens at its address.
     """
 
     reason: str
     sent: bool
-    ended: bool = False
+    gone: bool = False
+
+    @property
+    def ended(self) -> bool:
+        """Whether the server ended under it, and not before."""
+        return self.sent and self.gone
 
 
 Attempt = Answered | Refused | Failed
--- a/gypsumshift/serving/pool.py
+++ b/gypsumshift/serving/pool.py
@@ -51,6 +51,9 @@
 # A server that others saw to fail counts as slower by this, times its share: one that
 # fails four of ten is then chosen like one that takes four times as long.
 FAILED_COST = 8.0
+# Seconds for which a server is avoided at whose address nobody listens: it may be back
+# at any time, and trying it costs a caller one round trip.
+DOWN_PAUSE = 1.0
 # Seconds for which a server is avoided that was replaced; its entry lapses in four.
 GONE = 10.0
 
@@ -243,6 +246,18 @@
         """Take that another server stands at its address now."""
         self.record(server).until = self.clock.monotonic() + GONE
 
+    def crashed(self, server: BackendServer) -> None:
+        """Take that a server is gone.
+
+        No failure of its own: whatever ended it, it is sound when it is back, which
+        one that tells no start does under the same record.
+        """
+        before = self.record(server)
+        now = self.clock.monotonic()
+        self.records[server.start] = Record(
+            outstanding=before.outstanding, until=now + DOWN_PAUSE, seen_at=now
+        )
+
     def failed(self, server: BackendServer, servers: list[BackendServer]) -> bool:
         """Take a failure; return whether the server is avoided from now on."""
         record = self.record(server)
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -75,9 +75,12 @@
         elif isinstance(outcome, Answered) and call.suspect:
             return
         elif not isinstance(outcome, Refused):
+            gone = isinstance(outcome, Failed) and outcome.gone
             call.suspect = call.suspect or isinstance(outcome, Answered)
             servers = self.directory.service(server.service)
-            ejected = self.pool.failed(server, servers)
+            if gone:
+                self.pool.crashed(server)
+            ejected = gone or self.pool.failed(server, servers)
             reason = getattr(outcome, "reason", "") or f"status {outcome.status}"
             logs.event(
                 log,
@@ -99,18 +102,16 @@
         except FetchError as error:
             first = error
         if not first.reused:
-            return Failed(str(first), first.sent, await self.ended(first, server))
+            return Failed(str(first), first.sent, await self.gone(first, server))
         try:
             return await self.exchange_once(call, server, True)
         except FetchError as error:
-            gone = first.closed and error.refused
-            ended = gone or await self.ended(error, server)
-            return Failed(str(error), True, ended)
-
-    async def ended(self, error: FetchError, server: BackendServer) -> bool:
-        """Tell whether a server ended under a request whose connection it closed."""
-        if not (error.sent and error.closed):
-            return False
+            return Failed(str(error), True, await self.gone(error, server))
+
+    async def gone(self, error: FetchError, server: BackendServer) -> bool:
+        """Tell whether a server is gone that refused or closed a connection."""
+        if error.refused or not error.closed:
+            return error.refused
         listed = self.directory.servers.get(server.id)
         if listed is None or listed.start != server.start:
             # A new start may listen at the address by now.
--- a/tests/test_ended.py
+++ b/tests/test_ended.py
@@ -75,7 +75,7 @@
 def test_a_server_that_is_gone_behind_a_broken_connection_has_ended():
     async def scenario(sender, server, peer):
         outcome = await attempt(sender, server, b"end")
-        assert outcome == Failed(outcome.reason, sent=True, ended=True)
+        assert outcome == Failed(outcome.reason, sent=True, gone=True)
 
     play(scenario)
 
@@ -84,7 +84,7 @@
     async def scenario(sender, server, peer):
         await attempt(sender, server, b"well")
         outcome = await attempt(sender, server, b"end")
-        assert outcome == Failed(outcome.reason, sent=True, ended=True)
+        assert outcome == Failed(outcome.reason, sent=True, gone=True)
         assert peer.runs == [b"well", b"end"]
 
     play(scenario)
@@ -94,7 +94,7 @@
     async def scenario(sender, server, peer):
         for body in (b"break", b"spoil"):
             outcome = await attempt(sender, server, body)
-            assert outcome == Failed(outcome.reason, sent=True, ended=False)
+            assert outcome == Failed(outcome.reason, sent=True, gone=False)
 
     play(scenario)
 
@@ -112,7 +112,8 @@
     async def scenario(sender, server, peer):
         peer.listener.close()
         outcome = await attempt(sender, server, b"well")
-        assert outcome == Failed(outcome.reason, sent=False, ended=False)
+        assert outcome == Failed(outcome.reason, sent=False, gone=True)
+        assert not outcome.ended
 
     play(scenario)
 
@@ -123,6 +124,6 @@
     async def scenario(sender, server, peer):
         sender.directory.forget_server(server.id)
         outcome = await attempt(sender, server, b"break")
-        assert outcome == Failed(outcome.reason, sent=True, ended=True)
+        assert outcome == Failed(outcome.reason, sent=True, gone=True)
 
     play(scenario)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -131,3 +131,22 @@
     """A request each two seconds at 12 entry hosts: 126 of 180 opened one before."""
     assert play_light_load(connected=False) > 120
     assert play_light_load(connected=True) < 40
+
+
+def test_a_server_that_ended_is_used_again_as_soon_as_it_may_be_back():
+    """Servers that a request ended came back, and sound work was kept from them.
+
+    Each refused connection counted as a failure of the server: after four seconds at
+    three calls a second it was avoided for up to eight more, where it told no start.
+    """
+    pool, clock = make_pool()
+    listed = servers(2)
+    for _ in range(12):
+        pool.crashed(listed[0])
+        assert pool.choose(listed, set()).id == "s1"
+        clock.advance(0.33)
+    clock.advance(1.0)
+    pool.sent(listed[1])
+    assert pool.choose(listed, set()).id == "s0"
+    record = pool.record(listed[0])
+    assert (record.failures, record.failed_share, record.ejections) == (0, 0.0, 0)
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -61,3 +61,12 @@
     for _ in range(2):
         sender.learn(bad, servers()[1], Failed("reset", True), TOOK)
     assert avoided(sender) == {"s1"}
+
+
+def test_a_server_that_is_gone_is_no_suspect_once_it_is_back():
+    sender = make_sender()
+    for sent in (True, False, False, False):
+        gone = Failed("nobody listens", sent, gone=True)
+        sender.learn(call(), servers()[0], gone, TOOK)
+    assert avoided(sender) == {"s0"}
+    assert sender.pool.record(servers()[0]).failures == 0
