Streams under which servers end are held back, and go to no more servers than their route says

Callers saw: a stream whose server ended before its first event was sent to each server of its service, in one call; one that ended later was taken up at a second server, which ended too, by each new call.

A stream that was not opened yet counted no attempts, and nothing was remembered over calls.

Change: a stream has a permit of the guard from its start to its end; it counts where it may have run; what breaks it is looked at as for other requests, and logged with its fingerprint. A whole stream clears its request.

--- a/gypsumshift/eventstream.py
+++ b/gypsumshift/eventstream.py
@@ -16,11 +16,14 @@
     reason : str
     replaced : bool
         Whether another server stands at the address now.
+    closed : bool
+        Whether the server ended the connection; see `FetchError`.
     """
 
-    def __init__(self, reason: str, replaced: bool = False):
+    def __init__(self, reason: str, replaced: bool = False, closed: bool = False):
         super().__init__(reason)
         self.replaced = replaced
+        self.closed = closed
 
 
 async def blocks(exchange: Exchange, silence: float) -> AsyncIterator[bytes]:
@@ -43,8 +46,10 @@
         try:
             async with asyncio.timeout(silence):
                 data = await anext(chunks, None)
-        except (FetchError, TimeoutError) as error:
-            raise StreamBroken(str(error) or "no event in time") from error
+        except FetchError as error:
+            raise StreamBroken(str(error), closed=error.closed) from error
+        except TimeoutError as error:
+            raise StreamBroken("no event in time") from error
         if data is None:
             break
         *whole, rest = (rest + data).replace(b"\r\n", b"\n").split(b"\n\n")
@@ -52,7 +57,7 @@
             if block.strip():
                 yield block
     if rest.strip():
-        raise StreamBroken("the stream ended inside an event")
+        raise StreamBroken("the stream ended inside an event", closed=True)
 
 
 def field_of(block: bytes, name: str) -> str:
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -110,8 +110,10 @@
 
     async def gone(self, error: FetchError, server: BackendServer) -> bool:
         """Tell whether a server is gone that refused or closed a connection."""
-        if error.refused or not error.closed:
-            return error.refused
+        return error.refused or (error.closed and await self.is_gone(server))
+
+    async def is_gone(self, server: BackendServer) -> bool:
+        """Tell whether a server is gone, which closed a connection."""
         listed = self.directory.servers.get(server.id)
         if listed is None or listed.start != server.start:
             # A new start may listen at the address by now.
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -2,7 +2,8 @@
 
 A stream that may be resumed goes on at another server when its own breaks off; the
 caller sees one answer with the header fields of the first server. Any other stream
-is passed on as it comes, runs once, and is cut where its server cut it.
+is passed on as it comes, runs once, and is cut where its server cut it. What ends
+servers is held back by the `Guard`, as other requests are.
 """
 
 import asyncio
@@ -21,6 +22,7 @@
 from gypsumshift.serving.calls import Call
 from gypsumshift.serving.directory import BackendServer, ServerStart
 from gypsumshift.serving.forwarder import RETRY_AFTER, Forwarder
+from gypsumshift.serving.guard import HELD_BACK, Permit
 
 __all__ = ["Stream", "StreamRelay"]
 
@@ -47,6 +49,35 @@
     body: AsyncIterator[bytes]
 
 
+@attrs.define
+class Relayed:
+    """A stream on its way.
+
+    Attributes
+    ----------
+    call : Call
+    permit : Permit
+    tried : set of ServerStart
+        Servers not to be tried again.
+    runs : int
+        Servers at which it may have run.
+    last : str
+        Number of the last event that the caller got; empty before the first.
+    """
+
+    call: Call
+    permit: Permit
+    tried: set[ServerStart] = attrs.field(factory=set)
+    runs: int = 0
+    last: str = ""
+
+    @property
+    def spent(self) -> bool:
+        """Whether no further server may run it."""
+        route = self.call.route
+        return self.runs >= (route.attempts if route.resumable else 1)
+
+
 class StreamRelay:
     """Relays the streams of one forwarder.
 
@@ -56,85 +87,151 @@
     """
 
     def __init__(self, forwarder: Forwarder):
-        self.forwarder = forwarder
+        self.sender = forwarder.sender
+        self.pool = forwarder.pool
+        self.guard = forwarder.guard
 
     async def start(self, call: Call) -> Stream | NotRun | Unknown:
         """Open a stream at the first server that takes it."""
-        opened = await self.open(call, set())
+        permit = await self.guard.admit(call.fingerprint, call.id)
+        if isinstance(permit, NotRun):
+            return permit
+        relayed = Relayed(call, permit)
+        opened = None
+        try:
+            opened = await self.open(relayed)
+        finally:
+            if not isinstance(opened, tuple):
+                self.guard.close(permit, relayed.runs > 0)
         if not isinstance(opened, tuple):
             return opened
         exchange, server = opened
         headers = list(passed_headers(exchange))
         resumable = call.route.resumable and exchange.status == 200
         relay = self.resume if resumable else self.pass_on
-        return Stream(exchange.status, headers, relay(call, exchange, server))
+        body = self.settle(relayed, relay(relayed, exchange, server))
+        return Stream(exchange.status, headers, body)
+
+    async def settle(self, relayed: Relayed, body: AsyncIterator[bytes]):
+        """Yield a body, and have the guard learn how it ended."""
+        try:
+            async with contextlib.aclosing(body):
+                async for data in body:
+                    yield data
+            self.guard.answered(relayed.permit)
+        finally:
+            self.guard.close(relayed.permit, ran=True)
 
     async def open(
-        self, call: Call, tried: set[ServerStart], after: str = ""
+        self, relayed: Relayed, after: str = ""
     ) -> tuple[Exchange, BackendServer] | NotRun | Unknown:
         """Open a stream behind an event at a server that was not tried yet."""
-        sender, pool = self.forwarder.sender, self.forwarder.pool
+        call = relayed.call
         while True:
             service = call.route.service_for(call.id)
-            servers = sender.directory.service(service)
-            server = pool.choose(servers, tried)
-            left = call.deadline - sender.clock.monotonic()
+            servers = self.sender.directory.service(service)
+            server = self.choose(relayed, servers)
+            left = call.deadline - self.sender.clock.monotonic()
             if server is None or left <= 0:
-                pause = datetime.timedelta(seconds=RETRY_AFTER)
-                return NotRun("no backend server took the stream", pause)
-            tried.add(server.start)
-            fields = sender.fields(call, server)
-            if after:
-                fields = [f for f in fields if f[0] != sender.names.last_event]
-                fields.append((sender.names.last_event, after))
+                return self.not_opened(relayed)
+            relayed.tried.add(server.start)
             try:
                 async with asyncio.timeout(left):
-                    exchange = await sender.open(call, server, fields, fresh=True)
+                    exchange = await self.open_at(call, server, after)
             except (FetchError, TimeoutError) as error:
-                pool.failed(server, servers)
-                unsent = isinstance(error, FetchError) and not error.sent
-                if unsent or call.route.resumable:
-                    continue
-                return Unknown(str(error) or "no answer in time")
-            if refusal(exchange, sender.names) is None:
+                await self.note_failure(relayed, server, error)
+                continue
+            if refusal(exchange, self.sender.names) is None:
+                relayed.runs += 1
                 return exchange, server
             exchange.close()
 
-    async def pass_on(self, call: Call, exchange: Exchange, server):
+    def choose(self, relayed: Relayed, servers: list) -> BackendServer | None:
+        """Return the server to try next; None where none is left or allowed."""
+        allowed = self.guard.allows(relayed.permit, 0, relayed.runs > 0)
+        if relayed.spent or not allowed:
+            return None
+        return self.pool.choose(servers, relayed.tried)
+
+    def not_opened(self, relayed: Relayed) -> NotRun | Unknown:
+        """Return why a stream is not opened at another server."""
+        held = not self.guard.allows(relayed.permit, 0, relayed.runs > 0)
+        reason = HELD_BACK if held else "no backend server took the stream"
+        if relayed.runs:
+            return Unknown(reason)
+        pause = self.guard.pause(relayed.permit.fingerprint) if held else RETRY_AFTER
+        return NotRun(reason, datetime.timedelta(seconds=pause))
+
+    async def open_at(self, call: Call, server: BackendServer, after: str) -> Exchange:
+        """Open a stream behind an event at one server."""
+        name = self.sender.names.last_event
+        fields = self.sender.fields(call, server)
+        if after:
+            fields = [field for field in fields if field[0] != name]
+            fields.append((name, after))
+        return await self.sender.open(call, server, fields, fresh=True)
+
+    async def note_failure(
+        self, relayed: Relayed, server: BackendServer, error: FetchError | TimeoutError
+    ) -> None:
+        """Take that a stream could not be opened at a server."""
+        broke = isinstance(error, FetchError)
+        sent = not broke or error.sent
+        relayed.runs += sent
+        gone = broke and await self.sender.gone(error, server)
+        if not gone:
+            self.pool.failed(server, self.sender.directory.service(server.service))
+        self.note_broken(relayed, server, str(error) or "no answer in time", sent, gone)
+
+    def note_broken(
+        self, relayed: Relayed, server: BackendServer, reason: str, sent: bool, gone
+    ) -> None:
+        """Take that a stream broke, and that its server ended where it is gone."""
+        if gone:
+            self.pool.crashed(server)
+        if gone and sent:
+            self.guard.note_end(relayed.permit, server.start)
+        logs.event(
+            log,
+            "A stream broke.",
+            request=relayed.call.id,
+            fingerprint=relayed.call.fingerprint,
+            server=server.id,
+            after=relayed.last,
+            reason=reason,
+            ended=gone and sent,
+        )
+
+    async def pass_on(self, relayed: Relayed, exchange: Exchange, server):
         """Yield the bytes of one server as they come."""
         with contextlib.closing(exchange):
             try:
                 async for data in exchange.chunks():
                     yield data
             except FetchError as error:
+                gone = await self.sender.gone(error, server)
+                self.note_broken(relayed, server, str(error), True, gone)
                 raise Abandon(str(error)) from error
 
-    async def resume(self, call: Call, exchange: Exchange, server):
+    async def resume(self, relayed: Relayed, exchange: Exchange, server):
         """Yield whole events; goes on elsewhere where a server breaks off."""
-        tried = {server.start}
-        last = call_header(call, self.forwarder.sender.names.last_event)
+        call = relayed.call
+        relayed.last = call_header(call, self.sender.names.last_event)
         while True:
             try:
                 with contextlib.closing(exchange):
                     async for block in blocks(exchange, SILENCE_TIMEOUT):
                         yield block + b"\n\n"
-                        last = field_of(block, "id") or last
+                        relayed.last = field_of(block, "id") or relayed.last
                 return
             except StreamBroken as error:
                 reason = str(error)
-            logs.event(
-                log,
-                "A stream broke and is resumed.",
-                request=call.id,
-                server=server.id,
-                after=last,
-                reason=reason,
-            )
-            opened = None
-            if len(tried) < call.route.attempts:
-                opened = await self.open(call, tried, last)
+                gone = error.closed and await self.sender.is_gone(server)
+            self.note_broken(relayed, server, reason, True, gone)
+            opened = await self.open(relayed, relayed.last)
             if not isinstance(opened, tuple):
-                raise Abandon(f"cannot be resumed behind event {last}: {reason}")
+                told = f"{reason}; {opened.reason}"
+                raise Abandon(f"cannot be resumed behind event {relayed.last}: {told}")
             exchange, server = opened
 
 
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -14,8 +14,9 @@
 from gypsumshift.fetch import FetchError
 from gypsumshift.gateway import Gateway
 from gypsumshift.memory import MemoryTables
-from gypsumshift.outcomes import Unavailable, Unknown
+from gypsumshift.outcomes import Answered, Unavailable, Unknown
 from gypsumshift.platforms import WrappedStore
+from gypsumshift.server import Abandon
 from gypsumshift.serving import (
     BackendServer,
     Call,
@@ -26,6 +27,7 @@
     Service,
     Target,
 )
+from gypsumshift.serving.streams import Stream
 from tests.jobs_world import HOST, METRICS, NAMES
 from tests.own_time import LoopClock
 
@@ -42,7 +44,10 @@
     "/safe/": RequestKind.SAFE,
     "/once/": RequestKind.UNSAFE,
     "/flow/": RequestKind.STREAM,
+    "/resumed/": RequestKind.STREAM,
 }
+# Events of a whole stream.
+EVENTS = 8
 POISON = b"poison"
 
 
@@ -57,7 +62,7 @@
             (Target("app"),),
             attempts=attempts,
             objective=OBJECTIVE,
-            resumable=kind is RequestKind.STREAM,
+            resumable=prefix == "/resumed/",
         )
         for prefix, kind in KINDS.items()
     ]
@@ -119,6 +124,16 @@
     server: str
 
 
+async def work(broken, seconds):
+    """Work at a server; raises where it ends meanwhile."""
+    try:
+        async with asyncio.timeout(seconds):
+            await broken.wait()
+    except TimeoutError:
+        return
+    raise FetchError("the connection broke", True, closed=True)
+
+
 @attrs.define(eq=False)
 class Worker:
     """A server, through all of its starts.
@@ -149,10 +164,27 @@
     async def read(self):
         return self.body
 
+    async def chunks(self):
+        yield self.body
+
     def close(self):
         """Nothing is held."""
 
 
+class Flow(Exchange):
+    """A stream of events, which breaks when its server ends."""
+
+    def __init__(self, headers, broken, after):
+        super().__init__(headers)
+        self.broken = broken
+        self.after = after
+
+    async def chunks(self):
+        for number in range(self.after + 1, EVENTS + 1):
+            await work(self.broken, WORK)
+            yield b"id: %d\ndata: x\n\n" % number
+
+
 class Wires:
     """The way of one gateway to the servers, in place of a `Fetcher`."""
 
@@ -185,7 +217,10 @@
         fields = dict(fields)
         if fields[NAMES.expected_server] != worker.id:
             return Exchange([], status=421)
-        return await self.world.run(worker, fields[NAMES.request_id], body, self.name)
+        run = Run(self.world.now, fields[NAMES.request_id], body, self.name, worker.id)
+        after = int(fields.get(NAMES.last_event, 0))
+        streams = target.startswith(("/flow/", "/resumed/"))
+        return await self.world.run(worker, run, streams, after)
 
 
 class CrashWorld:
@@ -205,6 +240,8 @@
     runs : list of Run
     ended : list of (float, bytes)
         When a server ended, and under which body.
+    head_after : float
+        Seconds until a stream begins.
     """
 
     def __init__(self, seed=1, gateways=3, servers=5, attempts=2):
@@ -213,6 +250,7 @@
         self.tables = Tables()
         self.routes = routes(attempts)
         self.numbers = itertools.count(1)
+        self.head_after = 0.0
         self.fatal = {POISON}
         self.runs = []
         self.ended = []
@@ -226,6 +264,10 @@
         for number in range(gateways):
             self.start_gateway(f"g{number}")
 
+    @property
+    def now(self):
+        return self.clock.monotonic()
+
     def new_id(self):
         return f"i-{next(self.numbers)}"
 
@@ -269,25 +311,20 @@
 
     # Servers.
 
-    async def run(self, worker, request, body, sender):
+    async def run(self, worker, run, streams, after):
         """Run a request at a server; raises where the server ends meanwhile."""
-        now = self.clock.monotonic()
-        self.runs.append(Run(now, request, body, sender, worker.id))
-        broken = worker.broken
-        fatal = body in self.fatal
-        if fatal:
-            self.begin(self.end_later(worker, worker.id, body))
-        try:
-            async with asyncio.timeout(60.0 if fatal else WORK):
-                await broken.wait()
-        except TimeoutError:
-            return Exchange(
-                [
-                    (NAMES.request_id.encode(), request.encode()),
-                    (NAMES.signature.encode(), b"s"),
-                ]
-            )
-        raise FetchError("the connection broke", True, closed=True)
+        self.runs.append(run)
+        if run.body in self.fatal:
+            self.begin(self.end_later(worker, worker.id, run.body))
+        headers = [
+            (NAMES.request_id.encode(), run.request.encode()),
+            (NAMES.signature.encode(), b"s"),
+        ]
+        if streams:
+            await work(worker.broken, self.head_after)
+            return Flow(headers, worker.broken, after)
+        await work(worker.broken, 60.0 if run.body in self.fatal else WORK)
+        return Exchange(headers)
 
     async def end_later(self, worker, started, body):
         await asyncio.sleep(FATAL_AFTER)
@@ -331,9 +368,18 @@
         )
 
     async def ask(self, name, body, prefix="/safe/", caller=""):
-        """Have a gateway answer a request."""
-        forwarder = self.gateways[name].forwarder
-        return await forwarder.forward(self.call(body, prefix, caller))
+        """Have a gateway answer a request; a stream is read to its end."""
+        gateway, call = self.gateways[name], self.call(body, prefix, caller)
+        if call.route.kind is not RequestKind.STREAM:
+            return await gateway.forwarder.forward(call)
+        outcome = await gateway.streams.start(call)
+        if not isinstance(outcome, Stream):
+            return outcome
+        try:
+            data = b"".join([data async for data in outcome.body])
+        except Abandon as reason:
+            return Unknown(str(reason))
+        return Answered(outcome.status, (), data)
 
     async def keep_asking(self, body, seconds, period, names=None, prefix="/safe/"):
         """Send a body again and again at gateways in turn; return the outcomes."""
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -20,13 +20,14 @@
 
 import asyncio
 import datetime
+import functools
 
 from gypsumshift.outcomes import Answered, NotRun, Unknown
 from gypsumshift.serving.crashtable import CRASHES
 from gypsumshift.serving.guard import HELD_BACK
 from gypsumshift.serving.quarantine import MOST_CASES, MOST_ENDS, TRIAL_PAUSES
 from tests import own_time
-from tests.crash_world import BACK_AFTER, POISON, TOLD_AFTER, CrashWorld
+from tests.crash_world import BACK_AFTER, EVENTS, POISON, TOLD_AFTER, CrashWorld
 
 # Seconds within which all gateways know, and sends that they may make behind them.
 KNOWN_WITHIN, SENDS_LEFT = 3.0, 3
@@ -123,6 +124,45 @@
     play(scenario, attempts=5)
 
 
+def test_a_stream_ends_three_servers_at_the_most_whether_it_may_be_resumed_or_not():
+    async def scenario(world, prefix):
+        await world.keep_asking(POISON, 20, 0.25, prefix=prefix)
+        check_held_back(world)
+        assert len(world.ended) <= MOST_ENDS + len(TRIAL_PAUSES)
+        whole = await world.ask("g0", b"sound", prefix)
+        assert whole.body.count(b"data") == EVENTS
+
+    for prefix in ("/flow/", "/resumed/"):
+        play(functools.partial(scenario, prefix=prefix), servers=9)
+
+
+def test_a_stream_goes_to_as_many_servers_as_its_route_says():
+    """One that ended before its first event was sent to each server of its service."""
+
+    async def scenario(world):
+        world.head_after = 0.2
+        outcome = await world.ask("g0", POISON, "/resumed/")
+        assert isinstance(outcome, Unknown)
+        assert len(world.runs_of(POISON)) == 2
+
+    play(scenario, attempts=2, servers=9)
+
+
+def test_a_sound_stream_whose_servers_are_lost_is_whole_and_leaves_nothing():
+    async def scenario(world):
+        asked = world.begin(world.ask("g0", b"sound", "/resumed/"))
+        for _ in range(2):
+            await asyncio.sleep(0.05)
+            at = next(w for w in world.workers if w.id == world.runs[-1].server)
+            world.begin(world.end(at))
+        outcome = await asked
+        assert outcome.body.count(b"data") == EVENTS
+        await asyncio.sleep(0.1)
+        assert not [row for row in world.tables.rows if row[0] == CRASHES]
+
+    play(scenario, attempts=3)
+
+
 def test_it_is_said_at_once_that_it_has_not_run_and_when_to_come_back():
     async def scenario(world):
         await end_three(world)
