Items and reward calls under which servers end are held back, and hold nobody up

Callers saw: nothing yet; trainers would have. An item under which its engine ends is handed over with what it generated to the next agent, whose engine ends as well, without end; a reward call that ends servers is made again each 0.1 s, inside the gate that all reward calls of its agent pass.

Cause: the same class. Runs of an item count only where the engine answered a failure, and a reward call counts within one try.

Change: an item's run has a permit of the guard; it is held back outside of the engine's places and of the gate, is no load, asks again at most each second, and is given up only by its age (retention of its route), as its users' contract has it. A whole run, and a refusal that an engine answers, clear it. Rows of trials that are not told back yet are removed with the others.

--- a/gypsumshift/eventstream.py
+++ b/gypsumshift/eventstream.py
@@ -16,14 +16,28 @@
     reason : str
     replaced : bool
         Whether another server stands at the address now.
-    closed : bool
-        Whether the server ended the connection; see `FetchError`.
+    sent, closed, refused : bool
+        See `FetchError`.
     """
 
-    def __init__(self, reason: str, replaced: bool = False, closed: bool = False):
+    def __init__(
+        self,
+        reason: str,
+        replaced: bool = False,
+        sent: bool = True,
+        closed: bool = False,
+        refused: bool = False,
+    ):
         super().__init__(reason)
         self.replaced = replaced
+        self.sent = sent
         self.closed = closed
+        self.refused = refused
+
+    @classmethod
+    def of(cls, error: FetchError) -> "StreamBroken":
+        """Return that a stream broke with its connection."""
+        return cls(str(error), False, error.sent, error.closed, error.refused)
 
 
 async def blocks(exchange: Exchange, silence: float) -> AsyncIterator[bytes]:
@@ -47,7 +61,7 @@
             async with asyncio.timeout(silence):
                 data = await anext(chunks, None)
         except FetchError as error:
-            raise StreamBroken(str(error), closed=error.closed) from error
+            raise StreamBroken.of(error) from error
         except TimeoutError as error:
             raise StreamBroken("no event in time") from error
         if data is None:
--- a/gypsumshift/jobs/engine.py
+++ b/gypsumshift/jobs/engine.py
@@ -190,8 +190,10 @@
                     host=host,
                     connect_timeout=CONNECT_TIMEOUT,
                 )
-        except (FetchError, TimeoutError) as error:
-            raise StreamBroken(str(error) or "no answer in time") from error
+        except FetchError as error:
+            raise StreamBroken.of(error) from error
+        except TimeoutError as error:
+            raise StreamBroken("no answer in time") from error
         with contextlib.closing(exchange):
             await self.check(exchange, item)
             version = number(exchange.header(self.names.versions.encode()))
--- a/gypsumshift/jobs/itemrun.py
+++ b/gypsumshift/jobs/itemrun.py
@@ -1,5 +1,6 @@
 """Item run: one item of a batch job, from its first token to its score."""
 
+import functools
 import json
 
 import attrs
@@ -11,9 +12,10 @@
 from gypsumshift.jobs.model import Item, Job, Partial, Result, ResultState
 from gypsumshift.jobs.pace import Pace
 from gypsumshift.jobs.schedule import urgency
-from gypsumshift.outcomes import Answered
+from gypsumshift.outcomes import Answered, HeldBack
 from gypsumshift.serving.calls import Call
 from gypsumshift.serving.directory import BackendServer, Directory
+from gypsumshift.serving.fingerprints import fingerprint
 from gypsumshift.serving.forwarder import Forwarder
 from gypsumshift.serving.headers import HeaderNames
 from gypsumshift.serving.routes import RequestKind, Route
@@ -71,6 +73,8 @@
         Events that the store has for whoever takes the item over.
     generated : bool
         Whether its output is whole.
+    held : bool
+        Whether it waits, since servers ended under it or under its reward call.
     """
 
     job: Job
@@ -89,6 +93,13 @@
     longest_gap: float = 0.0
     saved: int = 0
     generated: bool = False
+    held: bool = False
+
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """What is the same each time that this item is run; see `Call`."""
+        item = self.item
+        return fingerprint("POST", self.job.host, item.path, "", item.body)
 
     @property
     def route(self) -> Route | None:
@@ -100,6 +111,11 @@
         """Runs that may fail before the item is given up."""
         return self.route.attempts if self.route else ATTEMPTS_DEFAULT
 
+    def expired(self, now: float) -> bool:
+        """Tell whether the item may be given up by its age, at a time of the store."""
+        keeps = self.route.retention if self.route else None
+        return keeps is not None and now >= self.job.submitted + keeps.total_seconds()
+
     def resume(self, partial: Partial) -> None:
         """Go on from what another agent generated, if its versions suit."""
         if partial.versions and min(partial.versions) >= self.job.oldest_version:
@@ -150,7 +166,8 @@
             self.failures += 1
         hopeless = refusal.status == UNPROCESSABLE or self.failures >= self.attempts
         if not hopeless:
-            raise StreamBroken(str(refusal), refusal.replaced) from refusal
+            reason, replaced = str(refusal), refusal.replaced
+            raise StreamBroken(reason, replaced, sent=refusal.run) from refusal
         return self.give_up(f"status {refusal.status}")
 
     def give_up(self, reason: str) -> Result:
@@ -195,12 +212,12 @@
         self.versions.clear()
         self.saved = 0
 
-    async def score(self) -> str:
+    async def score(self) -> str | HeldBack:
         """Have the whole text scored; tries until it is, or has failed too often.
 
         Returns
         -------
-        str
+        str or HeldBack
             Signature of the answer; empty where the call failed for good.
         """
         reward = self.item.reward
@@ -211,6 +228,8 @@
                 await self.clock.sleep(SCORE_PAUSE)
                 continue
             answer = await self.forwarder.forward(self.score_call(route, failures > 0))
+            if isinstance(answer, HeldBack):
+                return answer
             if isinstance(answer, Answered):
                 signature = answer.header(self.names.signature)
                 if 200 <= answer.status < 300 and signature:
@@ -237,11 +256,13 @@
             suspect,
         )
 
-    async def finish(self) -> Result:
-        """Return the result of a whole text."""
+    async def finish(self) -> Result | HeldBack:
+        """Return the result of a whole text, unless its reward call is held back."""
         signature = ""
         if self.item.reward is not None:
             signature = await self.score()
+            if isinstance(signature, HeldBack):
+                return signature
             if not signature:
                 return self.give_up("its reward call failed")
         text = "\n".join(self.events)
--- a/gypsumshift/jobs/unit.py
+++ b/gypsumshift/jobs/unit.py
@@ -43,7 +43,8 @@
     @property
     def generating(self) -> list[ItemRun]:
         """Items that take a place of the engine, or are about to."""
-        return [run for run in self.runs.values() if not run.generated]
+        runs = self.runs.values()
+        return [run for run in runs if not (run.generated or run.held)]
 
     @property
     def load(self) -> int:
--- a/gypsumshift/jobs/unitruns.py
+++ b/gypsumshift/jobs/unitruns.py
@@ -33,14 +33,20 @@
 from gypsumshift.jobs.unit import UnitRun
 from gypsumshift.jobs.weights import WeightKeeper
 from gypsumshift.metrics import Metrics
+from gypsumshift.outcomes import HeldBack
 from gypsumshift.platforms import Row, RowStore, Write
+from gypsumshift.serving.directory import BackendServer
 from gypsumshift.serving.forwarder import Forwarder
+from gypsumshift.serving.guard import Permit
 from gypsumshift.serving.headers import HeaderNames
+from gypsumshift.serving.liveness import is_gone
 
 __all__ = ["UnitRunner"]
 
 # Seconds after which a unit is given back that met an error of the program.
 BROKEN_PAUSE = 1.0
+# Longest wait of an item that is held back until it asks again, in seconds.
+HELD_PAUSE = 1.0
 
 log = logs.logger("units")
 
@@ -57,7 +63,7 @@
     weights : WeightKeeper
     board : ClaimBoard
     forwarder : Forwarder
-        For reward calls.
+        For reward calls; its guard is asked for items, too.
     names : HeaderNames
     clock : Clock
     metrics : Metrics
@@ -84,6 +90,7 @@
         self.weights = weights
         self.board = board
         self.forwarder = forwarder
+        self.guard = forwarder.guard
         self.names = names
         self.clock = clock
         self.metrics = metrics
@@ -115,7 +122,7 @@
     def scoring(self) -> int:
         """Items that were generated and wait for their scores."""
         runs = (run for unit in self.units.values() for run in unit.runs.values())
-        return sum(run.generated for run in runs)
+        return sum(run.generated and not run.held for run in runs)
 
     def set_places(self, count: int) -> None:
         """Let so many items run at once."""
@@ -256,24 +263,75 @@
         """Have an item scored that left its place."""
         run.generated = True
         self.changed()
-        self.rewards.fit(run.item.reward)
-        async with self.rewards.enter(score_rank(run)):
-            return await run.finish()
+        while True:
+            self.rewards.fit(run.item.reward)
+            async with self.rewards.enter(score_rank(run)):
+                outcome = await run.finish()
+            if isinstance(outcome, HeldBack):
+                # Not in the gate: the reward calls of the other items go on.
+                outcome = await self.wait_held(run, outcome)
+            if outcome is not None:
+                return outcome
 
     async def generate(self, run: ItemRun) -> Result | None:
         """Generate one item in a place of the engine."""
         while True:
+            held = None
             async with self.places:
                 server = self.station.server
                 if server is not None and self.weights.loading != run.job.model:
-                    try:
-                        return await run.generate(server)
-                    except StreamBroken as error:
-                        self.note_broken(run, server, error)
+                    permit = await self.guard.admit(run.fingerprint, run.item.id)
+                    if not isinstance(permit, HeldBack):
+                        try:
+                            return await self.generate_at(run, server, permit)
+                        except StreamBroken as error:
+                            self.note_broken(run, server, error)
+                    else:
+                        held = permit
+            if held is not None:
+                result = await self.wait_held(run, held)
+                if result is not None:
+                    return result
+                continue
             # An engine that loads a model's weights refuses its requests: asking
             # ten times a second was 4 of 10 requests on a calm day.
             await self.clock.sleep(PAUSE)
 
+    async def generate_at(
+        self, run: ItemRun, server: BackendServer, permit: Permit
+    ) -> Result | None:
+        """Generate one item at the engine by leave of the guard."""
+        ran = True
+        try:
+            result = await run.generate(server)
+            self.guard.answered(permit)
+            return result
+        except StreamBroken as error:
+            ran = error.sent
+            directory, engine = self.station.directory, self.station.engine
+            if error.closed and await is_gone(directory, engine.fetcher, server):
+                self.guard.note_end(permit, server.start)
+            raise
+        finally:
+            self.guard.close(permit, ran)
+
+    async def wait_held(self, run: ItemRun, held: HeldBack) -> Result | None:
+        """Wait until an item may be tried again; return the result of one given up.
+
+        It takes no place meanwhile, and is given up only by its age: another release
+        of the engine may not end under it.
+        """
+        if run.expired(self.store.now().total_seconds()):
+            return run.give_up(held.reason)
+        run.held = True
+        self.changed()
+        pause = min(held.retry_after.total_seconds(), HELD_PAUSE)
+        try:
+            await self.clock.sleep(pause)
+        finally:
+            run.held = False
+        return None
+
     def note_broken(self, run: ItemRun, server, error: StreamBroken) -> None:
         """Take note of a stream that broke; it is resumed."""
         self.metrics.count("broken_streams")
@@ -284,6 +342,7 @@
             "A stream broke.",
             item=run.item.id,
             job=run.job.id,
+            fingerprint=run.fingerprint,
             server=server.id,
             events=len(run.events),
             reason=str(error),
--- a/gypsumshift/outcomes.py
+++ b/gypsumshift/outcomes.py
@@ -7,6 +7,7 @@
     "Answered",
     "Committed",
     "Conflict",
+    "HeldBack",
     "Invalid",
     "Missing",
     "NotRun",
@@ -114,6 +115,11 @@
     retry_after: datetime.timedelta = datetime.timedelta(seconds=1)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldBack(NotRun):
+    """The request has not run, since backend servers ended under it before."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Problem:
     """One thing that is wrong with an input.
--- a/gypsumshift/serving/crashtable.py
+++ b/gypsumshift/serving/crashtable.py
@@ -200,11 +200,21 @@
             del queue[key]
             log.warning("Too many rows wait for the store; one is left out: {}", key)
 
-    def forget(self, fingerprint: str, keys: list[str]) -> None:
-        """Have all rows of a request removed, and these, which may not be told yet."""
+    def forget(self, fingerprint: str, keys: list[str], trials: int) -> None:
+        """Have all rows of a request removed.
+
+        Parameters
+        ----------
+        fingerprint : str
+        keys : list of str
+            Of crashes that this process told, which may not be told back yet.
+        trials : int
+            Number of the last trial, of which the same holds.
+        """
         own = f"{fingerprint}/"
         told = [key for _, key in self.watch.rows if key.startswith(own)]
-        self.remove([*told, *keys])
+        made = [trial_key(fingerprint, number + 1) for number in range(trials)]
+        self.remove([*told, *keys, *made])
 
     async def run(self) -> None:
         """Write and remove rows until cancelled."""
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -13,11 +13,11 @@
 import attrs
 
 from gypsumshift import logs
-from gypsumshift.outcomes import Answered, NotRun, Unknown
+from gypsumshift.outcomes import Answered, HeldBack, NotRun, Unknown
 from gypsumshift.policy import DEFAULT, Policy
 from gypsumshift.serving.calls import Attempt, Call, Failed, Refused
 from gypsumshift.serving.directory import BackendServer, ServerStart
-from gypsumshift.serving.guard import HELD_BACK, Guard, Permit
+from gypsumshift.serving.guard import REASON, Guard, Permit
 from gypsumshift.serving.sender import Sender
 
 __all__ = ["Forwarder"]
@@ -106,7 +106,7 @@
     async def forward(self, call: Call) -> Answered | NotRun | Unknown:
         """Return what became of a call, before its deadline."""
         permit = await self.guard.admit(call.fingerprint, call.id)
-        if isinstance(permit, NotRun):
+        if isinstance(permit, HeldBack):
             return permit
         service = call.route.service_for(call.id)
         race = Race(call, self.directory.service(service), permit)
@@ -146,7 +146,7 @@
             started = self.start(race)
             if not race.running:
                 if not self.allows(race):
-                    return self.verdict(race, HELD_BACK)
+                    return self.verdict(race, REASON)
                 if not await self.next_round(race, left):
                     return self.verdict(race, "no backend server took it")
                 continue
@@ -221,10 +221,9 @@
             return race.answer
         if race.ran or race.running:
             return Unknown(reason)
-        pause = RETRY_AFTER
-        if reason == HELD_BACK:
-            pause = self.guard.pause(race.permit.fingerprint)
-        return NotRun(reason, datetime.timedelta(seconds=pause))
+        if reason == REASON:
+            return self.guard.held_back(race.permit.fingerprint)
+        return NotRun(reason, datetime.timedelta(seconds=RETRY_AFTER))
 
     async def abandon(self, race: Race) -> None:
         """Cut the attempts that are still under way."""
--- a/gypsumshift/serving/guard.py
+++ b/gypsumshift/serving/guard.py
@@ -8,15 +8,15 @@
 from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.metrics import Metrics
-from gypsumshift.outcomes import NotRun
+from gypsumshift.outcomes import HeldBack
 from gypsumshift.platforms import RowStore
 from gypsumshift.serving.crashtable import Claim, CrashTable
 from gypsumshift.serving.directory import ServerStart
 from gypsumshift.serving.quarantine import MOST_ENDS, MOST_ID, Crash, Quarantine
 
-__all__ = ["HELD_BACK", "Guard", "Permit"]
+__all__ = ["REASON", "Guard", "Permit"]
 
-HELD_BACK = "servers ended under this request each time that it ran"
+REASON = "servers ended under this request each time that it ran"
 # Seconds after which a caller may come back at the soonest: a trial may be under way.
 LEAST_PAUSE = 0.25
 
@@ -67,7 +67,7 @@
         """Whether this process was told what others saw before it began."""
         return self.table.watch.version >= 0
 
-    async def admit(self, fingerprint: str, request: str) -> Permit | NotRun:
+    async def admit(self, fingerprint: str, request: str) -> Permit | HeldBack:
         """Return leave to send a request, or that it is held back.
 
         Of a request that is held back a trial is due from time to time, which one
@@ -111,10 +111,9 @@
         )
         return number
 
-    def refuse(self, fingerprint: str, request: str) -> NotRun:
+    def refuse(self, fingerprint: str, request: str) -> HeldBack:
         """Return that a request is held back, and log what it is held back for."""
         crashes = self.quarantine.crashes(fingerprint)
-        pause = self.pause(fingerprint)
         self.metrics.count("quarantine_refusals")
         logs.event(
             log,
@@ -124,9 +123,14 @@
             servers=[crash.start.id for crash in crashes],
             requests=list(dict.fromkeys(crash.request for crash in crashes)),
             trials=self.quarantine.trials(fingerprint),
-            retry_after_s=round(pause, 3),
+            retry_after_s=round(self.pause(fingerprint), 3),
         )
-        return NotRun(HELD_BACK, datetime.timedelta(seconds=pause))
+        return self.held_back(fingerprint)
+
+    def held_back(self, fingerprint: str) -> HeldBack:
+        """Return that a request is held back, and when it may come back."""
+        pause = self.pause(fingerprint)
+        return HeldBack(REASON, datetime.timedelta(seconds=pause))
 
     def pause(self, fingerprint: str) -> float:
         """Return the seconds after which a request may come back."""
@@ -189,8 +193,10 @@
         if not self.quarantine.ends(permit.fingerprint):
             return
         untold = {crash.key for crash in permit.crashes}
+        trials = self.quarantine.trials(permit.fingerprint)
         known = self.quarantine.clear(permit.fingerprint)
-        self.table.forget(permit.fingerprint, [k for k in known if k not in untold])
+        told = [key for key in known if key not in untold]
+        self.table.forget(permit.fingerprint, told, trials)
         permit.crashes.clear()
         permit.trial = 0
         logs.event(
--- a/gypsumshift/serving/routes.py
+++ b/gypsumshift/serving/routes.py
@@ -55,6 +55,8 @@
         Whether a stream may go on at another backend server.
     one_version : bool
         Whether all events of a sample must come from one weight version.
+    retention : timedelta or None
+        Time behind which an item of a batch job may be given up.
     """
 
     name: str
@@ -67,6 +69,7 @@
     objective: datetime.timedelta | None = None
     resumable: bool = False
     one_version: bool = False
+    retention: datetime.timedelta | None = None
 
     def service_for(self, request_id: str) -> str:
         """Return the service that takes a request; the same one on a retry."""
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -5,6 +5,7 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
+from gypsumshift.eventstream import StreamBroken
 from gypsumshift.fetch import Exchange, Fetcher, FetchError
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered
@@ -12,6 +13,7 @@
 from gypsumshift.serving.calls import Attempt, Call, Failed, Refused
 from gypsumshift.serving.directory import BackendServer, Directory
 from gypsumshift.serving.headers import HOP_BY_HOP, HeaderNames
+from gypsumshift.serving.liveness import is_gone
 from gypsumshift.serving.pool import Pool
 
 __all__ = ["Sender"]
@@ -21,9 +23,6 @@
 # the delay after which a second one is asked.
 CONNECT_TIMEOUT = 0.3
 
-# Seconds to find out whether a server is gone that ended a connection: a round trip,
-# which callers wait for before another server is asked.
-GONE_TIMEOUT = 0.1
 
 log = logs.logger("sender")
 
@@ -108,17 +107,13 @@
         except FetchError as error:
             return Failed(str(error), True, await self.gone(error, server))
 
-    async def gone(self, error: FetchError, server: BackendServer) -> bool:
+    async def gone(
+        self, error: FetchError | StreamBroken, server: BackendServer
+    ) -> bool:
         """Tell whether a server is gone that refused or closed a connection."""
-        return error.refused or (error.closed and await self.is_gone(server))
-
-    async def is_gone(self, server: BackendServer) -> bool:
-        """Tell whether a server is gone, which closed a connection."""
-        listed = self.directory.servers.get(server.id)
-        if listed is None or listed.start != server.start:
-            # A new start may listen at the address by now.
-            return True
-        return await self.fetcher.refuses(server.address, GONE_TIMEOUT)
+        if error.refused or not error.closed:
+            return error.refused
+        return await is_gone(self.directory, self.fetcher, server)
 
     async def exchange_once(self, call, server, fresh: bool) -> Attempt:
         """Exchange on one connection.
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -16,13 +16,13 @@
 from gypsumshift import logs
 from gypsumshift.eventstream import StreamBroken, blocks, field_of
 from gypsumshift.fetch import Exchange, FetchError
-from gypsumshift.outcomes import NotRun, Unknown
+from gypsumshift.outcomes import HeldBack, NotRun, Unknown
 from gypsumshift.server import Abandon
 from gypsumshift.serving.answers import passed_headers, refusal
 from gypsumshift.serving.calls import Call
 from gypsumshift.serving.directory import BackendServer, ServerStart
 from gypsumshift.serving.forwarder import RETRY_AFTER, Forwarder
-from gypsumshift.serving.guard import HELD_BACK, Permit
+from gypsumshift.serving.guard import REASON, Permit
 
 __all__ = ["Stream", "StreamRelay"]
 
@@ -94,7 +94,7 @@
     async def start(self, call: Call) -> Stream | NotRun | Unknown:
         """Open a stream at the first server that takes it."""
         permit = await self.guard.admit(call.fingerprint, call.id)
-        if isinstance(permit, NotRun):
+        if isinstance(permit, HeldBack):
             return permit
         relayed = Relayed(call, permit)
         opened = None
@@ -156,11 +156,12 @@
     def not_opened(self, relayed: Relayed) -> NotRun | Unknown:
         """Return why a stream is not opened at another server."""
         held = not self.guard.allows(relayed.permit, 0, relayed.runs > 0)
-        reason = HELD_BACK if held else "no backend server took the stream"
+        reason = REASON if held else "no backend server took the stream"
         if relayed.runs:
             return Unknown(reason)
-        pause = self.guard.pause(relayed.permit.fingerprint) if held else RETRY_AFTER
-        return NotRun(reason, datetime.timedelta(seconds=pause))
+        if held:
+            return self.guard.held_back(relayed.permit.fingerprint)
+        return NotRun(reason, datetime.timedelta(seconds=RETRY_AFTER))
 
     async def open_at(self, call: Call, server: BackendServer, after: str) -> Exchange:
         """Open a stream behind an event at one server."""
@@ -226,7 +227,7 @@
                 return
             except StreamBroken as error:
                 reason = str(error)
-                gone = error.closed and await self.sender.is_gone(server)
+                gone = await self.sender.gone(error, server)
             self.note_broken(relayed, server, reason, True, gone)
             opened = await self.open(relayed, relayed.last)
             if not isinstance(opened, tuple):
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -37,6 +37,7 @@
     Service,
     Target,
 )
+from gypsumshift.serving.guard import Guard
 from gypsumshift.watch import run_all
 
 NAMES = HeaderNames(
@@ -69,7 +70,8 @@
         for number in range(size):
             name = f"{step}-{group}-{number}"
             reward = RewardCall(f"r-{name}", HOST, "/score/", b"x")
-            found.append(Item(name, "/run/1", {}, b"body", f"g{group}", 10, reward))
+            body = name.encode()
+            found.append(Item(name, "/run/1", {}, body, f"g{group}", 10, reward))
     return found
 
 
@@ -88,7 +90,7 @@
     return Row(CLAIMS, unit, version, to_row(claim), job_id)
 
 
-def routes(version=1, one_version=False, attempts=3):
+def routes(version=1, one_version=False, attempts=3, retention=None):
     """Return a configuration with one route for items and one for scores."""
     run = Route(
         "run",
@@ -98,6 +100,7 @@
         (Target(SERVICE),),
         attempts=attempts,
         one_version=one_version,
+        retention=retention,
     )
     score = Route(
         "score", HOST, "/score/", RequestKind.SAFE, (Target("app"),), attempts=4
@@ -190,6 +193,8 @@
         self.statuses = []
         self.hold = asyncio.Event()
         self.hold.set()
+        chance = random.Random(1)
+        self.guard = Guard(memory.MemoryTables(), SystemClock(), chance, METRICS)
 
     async def forward(self, call):
         self.calls.append(call)
@@ -249,7 +254,15 @@
     def __attrs_post_init__(self):
         self.desk = Desk(self.store, SystemClock(), METRICS)
 
-    def agent(self, name="a", engine=None, store=None, presence=UNASKED):
+    def agent(
+        self,
+        name="a",
+        engine=None,
+        store=None,
+        presence=UNASKED,
+        forwarder=None,
+        clock=None,
+    ):
         """Start an agent beside an engine."""
         directory = Directory()
         directory.set_routes(routes())
@@ -260,9 +273,9 @@
             store or self.store,
             directory,
             engine or FakeEngine(),
-            FakeForwarder(),
+            forwarder or FakeForwarder(),
             NAMES,
-            SystemClock(),
+            clock or SystemClock(),
             chance,
             METRICS,
             presence=presence,
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -22,9 +22,9 @@
 import datetime
 import functools
 
-from gypsumshift.outcomes import Answered, NotRun, Unknown
+from gypsumshift.outcomes import Answered, HeldBack, NotRun, Unknown
 from gypsumshift.serving.crashtable import CRASHES
-from gypsumshift.serving.guard import HELD_BACK
+from gypsumshift.serving.guard import REASON
 from gypsumshift.serving.quarantine import MOST_CASES, MOST_ENDS, TRIAL_PAUSES
 from tests import own_time
 from tests.crash_world import BACK_AFTER, EVENTS, POISON, TOLD_AFTER, CrashWorld
@@ -106,7 +106,7 @@
         for _ in range(MOST_ENDS):
             assert isinstance(await world.ask("g0", POISON, "/once/"), Unknown)
         outcome = await world.ask("g0", POISON, "/once/")
-        assert outcome == NotRun(HELD_BACK, outcome.retry_after)
+        assert outcome == HeldBack(REASON, outcome.retry_after)
         assert len(world.runs_of(POISON)) == MOST_ENDS
         await world.keep_asking(POISON, 20, 0.25, prefix="/once/")
         check_held_back(world)
@@ -117,7 +117,7 @@
 def test_a_call_that_asked_two_servers_at_once_ends_three_at_the_most():
     async def scenario(world):
         outcome = await world.ask("g0", POISON)
-        assert outcome == Unknown(HELD_BACK), "it ran, so it is not called refused"
+        assert outcome == Unknown(REASON), "it ran, so it is not called refused"
         assert len(world.ended) == MOST_ENDS
         assert world.runs[1].at < world.ended[0][0], "two ran at once"
 
@@ -170,7 +170,7 @@
         outcome = await world.ask("g0", POISON)
         assert world.clock.monotonic() == began
         first = datetime.timedelta(seconds=TRIAL_PAUSES[0])
-        assert outcome == NotRun(HELD_BACK, outcome.retry_after)
+        assert outcome == HeldBack(REASON, outcome.retry_after)
         assert datetime.timedelta(0) < outcome.retry_after <= first
 
     play(scenario)
