The steps of an item stand in a module of their own

Cause: jobs/unitruns.py had grown to 420 lines with two subjects: claimed units, and single items in the engine's places and in the gate of reward calls.

Change: moved, with the loop of a run in three short functions; what was held on the way is asked for by what it is (a result, a request that is held back, nothing).

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -298,7 +298,7 @@
             limits = self.station.limits
             if limits is None:
                 return
-            self.runner.set_places(limits.slots)
+            self.runner.steps.set_places(limits.slots)
             self.claimer.adopt()
             candidate = self.board.choose(
                 self.weights.models(),
--- /dev/null
+++ b/gypsumshift/jobs/itemsteps.py
@@ -0,0 +1,178 @@
+"""Item steps: an item in its place of the engine, and in the gate of reward calls.
+
+What is held back, since servers ended under it, waits outside of both.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from gypsumshift import logs
+from gypsumshift.clock import Clock
+from gypsumshift.eventstream import StreamBroken
+from gypsumshift.jobs.itemrun import PAUSE, ItemRun
+from gypsumshift.jobs.model import Result
+from gypsumshift.jobs.rewards import RewardGate
+from gypsumshift.jobs.station import Station
+from gypsumshift.jobs.weights import WeightKeeper
+from gypsumshift.metrics import Metrics
+from gypsumshift.outcomes import HeldBack
+from gypsumshift.platforms import RowStore
+from gypsumshift.serving.directory import BackendServer
+from gypsumshift.serving.guard import Guard, Permit
+from gypsumshift.serving.liveness import is_gone
+
+__all__ = ["ItemSteps"]
+
+# Longest wait of an item that is held back until it asks again, in seconds.
+HELD_PAUSE = 1.0
+
+log = logs.logger("units")
+
+
+class ItemSteps:
+    """Owns the places of the engine and the gate, and takes items through them.
+
+    Parameters
+    ----------
+    station : Station
+    weights : WeightKeeper
+    guard : Guard
+    store : RowStore
+        Tells the time by which items age.
+    clock : Clock
+    metrics : Metrics
+    changed : callable
+        Called when there may be room for more.
+    """
+
+    def __init__(
+        self,
+        station: Station,
+        weights: WeightKeeper,
+        guard: Guard,
+        store: RowStore,
+        clock: Clock,
+        metrics: Metrics,
+        changed: Callable[[], None],
+    ):
+        self.station = station
+        self.weights = weights
+        self.guard = guard
+        self.store = store
+        self.clock = clock
+        self.metrics = metrics
+        self.changed = changed
+        self.rewards = RewardGate(clock, station.directory)
+        self.places = asyncio.Semaphore(1)
+        self.place_count = 1
+
+    def set_places(self, count: int) -> None:
+        """Let so many items run at once."""
+        if count != self.place_count:
+            self.place_count = count
+            self.places = asyncio.Semaphore(count)
+
+    async def score(self, run: ItemRun) -> Result:
+        """Have an item scored that left its place."""
+        self.changed()
+        while True:
+            self.rewards.fit(run.item.reward)
+            async with self.rewards.enter(score_rank(run)):
+                outcome = await run.finish()
+            if isinstance(outcome, HeldBack):
+                # Not in the gate: the reward calls of the other items go on.
+                outcome = await self.wait_held(run, outcome)
+            if outcome is not None:
+                return outcome
+
+    async def generate(self, run: ItemRun) -> Result | None:
+        """Generate one item; return a result only where it is given up."""
+        while True:
+            async with self.places:
+                outcome = await self.try_once(run)
+            if run.generated or isinstance(outcome, Result):
+                return outcome
+            if isinstance(outcome, HeldBack):
+                outcome = await self.wait_held(run, outcome)
+                if outcome is not None:
+                    return outcome
+                continue
+            # An engine that loads a model's weights refuses its requests: asking
+            # ten times a second was 4 of 10 requests on a calm day.
+            await self.clock.sleep(PAUSE)
+
+    async def try_once(self, run: ItemRun) -> Result | HeldBack | None:
+        """Generate one item, where the engine and the guard take it now."""
+        server = self.station.server
+        if server is None or self.weights.loading == run.job.model:
+            return None
+        permit = await self.guard.admit(run.fingerprint, run.item.id)
+        if isinstance(permit, HeldBack):
+            return permit
+        return await self.generate_at(run, server, permit)
+
+    async def generate_at(
+        self, run: ItemRun, server: BackendServer, permit: Permit
+    ) -> Result | None:
+        """Generate one item at the engine by leave of the guard."""
+        ran = True
+        try:
+            result = await run.generate(server)
+            run.generated = result is None
+            self.guard.answered(permit)
+            return result
+        except StreamBroken as error:
+            ran = error.sent
+            await self.note_broken(run, server, error, permit)
+            return None
+        finally:
+            self.guard.close(permit, ran)
+
+    async def wait_held(self, run: ItemRun, held: HeldBack) -> Result | None:
+        """Wait until an item may be tried again; return the result of one given up.
+
+        It takes no place meanwhile, and is given up only by its age: another release
+        of the engine may not end under it.
+        """
+        if run.expired(self.store.now().total_seconds()):
+            return run.give_up(held.reason)
+        run.held = True
+        self.changed()
+        pause = min(held.retry_after.total_seconds(), HELD_PAUSE)
+        try:
+            await self.clock.sleep(pause)
+        finally:
+            run.held = False
+        return None
+
+    async def note_broken(
+        self, run: ItemRun, server: BackendServer, error: StreamBroken, permit: Permit
+    ) -> None:
+        """Take note of a stream that broke, and of an engine that ended; it goes on."""
+        directory, fetcher = self.station.directory, self.station.engine.fetcher
+        ended = error.closed and await is_gone(directory, fetcher, server)
+        if ended:
+            self.guard.note_end(permit, server.start)
+        if error.replaced:
+            self.station.replaced.add(server.start)
+        self.metrics.count("broken_streams")
+        logs.event(
+            log,
+            "A stream broke.",
+            item=run.item.id,
+            job=run.job.id,
+            fingerprint=run.fingerprint,
+            server=server.id,
+            events=len(run.events),
+            reason=str(error),
+            ended=ended,
+        )
+
+
+def score_rank(run: ItemRun) -> tuple[float, int]:
+    """Return the rank of a reward call: items that end an older step go first.
+
+    The last and longest items of a step are generated when the next step's many short
+    ones wait for their scores; behind them, they lost up to 0.8 s of the step's 7 s.
+    """
+    return (run.job.submitted, -len(run.events))
--- a/gypsumshift/jobs/unitruns.py
+++ b/gypsumshift/jobs/unitruns.py
@@ -8,10 +8,10 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
-from gypsumshift.eventstream import StreamBroken
 from gypsumshift.jobs.claims import Candidate, ClaimBoard
 from gypsumshift.jobs.committer import Committer, Finished
 from gypsumshift.jobs.itemrun import PAUSE, ItemRun
+from gypsumshift.jobs.itemsteps import ItemSteps
 from gypsumshift.jobs.model import (
     CLAIMS,
     RESULTS,
@@ -28,25 +28,18 @@
 from gypsumshift.jobs.pace import Pace
 from gypsumshift.jobs.partials import Partials, read_rows
 from gypsumshift.jobs.returns import Returns
-from gypsumshift.jobs.rewards import RewardGate
 from gypsumshift.jobs.station import Station
 from gypsumshift.jobs.unit import UnitRun
 from gypsumshift.jobs.weights import WeightKeeper
 from gypsumshift.metrics import Metrics
-from gypsumshift.outcomes import HeldBack
 from gypsumshift.platforms import Row, RowStore, Write
-from gypsumshift.serving.directory import BackendServer
 from gypsumshift.serving.forwarder import Forwarder
-from gypsumshift.serving.guard import Permit
 from gypsumshift.serving.headers import HeaderNames
-from gypsumshift.serving.liveness import is_gone
 
 __all__ = ["UnitRunner"]
 
 # Seconds after which a unit is given back that met an error of the program.
 BROKEN_PAUSE = 1.0
-# Longest wait of an item that is held back until it asks again, in seconds.
-HELD_PAUSE = 1.0
 
 log = logs.logger("units")
 
@@ -90,7 +83,6 @@
         self.weights = weights
         self.board = board
         self.forwarder = forwarder
-        self.guard = forwarder.guard
         self.names = names
         self.clock = clock
         self.metrics = metrics
@@ -99,9 +91,9 @@
         self.committer = Committer(store, clock)
         self.partials = Partials(store, own.session, clock)
         self.units: dict[tuple[str, str], UnitRun] = {}
-        self.rewards = RewardGate(clock, station.directory)
-        self.places = asyncio.Semaphore(1)
-        self.place_count = 1
+        self.steps = ItemSteps(
+            station, weights, forwarder.guard, store, clock, metrics, changed
+        )
         self.returns = Returns(store, board, self.partials, clock, changed)
 
     @property
@@ -124,12 +116,6 @@
         runs = (run for unit in self.units.values() for run in unit.runs.values())
         return sum(run.generated and not run.held for run in runs)
 
-    def set_places(self, count: int) -> None:
-        """Let so many items run at once."""
-        if count != self.place_count:
-            self.place_count = count
-            self.places = asyncio.Semaphore(count)
-
     def drop_ended(self) -> None:
         """Stop the units whose jobs have ended."""
         for unit in list(self.units.values()):
@@ -238,10 +224,10 @@
     async def run_item(self, unit: UnitRun, run: ItemRun) -> None:
         """Generate, score and store one item."""
         claimed = self.clock.monotonic()
-        result = await self.generate(run)
+        result = await self.steps.generate(run)
         generated = self.clock.monotonic()
         if result is None:
-            result = await self.score(run)
+            result = await self.steps.score(run)
         now = self.clock.monotonic()
         logs.event(
             log,
@@ -259,95 +245,6 @@
         )
         self.store_result(unit, run, result)
 
-    async def score(self, run: ItemRun) -> Result:
-        """Have an item scored that left its place."""
-        run.generated = True
-        self.changed()
-        while True:
-            self.rewards.fit(run.item.reward)
-            async with self.rewards.enter(score_rank(run)):
-                outcome = await run.finish()
-            if isinstance(outcome, HeldBack):
-                # Not in the gate: the reward calls of the other items go on.
-                outcome = await self.wait_held(run, outcome)
-            if outcome is not None:
-                return outcome
-
-    async def generate(self, run: ItemRun) -> Result | None:
-        """Generate one item in a place of the engine."""
-        while True:
-            held = None
-            async with self.places:
-                server = self.station.server
-                if server is not None and self.weights.loading != run.job.model:
-                    permit = await self.guard.admit(run.fingerprint, run.item.id)
-                    if not isinstance(permit, HeldBack):
-                        try:
-                            return await self.generate_at(run, server, permit)
-                        except StreamBroken as error:
-                            self.note_broken(run, server, error)
-                    else:
-                        held = permit
-            if held is not None:
-                result = await self.wait_held(run, held)
-                if result is not None:
-                    return result
-                continue
-            # An engine that loads a model's weights refuses its requests: asking
-            # ten times a second was 4 of 10 requests on a calm day.
-            await self.clock.sleep(PAUSE)
-
-    async def generate_at(
-        self, run: ItemRun, server: BackendServer, permit: Permit
-    ) -> Result | None:
-        """Generate one item at the engine by leave of the guard."""
-        ran = True
-        try:
-            result = await run.generate(server)
-            self.guard.answered(permit)
-            return result
-        except StreamBroken as error:
-            ran = error.sent
-            directory, engine = self.station.directory, self.station.engine
-            if error.closed and await is_gone(directory, engine.fetcher, server):
-                self.guard.note_end(permit, server.start)
-            raise
-        finally:
-            self.guard.close(permit, ran)
-
-    async def wait_held(self, run: ItemRun, held: HeldBack) -> Result | None:
-        """Wait until an item may be tried again; return the result of one given up.
-
-        It takes no place meanwhile, and is given up only by its age: another release
-        of the engine may not end under it.
-        """
-        if run.expired(self.store.now().total_seconds()):
-            return run.give_up(held.reason)
-        run.held = True
-        self.changed()
-        pause = min(held.retry_after.total_seconds(), HELD_PAUSE)
-        try:
-            await self.clock.sleep(pause)
-        finally:
-            run.held = False
-        return None
-
-    def note_broken(self, run: ItemRun, server, error: StreamBroken) -> None:
-        """Take note of a stream that broke; it is resumed."""
-        self.metrics.count("broken_streams")
-        if error.replaced:
-            self.station.replaced.add(server.start)
-        logs.event(
-            log,
-            "A stream broke.",
-            item=run.item.id,
-            job=run.job.id,
-            fingerprint=run.fingerprint,
-            server=server.id,
-            events=len(run.events),
-            reason=str(error),
-        )
-
     def store_result(self, unit: UnitRun, run: ItemRun, result: Result) -> None:
         """Hand a result to the committer."""
         self.metrics.count("items", state=result.state.value)
@@ -409,12 +306,3 @@
         if given:
             await asyncio.wait(given)
         await self.committer.drain()
-
-
-def score_rank(run: ItemRun) -> tuple[float, int]:
-    """Return the rank of a reward call: items that end an older step go first.
-
-    The last and longest items of a step are generated when the next step's many short
-    ones wait for their scores; behind them, they lost up to 0.8 s of the step's 7 s.
-    """
-    return (run.job.submitted, -len(run.events))
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -136,6 +136,9 @@
         Whether an order is being carried out, once it was given.
     """
 
+    # Asked only behind connections that were closed, of which there are none here.
+    fetcher = None
+
     def __init__(self, length=3):
         self.length = length
         self.gap = 0.0
--- a/tests/test_rewards.py
+++ b/tests/test_rewards.py
@@ -96,7 +96,7 @@
     agent = world.agent("a", FakeEngine())
     await world.submit(groups=4)
     assert len(await world.results()) == 8
-    assert agent.runner.rewards.gate.places == 1, "the application is not listed"
+    assert agent.runner.steps.rewards.gate.places == 1, "the application is not listed"
 
 
 def test_the_share_follows_from_what_is_listed():
