--- a/gypsumshift/serving/guard.py
+++ b/gypsumshift/serving/guard.py
@@ -176,6 +176,7 @@
             log,
             "A request is held back from now on: servers ended under it.",
             fingerprint=fingerprint,
+            ended=True,
             servers=[crash.start.id for crash in crashes],
             requests=list(dict.fromkeys(crash.request for crash in crashes)),
         )
@@ -204,6 +205,7 @@
             "A request under which servers ended was answered.",
             request=permit.request,
             fingerprint=permit.fingerprint,
+            cleared=True,
         )
 
     def close(self, permit: Permit, ran: bool) -> None:
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -48,3 +48,28 @@
     text = (tmp_path / "log").read_text().splitlines()
     assert len(text) == logs.LINES_AT_ONCE + 2
     assert text[-2:] == ["50 lines dropped", "later"]
+
+
+def test_a_request_that_is_held_back_leads_to_the_ends_under_its_other_ids(tmp_path):
+    """On call, its own lines named no server: those had ended under other ids."""
+    usual = {"part": "sender", "message": "An attempt failed.", "fingerprint": "f1"}
+    write(
+        tmp_path,
+        "a.log",
+        usual | {"time": "1", "request": "r1", "server": "s1", "ended": True},
+        usual | {"time": "2", "request": "r1", "server": "s2", "ended": False},
+        usual
+        | {"time": "3", "request": "r2", "server": "s3", "ended": True}
+        | {"fingerprint": "f2"},
+    )
+    held = {"message": "A request is held back.", "fingerprint": "f1"}
+    write(
+        tmp_path,
+        "b.log",
+        held | {"time": "6", "request": "r8"},
+        held | {"time": "7", "request": "r9"},
+        held | {"time": "5", "request": "r7", "trial": 1},
+    )
+    found = traces.find(tmp_path, "r9")
+    assert [line["time"] for line in found] == ["1", "5", "7"]
+    assert found[0]["server"] == "s1"
