--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -53,8 +53,6 @@
         Server by the task of its attempt.
     ran : set of ServerStart
         Servers on which it may have run.
-    ended : set of ServerStart
-        Of these, servers that ended under it.
     refused : set of ServerStart
         Servers that refused it in this round.
     rounds : int
@@ -68,7 +66,6 @@
     permit: Permit
     running: dict[asyncio.Task, BackendServer] = attrs.field(factory=dict)
     ran: set[ServerStart] = attrs.field(factory=set)
-    ended: set[ServerStart] = attrs.field(factory=set)
     refused: set[ServerStart] = attrs.field(factory=set)
     rounds: int = 0
     answer: Answered | None = None
@@ -82,11 +79,9 @@
     def spent(self) -> bool:
         """Whether no further server may run it."""
         begun = len(self.ran) + len(self.running)
-        if not self.call.repeatable:
-            # It stays with the first server that may have run it.
-            return begun >= 1
-        # A server that ended did not answer it and never will: the guard bounds these.
-        return begun - len(self.ended) >= self.call.route.attempts
+        # What may not be repeated stays with the first server that may have run it.
+        most = self.call.route.attempts if self.call.repeatable else 1
+        return begun >= most
 
 
 class Forwarder:
@@ -207,7 +202,6 @@
             return None
         if isinstance(outcome, Failed):
             if outcome.ended:
-                race.ended.add(server.start)
                 self.guard.note_end(race.permit, server.start)
             if outcome.sent:
                 race.ran.add(server.start)
