Items that run beside one under which engines end are not held back with it

Callers saw: nothing yet; a trainer's step would have missed a sound item for an hour.

Cause: items of a unit are handed over together, so the same engines ended under both; both were held back, and the trials of both were made at one moment beside each other, so that the sound one met two ends more.

Change: a request all of whose servers ended under another as well, under which more ended, is not held back; and items under which the same two servers ended are not run side by side at an engine.

Weighed: running all items under which a server ended one by one (16 of an engine that was lost, for up to 4 s each); trials at moments of their own only (the same engine may still be chosen, and two ends are shared before).

--- a/gypsumshift/jobs/itemsteps.py
+++ b/gypsumshift/jobs/itemsteps.py
@@ -43,6 +43,11 @@
     metrics : Metrics
     changed : callable
         Called when there may be room for more.
+
+    Attributes
+    ----------
+    running : list of str
+        Fingerprints of the items that the engine runs now.
     """
 
     def __init__(
@@ -65,6 +70,7 @@
         self.rewards = RewardGate(clock, station.directory)
         self.places = asyncio.Semaphore(1)
         self.place_count = 1
+        self.running: list[str] = []
 
     def set_places(self, count: int) -> None:
         """Let so many items run at once."""
@@ -106,10 +112,16 @@
         server = self.station.server
         if server is None or self.weights.loading == run.job.model:
             return None
-        permit = await self.guard.admit(run.fingerprint, run.item.id)
-        if isinstance(permit, HeldBack):
-            return permit
-        return await self.generate_at(run, server, permit)
+        if self.guard.quarantine.shares_ends(run.fingerprint, self.running):
+            return None
+        self.running.append(run.fingerprint)
+        try:
+            permit = await self.guard.admit(run.fingerprint, run.item.id)
+            if isinstance(permit, HeldBack):
+                return permit
+            return await self.generate_at(run, server, permit)
+        finally:
+            self.running.remove(run.fingerprint)
 
     async def generate_at(
         self, run: ItemRun, server: BackendServer, permit: Permit
--- a/gypsumshift/serving/quarantine.py
+++ b/gypsumshift/serving/quarantine.py
@@ -6,12 +6,14 @@
 three servers ended is held back.
 
 One that is sound can come under this by chance, most likely where all servers of its
-service are lost at once. So any answer of a server clears a request, and one that is
-held back is tried again: by one process and at one server each time, twice in all.
+service are lost at once, or beside one that ends them. So any answer of a server clears
+a request, and one that is held back is tried again: by one process and at one server
+each time, twice in all.
 """
 
 import heapq
 import math
+from collections.abc import Iterable
 
 import attrs
 
@@ -23,6 +25,8 @@
 # Servers that end under a request until it is held back. A call and its repetition
 # can meet two that are lost with their hosts.
 MOST_ENDS = 3
+# Servers that ended under two requests from which on these are not run side by side.
+SHARED_ENDS = 2
 # Seconds until a request that is held back is tried again, for each of its trials.
 # Short first, for a sound one; then long, since a bad one costs a server each time.
 TRIAL_PAUSES = (1.0, 20.0)
@@ -95,9 +99,9 @@
         return ends
 
     @property
-    def held(self) -> bool:
-        """Whether it is held back."""
-        return self.ends >= MOST_ENDS
+    def starts(self) -> set[ServerStart]:
+        """Servers that ended."""
+        return {crash.start for crash in self.crashes.values()}
 
 
 class Quarantine:
@@ -151,8 +155,29 @@
         return case.ends if case else 0
 
     def holds(self, fingerprint: str) -> bool:
-        """Tell whether a request is held back."""
-        return self.ends(fingerprint) >= MOST_ENDS
+        """Tell whether a request is held back.
+
+        Not one that only ran beside another: under that one, all of its servers ended
+        and others besides.
+        """
+        case = self.cases.get(fingerprint)
+        if case is None or case.ends < MOST_ENDS:
+            return False
+        starts = case.starts
+        more = [c for c in self.cases.values() if len(c.crashes) > len(starts)]
+        return not any(other.starts > starts for other in more)
+
+    def shares_ends(self, fingerprint: str, others: Iterable[str]) -> bool:
+        """Tell whether the same servers ended under a request and under one of others.
+
+        Run side by side once more, both would be blamed for one end more.
+        """
+        case = self.cases.get(fingerprint)
+        if case is None or case.ends < SHARED_ENDS:
+            return False
+        known = [self.cases[name] for name in others if name in self.cases]
+        rest = [other for other in known if other is not case]
+        return any(len(case.starts & other.starts) >= SHARED_ENDS for other in rest)
 
     def crashes(self, fingerprint: str) -> list[Crash]:
         """Return the crashes under a request, the oldest first."""
--- a/tests/test_fatal_items.py
+++ b/tests/test_fatal_items.py
@@ -147,6 +147,24 @@
     play(scenario)
 
 
+def test_items_that_run_beside_it_are_done_and_not_held_back_with_it():
+    """An item of the same unit was handed over with it, and lost each engine as well.
+
+    It was held back, and both of its trials were made beside those of the other.
+    """
+
+    async def scenario(world):
+        for engine in world.engines.values():
+            engine.length = 30
+        world.fatal = {POISON}
+        await world.submit(groups=8, size=8)
+        await asyncio.sleep(20)
+        done = {result.item for result in await world.listed()}
+        assert len(done) == 63 and POISON not in done
+
+    play(scenario)
+
+
 def test_a_held_item_takes_no_place_of_an_engine():
     async def scenario(world):
         world.fatal = {POISON}
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -72,6 +72,18 @@
     assert quarantine.holds("f")
 
 
+def test_a_request_that_only_ran_beside_one_that_ended_more_is_let_go():
+    quarantine, clock = make(ends=MOST_ENDS)
+    for number in range(MOST_ENDS):
+        beside = crash(clock, f"beside {number}", "beside", server=f"s-f{number}")
+        quarantine.take(beside)
+    assert quarantine.holds("f") and quarantine.holds("beside")
+    quarantine.take(crash(clock, "f trial"))
+    assert quarantine.holds("f") and not quarantine.holds("beside")
+    quarantine.take(crash(clock, "alone", "beside"))
+    assert quarantine.holds("beside"), "this one it did not run beside"
+
+
 def test_an_answer_clears_a_request():
     quarantine, _ = make(ends=MOST_ENDS)
     assert sorted(quarantine.clear("f")) == ["f0", "f1", "f2"]
