Stand-ins end under requests, and the soak sends such requests and checks what follows

Cause: neither the users' list of troubles nor our stand-ins had a request under which its server ends.

Change: a worker of the stand-ins ends itself under a body that holds a text; the soak sends two such requests, one of which may not be repeated, beside all faults and for 8 s behind them, starts the workers again, and checks that in the calm at the end no more than three are sent once all gateways can know.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,12 +5,14 @@
 import signal
 import sys
 import tempfile
+import time
 from typing import Annotated
 
 import typer
 
 from soak.checks import check_backends, check_results
 from soak.deployment import Deployment
+from soak.fatal import calm, check_fatal, send_fatal
 from soak.faults import Faults
 from soak.regression import SEEDS
 from soak.workload import Workload
@@ -18,6 +20,9 @@
 CALLERS = 4
 TRAINERS = 2
 READERS = 4
+# Seconds behind the last fault in which callers go on: for what is known everywhere by
+# then to be seen.
+CALM = 8.0
 # Seconds after the last fault in which every accepted job must be whole.
 SETTLE = 60.0
 
@@ -34,13 +39,20 @@
         callers = [asyncio.create_task(workload.call()) for _ in range(CALLERS)]
         callers += [asyncio.create_task(workload.train()) for _ in range(TRAINERS)]
         callers += [asyncio.create_task(workload.read_on()) for _ in range(READERS)]
+        callers.append(asyncio.create_task(send_fatal(workload, seed)))
+        keeping = asyncio.create_task(deployment.keep_workers())
         await faults.run(seconds)
+        await calm(deployment)
+        calm_from = time.time()
+        await asyncio.sleep(CALM)
         workload.stopping = True
         await asyncio.gather(*callers)
         wrong = await settle(workload, deployment)
+        keeping.cancel()
     finally:
         await deployment.close()
     wrong += check_backends(folder, workload.seen)
+    wrong += check_fatal(folder, calm_from)
     seen = workload.seen
     played = (
         f"{seen.served} requests served, {len(seen.refused)} refused, "
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -19,6 +19,9 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 FIRST_BLOCK, BLOCKS = 20, 200
+# Text in a body under which a worker ends, and seconds until it is started again.
+FATAL = "fatal"
+BACK_AFTER = 0.3
 FRONT, READY, WORKER, STORE, NEIGHBOURS = 8100, 8101, 8200, 8300, 8400
 
 
@@ -110,6 +113,7 @@
         self.fetcher = Fetcher()
         self.hosts = 0
         self.processes: list[Process] = []
+        self.returning: list[asyncio.Task] = []
 
     def next_ip(self) -> str:
         """Return a loopback address of its own."""
@@ -139,8 +143,29 @@
             front = {"listen.front": FRONT, "listen.ready": READY}
             await self.add_node(f"gateway-{number}", front)
         for gateway in self.of_kind("gateway"):
-            address = (gateway.ip, READY)
-            await self.until_answered(address, "GET", "/gypsumshift/ready", 200)
+            await self.until_ready(gateway)
+
+    async def until_ready(self, gateway: Process) -> None:
+        """Wait until a gateway says that it is ready."""
+        address = (gateway.ip, READY)
+        await self.until_answered(address, "GET", "/gypsumshift/ready", 200)
+
+    async def keep_workers(self) -> None:
+        """Start workers again that ended by themselves, until cancelled."""
+        while True:
+            await asyncio.sleep(0.1)
+            for process in self.of_kind("app") + self.of_kind("engine"):
+                if process.child.returncode is not None and not process.lock.locked():
+                    self.returning.append(asyncio.create_task(self.bring_back(process)))
+                    # Takes the lock before it is looked at again.
+                    await asyncio.sleep(0)
+
+    async def bring_back(self, process: Process) -> None:
+        """Start a worker again that ended by itself."""
+        async with process.lock:
+            await asyncio.sleep(BACK_AFTER)
+            if process.child.returncode is not None:
+                await process.start()
 
     def add(self, name: str, module: str, *arguments: str) -> Process:
         """Add a stand-in."""
@@ -158,6 +183,7 @@
         same_id = f"i-{name}" if name.endswith(("0", "2")) else ""
         arguments = ["--port", str(WORKER), "--service", service, "--store", store]
         arguments += ["--models", models, "--runs", runs, "--name", same_id]
+        arguments += ["--fatal", FATAL]
         process = self.add(name, "standins.users_worker", *arguments)
         await process.start()
         return process
@@ -208,5 +234,7 @@
 
     async def close(self) -> None:
         """End all processes that this run started."""
+        for task in self.returning:
+            task.cancel()
         await asyncio.gather(*(process.stop() for process in self.processes))
         self.claim.close()
--- /dev/null
+++ b/soak/fatal.py
@@ -0,0 +1,70 @@
+"""Fatal requests: callers whose requests end the workers that run them."""
+
+import asyncio
+import collections
+import itertools
+import pathlib
+import random
+
+from soak.checks import read_runs
+from soak.deployment import FATAL, Deployment
+from soak.workload import Workload
+
+__all__ = ["calm", "check_fatal", "send_fatal"]
+
+# Seconds between two such requests, at any gateway.
+GAPS = (0.1, 0.6)
+# One that may be repeated and one that may not, and how often each is sent.
+REQUESTS = (("/app/1", f"{FATAL} 1"), ("/once/1", f"{FATAL} 2"))
+WEIGHTS = (4, 1)
+# Workers that may end under one, seconds within which all gateways know, and sends
+# that they may make later.
+MOST_ENDS = 3
+KNOWN_WITHIN = 3.0
+SENDS_LEFT = 3
+
+
+async def send_fatal(workload: Workload, seed: int) -> None:
+    """Send them again and again under new ids; each must be said to have failed."""
+    chance = random.Random(f"{seed} fatal")
+    for number in itertools.count():
+        if workload.stopping:
+            return
+        ((target, body),) = chance.choices(REQUESTS, WEIGHTS)
+        name = f"fatal-{seed}-{number}"
+        gateway = chance.choice(workload.deployment.of_kind("gateway"))
+        answer = await workload.ask("POST", target, name, body.encode(), gateway)
+        if answer is not None and answer[0] == 200:
+            workload.seen.wrong.append(f"{name}: answered, though its worker ended")
+        if answer is not None and answer[0] in (429, 503):
+            workload.seen.refused.add(name)
+        if target.startswith("/once"):
+            workload.seen.once.add(name)
+        await asyncio.sleep(chance.uniform(*GAPS))
+
+
+async def calm(deployment: Deployment) -> None:
+    """Wait until all gateways say that they are ready."""
+    await asyncio.gather(*map(deployment.until_ready, deployment.of_kind("gateway")))
+
+
+def check_fatal(folder: pathlib.Path, calm_from: float) -> list[str]:
+    """Return the requests that were sent on after they had ended enough workers.
+
+    Only what was sent in the calm behind all faults counts: a gateway that is frozen
+    or cut off cannot know. ``calm_from`` is in seconds since 1970.
+    """
+    runs: dict[str, list[float]] = collections.defaultdict(list)
+    for run in read_runs(folder, "app"):
+        if "fatal" in run:
+            runs[run["fatal"]].append(run["at"])
+    wrong = []
+    for body, begun in runs.items():
+        begun.sort()
+        if len(begun) <= MOST_ENDS:
+            continue
+        known_at = max(begun[MOST_ENDS - 1], calm_from) + KNOWN_WITHIN
+        late = [at for at in begun if at > known_at]
+        if len(late) > SENDS_LEFT:
+            wrong.append(f"{body}: sent {len(late)} times after all could know")
+    return wrong
--- a/standins/users_worker.py
+++ b/standins/users_worker.py
@@ -8,8 +8,10 @@
 import base64
 import hashlib
 import json
+import os
 import random
 import time
+from collections.abc import Callable
 
 import typer
 
@@ -21,6 +23,8 @@
 
 HEARTBEAT = 0.6
 LOAD_SECONDS = 0.3
+# Seconds into a request under which a worker ends.
+FATAL_AFTER = 0.1
 NOT_RUN = [("not-run", "1")]
 
 
@@ -65,6 +69,10 @@
         Events inside which the next streams break off.
     loses_answers : bool
         Whether requests are run and their connections cut instead of an answer.
+    fatal : bytes
+        Bodies that hold it end the worker; empty for none.
+    on_fatal : callable
+        Ends it; the process, unless a test has another way.
     """
 
     def __init__(self, service, models=(), slots=6, events=4, pause=0.02):
@@ -84,6 +92,8 @@
         self.file = None
         self.breaks: list[int] = []
         self.loses_answers = False
+        self.fatal = b""
+        self.on_fatal: Callable[[], None] = lambda: os._exit(1)
         self.server = Server(self.serve)
 
     def start_again(self) -> None:
@@ -154,6 +164,10 @@
         request_id = request.header("request-id")
         after = int(request.header("last-event-id", "0"))
         run = {"request": request_id, "at": time.time(), "after": after, "end": ""}
+        fatal = bool(self.fatal) and self.fatal in request.body
+        if fatal:
+            run["fatal"] = request.body.decode("latin-1")
+            asyncio.get_running_loop().call_later(FATAL_AFTER, self.on_fatal)
         self.note(run)
         headers = [
             ("request-id", request_id),
@@ -163,7 +177,7 @@
         if not self.models:
             self.running += 1
             try:
-                await asyncio.sleep(self.pause)
+                await asyncio.sleep(FATAL_AFTER * 10 if fatal else self.pause)
             finally:
                 self.running -= 1
             if self.loses_answers:
@@ -255,14 +269,17 @@
     slots: int = 6,
     runs: str = "",
     name: str = "",
+    fatal: str = "",
 ) -> None:
     """Run a stand-in for a worker; ``models`` are separated by commas.
 
-    With a ``name``, each start has it for its id.
+    With a ``name``, each start has it for its id. Requests whose bodies hold the text
+    ``fatal`` end it.
     """
     names = tuple(models.split(",")) if models else ()
     worker = UsersWorker(service, names, slots)
     worker.id = name or worker.id
+    worker.fatal = fatal.encode()
     if runs:
         worker.file = open(runs, "a")
     asyncio.run(run(worker, ip, port, store))
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -1,6 +1,7 @@
 """Builders for tests of the platform's adapter: the whole path over loopback."""
 
 import asyncio
+import functools
 import json
 import pathlib
 import sys
@@ -18,6 +19,13 @@
     sys.path.append(str(FOLDER))
 
 
+def end(worker):
+    """End a worker as its process would: nobody listens, all connections break."""
+    worker.server.listener.close()
+    for task in worker.server.connections:
+        task.cancel()
+
+
 @attrs.define
 class PlatformWorld:
     """The users' platform with one gateway and one agent, in one process."""
@@ -70,6 +78,15 @@
         port = worker.server.listener.sockets[0].getsockname()[1]
         await self.store.put("servers", worker.id, worker.entry(f"127.0.0.1:{port}"))
 
+    async def add_fragile(self, count, fatal=b"fatal"):
+        """Add workers of the application, each of which ends under a body."""
+        workers = [UsersWorker("app") for _ in range(count)]
+        for worker in workers:
+            worker.fatal = fatal
+            worker.on_fatal = functools.partial(end, worker)
+            await self.register(worker)
+        return workers
+
     async def ask(self, method, target, request_id="r1", body=b"", **headers):
         """Send a request to the gateway, return its answer."""
         fields = [("request-id", request_id)]
@@ -94,6 +111,15 @@
             assert page["next"] == len(found)
         return found
 
+    async def some_results(self, count, job="job"):
+        """Return the results of a job, once so many are listed."""
+        while True:
+            exchange, content = await self.ask("GET", results_target(job))
+            results = json.loads(content)["results"]
+            if len(results) >= count:
+                return results
+            await asyncio.sleep(0.02)
+
     async def close(self):
         for task in self.tasks:
             task.cancel()
