A request that only ran beside another is let go for calls, too

Callers saw: nothing yet. Found by a reading of the mend that tried to break it.

Cause: calls and streams counted ends by themselves before each send, so one that was let go, since another explains its ends, was refused all the same.

Change: the quarantine says at how many servers at once a request may run: none while it is held back, one where it was let go.

--- a/gypsumshift/serving/guard.py
+++ b/gypsumshift/serving/guard.py
@@ -149,7 +149,7 @@
         """
         if permit.trial:
             return not running and not ran
-        return self.quarantine.ends(permit.fingerprint) + running < MOST_ENDS
+        return running < self.quarantine.sends_left(permit.fingerprint)
 
     def note_end(self, permit: Permit, start: ServerStart) -> None:
         """Take that a server ended under a request."""
--- a/gypsumshift/serving/quarantine.py
+++ b/gypsumshift/serving/quarantine.py
@@ -167,6 +167,15 @@
         more = [c for c in self.cases.values() if len(c.crashes) > len(starts)]
         return not any(other.starts > starts for other in more)
 
+    def sends_left(self, fingerprint: str) -> int:
+        """Return at how many servers at once a request may run, without a trial.
+
+        As many as may end until it is held back; one, where it was let go.
+        """
+        if self.holds(fingerprint):
+            return 0
+        return max(1, MOST_ENDS - self.ends(fingerprint))
+
     def shares_ends(self, fingerprint: str, others: Iterable[str]) -> bool:
         """Tell whether the same servers ended under a request and under one of others.
 
