Trials are claimed, withdrawn and used by whoever made them, and a gateway stays ready

Callers saw: nothing yet. Found by a reading of the mend that tried to break it; each has a test that fails before.

Cause: (1) a process that found a request cleared while it claimed a trial removed the row of another's claim; (2) a withdrawal carried out late removed a newer claim, so that two made one trial; (3) a claim that the store answered too late was used up, and the next trial was 20 s away; (4) while a lost history was read anew a gateway said that it was not ready.

Change: a process knows the versions of the rows that it claimed; only these are withdrawn, under that version and in a transaction of their own; a row of its own that it knows nothing of is its claim still. Being informed is for good. A process takes itself for cut off after 4 s, so that one lost answer of the feed is not enough; rows that are too old are removed some at a time.

--- a/gypsumshift/serving/crashtable.py
+++ b/gypsumshift/serving/crashtable.py
@@ -31,8 +31,9 @@
 # time for a crash to be known everywhere within 3 s. Twice that of other tables, since
 # this one is calm.
 POLL = datetime.timedelta(seconds=1.6)
-# Seconds without news of the table after which a process takes itself for cut off.
-CUT_OFF = 2.5
+# Seconds without news of the table after which a process takes itself for cut off: one
+# answer of the feed may be lost.
+CUT_OFF = 4.0
 # Seconds for the claim of a trial, for which a caller waits.
 CLAIM_TIMEOUT = 0.4
 # Rows in one transaction, of which a store takes 100, and that wait to be written.
@@ -91,6 +92,12 @@
         Keys of the crashes that the store has, as told.
     own_trials : dict
         When this process made a trial that the store does not know, by its key.
+    claimed : dict
+        Version of the row of each trial that this process was to make, by its key.
+    withdrawn : dict
+        The same of those that came to nothing, whose rows are still to be removed.
+    informed : bool
+        Whether the whole table was told once.
     """
 
     def __init__(
@@ -111,6 +118,9 @@
         self.leaving: dict[str, None] = {}
         self.listed: set[str] = set()
         self.own_trials: dict[str, float] = {}
+        self.claimed: dict[str, int] = {}
+        self.withdrawn: dict[str, int] = {}
+        self.informed = False
         self.news = asyncio.Event()
         self.failures = 0
         self.swept_at = clock.monotonic()
@@ -148,19 +158,26 @@
         for key in self.listed - {row.key for row in rows}:
             self.take_removal(key)
         self.take(rows)
+        self.informed = True
 
     def take_row(self, row: Row) -> None:
         """Take a crash or a trial."""
         fingerprint, kind, number = split_key(row.key)
         try:
-            if kind == TRIAL:
+            if kind == TRIAL and not self.is_unused(row):
                 self.quarantine.note_trial(fingerprint, int(number))
+            elif kind == TRIAL:
+                log.debug("A claim of this process was answered late: {}", row.key)
             elif row.key not in self.leaving:
                 self.quarantine.take(self.parse(row, fingerprint))
                 self.listed.add(row.key)
         except (KeyError, TypeError, ValueError) as error:
             log.error("Cannot read {}/{}: {!r}", row.table, row.key, error)
 
+    def is_unused(self, row: Row) -> bool:
+        """Tell whether this process claimed a trial without knowing that it had."""
+        return row.value.get("by") == self.session and row.key not in self.claimed
+
     def parse(self, row: Row, fingerprint: str) -> Crash:
         """Return the crash in a row; raises KeyError, TypeError or ValueError."""
         value = row.value
@@ -176,6 +193,7 @@
     def take_removal(self, key: str) -> None:
         """Take that a row is removed."""
         self.listed.discard(key)
+        self.claimed.pop(key, None)
         fingerprint, kind, number = split_key(key)
         if kind != TRIAL:
             self.quarantine.drop(fingerprint, key)
@@ -240,7 +258,7 @@
         while True:
             await self.news.wait()
             self.news.clear()
-            while self.waiting or self.leaving:
+            while self.waiting or self.leaving or self.withdrawn:
                 await self.clock.sleep(await self.write_some())
 
     async def write_some(self) -> float:
@@ -248,6 +266,8 @@
         if not self.heard:
             # The times in the rows are the store's.
             return RETRY_MOST
+        if self.withdrawn:
+            return await self.write_withdrawal()
         told = list(self.waiting.values())[:ROWS_AT_ONCE]
         gone = [key for key in self.leaving if key not in self.waiting][:ROWS_AT_ONCE]
         writes = [Write(CRASHES, crash.key, self.value(crash)) for crash in told]
@@ -262,6 +282,20 @@
             self.leaving.pop(key, None)
         return PAUSE
 
+    async def write_withdrawal(self) -> float:
+        """Remove the row of a trial that came to nothing, unless it is a newer one.
+
+        The store may carry a removal out once more, and late: another process may
+        have claimed the trial by then.
+        """
+        key, version = next(iter(self.withdrawn.items()))
+        write = Write(CRASHES, key, expected=version)
+        outcome = await self.store.commit([write])
+        if not isinstance(outcome, (Committed, Conflict)):
+            return self.note_failure(outcome)
+        self.withdrawn.pop(key, None)
+        return PAUSE
+
     def note_failure(self, outcome: Written) -> float:
         """Count a transaction that may not have been carried out; return a pause."""
         self.failures += 1
@@ -286,11 +320,9 @@
     async def claim_trial(self, fingerprint: str, number: int) -> Claim:
         """Have a trial made by this process and no other."""
         key = trial_key(fingerprint, number)
-        value = {"by": self.session, "at": self.store_time()}
-        self.leaving.pop(key, None)
         try:
             async with asyncio.timeout(CLAIM_TIMEOUT):
-                outcome = await self.claim(key, value)
+                outcome = await self.claim(key)
         except TimeoutError:
             outcome = Claim.UNSETTLED
         if outcome is Claim.UNSETTLED and not self.followed and number == 1:
@@ -299,17 +331,21 @@
             return Claim.OWN
         return outcome
 
-    async def claim(self, key: str, value: dict) -> Claim:
+    async def claim(self, key: str) -> Claim:
         """Write the row of a trial where there is none."""
+        value = {"by": self.session, "at": self.store_time()}
         outcome = await self.store.commit([Write(CRASHES, key, value, ABSENT)])
         if isinstance(outcome, Committed):
+            self.claimed[key] = outcome.version
             return Claim.OWN
         if not isinstance(outcome, Conflict):
             return Claim.UNSETTLED
-        # A write that was sent twice meets itself.
+        # It may have met itself, sent twice, or one that was answered too late.
         row = await self.store.read(CRASHES, key)
-        own = isinstance(row, Row) and row.value == value
-        return Claim.OWN if own else Claim.ANOTHERS
+        if not isinstance(row, Row) or not self.is_unused(row):
+            return Claim.ANOTHERS
+        self.claimed[key] = row.version
+        return Claim.OWN
 
     def store_time(self) -> float:
         """Return the store's time in seconds."""
@@ -317,7 +353,11 @@
 
     def withdraw_trial(self, fingerprint: str, number: int) -> None:
         """Have the row of a trial removed that came to nothing."""
-        self.remove([trial_key(fingerprint, number)])
+        key = trial_key(fingerprint, number)
+        version = self.claimed.pop(key, None)
+        if version is not None:
+            self.withdrawn[key] = version
+            self.news.set()
 
     def sweep(self) -> None:
         """Have rows removed that are too old."""
@@ -328,7 +368,7 @@
         horizon = self.store_time() - self.patience
         old = [row.key for row in self.watch.rows.values() if written_at(row) < horizon]
         if old:
-            self.remove(old)
+            self.remove(old[:MOST_WAITING])
 
 
 def split_key(key: str) -> tuple[str, str, str]:
--- a/gypsumshift/serving/guard.py
+++ b/gypsumshift/serving/guard.py
@@ -65,7 +65,7 @@
     @property
     def informed(self) -> bool:
         """Whether this process was told what others saw before it began."""
-        return self.table.watch.version >= 0
+        return self.table.informed
 
     async def admit(self, fingerprint: str, request: str) -> Permit | HeldBack:
         """Return leave to send a request, or that it is held back.
@@ -93,7 +93,8 @@
             self.trying.discard(fingerprint)
         if not self.quarantine.holds(fingerprint):
             # Answered elsewhere meanwhile.
-            self.table.withdraw_trial(fingerprint, number)
+            if claim is Claim.OWN:
+                self.table.withdraw_trial(fingerprint, number)
             return 0
         if claim is Claim.UNSETTLED:
             self.quarantine.put_off(fingerprint)
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -87,6 +87,10 @@
         Whether no call gets through.
     lose : float
         Share of the writes that are carried out and not answered.
+    slow : float
+        Seconds by which answers to writes come late.
+    writes : list of Write
+        All that were sent.
     """
 
     def __init__(self, tables, chance):
@@ -94,6 +98,7 @@
         self.chance = chance
         self.down = False
         self.lose = 0.0
+        self.slow = 0.0
         self.writes = []
 
     async def commit(self, writes):
@@ -102,6 +107,7 @@
             return Unavailable("down")
         self.writes += writes
         outcome = await super().commit(writes)
+        await asyncio.sleep(self.slow)
         lost = self.chance.random() < self.lose
         return Unknown("no answer") if lost else outcome
 
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -1,18 +1,98 @@
 """Trials of what is held back: made by one process, and not lost for nothing."""
 
 import asyncio
+import datetime
+import random
 
+from gypsumshift.memory import MemoryTables
 from gypsumshift.outcomes import Answered, HeldBack
+from gypsumshift.platforms import Row, Write
+from gypsumshift.serving.crashtable import (
+    CRASHES,
+    MOST_WAITING,
+    SWEEP_PERIOD,
+    CrashTable,
+    trial_key,
+)
 from gypsumshift.serving.quarantine import (
+    FORGOTTEN,
     MOST_ENDS,
     TRIAL_PAUSES,
+    Quarantine,
 )
+from tests.builders import ManualClock
 from tests.crash_world import BACK_AFTER, POISON, TOLD_AFTER
 from tests.test_fatal_requests import end_three, play
 
 FIRST = TRIAL_PAUSES[0]
 
 
+def rows(world):
+    return [key for table, _, key in world.tables.rows if table == CRASHES]
+
+
+async def held(world, name="g0"):
+    """Have a request held back; return its fingerprint."""
+    await end_three(world)
+    await asyncio.sleep(max(FIRST, BACK_AFTER + TOLD_AFTER))
+    return world.call(POISON).fingerprint
+
+
+def test_who_finds_a_request_cleared_while_it_claims_leaves_anothers_claim():
+    async def scenario(world):
+        fingerprint = await held(world)
+        guard = world.gateways["g0"].guard
+        claims = guard.table.claim_trial
+
+        async def cleared_meanwhile(*arguments):
+            other = world.gateways["g1"].guard.table
+            await other.claim_trial(*arguments)
+            outcome = await claims(*arguments)
+            guard.quarantine.clear(fingerprint)
+            return outcome
+
+        guard.table.claim_trial = cleared_meanwhile
+        await guard.admit(fingerprint, "r")
+        await asyncio.sleep(1)
+        assert trial_key(fingerprint, 1) in rows(world)
+
+    play(scenario)
+
+
+def test_a_withdrawal_that_comes_late_leaves_a_newer_claim():
+    async def scenario(world):
+        fingerprint = await held(world)
+        table = world.gateways["g0"].guard.table
+        way = world.ways["g0"]
+        assert (await table.claim_trial(fingerprint, 1)).name == "OWN"
+        # Withdrawn; the store carries a copy of that out once more, later.
+        way.writes.clear()
+        table.withdraw_trial(fingerprint, 1)
+        await asyncio.sleep(0.5)
+        late = [w for w in way.writes if w.key == trial_key(fingerprint, 1)]
+        assert late and trial_key(fingerprint, 1) not in rows(world)
+        other = world.gateways["g1"].guard.table
+        assert (await other.claim_trial(fingerprint, 1)).name == "OWN"
+        await world.tables.commit(late)
+        assert trial_key(fingerprint, 1) in rows(world)
+
+    play(scenario)
+
+
+def test_a_claim_that_the_store_answered_too_late_is_used_at_the_next_request():
+    async def scenario(world):
+        fingerprint = await held(world)
+        world.fatal = set()
+        world.ways["g0"].slow = 1.0
+        assert isinstance(await world.ask("g0", POISON), HeldBack)
+        world.ways["g0"].slow = 0.0
+        await asyncio.sleep(2 * FIRST)
+        assert world.gateways["g0"].guard.quarantine.trials(fingerprint) == 0
+        assert isinstance(await world.ask("g0", POISON), Answered)
+
+    play(scenario)
+
+
 def test_a_request_that_only_ran_beside_another_is_sent_by_a_call():
     async def scenario(world):
         await end_three(world)
@@ -35,3 +115,30 @@
             assert isinstance(await world.ask(name, b"beside"), Answered)
 
     play(scenario)
+
+
+def test_a_gateway_that_was_told_once_stays_ready_while_history_is_lost():
+    async def scenario(world):
+        guard = world.gateways["g0"].guard
+        assert guard.informed
+        world.ways["g0"].down = True
+        world.tables.forget()
+        for number in range(3):
+            await world.tables.commit([Write("other", f"{number}", {})])
+        guard.table.watch.version = -1
+        assert guard.informed
+
+    play(scenario)
+
+
+def test_rows_that_are_too_old_are_removed_some_at_a_time():
+    clock = ManualClock()
+    chance = random.Random(1)
+    table = CrashTable(MemoryTables(), Quarantine(clock), clock, chance)
+    for number in range(3 * MOST_WAITING):
+        row = Row(CRASHES, f"f{number}/x/1", number, {"at": 0.0})
+        table.watch.rows["", row.key] = row
+    table.store.now = lambda: datetime.timedelta(seconds=2 * FORGOTTEN)
+    clock.advance(SWEEP_PERIOD)
+    table.sweep()
+    assert len(table.leaving) == MOST_WAITING
