Servers that end after a request was cut there count as well

Callers saw: nothing yet.

Cause: an end was seen by the broken connection alone. Callers that leave, and deadlines that pass, before their server ends leave none, so their request was never held back.

Change: servers at which an unanswered request was cut are looked at 0.5 and 2 s later, by an idle connection that is still open, or else by a new one that is kept.

Weighed: keeping connections open for a while after the caller has left (servers work on for nobody); looking only where a request is under suspicion (its first end is never seen).

--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -18,6 +18,7 @@
 from gypsumshift.serving.calls import Attempt, Call, Failed, Refused
 from gypsumshift.serving.directory import BackendServer, ServerStart
 from gypsumshift.serving.guard import REASON, Guard, Permit
+from gypsumshift.serving.lateends import LateEnds
 from gypsumshift.serving.sender import Sender
 
 __all__ = ["Forwarder"]
@@ -102,6 +103,9 @@
         self.pool = sender.pool
         self.clock = sender.clock
         self.metrics = sender.metrics
+        self.late_ends = LateEnds(
+            guard, self.pool, self.directory, sender.fetcher, self.clock
+        )
 
     async def forward(self, call: Call) -> Answered | NotRun | Unknown:
         """Return what became of a call, before its deadline."""
@@ -111,12 +115,16 @@
         service = call.route.service_for(call.id)
         race = Race(call, self.directory.service(service), permit)
         started = self.clock.monotonic()
+        outcome = None
         try:
             outcome = await self.run(race)
         finally:
             ran = bool(race.ran or race.running)
+            cut = list(race.running.values())
             await self.abandon(race)
             self.guard.close(permit, ran)
+            if not isinstance(outcome, Answered):
+                self.late_ends.watch(permit, cut)
         took = self.clock.monotonic() - started
         ending = type(outcome).__name__
         self.metrics.time("request_seconds", took, service=service, outcome=ending)
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -61,6 +61,8 @@
         Servers not to be tried again.
     runs : int
         Servers at which it may have run.
+    server : BackendServer or None
+        At which it runs now.
     last : str
         Number of the last event that the caller got; empty before the first.
     """
@@ -69,6 +71,7 @@
     permit: Permit
     tried: set[ServerStart] = attrs.field(factory=set)
     runs: int = 0
+    server: BackendServer | None = None
     last: str = ""
 
     @property
@@ -90,6 +93,7 @@
         self.sender = forwarder.sender
         self.pool = forwarder.pool
         self.guard = forwarder.guard
+        self.late_ends = forwarder.late_ends
 
     async def start(self, call: Call) -> Stream | NotRun | Unknown:
         """Open a stream at the first server that takes it."""
@@ -102,7 +106,7 @@
             opened = await self.open(relayed)
         finally:
             if not isinstance(opened, tuple):
-                self.guard.close(permit, relayed.runs > 0)
+                self.close(relayed)
         if not isinstance(opened, tuple):
             return opened
         exchange, server = opened
@@ -112,15 +116,23 @@
         body = self.settle(relayed, relay(relayed, exchange, server))
         return Stream(exchange.status, headers, body)
 
+    def close(self, relayed: Relayed) -> None:
+        """Take the end of a stream, and look after the server at which it was cut."""
+        ran = relayed.runs > 0 or relayed.server is not None
+        self.guard.close(relayed.permit, ran)
+        if relayed.server is not None:
+            self.late_ends.watch(relayed.permit, [relayed.server])
+
     async def settle(self, relayed: Relayed, body: AsyncIterator[bytes]):
         """Yield a body, and have the guard learn how it ended."""
         try:
             async with contextlib.aclosing(body):
                 async for data in body:
                     yield data
+            relayed.server = None
             self.guard.answered(relayed.permit)
         finally:
-            self.guard.close(relayed.permit, ran=True)
+            self.close(relayed)
 
     async def open(
         self, relayed: Relayed, after: str = ""
@@ -135,6 +147,7 @@
             if server is None or left <= 0:
                 return self.not_opened(relayed)
             relayed.tried.add(server.start)
+            relayed.server = server
             try:
                 async with asyncio.timeout(left):
                     exchange = await self.open_at(call, server, after)
@@ -144,6 +157,7 @@
             if refusal(exchange, self.sender.names) is None:
                 relayed.runs += 1
                 return exchange, server
+            relayed.server = None
             exchange.close()
 
     def choose(self, relayed: Relayed, servers: list) -> BackendServer | None:
@@ -179,6 +193,8 @@
         broke = isinstance(error, FetchError)
         sent = not broke or error.sent
         relayed.runs += sent
+        if not broke:
+            self.late_ends.watch(relayed.permit, [server])
         gone = broke and await self.sender.gone(error, server)
         if not gone:
             self.pool.failed(server, self.sender.directory.service(server.service))
@@ -188,6 +204,7 @@
         self, relayed: Relayed, server: BackendServer, reason: str, sent: bool, gone
     ) -> None:
         """Take that a stream broke, and that its server ended where it is gone."""
+        relayed.server = None
         if gone:
             self.pool.crashed(server)
         if gone and sent:
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -223,7 +223,7 @@
         self.cut_off = False
 
     def connected(self, address):
-        return True
+        return self.world.worker(address).up
 
     def cut(self, address):
         """Nothing lies idle."""
@@ -233,7 +233,8 @@
         return not self.world.worker(address).up
 
     async def reach(self, timeout):
-        """Wait for the way there and back; silent where this gateway is cut off."""
+        """Open a connection; silent where this gateway is cut off."""
+        self.world.opened += 1
         await asyncio.sleep(timeout if self.cut_off else 2 * WAY)
         if self.cut_off:
             raise FetchError("no connection", False)
@@ -273,6 +274,10 @@
         Seconds until a stream begins.
     alone : set of str
         Gateways that no neighbour reaches.
+    patience : float
+        Seconds that a caller waits.
+    opened : int
+        Connections to servers.
     """
 
     def __init__(self, seed=1, gateways=3, servers=5, attempts=2):
@@ -282,6 +287,8 @@
         self.routes = routes(attempts)
         self.numbers = itertools.count(1)
         self.head_after = 0.0
+        self.patience = PATIENCE
+        self.opened = 0
         self.fatal = {POISON}
         self.runs = []
         self.ended = []
@@ -400,7 +407,7 @@
             [(NAMES.request_id, name)],
             body,
             self.routes.find(HOST, target),
-            self.clock.monotonic() + PATIENCE,
+            self.clock.monotonic() + self.patience,
             caller=caller,
         )
 
@@ -418,6 +425,13 @@
             return Unknown(str(reason))
         return Answered(outcome.status, (), data)
 
+    async def ask_and_leave(self, name, body, prefix, after):
+        """Ask a gateway, and leave before it has an answer."""
+        asked = self.begin(self.ask(name, body, prefix))
+        await asyncio.sleep(after)
+        asked.cancel()
+        await asyncio.wait({asked})
+
     async def keep_asking(self, body, seconds, period, names=None, prefix="/safe/"):
         """Send a body again and again at gateways in turn; return the outcomes."""
         begun = []
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -163,6 +163,42 @@
     play(scenario, attempts=3)
 
 
+def test_ends_that_come_when_the_caller_has_left_count():
+    """Callers that left before their server ended had it ended without end."""
+
+    async def scenario(world, prefix):
+        for number in range(40):
+            name = f"g{number % 3}"
+            await world.ask_and_leave(name, POISON, prefix, after=0.05)
+            await asyncio.sleep(0.5)
+        check_held_back(world)
+
+    for prefix in ("/safe/", "/once/", "/flow/", "/resumed/"):
+        play(functools.partial(scenario, prefix=prefix))
+
+
+def test_ends_that_come_behind_the_deadline_count():
+    async def scenario(world, prefix):
+        world.patience = 0.08
+        await world.keep_asking(POISON, 20, 0.5, prefix=prefix)
+        check_held_back(world)
+
+    for prefix in ("/safe/", "/once/", "/resumed/"):
+        play(functools.partial(scenario, prefix=prefix))
+
+
+def test_sound_callers_that_leave_are_held_back_for_nothing():
+    async def scenario(world):
+        for number in range(60):
+            await world.ask_and_leave(f"g{number % 3}", b"sound", "/safe/", after=0.01)
+        await asyncio.sleep(1)
+        for gateway in world.gateways.values():
+            assert not gateway.guard.quarantine.cases
+        assert world.opened <= len(world.runs), "no connection more for any of them"
+
+    play(scenario)
+
+
 def test_it_is_said_at_once_that_it_has_not_run_and_when_to_come_back():
     async def scenario(world):
         await end_three(world)
