The product's own deployment: entries hold back what ends backend servers

Callers saw: nothing yet.

Cause: an entry counted tries within one call, up to six; a sample was taken up by the next engine without end.

Change: a sidecar whose backend server closes a connection asks it at once, and the load in its answer says whether it is gone; the entry's dispatcher has a guard of its own, for requests, streams and samples, which it names by their prompt. A group whose trials ended engines as well is set aside.

--- a/gypsumshift/answers.py
+++ b/gypsumshift/answers.py
@@ -45,6 +45,8 @@
     chunks : async iterator of bytes
         Raises `LinkError` where the stream breaks.
     backend, sidecar : str
+    answer : Answer
+        Takes it; knows whether its backend server ended.
     spans : list of Span
         Complete once the chunks have ended.
     """
@@ -53,6 +55,7 @@
     chunks: AsyncIterator[bytes]
     backend: str
     sidecar: str
+    answer: "Answer"
     spans: list[Span] = attrs.field(factory=list)
 
 
@@ -82,10 +85,13 @@
     ----------
     reason : str
     attempt : str
+    ended : bool
+        Whether its backend server ended under it.
     """
 
     reason: str
     attempt: str
+    ended: bool = False
 
 
 @attrs.define
@@ -101,6 +107,8 @@
     attempt : str
     link : Link
     exchange : Exchanges
+    ended : bool
+        Whether the backend server ended under the attempt.
     """
 
     router: Router
@@ -109,6 +117,7 @@
     attempt: str
     link: Link
     exchange: Exchanges
+    ended: bool = False
 
     async def take(self, began: float) -> Whole | Streamed | Refusal | Lost | Unknown:
         """Return the answer, or how the attempt failed."""
@@ -146,8 +155,17 @@
             wait = refused.retry_after_ms / 1000
             return Refusal(refused.reason, wait, bool(refused.busy))
         self.router.failed(self.known)
+        self.note_end(body)
         reason = body.broken.reason if body.broken else "an answer out of order"
-        return Lost(reason, self.attempt)
+        return Lost(reason, self.attempt, self.ended)
+
+    def note_end(self, body: Body) -> None:
+        """Take from a broken answer whether the backend server is gone.
+
+        Its sidecar asked it behind the break.
+        """
+        load = body.broken.load if body.broken else None
+        self.ended = load is not None and not load.healthy
 
     async def collect(self, head: Head):
         """Collect a long body up to its end; a broken one is no answer."""
@@ -166,7 +184,8 @@
         """Return a stream whose chunks are read by whoever takes it."""
         spans: list[Span] = []
         member = self.known.member
-        return Streamed(head, self.chunks(spans), member.backend, member.name, spans)
+        chunks = self.chunks(spans)
+        return Streamed(head, chunks, member.backend, member.name, self, spans)
 
     async def chunks(self, spans: list[Span]):
         """Yield a stream's chunks; fill in the spans at its end."""
@@ -180,6 +199,7 @@
                 ended = True
                 if body.end is None:
                     self.router.failed(self.known)
+                    self.note_end(body)
                     raise LinkError("the backend server broke the stream", True)
                 spans.extend(body.end.spans)
                 self.take_load(body.end.load)
--- a/gypsumshift/dispatch.py
+++ b/gypsumshift/dispatch.py
@@ -1,6 +1,7 @@
 """Dispatch: an entry brings one request to a backend server, whichever will do."""
 
 import asyncio
+import contextlib
 import datetime
 
 import attrs
@@ -21,9 +22,13 @@
 )
 from gypsumshift.links import LinkError
 from gypsumshift.members import Known
-from gypsumshift.outcomes import NotRun, Unknown
+from gypsumshift.memory import MemoryTables
+from gypsumshift.outcomes import HeldBack, NotRun, Unknown
 from gypsumshift.process import Process
 from gypsumshift.routing import ROUTERS, Router
+from gypsumshift.serving.directory import ServerStart
+from gypsumshift.serving.fingerprints import fingerprint
+from gypsumshift.serving.guard import Guard, Permit
 
 __all__ = ["Dispatcher", "Job", "mark", "not_run"]
 
@@ -34,6 +39,8 @@
 BAR_TRIES = 3
 BAR_PAUSE = 0.1
 FOLLOW_PERIOD = 0.1
+# Seconds between two looks at what the guard may forget.
+SWEEP_PERIOD = 10.0
 
 
 @attrs.define
@@ -65,6 +72,8 @@
         Whether the next attempt shall be refused where it would have to wait.
     fresh_key : bool
         Whether the caller vouches that its key was never sent before.
+    identity : str
+        What is the same each time that it comes, where its body is not.
     """
 
     workspace: str
@@ -85,6 +94,13 @@
     busy: set[str] = attrs.field(factory=set)
     no_wait: bool = False
     fresh_key: bool = False
+    identity: str = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """What is the same each time that it comes; see `serving.fingerprints`."""
+        what = self.identity.encode() if self.identity else self.body
+        return fingerprint(self.method, self.pool, self.target, self.workspace, what)
 
 
 class Dispatcher:
@@ -94,6 +110,12 @@
     ----------
     process : Process
         The entry.
+
+    Attributes
+    ----------
+    guard : Guard
+        Holds back what ends backend servers. It goes by what this entry saw: its table
+        is its own, since this deployment's tables have no feed to be told by.
     """
 
     def __init__(self, process: Process):
@@ -101,6 +123,22 @@
         self.clock = process.clock
         self.routers: dict[str, Router] = {}
         self.budgets: dict[str, RetryBudget] = {}
+        self.guard = Guard(
+            MemoryTables(), process.clock, process.random, process.metrics
+        )
+
+    async def run(self) -> None:
+        """Keep the guard's table until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.guard.table.watch.run())
+            group.create_task(self.guard.run())
+            group.create_task(self.sweep())
+
+    async def sweep(self) -> None:
+        """Forget what is too old, now and then."""
+        while True:
+            await self.clock.sleep(SWEEP_PERIOD)
+            self.guard.sweep()
 
     def router(self, pool: str) -> Router:
         """Return the router of a pool, as declared now."""
@@ -121,16 +159,35 @@
         return budget
 
     async def send(self, job: Job) -> Whole | Streamed | NotRun | Unknown:
+        """Try backend servers until one answers, unless servers end under it."""
+        permit = await self.guard.admit(job.fingerprint, job.workspace)
+        if isinstance(permit, HeldBack):
+            return permit
+        result = None
+        try:
+            result = await self.send_on(job, permit)
+            return result
+        finally:
+            if not isinstance(result, Streamed):
+                self.guard.close(permit, job.attempts > 0)
+
+    async def send_on(
+        self, job: Job, permit: Permit
+    ) -> Whole | Streamed | NotRun | Unknown:
         """Try backend servers until one answers, or nothing is left to try."""
         router, budget = self.router(job.pool), self.budget(job.workspace)
         budget.earn()
         refusal = Refusal(f"no backend server of {job.pool} is known here", 1.0)
         lost = None
         for _ in range(MOST_TRIES + MOST_PROBES):
+            if not self.guard.allows(permit, 0, job.attempts > 0):
+                break
             known = self.next_sidecar(job, router)
             if known is None or job.deadline <= self.clock.monotonic():
                 break
             result = await self.attempt(job, known, new_attempt(mark(known)))
+            if isinstance(result, Lost) and result.ended:
+                self.guard.note_end(permit, backend_start(known))
             if isinstance(result, Lost):
                 if not job.repeatable:
                     result = await self.settle(job, known, result)
@@ -143,10 +200,32 @@
             elif isinstance(result, Lost):
                 lost = result
             else:
-                return result
+                return self.settled(result, permit, known)
         # One attempt that may have run makes the whole unknown, whatever came after.
         return Unknown(lost.reason) if lost else not_run(refusal)
 
+    def settled(self, result, permit: Permit, known: Known):
+        """Have the guard learn from an answer, or from the end of a stream."""
+        if isinstance(result, Whole):
+            self.guard.answered(permit)
+        if isinstance(result, Streamed):
+            result.chunks = self.guarded(result.chunks, result.answer, permit, known)
+        return result
+
+    async def guarded(self, chunks, answer: Answer, permit: Permit, known: Known):
+        """Yield the chunks of a stream, and have the guard learn how it ended."""
+        try:
+            async with contextlib.aclosing(chunks):
+                async for data in chunks:
+                    yield data
+            self.guard.answered(permit)
+        except LinkError:
+            if answer.ended:
+                self.guard.note_end(permit, backend_start(known))
+            raise
+        finally:
+            self.guard.close(permit, ran=True)
+
     def next_sidecar(self, job: Job, router: Router) -> Known | None:
         """Return the sidecar to try next.
 
@@ -267,6 +346,11 @@
         return BarReply(AttemptState.UNKNOWN, None, b"")
 
 
+def backend_start(known: Known) -> ServerStart:
+    """Return the backend server beside a sidecar, which tells no start of it."""
+    return ServerStart(known.member.backend, 0)
+
+
 def mark(known: Known) -> int:
     """Return the mark last heard from a sidecar."""
     return known.load.mark if known.load else 0
--- a/gypsumshift/entry.py
+++ b/gypsumshift/entry.py
@@ -46,6 +46,7 @@
         settings = self.settings
         port = await self.front.listen(settings.host, settings.caller_port)
         self.front_address = (settings.host, port)
+        self.spawn(self.dispatcher.run())
 
     async def stop(self) -> None:
         """Stop at once."""
--- a/gypsumshift/generation.py
+++ b/gypsumshift/generation.py
@@ -169,7 +169,7 @@
                     *(self.sampler.sample(group, number, urgency) for number in missing)
                 )
                 if None in made:
-                    reason = "the engine rejects the prompt"
+                    reason = "engines reject the prompt, or end under it"
                     await self.ledger.fail(row, group, reason)
                     return
                 for number, sample in zip(missing, made, strict=True):
--- a/gypsumshift/runs.py
+++ b/gypsumshift/runs.py
@@ -224,6 +224,9 @@
                 with contextlib.closing(reply.exchange):
                     return await self.relay(run, reply)
         except FetchError as error:
+            if error.sent and error.closed:
+                # The load in the answer then says whether it is gone.
+                await self.backend.ask()
             return self.failure(run, str(error), error.sent)
         except TimeoutError:
             return self.failure(run, "no answer in time", True)
--- a/gypsumshift/sampling.py
+++ b/gypsumshift/sampling.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import datetime
 import json
 
 import attrs
@@ -20,7 +21,7 @@
 from gypsumshift.groups import Group, Sample
 from gypsumshift.labels import Labeller
 from gypsumshift.links import LinkError
-from gypsumshift.outcomes import NotRun
+from gypsumshift.outcomes import HeldBack, NotRun
 from gypsumshift.process import Process
 
 __all__ = ["Sampler"]
@@ -29,6 +30,8 @@
 RETRY_LEAST = 0.05
 RETRY_MOST = 2.0
 MOST_REJECTIONS = 3
+# A sample that is held back for longer than this has ended engines in its trials, too.
+HOPELESS = datetime.timedelta(minutes=5)
 MOST_MOVES = 2
 STALL = 2.0
 CRAWL_FACTOR = 3.0
@@ -139,7 +142,10 @@
             metrics.count("tokens_wasted", tokens, trainer=self.name, why=why)
 
     async def sample(self, group: Group, number: int, urgency: int) -> Sample | None:
-        """Generate one whole and labelled sample; None where the engine rejects it."""
+        """Generate one whole and labelled sample.
+
+        None where the engine rejects it, or engines end under it.
+        """
         partial, avoid, rejections = Partial(), set(), 0
         while rejections < MOST_REJECTIONS:
             job = self.job(group, partial, urgency, avoid)
@@ -153,6 +159,8 @@
                 if partial.finish_reason:
                     self.count_wasted(len(partial.token_ids), "unlabelled")
                     partial = Partial()
+            elif isinstance(result, HeldBack) and result.retry_after > HOPELESS:
+                return None
             elif isinstance(result, NotRun):
                 wait = min(max(result.retry_after.total_seconds(), wait), RETRY_MOST)
             elif isinstance(result, Whole) and 400 <= result.head.status < 500:
@@ -185,6 +193,8 @@
             share=self.trainer.share,
             affinity=group.prompt,
             avoid=avoid,
+            # Not its body, which grows with what was generated.
+            identity=group.prompt,
         )
 
     async def take(self, streamed: Streamed, partial: Partial, avoid: set) -> Partial:
