A lone end is told after 0.05 s, whatever becomes of its call

Callers saw: nothing yet.

Cause: the first end under a call was told when the call had ended, so that of a sound request, which another server answers, nothing is written. A gateway that is killed meanwhile takes what it saw along, and three servers more ended.

Change: each end waits 0.05 s for an answer elsewhere, which most sound requests have by then, and is told behind that; what was not written yet is dropped when its request is answered.

--- a/gypsumshift/serving/crashtable.py
+++ b/gypsumshift/serving/crashtable.py
@@ -39,6 +39,9 @@
 # Rows in one transaction, of which a store takes 100, and that wait to be written.
 ROWS_AT_ONCE = 50
 MOST_WAITING = 500
+# Seconds after which a lone end is written: in less, most requests are answered by
+# another server.
+SETTLED_AFTER = 0.05
 # Seconds between two transactions, and after one that was not carried out.
 PAUSE = 0.05
 RETRY_FIRST = 0.1
@@ -86,6 +89,8 @@
         Start of this process, by which its rows are known.
     waiting : dict
         `Crash` by key, of those that are still to be written.
+    attempted : set of str
+        Keys of these that a transaction may have written.
     leaving : dict
         Keys of the rows that are still to be removed, in order.
     listed : set of str
@@ -115,6 +120,7 @@
         self.patience = FORGOTTEN + chance.uniform(0, SWEEP_SPREAD)
         self.told = 0
         self.waiting: dict[str, Crash] = {}
+        self.attempted: set[str] = set()
         self.leaving: dict[str, None] = {}
         self.listed: set[str] = set()
         self.own_trials: dict[str, float] = {}
@@ -225,8 +231,10 @@
     def remove(self, keys: list[str]) -> None:
         """Have rows removed."""
         for key in keys:
-            self.waiting.pop(key, None)
-            self.leaving[key] = None
+            waited = self.waiting.pop(key, None) is not None
+            if not waited or key in self.attempted:
+                self.leaving[key] = None
+            self.attempted.discard(key)
         self.bound(self.leaving)
         self.news.set()
 
@@ -235,6 +243,7 @@
         while len(queue) > MOST_WAITING:
             key = next(iter(queue))
             del queue[key]
+            self.attempted.discard(key)
             log.warning("Too many rows wait for the store; one is left out: {}", key)
 
     def forget(self, fingerprint: str, keys: list[str], trials: int) -> None:
@@ -268,20 +277,36 @@
             return RETRY_MOST
         if self.withdrawn:
             return await self.write_withdrawal()
-        told = list(self.waiting.values())[:ROWS_AT_ONCE]
+        told = self.settled()[:ROWS_AT_ONCE]
         gone = [key for key in self.leaving if key not in self.waiting][:ROWS_AT_ONCE]
         writes = [Write(CRASHES, crash.key, self.value(crash)) for crash in told]
         writes += [Write(CRASHES, key) for key in gone]
+        if not writes:
+            return SETTLED_AFTER / 2
+        self.attempted.update(crash.key for crash in told)
         outcome = await self.store.commit(writes)
         if not isinstance(outcome, Committed):
             return self.note_failure(outcome)
         self.failures = 0
         for crash in told:
             self.waiting.pop(crash.key, None)
+            self.attempted.discard(crash.key)
         for key in gone:
             self.leaving.pop(key, None)
         return PAUSE
 
+    def settled(self) -> list[Crash]:
+        """Return the crashes to write: not those of requests that may be answered yet.
+
+        A sound request goes to another server at once; nothing is written of it.
+        """
+        horizon = self.clock.monotonic() - SETTLED_AFTER
+        return [
+            crash
+            for crash in self.waiting.values()
+            if crash.seen_at <= horizon or self.quarantine.ends(crash.fingerprint) > 1
+        ]
+
     async def write_withdrawal(self) -> float:
         """Remove the row of a trial that came to nothing, unless it is a newer one.
 
--- a/gypsumshift/serving/guard.py
+++ b/gypsumshift/serving/guard.py
@@ -32,14 +32,11 @@
     fingerprint, request : str
     trial : int
         Number of the trial that this is, of a request that is held back; 0 for none.
-    crashes : list of Crash
-        Servers that ended under it.
     """
 
     fingerprint: str
     request: str
     trial: int = 0
-    crashes: list[Crash] = attrs.field(factory=list)
 
 
 class Guard:
@@ -161,12 +158,11 @@
             start,
             self.clock.monotonic(),
         )
-        permit.crashes.append(crash)
         self.metrics.count("quarantine_ends")
         self.table.remove(self.quarantine.take(crash))
+        if self.quarantine.knows(permit.fingerprint, crash.key):
+            self.table.tell(crash)
         ends = self.quarantine.ends(permit.fingerprint)
-        if ends > 1:
-            self.tell(permit)
         if ends == MOST_ENDS:
             self.log_hold(permit.fingerprint)
 
@@ -182,14 +178,6 @@
             requests=list(dict.fromkeys(crash.request for crash in crashes)),
         )
 
-    def tell(self, permit: Permit) -> None:
-        """Tell other processes what ended under a request."""
-        known = self.quarantine.crashes(permit.fingerprint)
-        for crash in permit.crashes:
-            if crash in known:
-                self.table.tell(crash)
-        permit.crashes.clear()
-
     def answered(self, permit: Permit, whole: bool = True) -> None:
         """Take that a server answered a request: it does not end each.
 
@@ -204,12 +192,9 @@
         ends = self.quarantine.ends(permit.fingerprint)
         if not ends or (ends > 1 and not whole):
             return
-        untold = {crash.key for crash in permit.crashes}
         trials = self.quarantine.trials(permit.fingerprint)
         known = self.quarantine.clear(permit.fingerprint)
-        told = [key for key in known if key not in untold]
-        self.table.forget(permit.fingerprint, told, trials)
-        permit.crashes.clear()
+        self.table.forget(permit.fingerprint, known, trials)
         permit.trial = 0
         logs.event(
             log,
@@ -220,11 +205,7 @@
         )
 
     def close(self, permit: Permit, ran: bool) -> None:
-        """Take the end of a request; what ended under it is told to others.
-
-        A first end is told only here: a sound request is answered elsewhere first.
-        """
-        self.tell(permit)
+        """Take the end of a request; a trial that no server took is withdrawn."""
         if permit.trial and not ran:
             self.quarantine.withdraw_trial(permit.fingerprint, permit.trial)
             self.table.withdraw_trial(permit.fingerprint, permit.trial)
--- a/tests/test_fatal_machine.py
+++ b/tests/test_fatal_machine.py
@@ -24,6 +24,8 @@
 FATAL = (b"fatal one", b"fatal two")
 # Seeds in which a stream was whole before its last server ended, and was cleared.
 PIECED_TOGETHER = (12, 28, 65, 156, 219, 267, 300)
+# One in which the only process that saw a lone end was killed before it told of it.
+TOLD_LATE = (92,)
 
 
 class Days(CrashWorld):
@@ -142,7 +144,7 @@
             assert isinstance(await self.ask(name, b"popular"), Answered), name
 
 
-@pytest.mark.parametrize("seed", [*range(6), *PIECED_TOGETHER])
+@pytest.mark.parametrize("seed", [*range(6), *PIECED_TOGETHER, *TOLD_LATE])
 def test_what_ends_servers_is_held_back_and_sound_requests_are_not(seed):
     async def run(seed):
         world = Days(seed)
