News of crashes go round at a bounded pace, and only what is kept

Callers saw: nothing yet; with more than 16 ends under one request while the store is away, all processes would have been busy with nothing else.

Cause: what a process had no room to keep was new to it each time that it heard of it, and was passed on at once.

Change: only what is kept is new; it is passed on by the same look, ten times a second, as what waits for the store, 20 crashes at the most.

--- a/gypsumshift/crashnews.py
+++ b/gypsumshift/crashnews.py
@@ -28,8 +28,8 @@
 # Seconds between two looks for crashes that wait for the store, and for an answer.
 PERIOD = 0.1
 ASK_TIMEOUT = 0.3
-# Neighbours that are told at once: with three of them each time, news that each passes
-# on once reach some 95 of 100, and the rest by the next look.
+# Neighbours that are told each time: news that each passes on once reach some 95 of
+# 100 so, and the rest by the next look.
 FANOUT = 3
 # Crashes in one message, of some 150 bytes each.
 MOST_TOLD = 20
@@ -51,6 +51,11 @@
         Knows the neighbours.
     clock : Clock
     chance : random.Random
+
+    Attributes
+    ----------
+    passing : dict
+        Crashes that neighbours told, to be passed on once, by key.
     """
 
     def __init__(
@@ -60,10 +65,14 @@
         self.path = path
         self.clock = clock
         self.chance = chance
-        self.passing: set[asyncio.Task] = set()
+        self.passing: dict[str, Crash] = {}
 
     async def run(self) -> None:
-        """Tell what waits for the store, again and again, until cancelled."""
+        """Tell what waits for the store, and pass on what is new, until cancelled.
+
+        At this pace, whatever comes: told at once, what processes have no room to keep
+        would go round among them without end.
+        """
         while True:
             await self.clock.sleep(PERIOD)
             crashes, trials = self.untold()
@@ -71,13 +80,15 @@
                 await self.tell(crashes, trials)
 
     def untold(self) -> tuple[list[Crash], list[str]]:
-        """Return the newest crashes, and keys of trials, that the store does not know.
+        """Take the newest crashes, and keys of trials, that the store does not know.
 
         A write takes 5 to 40 ms: what waits for longer is looked at as held up.
         """
         now = self.clock.monotonic()
         waiting = self.table.waiting.values()
         crashes = [crash for crash in waiting if now - crash.seen_at > PERIOD]
+        crashes += self.passing.values()
+        self.passing.clear()
         trials = [k for k, at in self.table.own_trials.items() if now - at < TRIAL_TOLD]
         return crashes[-MOST_TOLD:], trials
 
@@ -105,13 +116,11 @@
             crashes, trials = decode(news, self.clock.monotonic())
         except (ValueError, RecursionError) as error:
             return json_response(400, {"error": str(error)})
-        new = [crash for crash in crashes if self.table.learn(crash)]
+        for crash in crashes:
+            if len(self.passing) < MOST_TOLD and self.table.learn(crash):
+                self.passing[crash.key] = crash
         for key in trials:
             self.table.learn_trial(key)
-        if new:
-            task = asyncio.create_task(self.tell(new, []))
-            self.passing.add(task)
-            task.add_done_callback(self.passing.discard)
         return Response(200)
 
 
--- a/gypsumshift/serving/crashtable.py
+++ b/gypsumshift/serving/crashtable.py
@@ -212,7 +212,7 @@
         if known or crash.key in self.leaving:
             return False
         self.quarantine.take(crash)
-        return True
+        return self.quarantine.knows(crash.fingerprint, crash.key)
 
     def learn_trial(self, key: str) -> None:
         """Take a trial of which a neighbour told."""
--- a/tests/test_crashnews.py
+++ b/tests/test_crashnews.py
@@ -15,7 +15,13 @@
 from gypsumshift.server import Request
 from gypsumshift.serving.crashtable import CRASHES, CrashTable, trial_key
 from gypsumshift.serving.directory import ServerStart
-from gypsumshift.serving.quarantine import MOST_ENDS, TRIAL_PAUSES, Crash, Quarantine
+from gypsumshift.serving.quarantine import (
+    MOST_CRASHES,
+    MOST_ENDS,
+    TRIAL_PAUSES,
+    Crash,
+    Quarantine,
+)
 from tests.builders import ManualClock
 
 ANY = st.recursive(
@@ -118,3 +124,34 @@
         table.tell(crash(number, fingerprint=f"f{number}"))
     crashes, _ = news.untold()
     assert len(crashes) == MOST_TOLD and crashes[-1].key.startswith("f59")
+
+
+def test_what_there_is_no_room_to_keep_is_not_passed_on():
+    """Two processes that had no room told each other of it without end.
+
+    Each took it for new, since it knew it not, and passed it on at once: the seed 43 of
+    the simulation never ended, and took 8 GB.
+    """
+    news, table, clock = make()
+    for number in range(MOST_CRASHES):
+        table.quarantine.take(crash(number, seen_at=number * 2.0))
+    assert not table.learn(crash(MOST_CRASHES))
+    hear(news, [crash(MOST_CRASHES)])
+    assert news.untold() == ([], [])
+
+
+def test_what_is_new_is_passed_on_once():
+    news, table, _ = make()
+    hear(news, [crash(1)])
+    assert news.untold() == ([crash(1)], [])
+    hear(news, [crash(1)])
+    assert news.untold() == ([], [])
+
+
+def test_what_is_passed_on_at_once_is_bounded():
+    news, table, _ = make()
+    for number in range(5):
+        told = [crash(n, fingerprint=f"f{number}.{n}") for n in range(2 * MOST_TOLD)]
+        hear(news, told)
+    assert len(news.passing) <= MOST_TOLD
+    assert len(news.untold()[0]) <= MOST_TOLD
--- a/tests/test_fatal_machine.py
+++ b/tests/test_fatal_machine.py
@@ -26,6 +26,8 @@
 PIECED_TOGETHER = (12, 28, 65, 156, 219, 267, 300)
 # One in which the only process that saw a lone end was killed before it told of it.
 TOLD_LATE = (92,)
+# One in which processes without room told each other of one end without end.
+TOLD_ROUND = (43,)
 
 
 class Days(CrashWorld):
@@ -144,7 +146,7 @@
             assert isinstance(await self.ask(name, b"popular"), Answered), name
 
 
-@pytest.mark.parametrize("seed", [*range(6), *PIECED_TOGETHER, *TOLD_LATE])
+@pytest.mark.parametrize("seed", [*range(6), *PIECED_TOGETHER, *TOLD_LATE, *TOLD_ROUND])
 def test_what_ends_servers_is_held_back_and_sound_requests_are_not(seed):
     async def run(seed):
         world = Days(seed)
