--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -390,6 +390,21 @@
     play(scenario)
 
 
+def test_nothing_is_written_of_calls_that_another_server_answers():
+    async def scenario(world):
+        for number in range(20):
+            asked = world.begin(world.ask("g0", b"sound %d" % number))
+            await asyncio.sleep(0.01)
+            at = next(w for w in world.workers if w.id == world.runs[-1].server)
+            world.begin(world.end(at, back_after=0.1))
+            assert isinstance(await asked, Answered)
+            await asyncio.sleep(0.5)
+        written = [write for way in world.ways.values() for write in way.writes]
+        assert not [write for write in written if write.table == CRASHES]
+
+    play(scenario)
+
+
 def test_rows_hold_no_body_and_nothing_that_names_a_caller():
     async def scenario(world):
         world.fatal = {b"a secret body"}
