Two requests that are held back are not tried side by side at an engine

Callers saw: nothing yet. Found by a simulation of agents whose engines are lost by themselves beside items that end them.

Cause: the second trials of a sound item and of one that ends engines fell together, and both were blamed for the end.

Change: an item that is held back does not run beside another one that is, nor, as before, beside one under which the same two engines ended.

--- a/gypsumshift/jobs/itemsteps.py
+++ b/gypsumshift/jobs/itemsteps.py
@@ -112,7 +112,7 @@
         server = self.station.server
         if server is None or self.weights.loading == run.job.model:
             return None
-        if self.guard.quarantine.shares_ends(run.fingerprint, self.running):
+        if self.guard.quarantine.keeps_apart(run.fingerprint, self.running):
             return None
         self.running.append(run.fingerprint)
         try:
--- a/gypsumshift/serving/quarantine.py
+++ b/gypsumshift/serving/quarantine.py
@@ -176,17 +176,21 @@
             return 0
         return max(1, MOST_ENDS - self.ends(fingerprint))
 
-    def shares_ends(self, fingerprint: str, others: Iterable[str]) -> bool:
-        """Tell whether the same servers ended under a request and under one of others.
+    def keeps_apart(self, fingerprint: str, others: Iterable[str]) -> bool:
+        """Tell whether a request must not run beside others at one server.
 
-        Run side by side once more, both would be blamed for one end more.
+        Not beside one under which the same servers ended, nor one that is held back
+        beside another on trial: both would be blamed for one end more.
         """
         case = self.cases.get(fingerprint)
         if case is None or case.ends < SHARED_ENDS:
             return False
-        known = [self.cases[name] for name in others if name in self.cases]
-        rest = [other for other in known if other is not case]
-        return any(len(case.starts & other.starts) >= SHARED_ENDS for other in rest)
+        known = {name: self.cases[name] for name in others if name in self.cases}
+        known.pop(fingerprint, None)
+        if self.holds(fingerprint) and any(map(self.holds, known)):
+            return True
+        shared = (len(case.starts & other.starts) for other in known.values())
+        return any(count >= SHARED_ENDS for count in shared)
 
     def crashes(self, fingerprint: str) -> list[Crash]:
         """Return the crashes under a request, the oldest first."""
--- a/tests/test_fatal_items.py
+++ b/tests/test_fatal_items.py
@@ -10,6 +10,7 @@
 import random
 
 import attrs
+import pytest
 
 from gypsumshift.eventstream import StreamBroken
 from gypsumshift.jobs import Event, ResultState
@@ -287,3 +288,32 @@
         assert result.score == f"signed-r-{POISON}"
 
     play(scenario, names="a", forwarder=LetsThrough)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_sound_items_are_done_whatever_engines_are_lost_beside_them(seed):
+    """Engines are lost by themselves, too, while an item of each job ends them."""
+
+    async def scenario(world):
+        chance = random.Random(seed)
+        jobs = ("one", "two")
+        world.fatal = {f"{job}-0-{chance.randrange(4)}" for job in jobs}
+        for engine in world.engines.values():
+            engine.length = 20
+        for job in jobs:
+            await world.submit(job, groups=6, size=4)
+        for _ in range(chance.randrange(3, 9)):
+            await asyncio.sleep(chance.uniform(0.1, 4.0))
+            up = [engine for engine in world.engines.values() if engine.up]
+            if up:
+                world.begin(chance.choice(up).end())
+        # Longer than the second trial of one that is held back for nothing is away.
+        await asyncio.sleep(45)
+        for job in jobs:
+            done = {result.item for result in await world.listed(job)}
+            assert len(done) == 23 and not done & world.fatal
+        for item in world.fatal:
+            ended = [at for at, under in world.ended if under == item]
+            assert len(ended) <= MOST_ENDS + len(TRIAL_PAUSES) + 1
+
+    play(scenario)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -84,6 +84,18 @@
     assert quarantine.holds("beside"), "this one it did not run beside"
 
 
+def test_two_that_are_held_back_are_not_tried_side_by_side():
+    """Each is blamed for the end of the one server: a sound one lost its trial so."""
+    quarantine, clock = make(ends=MOST_ENDS)
+    for number in range(MOST_ENDS):
+        quarantine.take(crash(clock, f"g{number}", "g"))
+    for number in range(MOST_ENDS - 1):
+        quarantine.take(crash(clock, f"h{number}", "h"))
+    assert quarantine.keeps_apart("f", ["h", "g", "unknown"])
+    assert not quarantine.keeps_apart("f", ["f", "h", "unknown"])
+    assert not quarantine.keeps_apart("h", ["f", "g"])
+
+
 def test_an_answer_clears_a_request():
     quarantine, _ = make(ends=MOST_ENDS)
     assert sorted(quarantine.clear("f")) == ["f0", "f1", "f2"]
