What neighbours told is written by one of them, where who saw it does not

Callers saw: nothing yet.

Cause: only the process that saw an end wrote it. One that was cut off from the store and then killed left its news in its neighbours' memory, and a process that started behind that knew nothing.

Change: who hears of a crash writes it 1 to 6 s later, unless the table has it by then or its request was answered; the time is drawn, so that mostly one does.

--- a/gypsumshift/serving/crashtable.py
+++ b/gypsumshift/serving/crashtable.py
@@ -46,6 +46,9 @@
 PAUSE = 0.05
 RETRY_FIRST = 0.1
 RETRY_MOST = 1.0
+# Seconds after which a crash that a neighbour told is written here, drawn between
+# these, so that mostly one process does.
+WRITTEN_FOR_OTHERS = (1.0, 6.0)
 # Seconds between two looks for rows that are too old, and by which processes remove
 # them at different times, so that mostly one does.
 SWEEP_PERIOD = 30.0
@@ -95,6 +98,8 @@
         Keys of the rows that are still to be removed, in order.
     listed : set of str
         Keys of the crashes that the store has, as told.
+    heard_of : dict
+        Crashes of which neighbours told, by key, and when to write them here.
     own_trials : dict
         When this process made a trial that the store does not know, by its key.
     claimed : dict
@@ -123,6 +128,7 @@
         self.attempted: set[str] = set()
         self.leaving: dict[str, None] = {}
         self.listed: set[str] = set()
+        self.heard_of: dict[str, tuple[Crash, float]] = {}
         self.own_trials: dict[str, float] = {}
         self.claimed: dict[str, int] = {}
         self.withdrawn: dict[str, int] = {}
@@ -212,7 +218,22 @@
         if known or crash.key in self.leaving:
             return False
         self.quarantine.take(crash)
-        return self.quarantine.knows(crash.fingerprint, crash.key)
+        new = self.quarantine.knows(crash.fingerprint, crash.key)
+        if new and len(self.heard_of) < MOST_WAITING:
+            wait = self.chance.uniform(*WRITTEN_FOR_OTHERS)
+            self.heard_of[crash.key] = crash, self.clock.monotonic() + wait
+        return new
+
+    def write_for_others(self) -> None:
+        """Write what neighbours told and the store does not: who saw it may be gone."""
+        now = self.clock.monotonic()
+        for key, (crash, due) in list(self.heard_of.items()):
+            known = self.quarantine.knows(crash.fingerprint, key)
+            if key in self.listed or not known:
+                del self.heard_of[key]
+            elif due <= now and self.followed:
+                del self.heard_of[key]
+                self.tell(crash)
 
     def learn_trial(self, key: str) -> None:
         """Take a trial of which a neighbour told."""
@@ -385,7 +406,8 @@
             self.news.set()
 
     def sweep(self) -> None:
-        """Have rows removed that are too old."""
+        """Have rows written that others did not, and removed that are too old."""
+        self.write_for_others()
         now = self.clock.monotonic()
         if now - self.swept_at < SWEEP_PERIOD:
             return
--- a/tests/test_crashnews.py
+++ b/tests/test_crashnews.py
@@ -13,7 +13,12 @@
 from gypsumshift.outcomes import Unavailable
 from gypsumshift.platforms import Row
 from gypsumshift.server import Request
-from gypsumshift.serving.crashtable import CRASHES, CrashTable, trial_key
+from gypsumshift.serving.crashtable import (
+    CRASHES,
+    WRITTEN_FOR_OTHERS,
+    CrashTable,
+    trial_key,
+)
 from gypsumshift.serving.directory import ServerStart
 from gypsumshift.serving.quarantine import (
     MOST_CRASHES,
@@ -91,6 +96,22 @@
     assert not table.waiting, "who saw them writes them"
 
 
+def test_what_neighbours_told_is_written_here_where_nobody_else_does():
+    """A process that saw three ends was killed before the store took them."""
+    news, table, clock = make()
+    table.watch.current_at = clock.monotonic()
+    hear(news, map(crash, range(2)))
+    table.take_row(Row(CRASHES, crash(0).key, 1, table.value(crash(0))))
+    table.sweep()
+    assert not table.waiting
+    clock.advance(WRITTEN_FOR_OTHERS[1])
+    table.sweep()
+    assert not table.waiting, "cut off, it writes nothing"
+    table.watch.current_at = clock.monotonic()
+    table.sweep()
+    assert list(table.waiting) == [crash(1).key]
+
+
 def test_a_whole_table_leaves_what_it_never_held():
     news, table, _ = make()
     hear(news, [crash(0)])
