Trials are made to their end, and count from when they were made

Callers saw: nothing yet.

Cause: its first trial was cut, since its caller left, and said nothing, but was used up; and each process that started counted the pause from its own start.

Change: a trial's call goes on when its caller leaves, and its stream is read to its end apart from the caller; rows of trials are aged by the time in them.

--- a/gypsumshift/serving/crashtable.py
+++ b/gypsumshift/serving/crashtable.py
@@ -177,7 +177,8 @@
         fingerprint, kind, number = split_key(row.key)
         try:
             if kind == TRIAL and not self.is_unused(row):
-                self.quarantine.note_trial(fingerprint, int(number))
+                age = self.age(row.value["at"])
+                self.quarantine.note_trial(fingerprint, int(number), age)
             elif kind == TRIAL:
                 log.debug("A claim of this process was answered late: {}", row.key)
             elif row.key not in self.leaving:
@@ -196,12 +197,18 @@
         server, born = value["server"], value["born"]
         if not isinstance(server, str) or type(born) is not int:
             raise TypeError("no start of a server")
-        age = self.store_time() - float(value["at"])
-        # Learnt from a neighbour, before the store told its time: taken for new.
-        seen_at = self.clock.monotonic() - (max(0.0, age) if self.heard else 0.0)
+        seen_at = self.clock.monotonic() - self.age(value["at"])
         request = str(value["request"])[:MOST_ID]
         return Crash(row.key, fingerprint, request, ServerStart(server, born), seen_at)
 
+    def age(self, at: object) -> float:
+        """Return the seconds since a time of the store; raises TypeError, ValueError.
+
+        0 before the store told its time: what a neighbour knows is taken for new.
+        """
+        age = self.store_time() - float(at)
+        return max(0.0, age) if self.heard else 0.0
+
     def take_removal(self, key: str) -> None:
         """Take that a row is removed."""
         self.listed.discard(key)
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -103,6 +103,7 @@
         self.pool = sender.pool
         self.clock = sender.clock
         self.metrics = sender.metrics
+        self.trials: set[asyncio.Task] = set()
         self.late_ends = LateEnds(
             guard, self.pool, self.directory, sender.fetcher, self.clock
         )
@@ -112,6 +113,18 @@
         permit = await self.guard.admit(call.fingerprint, call.id)
         if isinstance(permit, HeldBack):
             return permit
+        if not permit.trial:
+            return await self.forward_by(permit, call)
+        # Trials are few: one whose caller leaves is made to its end.
+        trial = asyncio.create_task(self.forward_by(permit, call))
+        self.trials.add(trial)
+        trial.add_done_callback(self.trials.discard)
+        return await asyncio.shield(trial)
+
+    async def forward_by(
+        self, permit: Permit, call: Call
+    ) -> Answered | NotRun | Unknown:
+        """Return what became of a call that the guard lets through."""
         service = call.route.service_for(call.id)
         race = Race(call, self.directory.service(service), permit)
         started = self.clock.monotonic()
--- a/gypsumshift/serving/quarantine.py
+++ b/gypsumshift/serving/quarantine.py
@@ -220,12 +220,13 @@
         left = self.trials(fingerprint) < len(TRIAL_PAUSES)
         return left and self.holds(fingerprint) and self.pause(fingerprint) <= 0
 
-    def note_trial(self, fingerprint: str, number: int) -> None:
-        """Take that the trial of that number, from 1, is being made."""
+    def note_trial(self, fingerprint: str, number: int, age: float = 0.0) -> None:
+        """Take that the trial of that number, from 1, was begun some seconds ago."""
         case = self.cases.get(fingerprint)
         if case is not None and number > case.trials:
             case.trials = number
-            case.quiet_since = self.clock.monotonic()
+            began = self.clock.monotonic() - age
+            case.quiet_since = max(case.quiet_since, began)
 
     def withdraw_trial(self, fingerprint: str, number: int) -> None:
         """Take that a trial came to nothing, since no server took the request.
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import datetime
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
 
 import attrs
 
@@ -97,12 +97,27 @@
         self.pool = forwarder.pool
         self.guard = forwarder.guard
         self.late_ends = forwarder.late_ends
+        self.trials: set[asyncio.Task] = set()
 
     async def start(self, call: Call) -> Stream | NotRun | Unknown:
         """Open a stream at the first server that takes it."""
         permit = await self.guard.admit(call.fingerprint, call.id)
         if isinstance(permit, HeldBack):
             return permit
+        if not permit.trial:
+            return await self.begin(call, permit)
+        # Trials are few: one whose caller leaves is made to its end.
+        return await asyncio.shield(self.keep(self.begin(call, permit)))
+
+    def keep(self, work: Coroutine) -> asyncio.Task:
+        """Run a part of a trial to its end, whoever waits for it."""
+        task = asyncio.create_task(work)
+        self.trials.add(task)
+        task.add_done_callback(self.trials.discard)
+        return task
+
+    async def begin(self, call: Call, permit: Permit) -> Stream | NotRun | Unknown:
+        """Open a stream that the guard lets through."""
         relayed = Relayed(call, permit)
         opened = None
         try:
@@ -117,6 +132,8 @@
         resumable = call.route.resumable and exchange.status == 200
         relay = self.resume if resumable else self.pass_on
         body = self.settle(relayed, relay(relayed, exchange, server))
+        if permit.trial:
+            body = self.read_apart(body, call.deadline)
         return Stream(exchange.status, headers, body)
 
     def close(self, relayed: Relayed) -> None:
@@ -137,6 +154,33 @@
         finally:
             self.close(relayed)
 
+    def read_apart(self, body, deadline: float) -> AsyncIterator[bytes]:
+        """Return a body that is read to its end, also where its caller leaves."""
+        parts: asyncio.Queue[bytes | Abandon | None] = asyncio.Queue()
+        self.keep(self.read_all(body, parts, deadline))
+        return self.parts(parts)
+
+    async def read_all(self, body, parts: asyncio.Queue, deadline: float) -> None:
+        """Read a body to its end, or to its deadline, into a queue."""
+        left = max(0.0, deadline - self.sender.clock.monotonic())
+        end = None
+        try:
+            async with asyncio.timeout(left), contextlib.aclosing(body):
+                async for data in body:
+                    parts.put_nowait(data)
+        except Abandon as reason:
+            end = reason
+        except TimeoutError:
+            end = Abandon("the deadline passed")
+        parts.put_nowait(end)
+
+    async def parts(self, parts: asyncio.Queue):
+        """Yield what is read apart; cut where that was."""
+        while (data := await parts.get()) is not None:
+            if isinstance(data, Abandon):
+                raise data
+            yield data
+
     async def open(
         self, relayed: Relayed, after: str = ""
     ) -> tuple[Exchange, BackendServer] | NotRun | Unknown:
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import functools
 import random
 
 from gypsumshift.memory import MemoryTables
@@ -21,7 +22,7 @@
     Quarantine,
 )
 from tests.builders import ManualClock
-from tests.crash_world import BACK_AFTER, POISON, TOLD_AFTER
+from tests.crash_world import BACK_AFTER, KINDS, POISON, TOLD_AFTER
 from tests.test_fatal_requests import end_three, play
 
 FIRST = TRIAL_PAUSES[0]
@@ -93,6 +94,34 @@
     play(scenario)
 
 
+def test_a_trial_whose_caller_leaves_is_made_to_its_end():
+    """One that was cut told nothing, and the next one was 20 s away."""
+
+    async def scenario(world, prefix):
+        await end_three(world, prefix=prefix)
+        await asyncio.sleep(BACK_AFTER + TOLD_AFTER)
+        world.fatal = set()
+        await world.ask_and_leave("g0", POISON, prefix, after=0.02)
+        await asyncio.sleep(1)
+        assert isinstance(await world.ask("g1", POISON, prefix), Answered)
+
+    for prefix in KINDS:
+        play(functools.partial(scenario, prefix=prefix))
+
+
+def test_a_process_that_starts_counts_a_trial_from_when_it_was_made():
+    async def scenario(world):
+        await held(world)
+        await world.ask("g0", POISON)
+        await asyncio.sleep(0.7 * TRIAL_PAUSES[1])
+        gateway = world.start_gateway("g1")
+        await asyncio.sleep(0.1)
+        pause = gateway.guard.quarantine.pause(world.call(POISON).fingerprint)
+        assert 0 < pause < 0.4 * TRIAL_PAUSES[1]
+
+    play(scenario)
+
+
 def test_a_request_that_only_ran_beside_another_is_sent_by_a_call():
     async def scenario(world):
         await end_three(world)
