A request whose trial ended its server waits five minutes for the next; cut requests are looked after sooner

Callers saw: nothing yet.

Cause: the second trial was as near behind one that told that the request is bad as behind one that told nothing; and the first look at a server where a request had been cut came after 0.5 s.

Change: behind a trial under which its server ended the next is due after 5 minutes, else after 20 s as before; the first look comes after 0.1 s.

Weighed: one trial only (a sound request whose trial is cut short is held back for an hour); intents written before each send under suspicion (a store call before it, and one more row for each).

--- a/gypsumshift/serving/lateends.py
+++ b/gypsumshift/serving/lateends.py
@@ -2,8 +2,8 @@
 
 The decision answers callers that leave, and deadlines that pass, before a server has
 ended under their request: no connection is left to show it. So the servers at which an
-unanswered request was cut are looked at twice. An idle connection that is still open
-says that a server is there; only without one a new connection is opened, and kept.
+unanswered request was cut are looked at some times. An idle connection that is still
+open says that a server is there; only without one a new one is opened, and kept.
 """
 
 import asyncio
@@ -19,9 +19,9 @@
 
 __all__ = ["LateEnds"]
 
-# Seconds between the cut and the first look, and between that and the second one. Most
+# Seconds between the cut and the first look, and from each look to the next. Most
 # servers drop a request that is cut; what goes on is over within some service times.
-LOOKS = (0.5, 1.5)
+LOOKS = (0.1, 0.4, 1.5)
 # Servers that are looked at at once.
 MOST_WATCHED = 64
 
--- a/gypsumshift/serving/quarantine.py
+++ b/gypsumshift/serving/quarantine.py
@@ -28,8 +28,10 @@
 # Servers that ended under two requests from which on these are not run side by side.
 SHARED_ENDS = 2
 # Seconds until a request that is held back is tried again, for each of its trials.
-# Short first, for a sound one; then long, since a bad one costs a server each time.
 TRIAL_PAUSES = (1.0, 20.0)
+# The same behind a trial under which its server ended: a fourth end by chance is rare,
+# and each trial of a bad one costs a server.
+ENDED_PAUSE = 300.0
 # Seconds for which an end is remembered.
 FORGOTTEN = 3600.0
 # Seconds within which several processes tell of the same end of a server: one that has
@@ -81,11 +83,14 @@
         Times that it was tried while it was held back.
     quiet_since : float
         When a server ended under it, or it was tried, the last time.
+    tried_at : float
+        When it was tried the last time.
     """
 
     crashes: dict[str, Crash] = attrs.field(factory=dict)
     trials: int = 0
     quiet_since: float = -math.inf
+    tried_at: float = math.inf
 
     @property
     def ends(self) -> int:
@@ -98,6 +103,15 @@
                 counted[crash.start] = crash.seen_at
         return ends
 
+    @property
+    def pause(self) -> float:
+        """Seconds from what happened last to its next trial."""
+        if self.trials >= len(TRIAL_PAUSES):
+            return FORGOTTEN
+        if any(crash.seen_at > self.tried_at for crash in self.crashes.values()):
+            return ENDED_PAUSE
+        return TRIAL_PAUSES[self.trials]
+
     @property
     def starts(self) -> set[ServerStart]:
         """Servers that ended."""
@@ -212,8 +226,7 @@
             return 0.0
         case = self.cases[fingerprint]
         quiet = self.clock.monotonic() - case.quiet_since
-        pauses = (*TRIAL_PAUSES, FORGOTTEN)
-        return max(0.0, pauses[min(case.trials, len(TRIAL_PAUSES))] - quiet)
+        return max(0.0, case.pause - quiet)
 
     def may_try(self, fingerprint: str) -> bool:
         """Tell whether a request that is held back may be tried now."""
@@ -225,8 +238,8 @@
         case = self.cases.get(fingerprint)
         if case is not None and number > case.trials:
             case.trials = number
-            began = self.clock.monotonic() - age
-            case.quiet_since = max(case.quiet_since, began)
+            case.tried_at = self.clock.monotonic() - age
+            case.quiet_since = max(case.quiet_since, case.tried_at)
 
     def withdraw_trial(self, fingerprint: str, number: int) -> None:
         """Take that a trial came to nothing, since no server took the request.
@@ -236,6 +249,7 @@
         case = self.cases.get(fingerprint)
         if case is not None and case.trials == number:
             case.trials = number - 1
+            case.tried_at = math.inf
             self.put_off(fingerprint)
 
     def put_off(self, fingerprint: str) -> None:
@@ -243,7 +257,7 @@
         case = self.cases.get(fingerprint)
         if case is None or case.trials >= len(TRIAL_PAUSES):
             return
-        waited = TRIAL_PAUSES[case.trials] - TRIAL_PAUSES[0]
+        waited = case.pause - TRIAL_PAUSES[0]
         case.quiet_since = self.clock.monotonic() - waited
 
     def clear(self, fingerprint: str) -> list[str]:
