--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -163,16 +163,18 @@
     async def read_all(self, body, parts: asyncio.Queue, deadline: float) -> None:
         """Read a body to its end, or to its deadline, into a queue."""
         left = max(0.0, deadline - self.sender.clock.monotonic())
-        end = None
+        end = Abandon("an error inside this process; see its log")
         try:
             async with asyncio.timeout(left), contextlib.aclosing(body):
                 async for data in body:
                     parts.put_nowait(data)
+            end = None
         except Abandon as reason:
             end = reason
         except TimeoutError:
             end = Abandon("the deadline passed")
-        parts.put_nowait(end)
+        finally:
+            parts.put_nowait(end)
 
     async def parts(self, parts: asyncio.Queue):
         """Yield what is read apart; cut where that was."""
