--- a/gypsumshift/serving/crashtable.py
+++ b/gypsumshift/serving/crashtable.py
@@ -11,22 +11,27 @@
 
 import asyncio
 import datetime
-import enum
 import random
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.outcomes import Committed, Conflict, Written
-from gypsumshift.platforms import ABSENT, Row, RowStore, Write
+from gypsumshift.platforms import Row, RowStore, Write
 from gypsumshift.serving.directory import ServerStart
 from gypsumshift.serving.quarantine import FORGOTTEN, MOST_ID, Crash, Quarantine
+from gypsumshift.serving.trialclaims import (
+    CRASHES,
+    TRIAL,
+    Claim,
+    TrialClaims,
+    split_key,
+    store_time,
+    trial_key,
+)
 from gypsumshift.watch import Watch
 
-__all__ = ["Claim", "CrashTable"]
+__all__ = ["CrashTable"]
 
-CRASHES = "crashes"
-# Second part of the keys of trials, where those of crashes have a process.
-TRIAL = "trial"
 # Longest wait of the feed: with its answer's slack, one that fell silent is replaced in
 # time for a crash to be known everywhere within 3 s. Twice that of other tables, since
 # this one is calm.
@@ -57,24 +62,6 @@
 log = logs.logger("crashes")
 
 
-class Claim(enum.Enum):
-    """Whose a trial is.
-
-    Attributes
-    ----------
-    OWN
-        This process is to make it.
-    ANOTHERS
-        Another process makes it, or has.
-    UNSETTLED
-        The store did not say.
-    """
-
-    OWN = "own"
-    ANOTHERS = "another's"
-    UNSETTLED = "unsettled"
-
-
 class CrashTable:
     """The table of crashes: told by this process, and followed.
 
@@ -102,10 +89,7 @@
         Crashes of which neighbours told, by key, and when to write them here.
     own_trials : dict
         When this process made a trial that the store does not know, by its key.
-    claimed : dict
-        Version of the row of each trial that this process was to make, by its key.
-    withdrawn : dict
-        The same of those that came to nothing, whose rows are still to be removed.
+    claims : TrialClaims
     informed : bool
         Whether the whole table was told once.
     """
@@ -130,8 +114,7 @@
         self.listed: set[str] = set()
         self.heard_of: dict[str, tuple[Crash, float]] = {}
         self.own_trials: dict[str, float] = {}
-        self.claimed: dict[str, int] = {}
-        self.withdrawn: dict[str, int] = {}
+        self.claims = TrialClaims(store, self.session)
         self.informed = False
         self.news = asyncio.Event()
         self.failures = 0
@@ -176,7 +159,7 @@
         """Take a crash or a trial."""
         fingerprint, kind, number = split_key(row.key)
         try:
-            if kind == TRIAL and not self.is_unused(row):
+            if kind == TRIAL and not self.claims.is_unused(row):
                 age = self.age(row.value["at"])
                 self.quarantine.note_trial(fingerprint, int(number), age)
             elif kind == TRIAL:
@@ -187,10 +170,6 @@
         except (KeyError, TypeError, ValueError) as error:
             log.error("Cannot read {}/{}: {!r}", row.table, row.key, error)
 
-    def is_unused(self, row: Row) -> bool:
-        """Tell whether this process claimed a trial without knowing that it had."""
-        return row.value.get("by") == self.session and row.key not in self.claimed
-
     def parse(self, row: Row, fingerprint: str) -> Crash:
         """Return the crash in a row; raises KeyError, TypeError or ValueError."""
         value = row.value
@@ -206,13 +185,13 @@
 
         0 before the store told its time: what a neighbour knows is taken for new.
         """
-        age = self.store_time() - float(at)
+        age = store_time(self.store) - float(at)
         return max(0.0, age) if self.heard else 0.0
 
     def take_removal(self, key: str) -> None:
         """Take that a row is removed."""
         self.listed.discard(key)
-        self.claimed.pop(key, None)
+        self.claims.note_removal(key)
         fingerprint, kind, number = split_key(key)
         if kind != TRIAL:
             self.quarantine.drop(fingerprint, key)
@@ -295,7 +274,7 @@
         while True:
             await self.news.wait()
             self.news.clear()
-            while self.waiting or self.leaving or self.withdrawn:
+            while self.waiting or self.leaving or self.claims.withdrawn:
                 await self.clock.sleep(await self.write_some())
 
     async def write_some(self) -> float:
@@ -303,8 +282,10 @@
         if not self.heard:
             # The times in the rows are the store's.
             return RETRY_MOST
-        if self.withdrawn:
-            return await self.write_withdrawal()
+        if self.claims.withdrawn:
+            outcome = await self.claims.write_withdrawal()
+            taken = isinstance(outcome, (Committed, Conflict))
+            return PAUSE if taken else self.note_failure(outcome)
         told = self.settled()[:ROWS_AT_ONCE]
         gone = [key for key in self.leaving if key not in self.waiting][:ROWS_AT_ONCE]
         writes = [Write(CRASHES, crash.key, self.value(crash)) for crash in told]
@@ -335,20 +316,6 @@
             if crash.seen_at <= horizon or self.quarantine.ends(crash.fingerprint) > 1
         ]
 
-    async def write_withdrawal(self) -> float:
-        """Remove the row of a trial that came to nothing, unless it is a newer one.
-
-        The store may carry a removal out once more, and late: another process may
-        have claimed the trial by then.
-        """
-        key, version = next(iter(self.withdrawn.items()))
-        write = Write(CRASHES, key, expected=version)
-        outcome = await self.store.commit([write])
-        if not isinstance(outcome, (Committed, Conflict)):
-            return self.note_failure(outcome)
-        self.withdrawn.pop(key, None)
-        return PAUSE
-
     def note_failure(self, outcome: Written) -> float:
         """Count a transaction that may not have been carried out; return a pause."""
         self.failures += 1
@@ -365,7 +332,7 @@
             "server": crash.start.id,
             "born": crash.start.born,
             "request": crash.request,
-            "at": round(self.store_time() - age, 3),
+            "at": round(store_time(self.store) - age, 3),
         }
 
     # Trials.
@@ -375,7 +342,7 @@
         key = trial_key(fingerprint, number)
         try:
             async with asyncio.timeout(CLAIM_TIMEOUT):
-                outcome = await self.claim(key)
+                outcome = await self.claims.claim(key)
         except TimeoutError:
             outcome = Claim.UNSETTLED
         if outcome is Claim.UNSETTLED and not self.followed and number == 1:
@@ -384,33 +351,10 @@
             return Claim.OWN
         return outcome
 
-    async def claim(self, key: str) -> Claim:
-        """Write the row of a trial where there is none."""
-        value = {"by": self.session, "at": self.store_time()}
-        outcome = await self.store.commit([Write(CRASHES, key, value, ABSENT)])
-        if isinstance(outcome, Committed):
-            self.claimed[key] = outcome.version
-            return Claim.OWN
-        if not isinstance(outcome, Conflict):
-            return Claim.UNSETTLED
-        # It may have met itself, sent twice, or one that was answered too late.
-        row = await self.store.read(CRASHES, key)
-        if not isinstance(row, Row) or not self.is_unused(row):
-            return Claim.ANOTHERS
-        self.claimed[key] = row.version
-        return Claim.OWN
-
-    def store_time(self) -> float:
-        """Return the store's time in seconds."""
-        return round(self.store.now().total_seconds(), 3)
-
     def withdraw_trial(self, fingerprint: str, number: int) -> None:
         """Have the row of a trial removed that came to nothing."""
-        key = trial_key(fingerprint, number)
-        version = self.claimed.pop(key, None)
-        if version is not None:
-            self.withdrawn[key] = version
-            self.news.set()
+        self.claims.withdraw(trial_key(fingerprint, number))
+        self.news.set()
 
     def sweep(self) -> None:
         """Have rows written that others did not, and removed that are too old."""
@@ -419,24 +363,12 @@
         if now - self.swept_at < SWEEP_PERIOD:
             return
         self.swept_at = now
-        horizon = self.store_time() - self.patience
+        horizon = store_time(self.store) - self.patience
         old = [row.key for row in self.watch.rows.values() if written_at(row) < horizon]
         if old:
             self.remove(old[:MOST_WAITING])
 
 
-def split_key(key: str) -> tuple[str, str, str]:
-    """Return fingerprint, kind or process, and number in a key."""
-    fingerprint, _, rest = key.partition("/")
-    kind, _, number = rest.partition("/")
-    return fingerprint, kind, number
-
-
-def trial_key(fingerprint: str, number: int) -> str:
-    """Return the key of a trial."""
-    return f"{fingerprint}/{TRIAL}/{number}"
-
-
 def written_at(row: Row) -> float:
     """Return the store's time in a row, in seconds; 0 where it tells none."""
     at = (row.value or {}).get("at", 0.0)
--- a/gypsumshift/serving/guard.py
+++ b/gypsumshift/serving/guard.py
@@ -10,9 +10,10 @@
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import HeldBack
 from gypsumshift.platforms import RowStore
-from gypsumshift.serving.crashtable import Claim, CrashTable
+from gypsumshift.serving.crashtable import CrashTable
 from gypsumshift.serving.directory import ServerStart
 from gypsumshift.serving.quarantine import MOST_ENDS, MOST_ID, Crash, Quarantine
+from gypsumshift.serving.trialclaims import Claim
 
 __all__ = ["REASON", "Guard", "Permit"]
 
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -124,3 +124,23 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+def knows(world, worker):
+    """Tell whether the gateway knows a worker."""
+    return worker.id in world.gateway.directory.servers
+
+
+def play(test, tmp_path):
+    """Run a scenario on a world of its own."""
+
+    async def run():
+        world = PlatformWorld()
+        try:
+            async with asyncio.timeout(60):
+                await world.start(tmp_path)
+                await test(world)
+        finally:
+            await world.close()
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_crash_rows.py
@@ -0,0 +1,72 @@
+"""What is kept and written of ends of servers: little, nothing secret, not for ever."""
+
+import asyncio
+
+from gypsumshift.outcomes import Answered
+from gypsumshift.serving.quarantine import MOST_CASES
+from gypsumshift.serving.trialclaims import CRASHES
+from tests.crash_world import end_three, play
+
+
+def test_a_flood_of_different_requests_under_which_servers_end_stays_small():
+    async def scenario(world):
+        bodies = [b"body-%d" % n for n in range(3 * MOST_CASES)]
+        world.fatal = set(bodies)
+        guard = world.gateways["g0"].guard
+        for body in bodies:
+            call = world.call(body)
+            permit = await guard.admit(call.fingerprint, call.id)
+            for worker in world.workers[:2]:
+                guard.note_end(permit, world.entry(worker).start)
+            guard.close(permit, ran=True)
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(20)
+        for gateway in world.gateways.values():
+            assert len(gateway.guard.quarantine.cases) <= MOST_CASES
+        rows = [row for row in world.tables.rows if row[0] == CRASHES]
+        assert len(rows) <= 2 * MOST_CASES
+
+    play(scenario)
+
+
+def test_nothing_is_written_of_calls_that_another_server_answers():
+    async def scenario(world):
+        for number in range(20):
+            asked = world.begin(world.ask("g0", b"sound %d" % number))
+            await asyncio.sleep(0.01)
+            at = next(w for w in world.workers if w.id == world.runs[-1].server)
+            world.begin(world.end(at, back_after=0.1))
+            assert isinstance(await asked, Answered)
+            await asyncio.sleep(0.5)
+        written = [write for way in world.ways.values() for write in way.writes]
+        assert not [write for write in written if write.table == CRASHES]
+
+    play(scenario)
+
+
+def test_rows_hold_no_body_and_nothing_that_names_a_caller():
+    async def scenario(world):
+        world.fatal = {b"a secret body"}
+        for _ in range(2):
+            await world.ask("g0", b"a secret body", caller="a secret key")
+        await asyncio.sleep(2)
+        await world.ask("g0", b"a secret body", caller="a secret key")
+        await asyncio.sleep(0.1)
+        written = str(list(world.tables.rows.values()))
+        assert CRASHES in written and "secret" not in written
+        assert "secret" not in str(world.gateways["g1"].guard.quarantine.cases)
+
+    play(scenario)
+
+
+def test_rows_are_removed_when_they_are_forgotten():
+    async def scenario(world):
+        await end_three(world)
+        await asyncio.sleep(1)
+        assert [row for row in world.tables.rows if row[0] == CRASHES]
+        await asyncio.sleep(4000)
+        assert not [row for row in world.tables.rows if row[0] == CRASHES]
+        for gateway in world.gateways.values():
+            assert not gateway.guard.quarantine.cases
+
+    play(scenario)
--- a/tests/test_crashnews.py
+++ b/tests/test_crashnews.py
@@ -13,12 +13,7 @@
 from gypsumshift.outcomes import Unavailable
 from gypsumshift.platforms import Row
 from gypsumshift.server import Request
-from gypsumshift.serving.crashtable import (
-    CRASHES,
-    WRITTEN_FOR_OTHERS,
-    CrashTable,
-    trial_key,
-)
+from gypsumshift.serving.crashtable import WRITTEN_FOR_OTHERS, CrashTable
 from gypsumshift.serving.directory import ServerStart
 from gypsumshift.serving.quarantine import (
     MOST_CRASHES,
@@ -27,6 +22,7 @@
     Crash,
     Quarantine,
 )
+from gypsumshift.serving.trialclaims import CRASHES, trial_key
 from tests.builders import ManualClock
 
 ANY = st.recursive(
--- a/tests/test_fatal_items.py
+++ b/tests/test_fatal_items.py
@@ -16,9 +16,9 @@
 from gypsumshift.jobs import Event, ResultState
 from gypsumshift.memory import MemoryTables
 from gypsumshift.outcomes import Answered, HeldBack, Unknown
-from gypsumshift.serving.crashtable import CRASHES
 from gypsumshift.serving.guard import REASON, Guard
 from gypsumshift.serving.quarantine import MOST_ENDS, TRIAL_PAUSES
+from gypsumshift.serving.trialclaims import CRASHES
 from gypsumshift.watch import run_all
 from tests import jobs_world as jw
 from tests import own_time
--- a/tests/test_fatal_machine.py
+++ b/tests/test_fatal_machine.py
@@ -28,6 +28,9 @@
 TOLD_LATE = (92,)
 # One in which processes without room told each other of one end without end.
 TOLD_ROUND = (43,)
+# One in which a trial that ended its server was followed by the next at once.
+TRIED_TWICE = (896,)
+FOUND = PIECED_TOGETHER + TOLD_LATE + TOLD_ROUND + TRIED_TWICE
 
 
 class Days(CrashWorld):
@@ -146,7 +149,7 @@
             assert isinstance(await self.ask(name, b"popular"), Answered), name
 
 
-@pytest.mark.parametrize("seed", [*range(6), *PIECED_TOGETHER, *TOLD_LATE, *TOLD_ROUND])
+@pytest.mark.parametrize("seed", [*range(6), *FOUND])
 def test_what_ends_servers_is_held_back_and_sound_requests_are_not(seed):
     async def run(seed):
         world = Days(seed)
--- /dev/null
+++ b/tests/test_fatal_platform.py
@@ -0,0 +1,65 @@
+"""Requests under which servers end, on the users' platform, over loopback."""
+
+import base64
+import json
+
+import logbook
+
+from gypsumshift import traces
+from standins.users_documents import job_body
+from tests.builders import ManualClock
+from tests.platform_world import knows, play
+from tests.system import until
+
+
+def test_a_request_under_which_workers_end_is_held_back_and_its_trace_says_why(
+    tmp_path,
+):
+    async def scenario(world):
+        await world.store.put("servers", world.app.id, None)
+        workers = await world.add_fragile(4)
+        await until(lambda: not knows(world, world.app))
+        await until(lambda: all(knows(world, worker) for worker in workers))
+        # No trial is due, however slow this machine is.
+        still = ManualClock()
+        still.seconds = world.gateway.clock.monotonic()
+        world.gateway.guard.quarantine.clock = still
+        exchange, _ = await world.ask("POST", "/app/1", "f1", b"fatal", key="secret")
+        assert exchange.status == 502, "it ran, so it is not called refused"
+        await world.ask("POST", "/app/1", "f2", b"fatal", key="secret")
+        exchange, _ = await world.ask("POST", "/app/1", "f3", b"fatal", key="secret")
+        assert exchange.status == 503 and float(exchange.header(b"retry-after")) > 0
+        runs = [run["request"] for worker in workers for run in worker.runs]
+        assert len(runs) == 3 and "f3" not in runs
+        exchange, _ = await world.ask("POST", "/app/1", "sound", b"sound", key="secret")
+        assert exchange.status == 200
+
+    with logbook.TestHandler(level="INFO") as handler:
+        play(scenario, tmp_path)
+    lines = [{"message": r.message, **r.extra} for r in handler.records]
+    written = "\n".join(json.dumps(line, default=str) for line in lines)
+    (tmp_path / "gateway.log").write_text(written)
+    found = traces.find(tmp_path, "f3")
+    ended = {line["server"] for line in found if "server" in line}
+    refused = next(line for line in found if line.get("request") == "f3")
+    assert ended == set(refused["servers"]) and len(ended) == 3
+    assert refused["requests"] == ["f1", "f2"]
+    assert "fatal" not in written and "secret" not in written
+
+
+def test_items_and_reward_calls_under_which_servers_end_hold_up_no_others(tmp_path):
+    async def scenario(world):
+        await world.store.put("servers", world.app.id, None)
+        await until(lambda: not knows(world, world.app))
+        await world.add_fragile(4)
+        body = json.loads(job_body("job"))
+        fatal = base64.b64encode(b"fatal").decode()
+        body["requests"][0]["scorer"]["body"] = fatal
+        exchange, _ = await world.ask(
+            "POST", "/batch/1", "job", json.dumps(body).encode()
+        )
+        assert exchange.status == 202
+        done = await world.some_results(3)
+        assert {result["id"] for result in done} == {"job-0-1", "job-1-0", "job-1-1"}
+
+    play(scenario, tmp_path)
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -23,11 +23,11 @@
 import functools
 
 from gypsumshift.outcomes import Answered, HeldBack, NotRun, Unknown
-from gypsumshift.serving.crashtable import CRASHES
 from gypsumshift.serving.guard import REASON
-from gypsumshift.serving.quarantine import MOST_CASES, MOST_ENDS, TRIAL_PAUSES
-from tests import own_time
-from tests.crash_world import BACK_AFTER, EVENTS, POISON, TOLD_AFTER, CrashWorld
+from gypsumshift.serving.quarantine import MOST_ENDS, TRIAL_PAUSES
+from gypsumshift.serving.trialclaims import CRASHES
+from tests.crash_wires import EVENTS
+from tests.crash_world import BACK_AFTER, POISON, TOLD_AFTER, end_three, play
 
 # Seconds within which all gateways know, and sends that they may make behind them.
 KNOWN_WITHIN, SENDS_LEFT = 3.0, 3
@@ -35,32 +35,12 @@
 NOT_FOR_LONG = 2.0
 
 
-def play(scenario, **options):
-    async def run():
-        world = CrashWorld(**options)
-        try:
-            await asyncio.sleep(0.1)
-            await scenario(world)
-        finally:
-            await world.close()
-
-    own_time.play(run)
-
-
 def check_held_back(world, body=POISON):
     """Few servers end, and few sends follow once all gateways can know."""
     late = world.late_runs(body, KNOWN_WITHIN)
     assert len(late) <= SENDS_LEFT, late
 
 
-async def end_three(world, names=("g0",), prefix="/safe/"):
-    """Have three servers end under the request, at some gateways."""
-    for number in range(2 * MOST_ENDS):
-        if len(world.ended) >= MOST_ENDS:
-            return
-        await world.ask(names[number % len(names)], POISON, prefix)
-
-
 def test_a_request_that_comes_again_at_three_gateways_reaches_few_servers():
     async def scenario(world):
         sound = [
@@ -367,67 +347,3 @@
         assert all(isinstance(outcome, Answered) for outcome in outcomes)
 
     play(scenario)
-
-
-def test_a_flood_of_different_requests_under_which_servers_end_stays_small():
-    async def scenario(world):
-        bodies = [b"body-%d" % n for n in range(3 * MOST_CASES)]
-        world.fatal = set(bodies)
-        guard = world.gateways["g0"].guard
-        for body in bodies:
-            call = world.call(body)
-            permit = await guard.admit(call.fingerprint, call.id)
-            for worker in world.workers[:2]:
-                guard.note_end(permit, world.entry(worker).start)
-            guard.close(permit, ran=True)
-            await asyncio.sleep(0.05)
-        await asyncio.sleep(20)
-        for gateway in world.gateways.values():
-            assert len(gateway.guard.quarantine.cases) <= MOST_CASES
-        rows = [row for row in world.tables.rows if row[0] == CRASHES]
-        assert len(rows) <= 2 * MOST_CASES
-
-    play(scenario)
-
-
-def test_nothing_is_written_of_calls_that_another_server_answers():
-    async def scenario(world):
-        for number in range(20):
-            asked = world.begin(world.ask("g0", b"sound %d" % number))
-            await asyncio.sleep(0.01)
-            at = next(w for w in world.workers if w.id == world.runs[-1].server)
-            world.begin(world.end(at, back_after=0.1))
-            assert isinstance(await asked, Answered)
-            await asyncio.sleep(0.5)
-        written = [write for way in world.ways.values() for write in way.writes]
-        assert not [write for write in written if write.table == CRASHES]
-
-    play(scenario)
-
-
-def test_rows_hold_no_body_and_nothing_that_names_a_caller():
-    async def scenario(world):
-        world.fatal = {b"a secret body"}
-        for _ in range(2):
-            await world.ask("g0", b"a secret body", caller="a secret key")
-        await asyncio.sleep(2)
-        await world.ask("g0", b"a secret body", caller="a secret key")
-        await asyncio.sleep(0.1)
-        written = str(list(world.tables.rows.values()))
-        assert CRASHES in written and "secret" not in written
-        assert "secret" not in str(world.gateways["g1"].guard.quarantine.cases)
-
-    play(scenario)
-
-
-def test_rows_are_removed_when_they_are_forgotten():
-    async def scenario(world):
-        await end_three(world)
-        await asyncio.sleep(1)
-        assert [row for row in world.tables.rows if row[0] == CRASHES]
-        await asyncio.sleep(4000)
-        assert not [row for row in world.tables.rows if row[0] == CRASHES]
-        for gateway in world.gateways.values():
-            assert not gateway.guard.quarantine.cases
-
-    play(scenario)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,42 +1,19 @@
 """The whole path on the users' platform, over loopback, and its failures."""
 
 import asyncio
-import base64
 import json
 
-import logbook
 import pytest
 
-from gypsumshift import traces
 from gypsumshift.fetch import FetchError
 from gypsumshift.neighbours import StorePath
 from standins.users_documents import config, job_body, route, settings_text
 from standins.users_store import RAW, Faults
 from standins.users_worker import UsersWorker, event_text, plain_answer
-from tests.builders import ManualClock
-from tests.platform_world import PlatformWorld
+from tests.platform_world import play
 from tests.system import until
 
 
-def knows(world, worker):
-    return worker.id in world.gateway.directory.servers
-
-
-def play(test, tmp_path):
-    """Run a scenario on a world of its own."""
-
-    async def run():
-        world = PlatformWorld()
-        try:
-            async with asyncio.timeout(60):
-                await world.start(tmp_path)
-                await test(world)
-        finally:
-            await world.close()
-
-    asyncio.run(run())
-
-
 def test_a_request_goes_to_a_worker_and_back(tmp_path):
     async def scenario(world):
         exchange, body = await world.ask("POST", "/app/1?x=2", "a1", b"hello")
@@ -119,59 +96,6 @@
     play(scenario, tmp_path)
 
 
-def test_a_request_under_which_workers_end_is_held_back_and_its_trace_says_why(
-    tmp_path,
-):
-    async def scenario(world):
-        await world.store.put("servers", world.app.id, None)
-        workers = await world.add_fragile(4)
-        await until(lambda: not knows(world, world.app))
-        await until(lambda: all(knows(world, worker) for worker in workers))
-        # No trial is due, however slow this machine is.
-        still = ManualClock()
-        still.seconds = world.gateway.clock.monotonic()
-        world.gateway.guard.quarantine.clock = still
-        exchange, _ = await world.ask("POST", "/app/1", "f1", b"fatal", key="secret")
-        assert exchange.status == 502, "it ran, so it is not called refused"
-        await world.ask("POST", "/app/1", "f2", b"fatal", key="secret")
-        exchange, _ = await world.ask("POST", "/app/1", "f3", b"fatal", key="secret")
-        assert exchange.status == 503 and float(exchange.header(b"retry-after")) > 0
-        runs = [run["request"] for worker in workers for run in worker.runs]
-        assert len(runs) == 3 and "f3" not in runs
-        exchange, _ = await world.ask("POST", "/app/1", "sound", b"sound", key="secret")
-        assert exchange.status == 200
-
-    with logbook.TestHandler(level="INFO") as handler:
-        play(scenario, tmp_path)
-    lines = [{"message": r.message, **r.extra} for r in handler.records]
-    written = "\n".join(json.dumps(line, default=str) for line in lines)
-    (tmp_path / "gateway.log").write_text(written)
-    found = traces.find(tmp_path, "f3")
-    ended = {line["server"] for line in found if "server" in line}
-    refused = next(line for line in found if line.get("request") == "f3")
-    assert ended == set(refused["servers"]) and len(ended) == 3
-    assert refused["requests"] == ["f1", "f2"]
-    assert "fatal" not in written and "secret" not in written
-
-
-def test_items_and_reward_calls_under_which_servers_end_hold_up_no_others(tmp_path):
-    async def scenario(world):
-        await world.store.put("servers", world.app.id, None)
-        await until(lambda: not knows(world, world.app))
-        await world.add_fragile(4)
-        body = json.loads(job_body("job"))
-        fatal = base64.b64encode(b"fatal").decode()
-        body["requests"][0]["scorer"]["body"] = fatal
-        exchange, _ = await world.ask(
-            "POST", "/batch/1", "job", json.dumps(body).encode()
-        )
-        assert exchange.status == 202
-        done = await world.some_results(3)
-        assert {result["id"] for result in done} == {"job-0-1", "job-1-0", "job-1-1"}
-
-    play(scenario, tmp_path)
-
-
 def test_a_job_during_an_outage_is_refused_or_unsure_but_never_lost(tmp_path):
     async def scenario(world):
         world.store.faults = Faults(down="busy")
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -8,13 +8,7 @@
 from gypsumshift.memory import MemoryTables
 from gypsumshift.outcomes import Answered, HeldBack
 from gypsumshift.platforms import Row, Write
-from gypsumshift.serving.crashtable import (
-    CRASHES,
-    MOST_WAITING,
-    SWEEP_PERIOD,
-    CrashTable,
-    trial_key,
-)
+from gypsumshift.serving.crashtable import MOST_WAITING, SWEEP_PERIOD, CrashTable
 from gypsumshift.serving.quarantine import (
     ENDED_PAUSE,
     FORGOTTEN,
@@ -22,9 +16,9 @@
     TRIAL_PAUSES,
     Quarantine,
 )
+from gypsumshift.serving.trialclaims import CRASHES, trial_key
 from tests.builders import ManualClock
-from tests.crash_world import BACK_AFTER, KINDS, POISON, TOLD_AFTER
-from tests.test_fatal_requests import end_three, play
+from tests.crash_world import BACK_AFTER, KINDS, POISON, TOLD_AFTER, end_three, play
 
 FIRST = TRIAL_PAUSES[0]
 
