--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -33,8 +33,7 @@
 # How far each trainer was behind its plan at its last step.
 BEHIND = re.compile(r"steps asked, the last ([\d.]+) s behind its time")
 COPIED = ("gypsumshift", "platform", "deploy", "requirements.txt")
-# Standard errors by which a mean difference must lie beyond 0 to count: one table in
-
+# Standard errors by which a mean difference must lie beyond 0 to count.
 ERRORS_TO_COUNT = 2.0
 
 
