A stream is not resumed at a server that answers with a failure

Callers saw: a stream that stops in its midst and is said to be whole.

Cause: where a server breaks a stream off it goes on at another one. That one's status was not looked at: the body of a 500, empty, was passed on as the rest of the stream, and its end as the stream's end.

Change: a server that answers a resumed stream with anything but 200 counts as one that broke it; the next is asked while the route's attempts last, else the stream is cut.

--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -184,9 +184,17 @@
             yield data
 
     async def open(
-        self, relayed: Relayed, after: str = ""
+        self, relayed: Relayed, after: str | None = None
     ) -> tuple[Exchange, BackendServer] | NotRun | Unknown:
-        """Open a stream behind an event at a server that was not tried yet."""
+        """Open a stream at a server that was not tried yet.
+
+        Parameters
+        ----------
+        relayed : Relayed
+        after : str or None
+            Number of the event behind which a stream goes on; empty for the first one,
+            None where it begins.
+        """
         call = relayed.call
         while True:
             service = call.route.service_for(call.id)
@@ -226,14 +234,25 @@
             return self.guard.held_back(relayed.permit.fingerprint)
         return NotRun(reason, datetime.timedelta(seconds=RETRY_AFTER))
 
-    async def open_at(self, call: Call, server: BackendServer, after: str) -> Exchange:
-        """Open a stream behind an event at one server."""
-        name = self.sender.names.last_event
+    async def open_at(
+        self, call: Call, server: BackendServer, after: str | None
+    ) -> Exchange:
+        """Open a stream at one server; see `open`.
+
+        The caller of a stream that goes on has its head: a failure that a server
+        answers would be taken for the stream's end.
+        """
+        names = self.sender.names
         fields = self.sender.fields(call, server)
         if after:
-            fields = [field for field in fields if field[0] != name]
-            fields.append((name, after))
-        return await self.sender.open(call, server, fields, fresh=True)
+            fields = [field for field in fields if field[0] != names.last_event]
+            fields.append((names.last_event, after))
+        exchange = await self.sender.open(call, server, fields, fresh=True)
+        goes_on = exchange.status == 200 or refusal(exchange, names) is not None
+        if after is not None and not goes_on:
+            exchange.close()
+            raise FetchError(f"status {exchange.status}", True)
+        return exchange
 
     async def note_failure(
         self, relayed: Relayed, server: BackendServer, error: FetchError | TimeoutError
--- a/tests/crash_wires.py
+++ b/tests/crash_wires.py
@@ -101,11 +101,14 @@
     ----------
     broken : asyncio.Event
         Set when this start ends.
+    failing : bool
+        Whether it answers all with a failure, and runs nothing.
     """
 
     address: tuple[str, int]
     id: str = ""
     up: bool = True
+    failing: bool = False
     broken: asyncio.Event = attrs.field(factory=asyncio.Event)
 
 
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -179,6 +179,10 @@
     async def run(self, worker, run, streams, after):
         """Run a request at a server; raises where the server ends meanwhile."""
         self.runs.append(run)
+        if worker.failing:
+            return Exchange(
+                [(NAMES.request_id.encode(), run.request.encode())], b"", 500
+            )
         if run.body in self.fatal:
             self.begin(self.end_later(worker, worker.id, run.body))
         headers = [
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -191,6 +191,25 @@
     play(scenario, attempts=4)
 
 
+def test_a_stream_is_not_resumed_at_a_server_that_answers_with_a_failure():
+    """Users would see a stream that stops in its midst, and is said to be whole."""
+
+    async def scenario(world):
+        first, second = world.workers[:2]
+        first.failing = second.failing = True
+        for worker in world.workers[2:]:
+            worker.up = False
+        first.failing = False
+        asked = world.begin(world.ask("g0", b"sound", "/resumed/"))
+        while not world.runs or world.runs[-1].server != first.id:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        world.begin(world.end(first))
+        assert isinstance(await asked, Unknown)
+
+    play(scenario)
+
+
 def test_it_is_said_at_once_that_it_has_not_run_and_when_to_come_back():
     async def scenario(world):
         await end_three(world)
