Failures that a server answers clear nothing of what ended servers

Callers saw servers end on: while one server of a service answered all with a failure (500), each of its answers to a request that had ended three servers counted as an answer, cleared the memory, and the next servers ended. Cause: the guard took any answer for proof that the request can be run. An answer that is a failure proves nothing: a server that is full or fails whatever it is asked answers so without having begun.

Ruled out: trials. They were claimed and made as meant; it was the answer of the failing server that cleared, also amid trials.

Holds because only an answer below 500 that one server made from its start clears, on calls, streams, items alike.

--- a/gypsumshift/dispatch.py
+++ b/gypsumshift/dispatch.py
@@ -207,20 +207,20 @@
     def settled(self, result, permit: Permit, known: Known):
         """Have the guard learn from an answer, or from the end of a stream."""
         if isinstance(result, Whole):
-            self.guard.answered(permit)
+            self.guard.answered(permit, result.head.status)
         if isinstance(result, Streamed):
-            result.chunks = self.guarded(result.chunks, result.answer, permit, known)
+            result.chunks = self.guarded(result.chunks, result, permit, known)
         return result
 
-    async def guarded(self, chunks, answer: Answer, permit: Permit, known: Known):
+    async def guarded(self, chunks, result: Streamed, permit: Permit, known: Known):
         """Yield the chunks of a stream, and have the guard learn how it ended."""
         try:
             async with contextlib.aclosing(chunks):
                 async for data in chunks:
                     yield data
-            self.guard.answered(permit)
+            self.guard.answered(permit, result.head.status)
         except LinkError:
-            if answer.ended:
+            if result.answer.ended:
                 self.guard.note_end(permit, backend_start(known))
             raise
         finally:
--- a/gypsumshift/jobs/itemsteps.py
+++ b/gypsumshift/jobs/itemsteps.py
@@ -25,6 +25,8 @@
 
 # Longest wait of an item that is held back until it asks again, in seconds.
 HELD_PAUSE = 1.0
+# HTTP status of a stream that was read to its end.
+WHOLE = 200
 
 log = logs.logger("units")
 
@@ -132,7 +134,8 @@
         try:
             result = await run.generate(server)
             run.generated = result is None
-            self.guard.answered(permit, whole=from_start)
+            if run.generated:
+                self.guard.answered(permit, WHOLE, from_start)
             return result
         except StreamBroken as error:
             ran = error.sent
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -230,7 +230,7 @@
                 race.refused.add(server.start)
             return None
         race.ran.add(server.start)
-        self.guard.answered(race.permit)
+        self.guard.answered(race.permit, outcome.status)
         if outcome.status < 500 or not race.call.repeatable:
             return outcome
         race.answer = outcome
--- a/gypsumshift/serving/guard.py
+++ b/gypsumshift/serving/guard.py
@@ -20,6 +20,8 @@
 REASON = "servers ended under this request each time that it ran"
 # Seconds after which a caller may come back at the soonest: a trial may be under way.
 LEAST_PAUSE = 0.25
+# HTTP statuses from which on an answer is a failure of its server.
+FAILURES = 500
 
 log = logs.logger("guard")
 
@@ -179,19 +181,22 @@
             requests=list(dict.fromkeys(crash.request for crash in crashes)),
         )
 
-    def answered(self, permit: Permit, whole: bool = True) -> None:
+    def answered(self, permit: Permit, status: int, whole: bool = True) -> None:
         """Take that a server answered a request: it does not end each.
 
         Parameters
         ----------
         permit : Permit
+        status : int
+            HTTP status. A failure clears nothing: a server that is full, or fails
+            whatever it is asked, answers so without having begun.
         whole : bool
             Whether one server ran all of it. One that made the rest of what others
             began may have been spared: a stream that ends its servers in its midst is
             whole in the end, too. A lone end then counts for chance.
         """
         ends = self.quarantine.ends(permit.fingerprint)
-        if not ends or (ends > 1 and not whole):
+        if not ends or status >= FAILURES or (ends > 1 and not whole):
             return
         trials = self.quarantine.trials(permit.fingerprint)
         known = self.quarantine.clear(permit.fingerprint)
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -63,6 +63,8 @@
         Servers at which it may have run.
     server : BackendServer or None
         At which it runs now.
+    status : int
+        HTTP status of the answer that the caller got.
     last : str
         Number of the last event that the caller got; empty before the first.
     from_start : bool
@@ -74,6 +76,7 @@
     tried: set[ServerStart] = attrs.field(factory=set)
     runs: int = 0
     server: BackendServer | None = None
+    status: int = 200
     last: str = ""
     from_start: bool = True
 
@@ -131,6 +134,7 @@
         headers = list(passed_headers(exchange))
         resumable = call.route.resumable and exchange.status == 200
         relay = self.resume if resumable else self.pass_on
+        relayed.status = exchange.status
         body = self.settle(relayed, relay(relayed, exchange, server))
         if permit.trial:
             body = self.read_apart(body, call.deadline)
@@ -150,7 +154,7 @@
                 async for data in body:
                     yield data
             relayed.server = None
-            self.guard.answered(relayed.permit, whole=relayed.from_start)
+            self.guard.answered(relayed.permit, relayed.status, relayed.from_start)
         finally:
             self.close(relayed)
 
--- a/tests/test_fatal_machine.py
+++ b/tests/test_fatal_machine.py
@@ -149,10 +149,30 @@
             assert isinstance(await self.ask(name, b"popular"), Answered), name
 
 
-@pytest.mark.parametrize("seed", [*range(6), *FOUND])
-def test_what_ends_servers_is_held_back_and_sound_requests_are_not(seed):
+class DaysWithFailures(Days):
+    """The same with servers that answer all with a failure for a while."""
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.faults.append(self.fail_server)
+
+    async def fail_server(self, seconds):
+        worker = self.chance.choice(self.workers)
+        worker.failing = True
+        await asyncio.sleep(seconds)
+        worker.failing = False
+
+
+@pytest.mark.parametrize(
+    ("days", "seed"),
+    [
+        *((Days, seed) for seed in (*range(6), *FOUND)),
+        *((DaysWithFailures, seed) for seed in range(6)),
+    ],
+)
+def test_what_ends_servers_is_held_back_and_sound_requests_are_not(days, seed):
     async def run(seed):
-        world = Days(seed)
+        world = days(seed)
         try:
             await world.play()
         finally:
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -191,6 +191,24 @@
     play(scenario, attempts=4)
 
 
+def test_failures_that_a_server_answers_clear_nothing():
+    async def scenario(world):
+        world.workers[0].failing = True
+        await world.keep_asking(POISON, 20, 0.25)
+        check_held_back(world)
+
+    play(scenario)
+
+
+def test_a_stream_that_a_server_answers_with_a_failure_clears_nothing():
+    async def scenario(world):
+        world.workers[0].failing = True
+        await world.keep_asking(POISON, 20, 0.25, prefix="/flow/")
+        check_held_back(world)
+
+    play(scenario)
+
+
 def test_a_stream_is_not_resumed_at_a_server_that_answers_with_a_failure():
     """Users would see a stream that stops in its midst, and is said to be whole."""
 
