Callers carry keys: a request runs for its workspace, and only while its key is good

Cause: the product did not know that callers have workspaces at all; a key went on like any field.

The key goes to no server, what a caller claims is replaced; batch jobs have ids of their own in each workspace; a grant is looked at again right before the first byte to a server.

Weighed: proofs by the own feed alone, or handed on by neighbours with their age. The own feed also goes through a neighbour where the store does not answer, end to end, so a copy that is handed on adds nothing but an age by another host's clock: not taken. A key that is not known here: the store is asked once, shared, before it is called unknown; a flood of wrong keys costs two calls a second and process.

--- a/gypsumshift/clock.py
+++ b/gypsumshift/clock.py
@@ -15,6 +15,14 @@
     def monotonic(self) -> float:
         """Return seconds from an arbitrary start; never goes back."""
 
+    def elapsed(self) -> float:
+        """Return seconds from an arbitrary start, those of a suspended host included.
+
+        The monotonic clock may stand still meanwhile, so what others may have done in
+        the time that passed is counted by this one.
+        """
+        return self.monotonic()
+
     @abc.abstractmethod
     def now(self) -> datetime.datetime:
         """Return the wall-clock time in UTC."""
@@ -31,6 +39,10 @@
         """Return seconds from an arbitrary start; never goes back."""
         return time.monotonic()
 
+    def elapsed(self) -> float:
+        """Return seconds, those in which the host was suspended included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def now(self) -> datetime.datetime:
         """Return the wall-clock time in UTC."""
         return datetime.datetime.now(datetime.UTC)
--- a/gypsumshift/fetch.py
+++ b/gypsumshift/fetch.py
@@ -6,11 +6,12 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 
 import attrs
 import h11
 
-__all__ = ["Exchange", "FetchError", "Fetcher", "Fetched"]
+__all__ = ["Exchange", "FetchError", "Fetched", "Fetcher", "Withheld"]
 
 READ_SIZE = 64 * 1024
 IDLE_PER_ADDRESS = 64
@@ -57,6 +58,13 @@
         self.refused = refused
 
 
+class Withheld(FetchError):
+    """A request was not sent, since it may not be any more."""
+
+    def __init__(self):
+        super().__init__("the request may not be sent any more", False)
+
+
 @attrs.frozen
 class Fetched:
     """A whole answer.
@@ -242,6 +250,7 @@
         fresh: bool = False,
         host: str = "",
         connect_timeout: float = CONNECT_TIMEOUT,
+        allowed: Callable[[], bool] | None = None,
     ) -> Exchange:
         """Send a request and read the head of its answer.
 
@@ -260,6 +269,8 @@
             Host header field; the address by default.
         connect_timeout : float
             Seconds.
+        allowed : callable or None
+            Asked right before the first byte is sent.
 
         Returns
         -------
@@ -270,6 +281,8 @@
         ------
         FetchError
             ``sent`` tells whether the server may have seen the request.
+        Withheld
+            It is not allowed any more.
         """
         wire = None if fresh else self.take(address)
         if wire is None:
@@ -277,6 +290,9 @@
             reused = False
         else:
             reused = True
+        if allowed is not None and not allowed():
+            self.keep(address, wire, IDLE_TIMEOUT)
+            raise Withheld
         exchange = Exchange(self, address, wire)
         exchange.reused = reused
         wire.repeatable = not fresh
--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -6,6 +6,7 @@
 from gypsumshift.lifecycle import Node
 from gypsumshift.platforms import RowStore
 from gypsumshift.policy import DEFAULT, Policy
+from gypsumshift.serving.admission import Admission
 from gypsumshift.serving.forwarder import Forwarder
 from gypsumshift.serving.guard import Guard
 from gypsumshift.serving.pool import Pool
@@ -31,6 +32,7 @@
     directory : Directory
     directory_watches : list of Watch
         Keep the directory current.
+    admission : Admission
     names : HeaderNames
     zone : str
     clock : Clock
@@ -47,6 +49,7 @@
         store,
         directory,
         directory_watches,
+        admission,
         names,
         zone,
         clock,
@@ -56,6 +59,7 @@
         policy: Policy = DEFAULT,
     ):
         self.store: RowStore = store
+        self.admission: Admission = admission
         self.chance: random.Random = chance
         self.desk = Desk(store, clock, metrics)
         self.directory_watches: list[Watch] = directory_watches
@@ -74,7 +78,7 @@
         """Whether new callers should come here."""
         if self.leaving or not self.directory.routes.version:
             return False
-        if not self.guard.informed:
+        if not self.guard.informed or not self.admission.ready:
             return False
         newest = max(watch.current_at for watch in self.directory_watches)
         return self.clock.monotonic() - newest < STORE_SILENCE
--- a/gypsumshift/jobs/engine.py
+++ b/gypsumshift/jobs/engine.py
@@ -12,7 +12,7 @@
 
 from gypsumshift.eventstream import StreamBroken, blocks
 from gypsumshift.fetch import Exchange, Fetcher, FetchError
-from gypsumshift.jobs.model import Item
+from gypsumshift.jobs.model import Item, Job
 from gypsumshift.outcomes import Answered, NotRun, Unknown
 from gypsumshift.serving.answers import MISDIRECTED, foreign_id
 from gypsumshift.serving.directory import BackendServer
@@ -157,7 +157,7 @@
         self.protocol = protocol
 
     async def stream(
-        self, server: BackendServer, item: Item, host: str, after: int, urgency: int
+        self, server: BackendServer, item: Item, job: Job, after: int, urgency: int
     ) -> AsyncIterator[Event]:
         """Yield the events of an item, behind those that are held already.
 
@@ -165,8 +165,8 @@
         ----------
         server : BackendServer
         item : Item
-        host : str
-            Host header field.
+        job : Job
+            Its batch job, whose host and workspace it has.
         after : int
             Number of the last event held; 0 for none.
         urgency : int
@@ -185,9 +185,9 @@
                     server.address,
                     "POST",
                     item.path,
-                    self.fields(server, item, after, urgency),
+                    self.fields(server, item, job.workspace, after, urgency),
                     item.body,
-                    host=host,
+                    host=job.host,
                     connect_timeout=CONNECT_TIMEOUT,
                 )
         except FetchError as error:
@@ -204,9 +204,14 @@
                     version = event.version
                     yield event
 
-    def fields(self, server, item, after: int, urgency: int) -> list[tuple[str, str]]:
+    def fields(
+        self, server, item, workspace: str, after: int, urgency: int
+    ) -> list[tuple[str, str]]:
         """Return the header fields of an item's request."""
-        fields = [f for f in item.headers.items() if f[0] != self.names.urgency]
+        own = (self.names.urgency, *self.names.identity)
+        fields = [f for f in item.headers.items() if f[0] not in own]
+        if workspace:
+            fields.append((self.names.workspace, workspace))
         fields.append((self.names.urgency, str(urgency)))
         fields.append((self.names.request_id, item.id))
         fields.append((self.names.expected_server, server.id))
--- a/gypsumshift/jobs/itemrun.py
+++ b/gypsumshift/jobs/itemrun.py
@@ -98,8 +98,8 @@
     @functools.cached_property
     def fingerprint(self) -> str:
         """What is the same each time that this item is run; see `Call`."""
-        item = self.item
-        return fingerprint("POST", self.job.host, item.path, "", item.body)
+        job, item = self.job, self.item
+        return fingerprint("POST", job.host, item.path, job.workspace, item.body)
 
     @property
     def route(self) -> Route | None:
@@ -149,7 +149,7 @@
         try:
             rank = urgency(self.job, self.item)
             stream = self.engine.stream(
-                server, self.item, self.job.host, len(self.events), rank
+                server, self.item, self.job, len(self.events), rank
             )
             self.progress_at = 0.0
             async for event in stream:
--- a/gypsumshift/jobs/model.py
+++ b/gypsumshift/jobs/model.py
@@ -6,6 +6,7 @@
 
 import base64
 import enum
+import urllib.parse
 from collections.abc import Iterable, Iterator
 
 import attrs
@@ -38,6 +39,7 @@
     "Unit",
     "UnitSummary",
     "from_row",
+    "job_id",
     "parse_row",
     "parse_rows",
     "summary",
@@ -178,6 +180,8 @@
     units : tuple of UnitSummary
     groups_needed : int
         Whole groups that its trainer waits for; 0 for all.
+    workspace : str
+        For which its items run; empty for none.
     """
 
     id: str
@@ -189,6 +193,7 @@
     submitted: float
     units: tuple[UnitSummary, ...]
     groups_needed: int = 0
+    workspace: str = ""
 
     @property
     def total(self) -> int:
@@ -325,6 +330,23 @@
         raise ForeignRow(f"no {kind.__name__}: {error!r}") from error
 
 
+def job_id(workspace: str, submitted: str) -> str:
+    """Return the id under which a batch job is kept.
+
+    Each workspace has ids of its own: to others, its jobs are not there, and neither
+    can take an id from the other.
+
+    Parameters
+    ----------
+    workspace : str
+        Empty for none.
+    submitted : str
+        Id that the submitter gave it.
+    """
+    parts = (workspace, submitted) if workspace else (submitted,)
+    return "/".join(urllib.parse.quote(part, safe="") for part in parts)
+
+
 def parse_rows(rows: Iterable[Row], kind: type) -> Iterator[tuple[Row, object]]:
     """Yield rows with their values; those that are not of the kind are left out."""
     for row in rows:
--- a/gypsumshift/outcomes.py
+++ b/gypsumshift/outcomes.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "Answered",
+    "CannotTell",
     "Committed",
     "Conflict",
     "HeldBack",
@@ -120,6 +121,11 @@
     """The request has not run, since backend servers ended under it before."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CannotTell(NotRun):
+    """The request has not run, since this host may not know whether its key is good."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Problem:
     """One thing that is wrong with an input.
--- /dev/null
+++ b/gypsumshift/serving/admission.py
@@ -0,0 +1,155 @@
+"""Admission: whether a request may run, by the key that it carries.
+
+The decision answers three kinds of host: one that knows the newest configuration, one
+that may not know it any more, and one that does not know any yet. Only the first may
+say that a key is good, or that it is none.
+"""
+
+import datetime
+
+import attrs
+
+from gypsumshift.outcomes import CannotTell
+from gypsumshift.serving.currency import Currency
+from gypsumshift.serving.directory import Directory
+from gypsumshift.workspaces import key_digest
+
+__all__ = [
+    "ANYONE",
+    "WITHDRAWN",
+    "Admission",
+    "Grant",
+    "UnknownKey",
+    "Verdict",
+]
+
+# Seconds after which a caller may come back: another host may know more.
+RETRY_AFTER = 0.25
+# Seconds within which the configuration must have been confirmed for a key to be called
+# unknown; else the store is asked: a flood of wrong keys costs two calls a second.
+UNKNOWN_AGE = 0.5
+WITHDRAWN = "the key may not be good any more"
+
+
+@attrs.frozen
+class UnknownKey:
+    """No workspace has the key: the caller must not come back with it."""
+
+
+@attrs.frozen
+class Grant:
+    """Leave to have servers run a request.
+
+    Attributes
+    ----------
+    workspace : str
+        Name of the workspace for which it runs; empty for none.
+    digest : str
+        Of the key; see `key_digest`.
+    admission : Admission or None
+        Asked again before each send; None where no key is needed.
+    """
+
+    workspace: str = ""
+    digest: str = ""
+    admission: "Admission | None" = attrs.field(default=None, repr=False)
+
+    @property
+    def holds(self) -> bool:
+        """Whether a server may still be sent the request.
+
+        A host that was suspended since the request came, or that lost the store while
+        the request waited, must not act on what it knew before.
+        """
+        return self.admission is None or self.admission.holds(self)
+
+
+# Leave for what needs no key.
+ANYONE = Grant()
+Verdict = Grant | UnknownKey | CannotTell
+
+
+class Admission:
+    """Decides by the configuration that is known here, and by its age.
+
+    Parameters
+    ----------
+    directory : Directory
+    currency : Currency
+    """
+
+    def __init__(self, directory: Directory, currency: Currency):
+        self.directory = directory
+        self.currency = currency
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers with keys should come here."""
+        required = self.directory.routes.workspaces.required
+        return not required or self.currency.ready
+
+    async def admit(self, key: str, public: bool = False) -> Verdict:
+        """Return whether a request may run.
+
+        Parameters
+        ----------
+        key : str
+            As the caller sent it; empty for none.
+        public : bool
+            Whether its route needs no key.
+        """
+        if not self.directory.routes.version:
+            return cannot_tell("no configuration yet")
+        if public or not self.directory.routes.workspaces.required:
+            return ANYONE
+        return await self.look_up(key, lasting=True)
+
+    async def identify(self, key: str) -> Verdict:
+        """Return whose batch jobs a caller may read and end.
+
+        Without a key, those that were submitted without one. A key is taken as it was
+        heard of last: what was accepted is read also while nothing is heard.
+        """
+        if not self.directory.routes.version:
+            return cannot_tell("no configuration yet")
+        if not key or not self.directory.routes.workspaces.required:
+            return ANYONE
+        return await self.look_up(key, lasting=False)
+
+    async def look_up(self, key: str, lasting: bool) -> Verdict:
+        """Return whose key it is; the store is asked where this host may not know.
+
+        Parameters
+        ----------
+        key : str
+        lasting : bool
+            Whether it must be good still, as for a request that is to run.
+        """
+        digest = key_digest(key)
+        verdict = self.decide(digest, lasting)
+        if isinstance(verdict, CannotTell):
+            await self.currency.confirm()
+            verdict = self.decide(digest, lasting)
+        return verdict
+
+    def decide(self, digest: str, lasting: bool) -> Verdict:
+        """Return what is known of a key here and now."""
+        workspace = self.directory.routes.workspaces.find(digest)
+        if workspace is None:
+            if self.currency.age <= UNKNOWN_AGE:
+                return UnknownKey()
+            return cannot_tell("a newer configuration may hold the key")
+        if lasting and not self.currency.holds:
+            return cannot_tell("a newer configuration may have taken the key away")
+        return Grant(workspace.name, digest, self)
+
+    def holds(self, grant: Grant) -> bool:
+        """Tell whether a key is still the same workspace's, as far as can be known."""
+        workspace = self.directory.routes.workspaces.find(grant.digest)
+        known = workspace is not None and workspace.name == grant.workspace
+        return known and self.currency.holds
+
+
+def cannot_tell(reason: str) -> CannotTell:
+    """Return a refusal of a host that may not know enough."""
+    return CannotTell(reason, datetime.timedelta(seconds=RETRY_AFTER))
--- a/gypsumshift/serving/calls.py
+++ b/gypsumshift/serving/calls.py
@@ -5,6 +5,7 @@
 import attrs
 
 from gypsumshift.outcomes import Answered
+from gypsumshift.serving.admission import ANYONE, Grant
 from gypsumshift.serving.fingerprints import fingerprint
 from gypsumshift.serving.routes import RequestKind, Route
 
@@ -31,8 +32,8 @@
     suspect : bool
         Whether a server answered it with a failure before: some requests fail at
         every server, which says nothing about the others.
-    caller : str
-        What names the caller, such as its key; empty where callers are not told apart.
+    grant : Grant
+        Leave to run it, and for whom.
     """
 
     id: str
@@ -44,12 +45,13 @@
     route: Route
     deadline: float
     suspect: bool = False
-    caller: str = ""
+    grant: Grant = ANYONE
 
     @functools.cached_property
     def fingerprint(self) -> str:
         """What is the same each time that this request comes, whatever its id."""
-        return fingerprint(self.method, self.host, self.target, self.caller, self.body)
+        who = self.grant.workspace
+        return fingerprint(self.method, self.host, self.target, who, self.body)
 
     @property
     def repeatable(self) -> bool:
--- /dev/null
+++ b/gypsumshift/serving/currency.py
@@ -0,0 +1,73 @@
+"""Currency: whether the configuration known here is new enough to go by.
+
+A key that was taken away must stop working at every host within a bound, also at one
+that hears nothing: such a host knows only how long it has heard nothing. So a key is
+good only while the configuration was confirmed by an exchange with the store that
+*began* within the bound. It is counted from the beginning, since the store may have
+answered at once and the answer have taken its time, and by a clock that goes on while
+the host is suspended. No clocks of two hosts are compared.
+"""
+
+import datetime
+import math
+
+from gypsumshift.clock import Clock
+from gypsumshift.serving.directory import Directory
+from gypsumshift.watch import Watch
+
+__all__ = ["Currency"]
+
+# Part of the bound that is used: the rest is for clocks that differ in their pace, and
+# for the time between a request's arrival and the look at the clock.
+BOUND_SHARE = 0.9
+# Part of the bound after which new callers should go elsewhere, which the balancer
+# takes two questions, a second apart, to do.
+READY_SHARE = 0.5
+
+
+class Currency:
+    """Tells whether what is known of the configuration may be gone by.
+
+    Parameters
+    ----------
+    watch : Watch
+        Follows the table that holds the configuration.
+    directory : Directory
+    clock : Clock
+    bound : timedelta or None
+        Time within which a key that was taken away must not work any more; None where
+        it may go on wherever the configuration is not heard.
+    """
+
+    def __init__(
+        self,
+        watch: Watch,
+        directory: Directory,
+        clock: Clock,
+        bound: datetime.timedelta | None = None,
+    ):
+        self.watch = watch
+        self.directory = directory
+        self.clock = clock
+        self.bound = bound.total_seconds() if bound else math.inf
+
+    @property
+    def age(self) -> float:
+        """Seconds since the begin of the exchange that confirmed the configuration."""
+        if self.directory.outdated:
+            return math.inf
+        return self.clock.elapsed() - self.watch.confirmed_at
+
+    @property
+    def holds(self) -> bool:
+        """Whether a key may be taken for good."""
+        return self.bound == math.inf or self.age < BOUND_SHARE * self.bound
+
+    @property
+    def ready(self) -> bool:
+        """Whether that will hold for long enough to invite callers."""
+        return self.bound == math.inf or self.age < READY_SHARE * self.bound
+
+    async def confirm(self) -> None:
+        """Ask the store at once whether the configuration is the newest."""
+        await self.watch.confirm()
--- a/gypsumshift/serving/directory.py
+++ b/gypsumshift/serving/directory.py
@@ -87,6 +87,8 @@
     routes : RouteTable
     servers : dict
         `BackendServer` by id.
+    outdated : bool
+        Whether there is a configuration that could not be read.
     newest : dict
         Newest weight version by model.
     born : dict
@@ -101,6 +103,7 @@
 
     def __init__(self):
         self.routes = RouteTable()
+        self.outdated = False
         self.servers: dict[str, BackendServer] = {}
         self.newest: dict[str, int] = {}
         self.born: dict[str, int] = {}
@@ -115,7 +118,10 @@
 
     def set_routes(self, routes: RouteTable) -> None:
         """Put a configuration in force, unless a newer one is."""
-        if routes.version <= self.routes.version:
+        if routes.version < self.routes.version:
+            return
+        self.outdated = False
+        if routes.version == self.routes.version:
             return
         previous = self.routes.version
         self.routes = routes
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -15,6 +15,7 @@
 from gypsumshift import logs
 from gypsumshift.outcomes import Answered, HeldBack, NotRun, Unknown
 from gypsumshift.policy import DEFAULT, Policy
+from gypsumshift.serving.admission import WITHDRAWN
 from gypsumshift.serving.calls import Attempt, Call, Failed, Refused
 from gypsumshift.serving.directory import BackendServer, ServerStart
 from gypsumshift.serving.guard import REASON, Guard, Permit
@@ -166,8 +167,9 @@
                 return self.verdict(race, "the deadline passed")
             started = self.start(race)
             if not race.running:
-                if not self.allows(race):
-                    return self.verdict(race, REASON)
+                barred = self.barred(race)
+                if barred:
+                    return self.verdict(race, barred)
                 if not await self.next_round(race, left):
                     return self.verdict(race, "no backend server took it")
                 continue
@@ -190,13 +192,16 @@
             return HEDGE_DEFAULT
         return HEDGE_SHARE * objective.total_seconds()
 
-    def allows(self, race: Race) -> bool:
-        """Tell whether the guard allows one more attempt."""
-        return self.guard.allows(race.permit, len(race.running), bool(race.ran))
+    def barred(self, race: Race) -> str:
+        """Return why no more attempt may be made; empty where one may."""
+        if not race.call.grant.holds:
+            return WITHDRAWN
+        allowed = self.guard.allows(race.permit, len(race.running), bool(race.ran))
+        return "" if allowed else REASON
 
     def start(self, race: Race) -> bool:
         """Start one more attempt where that is allowed; return whether it was."""
-        if race.spent or not self.allows(race):
+        if race.spent or self.barred(race):
             return False
         server = self.pool.choose(race.servers, race.involved)
         if server is None:
--- a/gypsumshift/serving/headers.py
+++ b/gypsumshift/serving/headers.py
@@ -52,8 +52,11 @@
         Rank among the requests of a model engine, 0 for the most urgent.
     wait : str
         Milliseconds for which the caller lets an answer wait for news.
-    caller : str
-        Key that names the caller.
+    key : str
+        Key of the caller's workspace. No server ever gets it.
+    workspace : str
+        Workspace for which a server runs a request. Whatever a caller says here is
+        left out.
     """
 
     request_id: str
@@ -69,4 +72,10 @@
     token_counts: str
     urgency: str
     wait: str
-    caller: str
+    key: str
+    workspace: str
+
+    @property
+    def identity(self) -> tuple[str, str]:
+        """Fields that tell who calls: none of a caller's goes to a server."""
+        return self.key, self.workspace
--- a/gypsumshift/serving/routes.py
+++ b/gypsumshift/serving/routes.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from gypsumshift.workspaces import NO_WORKSPACES, Workspaces
+
 __all__ = ["EngineLimits", "RequestKind", "Route", "RouteTable", "Service", "Target"]
 
 SHARE_BITS = 2**32
@@ -57,6 +59,8 @@
         Whether all events of a sample must come from one weight version.
     retention : timedelta or None
         Time behind which an item of a batch job may be given up.
+    public : bool
+        Whether callers need no key.
     """
 
     name: str
@@ -70,6 +74,7 @@
     resumable: bool = False
     one_version: bool = False
     retention: datetime.timedelta | None = None
+    public: bool = False
 
     def service_for(self, request_id: str) -> str:
         """Return the service that takes a request; the same one on a retry."""
@@ -132,9 +137,18 @@
     services : iterable of Service
     body_limit : int
         Bytes of a request's body.
+    workspaces : Workspaces
     """
 
-    def __init__(self, version=0, routes=(), services=(), body_limit=0):
+    def __init__(
+        self,
+        version=0,
+        routes=(),
+        services=(),
+        body_limit=0,
+        workspaces: Workspaces = NO_WORKSPACES,
+    ):
+        self.workspaces = workspaces
         self.version = version
         self.body_limit = body_limit
         self.services = {service.name: service for service in services}
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -6,9 +6,10 @@
 from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.eventstream import StreamBroken
-from gypsumshift.fetch import Exchange, Fetcher, FetchError
+from gypsumshift.fetch import Exchange, Fetcher, FetchError, Withheld
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered
+from gypsumshift.serving.admission import WITHDRAWN
 from gypsumshift.serving.answers import foreign_id, passed_headers, refusal
 from gypsumshift.serving.calls import Attempt, Call, Failed, Refused
 from gypsumshift.serving.directory import BackendServer, Directory
@@ -98,6 +99,8 @@
         fresh = not call.repeatable
         try:
             return await self.exchange_once(call, server, fresh)
+        except Withheld:
+            return Refused(WITHDRAWN)
         except FetchError as error:
             first = error
         if not first.reused:
@@ -105,6 +108,7 @@
         try:
             return await self.exchange_once(call, server, True)
         except FetchError as error:
+            # The first connection may have carried it, so nothing is vouched for.
             return Failed(str(error), True, await self.gone(error, server))
 
     async def gone(
@@ -145,21 +149,25 @@
             fresh=fresh,
             host=call.host,
             connect_timeout=CONNECT_TIMEOUT,
+            allowed=lambda: call.grant.holds,
         )
 
     def fields(self, call: Call, server: BackendServer) -> list[tuple[str, str]]:
         """Return the header fields for one server."""
-        own = (self.names.time_left, self.names.expected_server)
+        names = self.names
+        own = (names.time_left, names.expected_server, *names.identity)
         left = call.deadline - self.clock.monotonic()
         passed = [
             (key, value)
             for key, value in call.headers
             if key not in HOP_BY_HOP and key not in own
         ]
+        if call.grant.workspace:
+            passed.append((names.workspace, call.grant.workspace))
         return [
             *passed,
-            (self.names.time_left, str(max(1, int(left * 1000)))),
-            (self.names.expected_server, server.id),
+            (names.time_left, str(max(1, int(left * 1000)))),
+            (names.expected_server, server.id),
         ]
 
     def note_load(self, server: BackendServer, exchange: Exchange) -> None:
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -15,9 +15,10 @@
 
 from gypsumshift import logs
 from gypsumshift.eventstream import StreamBroken, blocks, field_of
-from gypsumshift.fetch import Exchange, FetchError
+from gypsumshift.fetch import Exchange, FetchError, Withheld
 from gypsumshift.outcomes import HeldBack, NotRun, Unknown
 from gypsumshift.server import Abandon
+from gypsumshift.serving.admission import WITHDRAWN
 from gypsumshift.serving.answers import passed_headers, refusal
 from gypsumshift.serving.calls import Call
 from gypsumshift.serving.directory import BackendServer, ServerStart
@@ -212,6 +213,9 @@
             try:
                 async with asyncio.timeout(left):
                     exchange = await self.open_at(call, server, after)
+            except Withheld:
+                relayed.server = None
+                continue
             except (FetchError, TimeoutError) as error:
                 await self.note_failure(relayed, server, error)
                 continue
@@ -223,18 +227,24 @@
 
     def choose(self, relayed: Relayed, servers: list) -> BackendServer | None:
         """Return the server to try next; None where none is left or allowed."""
-        allowed = self.guard.allows(relayed.permit, 0, relayed.runs > 0)
-        if relayed.spent or not allowed:
+        if relayed.spent or self.barred(relayed):
             return None
         return self.pool.choose(servers, relayed.tried)
 
+    def barred(self, relayed: Relayed) -> str:
+        """Return why it may not go to another server; empty where it may."""
+        if not relayed.call.grant.holds:
+            return WITHDRAWN
+        allowed = self.guard.allows(relayed.permit, 0, relayed.runs > 0)
+        return "" if allowed else REASON
+
     def not_opened(self, relayed: Relayed) -> NotRun | Unknown:
         """Return why a stream is not opened at another server."""
-        held = not self.guard.allows(relayed.permit, 0, relayed.runs > 0)
-        reason = REASON if held else "no backend server took the stream"
+        barred = self.barred(relayed)
+        reason = barred or "no backend server took the stream"
         if relayed.runs:
             return Unknown(reason)
-        if held:
+        if barred == REASON:
             return self.guard.held_back(relayed.permit.fingerprint)
         return NotRun(reason, datetime.timedelta(seconds=RETRY_AFTER))
 
--- a/gypsumshift/watch.py
+++ b/gypsumshift/watch.py
@@ -66,6 +66,10 @@
         The same before changes were lost; what is read anew must not be older.
     current_at : float
         When the copy was last known to be current, by the monotonic clock.
+    confirmed_at : float
+        When the exchange began in which the store last told all changes of the table,
+        by the clock that counts a suspended host's time. A copy that another process
+        read confirms nothing.
     recovered_at : float
         When the store last answered again after a failure.
     heard : float
@@ -99,6 +103,8 @@
         self.version = -1
         self.known_version = 0
         self.current_at = float("-inf")
+        self.confirmed_at = float("-inf")
+        self.confirming: asyncio.Task | None = None
         self.recovered_at = float("-inf")
         self.heard = 0.0
         self.failures = 0
@@ -121,27 +127,46 @@
         the store reads it, and a whole table taken as changes would keep what was
         removed.
         """
-        whole = self.version < 0
-        if whole:
-            answer = await self.store.snapshot(self.table, self.known_version)
-        else:
-            wait = POLL_SILENT if self.failures else self.poll
-            answer = await self.store.changes(self.table, self.version, wait)
+        if self.version >= 0:
+            # A copy that is not confirmed yet is so at once, not behind a long wait.
+            hasty = self.failures or self.confirmed_at == float("-inf")
+            await self.follow(POLL_SILENT if hasty else self.poll)
+            return
+        answer = await self.store.snapshot(self.table, self.known_version)
+        self.judge(answer, whole=True)
+
+    async def follow(self, wait: datetime.timedelta) -> None:
+        """Ask for changes, and take them; a whole answer confirms the copy."""
+        began = self.clock.elapsed()
+        answer = await self.store.changes(self.table, self.version, wait)
+        if self.judge(answer, whole=False):
+            self.confirmed_at = max(self.confirmed_at, began)
+
+    async def confirm(self) -> None:
+        """Ask the store at once; those who ask together share one call."""
+        if self.version < 0:
+            return
+        if self.confirming is None or self.confirming.done():
+            self.confirming = asyncio.create_task(self.follow(datetime.timedelta()))
+        await asyncio.shield(self.confirming)
+
+    def judge(self, answer, whole: bool) -> bool:
+        """Take what was answered; return whether all is known that the store told."""
         if isinstance(answer, HistoryLost):
             logs.event(log, "Changes were lost; reading anew.", table=self.table)
             self.known_version = max(self.version, 0)
             self.version = -1
-            return
+            return False
         if isinstance(answer, Unavailable):
             self.note_failure(answer.reason)
-            return
-        self.take(answer, whole)
+            return False
+        return self.take(answer, whole)
 
-    def take(self, answer: Changes, whole: bool) -> None:
-        """Take an answer, unless it is older than what is known."""
+    def take(self, answer: Changes, whole: bool) -> bool:
+        """Take an answer, unless it is older than what is known; return whether."""
         if whole and answer.version < self.known_version:
             self.refuse(answer)
-            return
+            return False
         if self.failures:
             logs.event(log, "The store answers again.", table=self.table)
             self.failures = 0
@@ -149,9 +174,10 @@
             self.on_return()
         if answer.version < self.version:
             # The store may serve an old copy; nothing steps back.
-            return
+            return False
         self.note_current(self.clock.monotonic() - answer.age)
         self.accept(answer, whole)
+        return True
 
     def refuse(self, answer: Changes) -> None:
         """Leave out a whole table from before changes were lost; it is asked again."""
--- a/standins/users_documents.py
+++ b/standins/users_documents.py
@@ -24,7 +24,12 @@
     return {"name": name, "prefix": f"/{name}/", **usual, **fields}
 
 
-def config(version: int = 1, routes=(), slots: int = 4) -> dict:
+def config(
+    version: int = 1,
+    routes=(),
+    slots: int = 4,
+    workspaces: dict[str, list[str]] | None = None,
+) -> dict:
     """Return a configuration with a plain service and a pool of engines.
 
     Parameters
@@ -34,23 +39,29 @@
         Beside the usual ones, one of each kind.
     slots : int
         Requests that an engine runs at once.
+    workspaces : dict or None
+        Keys by the name of each workspace; None where callers send no keys.
     """
     usual = [
         route("app", kind="safe", service="app", attempts=2),
         route("once", kind="unsafe", service="app", attempts=2),
-        route("score", kind="safe", service="app", attempts=4),
+        route("score", kind="safe", service="app", attempts=4, public=True),
         route("batch", kind="rollout", service="pool", attempts=3),
         route("flow", kind="stream", service="pool", attempts=2),
         route("resumed", kind="stream", service="pool", attempts=2, can_resume=True),
     ]
     engine = {"slots": slots, "kv_capacity": 1000, "models": [{"name": MODEL}]}
     services = [{"name": "app"}, {"name": "pool", "engine": engine}]
-    return {
+    value = {
         "version": version,
         "routes": [*usual, *routes],
         "services": services,
         "limits": {"max_body_bytes": 1_000_000},
     }
+    if workspaces is None:
+        return value
+    tenants = [{"name": n, "api_keys": keys} for n, keys in workspaces.items()]
+    return value | {"tenants": tenants}
 
 
 def job_body(job: str, groups: int = 2, size: int = 2, min_version: int = 1) -> bytes:
--- a/standins/users_store.py
+++ b/standins/users_store.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import datetime
 import json
 import random
 import time
@@ -140,7 +141,9 @@
     async def serve_rows_feed(self, request: Request) -> Response:
         """Return what changed in a table."""
         table, after = request.parameter("table"), int(request.parameter("after"))
-        answer = await self.tables.changes(table, after, POLL)
+        asked = float(request.parameter("wait_ms", "0")) / 1000
+        wait = min(datetime.timedelta(seconds=asked), POLL)
+        answer = await self.tables.changes(table, after, wait)
         if isinstance(answer, HistoryLost):
             return Response(410)
         return self.answer(
--- a/standins/users_worker.py
+++ b/standins/users_worker.py
@@ -164,6 +164,8 @@
         request_id = request.header("request-id")
         after = int(request.header("last-event-id", "0"))
         run = {"request": request_id, "at": time.time(), "after": after, "end": ""}
+        run["workspace"] = request.header("tenant")
+        run["told_key"] = bool(request.header("key"))
         fatal = bool(self.fatal) and self.fatal in request.body
         if fatal:
             run["fatal"] = request.body.decode("latin-1")
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -23,6 +23,7 @@
     Service,
     Target,
 )
+from gypsumshift.serving.admission import Admission, Grant
 from gypsumshift.serving.quarantine import MOST_ENDS
 from gypsumshift.serving.streams import Stream
 from tests import own_time
@@ -146,6 +147,7 @@
             self.ways[name],
             directory,
             [],
+            Admission(directory, None),
             NAMES,
             "here",
             self.clock,
@@ -220,7 +222,7 @@
 
     # Callers.
 
-    def call(self, body, prefix="/safe/", caller=""):
+    def call(self, body, prefix="/safe/", workspace=""):
         """Return a request under a new id."""
         target = f"{prefix}1"
         name = f"r-{next(self.numbers)}"
@@ -233,12 +235,12 @@
             body,
             self.routes.find(HOST, target),
             self.clock.monotonic() + self.patience,
-            caller=caller,
+            grant=Grant(workspace),
         )
 
-    async def ask(self, name, body, prefix="/safe/", caller=""):
+    async def ask(self, name, body, prefix="/safe/", workspace=""):
         """Have a gateway answer a request; a stream is read to its end."""
-        gateway, call = self.gateways[name], self.call(body, prefix, caller)
+        gateway, call = self.gateways[name], self.call(body, prefix, workspace)
         if call.route.kind is not RequestKind.STREAM:
             return await gateway.forwarder.forward(call)
         outcome = await gateway.streams.start(call)
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -54,7 +54,8 @@
     token_counts="token-counts",
     urgency="urgency",
     wait="wait",
-    caller="caller",
+    key="key",
+    workspace="workspace",
 )
 MODEL = "m"
 SERVICE = "engines"
@@ -154,7 +155,7 @@
         self.servers = []
         self.busy = False
 
-    async def stream(self, server, item, host, after, urgency):
+    async def stream(self, server, item, job, after, urgency):
         self.started.append((item.id, after))
         self.servers.append(server.id)
         if server.id in self.replaced:
--- a/tests/own_time.py
+++ b/tests/own_time.py
@@ -25,6 +25,9 @@
     def monotonic(self):
         return asyncio.get_running_loop().time()
 
+    def elapsed(self):
+        return self.monotonic()
+
 
 def play(scenario):
     """Run a coroutine function in a time of its own."""
--- a/tests/test_crash_rows.py
+++ b/tests/test_crash_rows.py
@@ -48,9 +48,9 @@
     async def scenario(world):
         world.fatal = {b"a secret body"}
         for _ in range(2):
-            await world.ask("g0", b"a secret body", caller="a secret key")
+            await world.ask("g0", b"a secret body", workspace="a secret key")
         await asyncio.sleep(2)
-        await world.ask("g0", b"a secret body", caller="a secret key")
+        await world.ask("g0", b"a secret body", workspace="a secret key")
         await asyncio.sleep(0.1)
         written = str(list(world.tables.rows.values()))
         assert CRASHES in written and "secret" not in written
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -247,7 +247,7 @@
         await end_three(world)
         await asyncio.sleep(BACK_AFTER + TOLD_AFTER)
         world.fatal = set()
-        assert isinstance(await world.ask("g0", POISON, caller="another"), Answered)
+        assert isinstance(await world.ask("g0", POISON, workspace="another"), Answered)
         assert isinstance(await world.ask("g0", POISON, "/once/"), Answered)
 
     play(scenario)
