Usage is counted by workspace and window, and told outside by one host at a time

The product had no duty of one host: orders to an engine have one sender each, its agent.

A deployment whose settings name no such duty gets none of it.

Weighed: a table that all gateways follow, against a look each second: a followed row that is renewed each second wakes every gateway each second with the same bytes and costs a feed more; a look costs one read. Handing over is one look late (0.8 to 1.2 s).

Ruled out: the lease's own clock standing still on a suspended host (a holder that thawed believed in it); a call under way while the lease is given up (the successor's came before it); a host that comes back within the turn of another; a connection opened before a freeze and written to after it (asked again right before the first byte).

--- a/gypsumshift/fetch.py
+++ b/gypsumshift/fetch.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections.abc import Callable
 
 import attrs
@@ -21,6 +23,9 @@
 IDLE_TIMEOUT = 4.0
 # Part of the time a server grants that is left unused, for the way there.
 IDLE_SHARE = 0.8
+# Socket option: what was not sent yet is dropped with the connection, and the other
+# side is told so by a reset.
+DROP_UNSENT = struct.pack("ii", 1, 0)
 BODY_LIMIT = 64 * 1024 * 1024
 
 
@@ -84,9 +89,12 @@
 class Wire:
     """One connection with its HTTP state."""
 
-    def __init__(self, reader, writer):
+    def __init__(self, reader, writer, resets: bool = False):
         self.reader = reader
         self.writer = writer
+        if resets:
+            wire = writer.get_extra_info("socket")
+            wire.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DROP_UNSENT)
         self.state = h11.Connection(h11.CLIENT)
         self.idle_until = 0.0
         self.repeatable = True
@@ -187,6 +195,12 @@
 class Fetcher:
     """HTTP client with connections per address; owns them all.
 
+    Parameters
+    ----------
+    resets : bool
+        Whether a connection that is cut delivers nothing any more: else what was sent
+        into a cut network may arrive long after it was given up.
+
     Attributes
     ----------
     idle : dict
@@ -195,7 +209,8 @@
         Connections in an exchange, by address.
     """
 
-    def __init__(self):
+    def __init__(self, resets: bool = False):
+        self.resets = resets
         self.idle: dict[tuple[str, int], list[Wire]] = {}
         self.used: dict[tuple[str, int], set[Wire]] = {}
 
@@ -205,7 +220,7 @@
         """Open a connection; failing that, nothing was sent."""
         try:
             async with asyncio.timeout(timeout):
-                return Wire(*await asyncio.open_connection(*address))
+                return Wire(*await asyncio.open_connection(*address), self.resets)
         except (OSError, TimeoutError) as error:
             reason = f"no connection to {address[0]}:{address[1]}: {error}"
             refused = isinstance(error, ConnectionRefusedError)
@@ -323,12 +338,24 @@
         return exchange
 
     async def fetch(
-        self, address, method, target, headers=(), body=b"", timeout=10.0
+        self,
+        address,
+        method,
+        target,
+        headers=(),
+        body=b"",
+        timeout=10.0,
+        allowed: Callable[[], bool] | None = None,
     ) -> Fetched:
-        """Send a request and return its whole answer, within ``timeout`` seconds."""
+        """Send a request and return its whole answer, within ``timeout`` seconds.
+
+        The other parameters are those of `open`.
+        """
         try:
             async with asyncio.timeout(timeout):
-                exchange = await self.open(address, method, target, list(headers), body)
+                exchange = await self.open(
+                    address, method, target, list(headers), body, allowed=allowed
+                )
                 with contextlib.closing(exchange):
                     content = await exchange.read()
                     return Fetched(exchange.status, exchange.headers, content)
--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -2,6 +2,7 @@
 
 import random
 
+from gypsumshift.accounting import Accounting
 from gypsumshift.jobs.desk import Desk
 from gypsumshift.lifecycle import Node
 from gypsumshift.platforms import RowStore
@@ -33,6 +34,8 @@
     directory_watches : list of Watch
         Keep the directory current.
     admission : Admission
+    accounting : Accounting or None
+        None where no usage is told.
     names : HeaderNames
     zone : str
     clock : Clock
@@ -50,6 +53,7 @@
         directory,
         directory_watches,
         admission,
+        accounting,
         names,
         zone,
         clock,
@@ -60,6 +64,7 @@
     ):
         self.store: RowStore = store
         self.admission: Admission = admission
+        self.accounting: Accounting | None = accounting
         self.chance: random.Random = chance
         self.desk = Desk(store, clock, metrics)
         self.directory_watches: list[Watch] = directory_watches
@@ -68,7 +73,8 @@
         super().__init__(directory, watches, Pool(zone, clock, chance, policy), clock)
         directory.on_restart.append(lambda old: fetcher.cut(old.address))
         self.pool.connected = fetcher.connected
-        sender = Sender(directory, self.pool, fetcher, names, clock, metrics)
+        usage = accounting.counter if accounting else None
+        sender = Sender(directory, self.pool, fetcher, names, clock, metrics, usage)
         self.forwarder = Forwarder(sender, self.guard, policy)
         self.streams = StreamRelay(self.forwarder)
         self.leaving = False
@@ -93,11 +99,14 @@
 
     def work(self):
         """Return what else the gateway does until it is cancelled."""
-        return [self.guard.run()]
+        accounting = self.accounting.work() if self.accounting else []
+        return [self.guard.run(), *accounting]
 
     async def drain(self, grace: float) -> None:
         """Send callers elsewhere, finish what runs, then close."""
         self.leaving = True
+        if self.accounting:
+            await self.accounting.leave()
         leaving = [port.server for port in self.ports if not port.always]
         for server in leaving:
             server.leaving = True
@@ -106,3 +115,5 @@
         await self.clock.sleep(grace / 2)
         for server in leaving:
             await server.stop(grace / 2)
+        if self.accounting:
+            await self.accounting.log.flush()
--- a/gypsumshift/leases.py
+++ b/gypsumshift/leases.py
@@ -1,27 +1,32 @@
 """Leases: who does the work that one process should do at a time.
 
-A lease only saves double work. Whatever must not happen twice is guarded by
-conditions in the transactions themselves, so a holder that was paused, or whose
-clock is off, does no harm.
+What is kept in the store is guarded by conditions in the transactions themselves, so a
+holder that was paused, or whose clock is off, does no harm there. What a holder does
+elsewhere is guarded by time: it acts only while its lease lasts longer than the act may
+take, and nobody takes over before that lease has ended.
 """
 
 import attrs
 
 from gypsumshift.clock import Clock
 from gypsumshift.outcomes import Committed, Missing, Unavailable
-from gypsumshift.platforms import ABSENT, Tables, Write
+from gypsumshift.platforms import ABSENT, Row, Tables, Write
 
 __all__ = ["Lease"]
 
 LEASES_TABLE = "leases"
+# Hosts that held a lease before its holder and are remembered: of A, B, C, one that
+# comes back behind C is told from one that never held it.
+FORMER_KEPT = 2
 
 
 @attrs.define
 class Lease:
     """One lease, as one process sees it.
 
-    A challenger takes over once it has seen the row unchanged for ``duration``
-    by its own monotonic clock; no two clocks are compared.
+    A challenger takes over once it has seen the row unchanged for ``duration`` by its
+    own clock; no two clocks are compared. The clock goes on while the host is
+    suspended: a holder that was is none any more.
 
     Attributes
     ----------
@@ -33,6 +38,11 @@
     clock : Clock
     duration : float
         Seconds.
+    host : str
+        On which this process runs; the owner by default.
+    return_pause : float
+        Seconds for which a host that held the lease shortly before waits longer than
+        others, so that whoever sees acts of A and B sees none of A soon after.
     fence : int
         Grows with each new holder; 0 while this process is not the holder.
     """
@@ -42,6 +52,8 @@
     owner: str
     clock: Clock
     duration: float
+    host: str = attrs.field(default=attrs.Factory(lambda self: self.owner, True))
+    return_pause: float = 0.0
     fence: int = 0
     held_until: float = float("-inf")
     seen_version: int = -1
@@ -50,35 +62,47 @@
     @property
     def held(self) -> bool:
         """Whether this process may believe that it holds the lease."""
-        return self.fence > 0 and self.clock.monotonic() < self.held_until
+        return self.held_for(0.0)
+
+    def held_for(self, seconds: float) -> bool:
+        """Tell whether the lease lasts for longer than so many seconds."""
+        return self.fence > 0 and self.clock.elapsed() + seconds < self.held_until
 
     async def step(self) -> bool:
         """Renew, or take over where that is due; return whether it is held."""
-        began = self.clock.monotonic()
+        began = self.clock.elapsed()
         row = await self.tables.read(LEASES_TABLE, self.name)
         if isinstance(row, Unavailable):
             return self.held
         if isinstance(row, Missing):
-            await self.write(ABSENT, 1, began)
+            await self.write(ABSENT, 1, began, [])
             return self.held
+        former = row.value.get("former", [])
         if row.value["owner"] == self.owner:
-            await self.write(row.version, row.value["fence"], began)
+            await self.write(row.version, row.value["fence"], began, former)
             return self.held
         self.fence = 0
-        if self.expired(row.version) or not row.value["owner"]:
-            await self.write(row.version, row.value["fence"] + 1, began)
+        if self.due(row):
+            before = [row.value.get("host", ""), *former][:FORMER_KEPT]
+            await self.write(row.version, row.value["fence"] + 1, began, before)
         return self.held
 
-    def expired(self, version: int) -> bool:
-        """Tell whether the row has stood unchanged for the whole duration."""
-        now = self.clock.monotonic()
-        if version != self.seen_version:
-            self.seen_version, self.seen_at = version, now
-        return now - self.seen_at >= self.duration
+    def due(self, row: Row) -> bool:
+        """Tell whether this process may take the lease over from a row's holder."""
+        now = self.clock.elapsed()
+        if row.version != self.seen_version:
+            self.seen_version, self.seen_at = row.version, now
+        wait = self.duration if row.value["owner"] else 0.0
+        if self.host in row.value.get("former", []):
+            wait += self.return_pause
+        return now - self.seen_at >= wait
 
-    async def write(self, version: int, fence: int, began: float) -> None:
+    async def write(
+        self, version: int, fence: int, began: float, former: list[str]
+    ) -> None:
         """Write the row as its holder; a lost answer is settled by the next step."""
-        value = {"owner": self.owner, "fence": fence}
+        value = {"owner": self.owner, "fence": fence, "host": self.host}
+        value["former"] = former
         write = Write(LEASES_TABLE, self.name, value, version)
         outcome = await self.tables.commit([write])
         if isinstance(outcome, Committed):
@@ -89,9 +113,9 @@
         """Give the lease up, so that another need not wait."""
         if not self.fence:
             return
+        self.fence = 0
         row = await self.tables.read(LEASES_TABLE, self.name)
-        fence, self.fence = self.fence, 0
         if isinstance(row, (Missing, Unavailable)) or row.value["owner"] != self.owner:
             return
-        value = {"owner": "", "fence": fence}
+        value = row.value | {"owner": ""}
         await self.tables.commit([Write(LEASES_TABLE, self.name, value, row.version)])
--- a/gypsumshift/serving/calls.py
+++ b/gypsumshift/serving/calls.py
@@ -34,6 +34,8 @@
         every server, which says nothing about the others.
     grant : Grant
         Leave to run it, and for whom.
+    counted : bool
+        Whether it is counted among those that servers began to run.
     """
 
     id: str
@@ -46,6 +48,7 @@
     deadline: float
     suspect: bool = False
     grant: Grant = ANYONE
+    counted: bool = False
 
     @functools.cached_property
     def fingerprint(self) -> str:
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -16,6 +16,7 @@
 from gypsumshift.serving.headers import HOP_BY_HOP, HeaderNames
 from gypsumshift.serving.liveness import is_gone
 from gypsumshift.serving.pool import Pool
+from gypsumshift.usage import UsageCounter
 
 __all__ = ["Sender"]
 
@@ -39,30 +40,52 @@
     names : HeaderNames
     clock : Clock
     metrics : Metrics
+    usage : UsageCounter or None
+        Told of the requests that servers began to run.
     """
 
-    def __init__(self, directory, pool, fetcher, names, clock, metrics):
+    def __init__(self, directory, pool, fetcher, names, clock, metrics, usage=None):
         self.directory: Directory = directory
         self.pool: Pool = pool
         self.fetcher: Fetcher = fetcher
         self.names: HeaderNames = names
         self.clock: Clock = clock
         self.metrics: Metrics = metrics
+        self.usage: UsageCounter | None = usage
 
     async def attempt(self, call: Call, server: BackendServer) -> Attempt:
         """Send a call to one server and read its answer."""
         self.pool.sent(server)
         started = self.clock.monotonic()
+        sent_at = self.clock.now().timestamp()
         try:
             outcome = await self.exchange(call, server)
         except asyncio.CancelledError:
+            self.note_run(call, sent_at)
             self.pool.waited(server, self.clock.monotonic() - started)
             raise
         finally:
             self.pool.ended(server)
+        if isinstance(outcome, Answered) or getattr(outcome, "sent", False):
+            self.note_run(call, sent_at)
         self.learn(call, server, outcome, self.clock.monotonic() - started)
         return outcome
 
+    def note_run(self, call: Call, at: float) -> None:
+        """Count a request that a server began to run, however often it is sent.
+
+        Parameters
+        ----------
+        call : Call
+        at : float
+            True time when it was sent, in seconds. Servers of callers begin at once but
+            where they are full.
+        """
+        if self.usage is None or call.counted or not call.grant.workspace:
+            return
+        call.counted = True
+        self.usage.note(call.grant.workspace, at)
+
     def learn(self, call, server, outcome: Attempt, took: float) -> None:
         """Note how a server fared."""
         ending = type(outcome).__name__
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -210,6 +210,7 @@
                 return self.not_opened(relayed)
             relayed.tried.add(server.start)
             relayed.server = server
+            sent_at = self.sender.clock.now().timestamp()
             try:
                 async with asyncio.timeout(left):
                     exchange = await self.open_at(call, server, after)
@@ -217,9 +218,12 @@
                 relayed.server = None
                 continue
             except (FetchError, TimeoutError) as error:
+                if getattr(error, "sent", True):
+                    self.sender.note_run(call, sent_at)
                 await self.note_failure(relayed, server, error)
                 continue
             if refusal(exchange, self.sender.names) is None:
+                self.sender.note_run(call, sent_at)
                 relayed.runs += 1
                 return exchange, server
             relayed.server = None
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -148,6 +148,7 @@
             directory,
             [],
             Admission(directory, None),
+            None,
             NAMES,
             "here",
             self.clock,
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -40,6 +40,8 @@
     ready: tuple = ()
     gateway: object = None
     agent: object = None
+    # Of the settings of both processes, beside the usual ones.
+    fields: dict = attrs.field(factory=dict)
 
     async def start(self, tmp_path):
         """Start everything; returns once callers are served."""
@@ -52,12 +54,15 @@
             await self.register(worker)
         engine_port = self.engine.server.listener.sockets[0].getsockname()[1]
         store = ("127.0.0.1", self.store_port)
-        listen = {"listen.front": "127.0.0.1:0", "listen.ready": "127.0.0.1:0"}
+        listen = self.fields | {
+            "listen.front": "127.0.0.1:0",
+            "listen.ready": "127.0.0.1:0",
+        }
         listen["listen.control"] = f"127.0.0.1:{free_port()}"
         front = tmp_path / "front.conf"
         front.write_text(settings_text("front", "127.0.0.1", store, **listen))
         self.gateway = main.new_gateway(node_settings.load(front))
-        engine = {"app": f"127.0.0.1:{engine_port}", "service": "pool"}
+        engine = self.fields | {"app": f"127.0.0.1:{engine_port}", "service": "pool"}
         engine["port_range"] = f"{free_port()},0"
         side = tmp_path / "side.conf"
         side.write_text(settings_text("side", "127.0.0.1", store, **engine))
