The soak plays workspaces, keys that are taken away, and a duty before a bad platform

Callers send keys of two workspaces, of which one is taken away and one given every 0.3 to 2.5 s, and claim another workspace in a field of their own; the platform is slow, refuses calls of duties, or takes them and loses its answers. Checked: no worker is told a key or another workspace, nothing runs 3 s after its key was taken away, no good key is called unknown 3 s after it was given; of the reports no two differ, no number falls or is two hosts', nobody acts out of turn, no window is left out.

`read_runs` moved into a module of its own, which three checks share.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,8 +12,10 @@
 
 from soak.checks import check_backends, check_results
 from soak.deployment import Deployment
+from soak.duties import check_duties
 from soak.fatal import calm, check_fatal, send_fatal
 from soak.faults import Faults
+from soak.keys import check_keys
 from soak.regression import SEEDS
 from soak.workload import Workload
 
@@ -35,24 +37,29 @@
     workload = Workload(deployment, seed)
     faults = Faults(deployment, seed)
     try:
-        await deployment.start()
+        await deployment.start(workload.keys.config())
+        await workload.keys.write()
         callers = [asyncio.create_task(workload.call()) for _ in range(CALLERS)]
         callers += [asyncio.create_task(workload.train()) for _ in range(TRAINERS)]
         callers += [asyncio.create_task(workload.read_on()) for _ in range(READERS)]
         callers.append(asyncio.create_task(send_fatal(workload, seed)))
         keeping = asyncio.create_task(deployment.keep_workers())
+        changing = asyncio.create_task(workload.keys.run())
         await faults.run(seconds)
+        changing.cancel()
         await calm(deployment)
         calm_from = time.time()
         await asyncio.sleep(CALM)
         workload.stopping = True
         await asyncio.gather(*callers)
         wrong = await settle(workload, deployment)
+        wrong += await check_duties(deployment)
         keeping.cancel()
     finally:
         await deployment.close()
     wrong += check_backends(folder, workload.seen)
     wrong += check_fatal(folder, calm_from)
+    wrong += check_keys(folder, workload.keys)
     seen = workload.seen
     played = (
         f"{seen.served} requests served, {len(seen.refused)} refused, "
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,9 +1,9 @@
 """Checks: the promises, from what callers and backend servers saw."""
 
 import collections
-import json
 import pathlib
 
+from soak.runs import read_runs
 from soak.workload import Seen
 from standins.users_worker import event_text
 
@@ -12,17 +12,6 @@
 EVENTS = 4
 
 
-def read_runs(folder: pathlib.Path, kind: str) -> list[dict]:
-    """Return what the backend servers of a kind wrote down, also before a kill."""
-    found = []
-    for file in sorted(folder.glob(f"{kind}-*.runs")):
-        for line in file.read_text().splitlines():
-            # A server that is killed may leave half a line.
-            if line.endswith("}"):
-                found.append(json.loads(line) | {"file": file.name})
-    return found
-
-
 def check_backends(folder: pathlib.Path, seen: Seen) -> list[str]:
     """Return the promises that the backend servers saw broken."""
     wrong = list(seen.wrong)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -12,7 +12,7 @@
 
 from gypsumshift.fetch import Fetcher, FetchError
 from soak.proxy import Proxy
-from standins.users_documents import MODEL, config, settings_text
+from standins.users_documents import MODEL, settings_text
 from standins.users_worker import put_row
 
 __all__ = ["Deployment", "Process"]
@@ -22,7 +22,11 @@
 # Text in a body under which a worker ends, and seconds until it is started again.
 FATAL = "fatal"
 BACK_AFTER = 0.3
-FRONT, READY, WORKER, STORE, NEIGHBOURS = 8100, 8101, 8200, 8300, 8400
+FRONT, READY, WORKER, STORE, NEIGHBOURS, CLOUD = 8100, 8101, 8200, 8300, 8400, 8500
+# Seconds after which a key that was taken away must not run anything any more.
+REVOKED_WITHIN = 3.0
+# Seconds of a window whose usage is told.
+WINDOW = 2.0
 
 
 @attrs.define
@@ -129,12 +133,19 @@
         """Address of the store itself."""
         return self.of_kind("store")[0].ip, STORE
 
-    async def start(self) -> None:
-        """Start everything; returns once all gateways are ready."""
+    @property
+    def cloud_address(self) -> tuple[str, int]:
+        """Where the platform takes calls of duties."""
+        return self.of_kind("cloud")[0].ip, CLOUD
+
+    async def start(self, first: dict) -> None:
+        """Start everything with a first configuration, until all gateways are ready."""
         store = self.add("store", "standins.users_store", "--port", str(STORE))
         await store.start()
         await self.until_answered(self.store_address, "GET", "/none", 404)
-        await self.write("op", "config", config(slots=6))
+        cloud = self.add("cloud", "standins.users_cloud", "--port", str(CLOUD))
+        await cloud.start()
+        await self.write("op", "config", first)
         for number in range(self.nodes):
             await self.add_worker(f"app-{number}", "app")
             engine = await self.add_worker(f"engine-{number}", "pool", MODEL)
@@ -197,6 +208,11 @@
             if key.startswith("listen"):
                 fields[key] = f"{ip}:{value}"
         fields["port_range"] = f"{NEIGHBOURS},{NEIGHBOURS}"
+        fields["cloud_api.addr"] = "{}:{}".format(*self.cloud_address)
+        fields["cloud_api.duties"] = "usage"
+        fields["bounds.report_window_s"] = WINDOW
+        fields["bounds.strict_revoke"] = "true"
+        fields["bounds.revoke_ms"] = REVOKED_WITHIN * 1000
         settings = self.folder / f"{name}.conf"
         settings.write_text(settings_text(name, ip, proxy.address, **fields))
         environment = {"GYPSUMSHIFT_NODE_FILE": str(settings)}
@@ -220,6 +236,11 @@
         body = json.dumps(faults).encode()
         await self.fetcher.fetch(self.store_address, "PUT", "/faults", [], body)
 
+    async def set_cloud(self, **faults) -> None:
+        """Switch the faults of the platform's own interface; none ends them all."""
+        body = json.dumps(faults).encode()
+        await self.fetcher.fetch(self.cloud_address, "PUT", "/faults", [], body)
+
     async def until_answered(self, address, method, target, status) -> None:
         """Wait until an address answers as it should."""
         while True:
--- a/soak/fatal.py
+++ b/soak/fatal.py
@@ -6,8 +6,8 @@
 import pathlib
 import random
 
-from soak.checks import read_runs
 from soak.deployment import FATAL, Deployment
+from soak.runs import read_runs
 from soak.workload import Workload
 
 __all__ = ["calm", "check_fatal", "send_fatal"]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,8 @@
 LONGEST = 3.0
 # Seconds by which the store's answers to writes come late. A client waits longer.
 ANSWERS_LATE = (0.3, 0.6, 0.9)
+# What the platform does where it takes calls of duties.
+CLOUD_FAULTS = [{"status": 503}, {"status": 429}, {"slow": 2.0}, {"lose": True}]
 # What another writer may put where a worker's entry belongs.
 FOREIGN = [
     b"",
@@ -48,6 +50,7 @@
             self.name_version,
             self.write_foreign,
         ]
+        self.duty_chance = random.Random(f"{seed} duties")
         self.version = 1
         # Chances of their own: what a seed draws for the faults above stays the same.
         self.late_chance = random.Random(f"{seed} late answers")
@@ -60,6 +63,7 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
         late = asyncio.create_task(self.delay_answers(until))
+        refusing = asyncio.create_task(self.trouble_cloud(until))
         while loop.time() < until:
             kind = self.chance.choice(self.kinds)
             span = self.chance.uniform(0.2, LONGEST)
@@ -69,7 +73,7 @@
             await asyncio.sleep(self.chance.uniform(0.1, 2 * GAP))
         if self.running:
             await asyncio.wait(set(self.running))
-        await late
+        await asyncio.gather(late, refusing)
 
     def pick(self, *kinds: str) -> Process:
         """Return a process of one of the kinds."""
@@ -150,6 +154,19 @@
             self.lateness = {}
             await self.switch_store()
 
+    async def trouble_cloud(self, until: float) -> None:
+        """Have the platform be slow, refuse or lose answers where it takes duties."""
+        while True:
+            await asyncio.sleep(self.duty_chance.uniform(0.1, 2 * LONGEST))
+            if asyncio.get_running_loop().time() >= until:
+                return
+            faults = self.duty_chance.choice(CLOUD_FAULTS)
+            span = self.duty_chance.uniform(0.2, LONGEST)
+            self.note(f"platform {faults} for {span:.1f} s")
+            await self.deployment.set_cloud(**faults)
+            await asyncio.sleep(span)
+            await self.deployment.set_cloud()
+
     async def switch_store(self) -> None:
         """Tell the store its faults; the last one told has all that hold then."""
         async with self.switching:
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -9,6 +9,7 @@
 
 from gypsumshift.fetch import Fetcher, FetchError
 from soak.deployment import FRONT, Deployment
+from soak.keys import Keys
 from soak.positions import Positions
 from standins.users_documents import HOST, job_body, results_target
 from standins.users_worker import plain_answer
@@ -59,6 +60,7 @@
 
     def __init__(self, deployment: Deployment, seed: int):
         self.deployment = deployment
+        self.keys = Keys(deployment, seed)
         self.chance = random.Random(seed)
         self.reads = random.Random(f"{seed} reads")
         self.fetcher = Fetcher()
@@ -70,11 +72,14 @@
         """Return an id that no other request has."""
         return f"q-{self.deployment.seed}-{next(self.numbers)}"
 
-    async def ask(self, method, target, request_id, body=b"", gateway=None):
+    async def ask(self, method, target, request_id, body=b"", gateway=None, key=""):
         """Send a request to a gateway; None where no whole answer came."""
         gateway = gateway or self.chance.choice(self.deployment.of_kind("gateway"))
         fields = [("request-id", request_id), ("deadline-ms", "2500")]
         fields.append(("wait-ms", "500"))
+        fields.append(("key", key or self.keys.lasting.text))
+        # Nobody is to be believed who says for whom he calls.
+        fields.append(("tenant", "another"))
         try:
             async with asyncio.timeout(PATIENCE):
                 exchange = await self.fetcher.open(
@@ -94,13 +99,17 @@
             if once:
                 self.seen.once.add(request_id)
             target = "/once/1" if once else "/app/1"
-            answer = await self.ask("POST", target, request_id, b"x" * 100)
+            key = self.keys.choose(request_id)
+            answer = await self.ask("POST", target, request_id, b"x" * 100, key=key)
             if answer is not None:
                 self.judge(request_id, *answer)
             await asyncio.sleep(self.chance.uniform(0, 0.1))
 
     def judge(self, request_id: str, status: int, content: bytes) -> None:
         """Take the answer to a plain request."""
+        wrong = self.keys.judge(request_id, status)
+        if wrong:
+            self.seen.wrong.append(wrong)
         if status in (429, 503):
             self.seen.refused.add(request_id)
         elif status == 200 and content != plain_answer(request_id):
