A request waits 0.1 s at most for the store's word on its key, and a copy is confirmed soon

A review of the new promises found two ways in which hosts refuse for nothing. A host that the store does not answer asked it anew for each request (0.7 to 1.4 s until the call is given up), then refused: callers could have gone elsewhere. And a whole table, as it is read behind a lost history, confirms nothing, since another process may have read it; the next feed waited its 0.8 s, so a store that forgets again and again left keys unconfirmed for good.

Now a request waits for 0.1 s (the store answers in 5 ms), and not at all while the store is known not to answer; the first feed behind a whole copy waits 0.1 s. Ruled out: confirming by whole copies, whose age is counted by another host's clock. Tests: a silent store, a suspended host that asks first, a copy and the feed behind it; the first and third fail on the code before.

--- a/gypsumshift/serving/currency.py
+++ b/gypsumshift/serving/currency.py
@@ -8,6 +8,8 @@
 the host is suspended. No clocks of two hosts are compared.
 """
 
+import asyncio
+import contextlib
 import datetime
 import math
 
@@ -23,6 +25,9 @@
 # Part of the bound after which new callers should go elsewhere, which the balancer
 # takes two questions, a second apart, to do.
 READY_SHARE = 0.5
+# Seconds for which a request waits until the store has confirmed the configuration: it
+# answers in 5 ms. A caller that waits longer is better served elsewhere.
+CONFIRM_TIMEOUT = 0.1
 
 
 class Currency:
@@ -69,5 +74,12 @@
         return self.bound == math.inf or self.age < READY_SHARE * self.bound
 
     async def confirm(self) -> None:
-        """Ask the store at once whether the configuration is the newest."""
-        await self.watch.confirm()
+        """Ask the store at once whether the configuration is the newest.
+
+        Not while it does not answer: whoever waits for it would be held up for nothing.
+        """
+        if self.watch.failures:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CONFIRM_TIMEOUT):
+                await self.watch.confirm()
--- a/gypsumshift/watch.py
+++ b/gypsumshift/watch.py
@@ -66,6 +66,8 @@
         The same before changes were lost; what is read anew must not be older.
     current_at : float
         When the copy was last known to be current, by the monotonic clock.
+    confirmed : bool
+        Whether changes were told since the whole table was taken.
     confirmed_at : float
         When the exchange began in which the store last told all changes of the table,
         by the clock that counts a suspended host's time. A copy that another process
@@ -104,6 +106,7 @@
         self.known_version = 0
         self.current_at = float("-inf")
         self.confirmed_at = float("-inf")
+        self.confirmed = False
         self.confirming: asyncio.Task | None = None
         self.recovered_at = float("-inf")
         self.heard = 0.0
@@ -128,8 +131,7 @@
         removed.
         """
         if self.version >= 0:
-            # A copy that is not confirmed yet is so at once, not behind a long wait.
-            hasty = self.failures or self.confirmed_at == float("-inf")
+            hasty = self.failures or not self.confirmed
             await self.follow(POLL_SILENT if hasty else self.poll)
             return
         answer = await self.store.snapshot(self.table, self.known_version)
@@ -140,6 +142,7 @@
         began = self.clock.elapsed()
         answer = await self.store.changes(self.table, self.version, wait)
         if self.judge(answer, whole=False):
+            self.confirmed = True
             self.confirmed_at = max(self.confirmed_at, began)
 
     async def confirm(self) -> None:
@@ -205,6 +208,8 @@
             self.keep_rows(answer.rows, whole)
         rows = [row for row in answer.rows if row.readable]
         if whole:
+            # Whoever read it, and when: the next changes confirm it, and soon.
+            self.confirmed = False
             self.replace(rows)
         elif rows:
             self.apply(rows)
--- a/tests/test_admission_by_key.py
+++ b/tests/test_admission_by_key.py
@@ -19,8 +19,9 @@
 from gypsumshift.serving import Directory, RouteTable
 from gypsumshift.serving.admission import Admission, Grant, UnknownKey
 from gypsumshift.serving.currency import Currency
-from gypsumshift.watch import Watch
+from gypsumshift.watch import POLL, POLL_SILENT, Watch
 from gypsumshift.workspaces import Workspace, Workspaces, key_digest
+from tests import own_time
 from tests.builders import ManualClock
 
 BOUND = datetime.timedelta(seconds=5)
@@ -217,6 +218,43 @@
     play(scenario)
 
 
+def test_nobody_waits_for_a_store_that_does_not_answer():
+    """A host was cut off: each request was held for a second and more, then refused."""
+
+    async def scenario(world):
+        await world.write(one=["k"])
+        await world.hear()
+        asked = asyncio.Event()
+
+        async def silent(table, after, wait):
+            asked.set()
+            await asyncio.Event().wait()
+
+        world.store.changes = silent
+        world.clock.advance(6.0)
+        before = asyncio.get_running_loop().time()
+        assert isinstance(await world.admit(), CannotTell)
+        assert asked.is_set()
+        assert asyncio.get_running_loop().time() - before < 0.2
+        # Once it is known that the store does not answer, nobody is held up at all.
+        world.watch.note_failure("silent")
+        asked.clear()
+        assert isinstance(await world.admit(), CannotTell)
+        assert not asked.is_set()
+
+    own_time.play(lambda: scenario(World()))
+
+
+def test_a_host_that_was_suspended_asks_before_it_refuses():
+    async def scenario(world):
+        await world.write(one=["k"])
+        await world.hear()
+        world.clock.suspended = 30.0
+        assert isinstance(await world.admit(), Grant)
+
+    play(scenario)
+
+
 def test_what_was_accepted_before_is_read_while_nothing_is_heard():
     async def scenario(world):
         await world.write(one=["k"])
@@ -244,6 +282,29 @@
     play(scenario)
 
 
+def test_a_whole_copy_is_confirmed_soon():
+    """A store that forgot its history again and again left all keys unconfirmed."""
+
+    async def scenario(world):
+        await world.write(one=["k"])
+        waits = []
+        changes = world.store.changes
+
+        async def noted(table, after, wait):
+            waits.append(wait)
+            return await changes(table, after, wait)
+
+        world.store.changes = noted
+        await world.hear()
+        world.watch.version = -1
+        for _ in range(3):
+            await world.watch.step()
+        assert waits == [POLL_SILENT, POLL_SILENT, POLL]
+        assert world.currency.holds
+
+    play(scenario)
+
+
 def test_changes_that_were_lost_confirm_nothing():
     async def scenario(world):
         await world.write(one=["k"])
