--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -358,7 +358,7 @@
 
 
 def test_a_gateway_that_stops_does_not_wait_for_its_duty(tmp_path):
-    """A call of the duty was slow: requests that ran were cut by the platform's kill."""
+    """A call of the duty was slow, and the platform's kill cut requests that ran."""
 
     async def scenario(world, cloud):
         accounting = world.gateway.accounting
