A request that is not admitted leaves a line with its id and what decided it

On-call engineers could not tell a 401 from a key that was taken away, or a 503 for want of the store's word from any other: admission logged nothing. Now one line a refusal: verdict, reason, version of the configuration and the age of its confirmation; a counter by verdict. Never the key, nor its digest.

Before: 0 lines for a refused key; after: one. 57 tests of admission, keys and fatal requests pass; no decision changed.

--- a/gypsumshift/serving/admission.py
+++ b/gypsumshift/serving/admission.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from gypsumshift import logs
+from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import CannotTell
 from gypsumshift.serving.currency import Currency
 from gypsumshift.serving.directory import Directory
@@ -28,8 +30,12 @@
 # Seconds within which the configuration must have been confirmed for a key to be called
 # unknown; else the store is asked: a flood of wrong keys costs two calls a second.
 UNKNOWN_AGE = 0.5
+# Seconds that a log line tells at the most of an age that has no end.
+LONGEST_TOLD = 1e6
 WITHDRAWN = "the key may not be good any more"
 
+log = logs.logger("admission")
+
 
 @attrs.frozen
 class UnknownKey:
@@ -76,11 +82,13 @@
     ----------
     directory : Directory
     currency : Currency
+    metrics : Metrics
     """
 
-    def __init__(self, directory: Directory, currency: Currency):
+    def __init__(self, directory: Directory, currency: Currency, metrics: Metrics):
         self.directory = directory
         self.currency = currency
+        self.metrics = metrics
 
     @property
     def ready(self) -> bool:
@@ -88,33 +96,51 @@
         required = self.directory.routes.workspaces.required
         return not required or self.currency.ready
 
-    async def admit(self, key: str, public: bool = False) -> Verdict:
+    async def admit(self, request: str, key: str, public: bool = False) -> Verdict:
         """Return whether a request may run.
 
         Parameters
         ----------
+        request : str
+            Id of the request, for the log.
         key : str
             As the caller sent it; empty for none.
         public : bool
             Whether its route needs no key.
         """
         if not self.directory.routes.version:
-            return cannot_tell("no configuration yet")
+            return self.noted(request, cannot_tell("no configuration yet"))
         if public or not self.directory.routes.workspaces.required:
             return ANYONE
-        return await self.look_up(key, lasting=True)
+        return self.noted(request, await self.look_up(key, lasting=True))
+
+    def noted(self, request: str, verdict: Verdict) -> Verdict:
+        """Count a verdict, and log one that lets nothing run."""
+        name = type(verdict).__name__
+        self.metrics.count("admissions", verdict=name)
+        if not isinstance(verdict, Grant):
+            logs.event(
+                log,
+                "A request is not admitted.",
+                request=request,
+                verdict=name,
+                reason=getattr(verdict, "reason", "no workspace has the key"),
+                configuration=self.directory.routes.version,
+                confirmed_s_ago=round(min(self.currency.age, LONGEST_TOLD), 3),
+            )
+        return verdict
 
-    async def identify(self, key: str) -> Verdict:
+    async def identify(self, request: str, key: str) -> Verdict:
         """Return whose batch jobs a caller may read and end.
 
         Without a key, those that were submitted without one. A key is taken as it was
         heard of last: what was accepted is read also while nothing is heard.
         """
         if not self.directory.routes.version:
-            return cannot_tell("no configuration yet")
+            return self.noted(request, cannot_tell("no configuration yet"))
         if not key or not self.directory.routes.workspaces.required:
             return ANYONE
-        return await self.look_up(key, lasting=False)
+        return self.noted(request, await self.look_up(key, lasting=False))
 
     async def look_up(self, key: str, lasting: bool) -> Verdict:
         """Return whose key it is; the store is asked where this host may not know.
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -147,7 +147,7 @@
             self.ways[name],
             directory,
             [],
-            Admission(directory, None),
+            Admission(directory, None, METRICS),
             None,
             NAMES,
             "here",
--- a/tests/test_admission_by_key.py
+++ b/tests/test_admission_by_key.py
@@ -14,6 +14,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from gypsumshift.memory import MemoryTables
+from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import CannotTell, Unavailable
 from gypsumshift.platforms import Changes, HistoryLost, Write
 from gypsumshift.serving import Directory, RouteTable
@@ -24,6 +25,7 @@
 from tests import own_time
 from tests.builders import ManualClock
 
+METRICS = Metrics("admission", dict)
 BOUND = datetime.timedelta(seconds=5)
 TABLE = "settings"
 
@@ -66,7 +68,7 @@
         self.directory = Directory()
         self.watch = Watch(self.store, TABLE, self.take, self.take, self.clock)
         self.currency = Currency(self.watch, self.directory, self.clock, bound)
-        self.admission = Admission(self.directory, self.currency)
+        self.admission = Admission(self.directory, self.currency, METRICS)
         self.version = 0
 
     def take(self, rows):
@@ -91,7 +93,7 @@
             await self.watch.step()
 
     async def admit(self, key="k", **options):
-        return await self.admission.admit(key, **options)
+        return await self.admission.admit("r", key, **options)
 
 
 def play(scenario, **options):
@@ -112,7 +114,10 @@
 
 def test_a_host_without_a_configuration_calls_no_key_unknown():
     async def scenario(world):
-        for verdict in (await world.admit(""), await world.admission.identify("k")):
+        for verdict in (
+            await world.admit(""),
+            await world.admission.identify("r", "k"),
+        ):
             assert isinstance(verdict, CannotTell)
 
     play(scenario)
@@ -261,7 +266,7 @@
         await world.hear()
         world.store.away = True
         world.clock.advance(60)
-        assert (await world.admission.identify("k")).workspace == "one"
+        assert (await world.admission.identify("r", "k")).workspace == "one"
 
     play(scenario)
 
--- a/tests/test_platform_keys.py
+++ b/tests/test_platform_keys.py
@@ -158,8 +158,8 @@
         admission = world.gateway.admission
         admitted = admission.admit
 
-        async def admit_and_suspend(key, public=False):
-            grant = await admitted(key, public)
+        async def admit_and_suspend(request, key, public=False):
+            grant = await admitted(request, key, public)
             assert isinstance(grant, Grant)
             admission.currency.bound = 0.0
             return grant
