--- a/gypsumshift/fetch.py
+++ b/gypsumshift/fetch.py
@@ -6,16 +6,15 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
 from collections.abc import Callable
 
 import attrs
 import h11
 
+from gypsumshift.wire import Exchange, FetchError, Wire, Withheld
+
 __all__ = ["Exchange", "FetchError", "Fetched", "Fetcher", "Withheld"]
 
-READ_SIZE = 64 * 1024
 IDLE_PER_ADDRESS = 64
 CONNECT_TIMEOUT = 2.0
 # Seconds for which an idle connection is used again where the server does not
@@ -23,51 +22,6 @@
 IDLE_TIMEOUT = 4.0
 # Part of the time a server grants that is left unused, for the way there.
 IDLE_SHARE = 0.8
-# Socket option: what was not sent yet is dropped with the connection, and the other
-# side is told so by a reset.
-DROP_UNSENT = struct.pack("ii", 1, 0)
-BODY_LIMIT = 64 * 1024 * 1024
-
-
-class FetchError(Exception):
-    """An exchange failed.
-
-    Parameters
-    ----------
-    reason : str
-        What failed.
-    sent : bool
-        Whether any byte of the request may have reached the server.
-    reused : bool
-        Whether the connection had lain idle before and broke before an answer:
-        the server may have closed it before the request came.
-    closed : bool
-        Whether the server ended the connection, as one that ends does with all of its
-        own; one that keeps silent, or sends what is no answer, has not.
-    refused : bool
-        Whether nobody listens at the address.
-    """
-
-    def __init__(
-        self,
-        reason: str,
-        sent: bool,
-        reused: bool = False,
-        closed: bool = False,
-        refused: bool = False,
-    ):
-        super().__init__(reason)
-        self.sent = sent
-        self.reused = reused
-        self.closed = closed
-        self.refused = refused
-
-
-class Withheld(FetchError):
-    """A request was not sent, since it may not be any more."""
-
-    def __init__(self):
-        super().__init__("the request may not be sent any more", False)
 
 
 @attrs.frozen
@@ -86,112 +40,6 @@
     body: bytes
 
 
-class Wire:
-    """One connection with its HTTP state."""
-
-    def __init__(self, reader, writer, resets: bool = False):
-        self.reader = reader
-        self.writer = writer
-        if resets:
-            wire = writer.get_extra_info("socket")
-            wire.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DROP_UNSENT)
-        self.state = h11.Connection(h11.CLIENT)
-        self.idle_until = 0.0
-        self.repeatable = True
-
-    def reusable(self) -> bool:
-        """Tell whether another exchange may follow on this connection."""
-        done = self.state.our_state is h11.DONE and self.state.their_state is h11.DONE
-        return done and not self.state.trailing_data[0] and self.untouched()
-
-    def untouched(self) -> bool:
-        """Tell whether nothing has come since the last exchange, no end either."""
-        buffered = getattr(self.reader, "_buffer", b"")
-        return not buffered and not self.reader.at_eof()
-
-    def close(self) -> None:
-        """Cut the connection."""
-        self.writer.transport.abort()
-
-
-class Exchange:
-    """One request and its answer as it comes.
-
-    Parameters
-    ----------
-    fetcher : Fetcher
-    address : (str, int)
-    wire : Wire
-    """
-
-    def __init__(self, fetcher, address, wire):
-        self.fetcher = fetcher
-        self.address = address
-        self.wire = wire
-        self.status = 0
-        self.headers: list[tuple[bytes, bytes]] = []
-        self.whole = False
-        self.reused = False
-
-    def header(self, name: bytes) -> str:
-        """Return a header field of the answer by its lower-case name, or ``""``."""
-        values = (v for k, v in self.headers if k == name)
-        return next(values, b"").decode("latin-1")
-
-    async def event(self):
-        """Return the next event of the answer."""
-        data = None
-        try:
-            while True:
-                event = self.wire.state.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                data = await self.wire.reader.read(READ_SIZE)
-                self.wire.state.receive_data(data)
-        except h11.RemoteProtocolError as error:
-            reason = f"the answer broke: {error}"
-            raise FetchError(reason, True, closed=data == b"") from error
-        except ConnectionError as error:
-            reason = f"the answer broke: {error}"
-            raise FetchError(reason, True, closed=True) from error
-
-    async def read_head(self) -> None:
-        """Read up to the answer's header fields."""
-        event = await self.event()
-        while isinstance(event, h11.InformationalResponse):
-            event = await self.event()
-        if not isinstance(event, h11.Response):
-            reason = "the connection closed before the answer"
-            raise FetchError(reason, True, closed=True)
-        self.status = event.status_code
-        self.headers = list(event.headers)
-
-    async def chunks(self):
-        """Yield the body as it comes; an unfinished body raises `FetchError`."""
-        while True:
-            event = await self.event()
-            if isinstance(event, h11.EndOfMessage):
-                self.whole = True
-                return
-            if not isinstance(event, h11.Data):
-                reason = "the answer ended before its end"
-                raise FetchError(reason, True, closed=True)
-            yield bytes(event.data)
-
-    async def read(self) -> bytes:
-        """Return the whole body."""
-        parts = bytearray()
-        async for data in self.chunks():
-            parts += data
-            if len(parts) > BODY_LIMIT:
-                raise FetchError(f"the answer exceeds {BODY_LIMIT} bytes", True)
-        return bytes(parts)
-
-    def close(self) -> None:
-        """Give the connection back where it is clean, else cut it."""
-        self.fetcher.release(self)
-
-
 class Fetcher:
     """HTTP client with connections per address; owns them all.
 
--- a/soak/keys.py
+++ b/soak/keys.py
@@ -111,7 +111,7 @@
 
     def choose(self, request: str) -> str:
         """Return the key for a request: a good one, or one that is none any more."""
-        known = self.current + self.gone[-3:]
+        known = self.current + self.gone[-8:]
         sent = self.sent[request] = Sent(self.chance.choice(known), time.time())
         return sent.key.text
 
--- a/tests/test_admission_by_key.py
+++ b/tests/test_admission_by_key.py
@@ -6,94 +6,16 @@
 """
 
 import asyncio
-import datetime
 
 import pytest
-from hypothesis import settings
-from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
-
-from gypsumshift.memory import MemoryTables
-from gypsumshift.metrics import Metrics
-from gypsumshift.outcomes import CannotTell, Unavailable
-from gypsumshift.platforms import Changes, HistoryLost, Write
-from gypsumshift.serving import Directory, RouteTable
-from gypsumshift.serving.admission import Admission, Grant, UnknownKey
-from gypsumshift.serving.currency import Currency
-from gypsumshift.watch import POLL, POLL_SILENT, Watch
-from gypsumshift.workspaces import Workspace, Workspaces, key_digest
-from tests import own_time
-from tests.builders import ManualClock
-
-METRICS = Metrics("admission", dict)
-BOUND = datetime.timedelta(seconds=5)
-TABLE = "settings"
-
-
-class Held(MemoryTables):
-    """A store that answers at once, after a while, or not."""
-
-    away = False
-    takes = 0.0
-    calls = 0
-
-    def __init__(self, clock):
-        super().__init__()
-        self.clock = clock
-
-    async def changes(self, table, after, wait):
-        self.calls += 1
-        if self.away:
-            return Unavailable("away")
-        answer = await super().changes(table, after, datetime.timedelta())
-        self.clock.advance(self.takes)
-        return answer
-
-
-class SuspendedClock(ManualClock):
-    """Clock of a host that may be suspended."""
-
-    suspended = 0.0
-
-    def elapsed(self):
-        return self.seconds + self.suspended
-
-
-class World:
-    """One host, the store, and an operator who gives and takes keys."""
-
-    def __init__(self, bound=BOUND):
-        self.clock = SuspendedClock()
-        self.store = Held(self.clock)
-        self.directory = Directory()
-        self.watch = Watch(self.store, TABLE, self.take, self.take, self.clock)
-        self.currency = Currency(self.watch, self.directory, self.clock, bound)
-        self.admission = Admission(self.directory, self.currency, METRICS)
-        self.version = 0
-
-    def take(self, rows):
-        for row in rows:
-            found = [
-                Workspace(name, frozenset(key_digest(key) for key in keys))
-                for name, keys in row.value["workspaces"].items()
-            ]
-            workspaces = Workspaces(found, required=True)
-            version = row.value["version"]
-            self.directory.set_routes(RouteTable(version, workspaces=workspaces))
-
-    async def write(self, **workspaces):
-        """Have the store hold a configuration with these keys."""
-        self.version += 1
-        value = {"version": self.version, "workspaces": workspaces}
-        await self.store.commit([Write(TABLE, "config", value)])
-
-    async def hear(self):
-        """Have the host ask the store, until all is known and confirmed."""
-        for _ in range(2):
-            await self.watch.step()
 
-    async def admit(self, key="k", **options):
-        return await self.admission.admit("r", key, **options)
+from gypsumshift.outcomes import CannotTell
+from gypsumshift.platforms import Changes, HistoryLost
+from gypsumshift.serving.admission import Grant, UnknownKey
+from gypsumshift.watch import POLL, POLL_SILENT
+from gypsumshift.workspaces import key_digest
+from tests import own_time
+from tests.keys_world import World
 
 
 def play(scenario, **options):
@@ -353,65 +275,3 @@
 @pytest.mark.parametrize("key", ["", "\ud800", "x" * 10_000])
 def test_any_key_has_a_digest(key):
     assert len(key_digest(key)) == 32
-
-
-class Revocations(RuleBasedStateMachine):
-    """No key runs anything later than the bound after it was taken away."""
-
-    def __init__(self):
-        super().__init__()
-        self.runner = asyncio.Runner()
-        self.world = World()
-        self.held = []
-        self.gone_at = None
-        self.do(self.world.write(one=["k"]))
-
-    def do(self, work):
-        return self.runner.run(work)
-
-    def teardown(self):
-        self.runner.close()
-
-    def now(self):
-        return self.world.clock.elapsed()
-
-    @rule(seconds=st.floats(0, 3))
-    def wait(self, seconds):
-        self.world.clock.advance(seconds)
-
-    @rule(seconds=st.floats(0, 8))
-    def suspend(self, seconds):
-        self.world.clock.suspended += seconds
-
-    @rule(away=st.booleans(), takes=st.floats(0, 4))
-    def trouble_store(self, away, takes):
-        self.world.store.away = away
-        self.world.store.takes = takes
-
-    @rule()
-    def hear(self):
-        self.do(self.world.watch.step())
-
-    @rule()
-    def take_away(self):
-        if self.gone_at is None:
-            self.do(self.world.write(one=[]))
-            self.gone_at = self.now()
-
-    @rule()
-    def ask(self):
-        sent = self.now()
-        verdict = self.do(self.world.admit())
-        if isinstance(verdict, Grant):
-            self.held.append(verdict)
-            late = self.gone_at is not None and sent > self.gone_at + 5
-            assert not late
-
-    @invariant()
-    def nothing_held_is_sent_later(self):
-        if self.gone_at is not None and self.now() > self.gone_at + 5:
-            assert not any(grant.holds for grant in self.held)
-
-
-Revocations.TestCase.settings = settings(max_examples=300, stateful_step_count=30)
-TestRevocations = Revocations.TestCase
