Keys of workspaces are declared, given and taken away in the product's own deployment

Before, anybody who reached an entry called for any workspace. Now declarations have a section of keys, each known by its digest; a workspace with any takes requests and trainers' calls with one of them only (`Authorization: Bearer`), others go on as before. `gypsumshift keys add|remove|list FOLDER` keeps them in a file of its own, since it could not rewrite a commented file; the key is shown once. Clients and trainers take `workspace_key`. What is wrong is one line and leaves the folder as it was.

--- /dev/null
+++ b/gypsumshift/bearer.py
@@ -0,0 +1,26 @@
+"""Bearer: what a request proves its right with (RFC 6750)."""
+
+from gypsumshift.server import Request, Response, problem
+from gypsumshift.workspaces import Workspaces, key_digest
+
+__all__ = ["bearer", "has_key", "unauthorized"]
+
+
+def bearer(request: Request) -> str:
+    """Return the token of a request; empty for none."""
+    return request.header("authorization").removeprefix("Bearer ").strip()
+
+
+def has_key(request: Request, workspace: str, keys: Workspaces) -> bool:
+    """Tell whether a request bears a key, where its workspace wants one."""
+    if workspace not in keys.by_name:
+        return True
+    found = keys.find(key_digest(bearer(request)))
+    return found is not None and found.name == workspace
+
+
+def unauthorized(detail: str) -> Response:
+    """Return the answer to a request whose token is missing or wrong."""
+    response = problem(401, "not run", detail)
+    response.headers.append(("www-authenticate", "Bearer"))
+    return response
--- a/gypsumshift/cli.py
+++ b/gypsumshift/cli.py
@@ -28,6 +28,7 @@
     fail,
     refuse,
 )
+from gypsumshift.keycommands import keys_app
 from gypsumshift.outcomes import Invalid
 
 __all__ = ["main"]
@@ -44,6 +45,7 @@
 )
 weights_app = typer.Typer(help="Publish weights, or show who has loaded which.")
 app.add_typer(weights_app, name="weights", no_args_is_help=True)
+app.add_typer(keys_app, name="keys", no_args_is_help=True)
 
 
 face = Face()
--- a/gypsumshift/client.py
+++ b/gypsumshift/client.py
@@ -74,9 +74,17 @@
         URLs of the entries, with the workspace as their path.
     timeout : float, default=30
         Seconds within which a call has its outcome.
+    workspace_key : str, optional
+        Key of the workspace, where it wants one.
     """
 
-    def __init__(self, urls: str | list[str], timeout: float = DEFAULT_TIMEOUT):
+    def __init__(
+        self,
+        urls: str | list[str],
+        timeout: float = DEFAULT_TIMEOUT,
+        workspace_key: str = "",
+    ):
+        self.workspace_key = workspace_key
         self.addresses, self.path = split_urls(urls)
         self.timeout = timeout
         self.fetcher = Fetcher()
@@ -128,6 +136,8 @@
         deadline = loop.time() + timeout
         data, fields = encoded(body)
         fields += list((headers or {}).items())
+        if self.workspace_key:
+            fields.append(("authorization", f"Bearer {self.workspace_key}"))
         has_key = key or any(name.lower() == "idempotency-key" for name, _ in fields)
         made_up = not has_key and (unrepeatable or method in UNSAFE_METHODS)
         if made_up:
@@ -205,10 +215,14 @@
         ``http://10.0.0.1:8000/clinics/trainers/scheduling-trainer``.
     version : int, default=0
         Weight version that the trainer trains on; `publish` moves it.
+    workspace_key : str, optional
+        Key of the workspace, where it wants one.
     """
 
-    def __init__(self, urls: str | list[str], version: int = 0):
-        self.client = AsyncClient(urls)
+    def __init__(
+        self, urls: str | list[str], version: int = 0, workspace_key: str = ""
+    ):
+        self.client = AsyncClient(urls, workspace_key=workspace_key)
         self.version = version
 
     async def __aenter__(self):
@@ -282,8 +296,13 @@
 class Client(Blocking):
     """Calls models and services; see `AsyncClient`."""
 
-    def __init__(self, urls: str | list[str], timeout: float = DEFAULT_TIMEOUT):
-        super().__init__(AsyncClient(urls, timeout))
+    def __init__(
+        self,
+        urls: str | list[str],
+        timeout: float = DEFAULT_TIMEOUT,
+        workspace_key: str = "",
+    ):
+        super().__init__(AsyncClient(urls, timeout, workspace_key))
 
     def call(self, method: str, path: str, body: object = None, **options) -> Outcome:
         """Call a model or service; see `AsyncClient.call`."""
@@ -293,8 +312,10 @@
 class Trainer(Blocking):
     """Feeds a trainer; see `AsyncTrainer`."""
 
-    def __init__(self, urls: str | list[str], version: int = 0):
-        super().__init__(AsyncTrainer(urls, version))
+    def __init__(
+        self, urls: str | list[str], version: int = 0, workspace_key: str = ""
+    ):
+        super().__init__(AsyncTrainer(urls, version, workspace_key))
 
     @property
     def version(self) -> int:
--- a/gypsumshift/declarations.py
+++ b/gypsumshift/declarations.py
@@ -7,12 +7,13 @@
 from gypsumshift import documents
 from gypsumshift.generated.declarations import Parameters, Pool, Trainer
 from gypsumshift.outcomes import Invalid, Problem
+from gypsumshift.workspaces import Workspace, Workspaces
 
 __all__ = ["Catalog", "load", "parse"]
 
 SCHEMA = "declarations.schema.json"
 SUFFIXES = (".json", ".jsonc", ".json5")
-SECTIONS = ("pools", "templates", "workspaces", "trainers")
+SECTIONS = ("pools", "templates", "workspaces", "keys", "trainers")
 
 
 @attrs.frozen
@@ -28,6 +29,8 @@
         By name.
     workspaces : dict of str to Parameters
         Effective parameters of each workspace.
+    keys : Workspaces
+        Those that take requests with a key only.
     """
 
     source: dict = attrs.field(factory=dict)
@@ -35,6 +38,7 @@
     pools: dict[str, Pool] = attrs.field(factory=dict)
     workspaces: dict[str, Parameters] = attrs.field(factory=dict)
     trainers: dict[str, Trainer] = attrs.field(factory=dict)
+    keys: Workspaces = attrs.field(factory=Workspaces)
 
 
 def load(path: pathlib.Path) -> Catalog | Invalid:
@@ -120,6 +124,7 @@
         """Check all references; return the catalog."""
         self.check_pools()
         workspaces = self.check_workspaces()
+        keys = self.check_keys()
         self.check_trainers()
         if self.problems:
             return Invalid(tuple(self.problems))
@@ -131,6 +136,7 @@
             zones=tuple(self.zones),
             pools={n: documents.build(v, Pool) for n, v in named["pools"].items()},
             workspaces=workspaces,
+            keys=keys,
             trainers={
                 n: documents.build(v, Trainer) for n, v in named["trainers"].items()
             },
@@ -191,6 +197,22 @@
         for service, pool in parameters.get("services", {}).items():
             self.refer("pools", pool, f"{where}.parameters.services.{service}")
 
+    def check_keys(self) -> Workspaces:
+        """Check the workspaces of the keys; return them with their digests."""
+        digests: dict[str, set[str]] = {}
+        names: dict[str, str] = {}
+        for name, key in self.named["keys"].items():
+            where = self.places["keys", name]
+            self.refer("workspaces", key["workspace"], f"{where}.workspace")
+            other = names.setdefault(key["digest"], name)
+            if other != name:
+                what = f"the key is that of {other!r}"
+                self.complain(f"{where}.digest", what, "make another one")
+            digests.setdefault(key["workspace"], set()).add(key["digest"])
+        return Workspaces(
+            Workspace(name, frozenset(found)) for name, found in digests.items()
+        )
+
     def check_trainers(self) -> None:
         """Check the workspaces and pools of the trainers."""
         for name, trainer in self.named["trainers"].items():
--- a/gypsumshift/entry.py
+++ b/gypsumshift/entry.py
@@ -1,6 +1,7 @@
 """Entry: the process on an entry host, for callers, trainers and operators."""
 
 from gypsumshift import logs
+from gypsumshift.bearer import has_key, unauthorized
 from gypsumshift.callers import Callers
 from gypsumshift.dispatch import Dispatcher
 from gypsumshift.generated.messages import Role
@@ -113,6 +114,8 @@
         workspace, slash, rest = request.path.lstrip("/").partition("/")
         if workspace not in self.in_force.catalog.workspaces:
             return problem(404, "not run", f"there is no workspace {workspace!r}")
+        if not has_key(request, workspace, self.in_force.catalog.keys):
+            return unauthorized(f"{workspace} takes requests with one of its keys")
         if rest.startswith("trainers/"):
             rest = rest.removeprefix("trainers/")
             return await self.trainers.serve(request, workspace, rest)
--- a/gypsumshift/operators.py
+++ b/gypsumshift/operators.py
@@ -8,6 +8,7 @@
 import attrs
 
 from gypsumshift import declarations
+from gypsumshift.bearer import bearer, unauthorized
 from gypsumshift.events import merged
 from gypsumshift.generated import messages
 from gypsumshift.generated.messages import Body, Role
@@ -96,9 +97,7 @@
         """Answer one request; None where the path is none of ours."""
         if request.path not in OPEN_PATHS and not self.authorized(request):
             detail = "this address asks for a bearer token"
-            response = problem(401, "not run", detail)
-            response.headers.append(("www-authenticate", "Bearer"))
-            return response
+            return unauthorized(detail)
         method, path = request.method, request.path
         handlers = {
             ("GET", "/v1/revisions"): self.revisions,
@@ -121,8 +120,7 @@
         """Tell whether a request carries the token that the settings ask for."""
         if not self.token:
             return True
-        given = request.header("authorization").removeprefix("Bearer ").strip()
-        return hmac.compare_digest(given.encode(), self.token.encode())
+        return hmac.compare_digest(bearer(request).encode(), self.token.encode())
 
     # Declarations
 
