--- a/standins/story.py
+++ b/standins/story.py
@@ -16,6 +16,7 @@
 
 from gypsumshift import Answered, AsyncClient, AsyncTrainer, declarations
 from gypsumshift.declarations import Catalog
+from gypsumshift.workspaces import key_digest
 from standins.deployment import HOST, Deployment
 from standins.trainer import StandinTrainer
 
@@ -154,6 +155,40 @@
     claim(second.status == 409, "an apply planned on revision 1 is now a conflict")
 
 
+async def status_with(deployment: Deployment, names: Names, key: str) -> int:
+    """Return the status that a call with a key gets; 0 for no answer."""
+    urls = deployment.caller_urls(f"/{names.workspace}")
+    async with AsyncClient(urls, workspace_key=key) as client:
+        outcome = await client.call("GET", f"/services/{names.service}/")
+        return outcome.status if isinstance(outcome, Answered) else 0
+
+
+async def tell_keys(deployment: Deployment, names: Names) -> None:
+    """Calls with keys of a workspace, of which one is taken away."""
+    print("Keys of a workspace:")
+    source = copy.deepcopy(deployment.catalog.source)
+    source["keys"] = [
+        {"name": name, "workspace": names.workspace, "digest": key_digest(name)}
+        for name in ("old-key", "new-key")
+    ]
+    for base, taken in ((2, ""), (3, "old-key")):
+        source["keys"] = [key for key in source["keys"] if key["name"] != taken]
+        changed = declarations.parse(source, "story")
+        await deployment.apply(changed, "story", base)
+        await deployment.until_in_force(base + 1)
+        without = await status_with(deployment, names, "")
+        claim(without == 401, "a call without a key is not run")
+        old, new = [
+            await status_with(deployment, names, key) for key in ("old-key", "new-key")
+        ]
+        claim(new == 200, "a call with a key is answered")
+        expected = 401 if taken else 200
+        told = (
+            "a key that was taken away is none any more" if taken else "so is another"
+        )
+        claim(old == expected, told)
+
+
 async def tell(folder: pathlib.Path) -> None:
     """Run the story on one deployment."""
     catalog = declarations.load(folder)
@@ -166,6 +201,7 @@
         await tell_call(deployment, names)
         await tell_trainer(deployment, names)
         await tell_change(deployment, names)
+        await tell_keys(deployment, names)
     alive = [r.name for r in deployment.running.values() if r.process.poll() is None]
     claim(not alive, "nothing was left running")
 
