Read the load that servers report in four figures

Cause: the sender accepted a load header of exactly three figures, so no gateway knew the load of servers that report a fourth one, how long work takes on their host now. The header is decoded once, in the adapter, into ServerLoad; a malformed value is ignored and counted.

--- a/gypsumshift/serving/__init__.py
+++ b/gypsumshift/serving/__init__.py
@@ -12,6 +12,7 @@
     Service,
     Target,
 )
+from gypsumshift.serving.serverload import ServerLoad
 
 __all__ = [
     "BackendServer",
@@ -23,6 +24,7 @@
     "RequestKind",
     "Route",
     "RouteTable",
+    "ServerLoad",
     "Service",
     "Target",
 ]
--- a/gypsumshift/serving/headers.py
+++ b/gypsumshift/serving/headers.py
@@ -1,7 +1,11 @@
 """Names of the header fields between callers and backend servers."""
 
+from collections.abc import Callable
+
 import attrs
 
+from gypsumshift.serving.serverload import ServerLoad
+
 __all__ = ["HOP_BY_HOP", "HeaderNames"]
 
 # Fields that apply to a single connection only (RFC 9110, section 7.6.1).
@@ -39,7 +43,7 @@
     not_run : str
         Present if a server states that it has not run the request.
     load : str
-        Numbers of running requests, waiting requests and slots of the answering server.
+        Load of the answering server.
     versions : str
         Weight version at the start of an answer.
     event_version : str
@@ -57,6 +61,8 @@
     workspace : str
         Workspace for which a server runs a request. A value sent by a caller is
         dropped.
+    parse_load : callable
+        Decodes the value of ``load``; raises ValueError if it is malformed.
     """
 
     request_id: str
@@ -74,6 +80,7 @@
     wait: str
     key: str
     workspace: str
+    parse_load: Callable[[str], ServerLoad]
 
     @property
     def identity(self) -> tuple[str, str]:
--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -17,6 +17,7 @@
 from gypsumshift.policy import DEFAULT_POLICY, Policy
 from gypsumshift.serving.directory import BackendServer, ServerStart
 from gypsumshift.serving.observations import Observation, Observations
+from gypsumshift.serving.serverload import ServerLoad
 
 __all__ = ["LoadBalancer", "ServerStats"]
 
@@ -238,10 +239,10 @@
         stats = self.stats(server)
         stats.outstanding = max(0, stats.outstanding - 1)
 
-    def record_load(self, server: BackendServer, busy: float) -> None:
+    def record_load(self, server: BackendServer, load: ServerLoad) -> None:
         """Store the load that a server reported with an answer."""
         stats = self.stats(server)
-        stats.busy = busy
+        stats.busy = load.busy
         stats.busy_reported_at = self.clock.monotonic()
 
     def record_success(self, server: BackendServer, took: float) -> None:
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -207,9 +207,16 @@
 
     def record_load(self, server: BackendServer, exchange: Exchange) -> None:
         """Report the load that an answer carries to the load balancer."""
-        values = exchange.header(self.names.load.encode()).split(",")
-        if len(values) == 3 and values[0].isdigit() and values[1].isdigit():
-            self.balancer.record_load(server, int(values[0]) + int(values[1]))
+        text = exchange.header(self.names.load.encode())
+        if not text:
+            return
+        try:
+            load = self.names.parse_load(text)
+        except ValueError as error:
+            self.metrics.count("malformed_loads", service=server.service)
+            log.debug("Load reported by server {} ignored: {}", server.id, error)
+            return
+        self.balancer.record_load(server, load)
 
     def classify(self, exchange: Exchange, body: bytes) -> AttemptOutcome:
         """Return the outcome of an attempt, given its complete answer."""
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -42,12 +42,19 @@
     RequestKind,
     Route,
     RouteTable,
+    ServerLoad,
     Service,
     Target,
 )
 from gypsumshift.serving.crashguard import CrashGuard
 from gypsumshift.watch import run_watches
 
+
+def parse_load(text):
+    """Return the load in the header of the fake servers."""
+    return ServerLoad(*map(int, text.split(",")))
+
+
 NAMES = HeaderNames(
     request_id="request-id",
     time_left="time-left",
@@ -64,6 +71,7 @@
     wait="wait",
     key="key",
     workspace="workspace",
+    parse_load=parse_load,
 )
 MODEL = "m"
 SERVICE = "engines"
--- a/tests/test_loadbalancer.py
+++ b/tests/test_loadbalancer.py
@@ -2,7 +2,7 @@
 
 import random
 
-from gypsumshift.serving import BackendServer
+from gypsumshift.serving import BackendServer, ServerLoad
 from gypsumshift.serving.loadbalancer import LoadBalancer
 from tests.builders import ManualClock
 
@@ -31,7 +31,7 @@
 def test_a_reported_load_counts_less_as_it_ages():
     balancer, clock = make_balancer()
     listed = servers(2, ("here", "there"))
-    balancer.record_load(listed[0], 6)
+    balancer.record_load(listed[0], ServerLoad(6, 0, 6))
     assert balancer.choose(listed, set()).zone == "there"
     clock.advance(2)
     assert balancer.choose(listed, set()).zone == "here"
@@ -104,7 +104,7 @@
     listed = servers(4, ("here", "there"))
     balancer.has_idle_connection = lambda address: address == listed[2].address
     assert {balancer.choose(listed, set()).id for _ in range(20)} == {"s2"}
-    balancer.record_load(listed[2], 2)
+    balancer.record_load(listed[2], ServerLoad(2, 0, 6))
     assert balancer.choose(listed, set()).id == "s0"
     balancer.has_idle_connection = lambda address: address == listed[1].address
     balancer, _ = make_balancer()
--- a/tests/test_server_restart.py
+++ b/tests/test_server_restart.py
@@ -9,7 +9,7 @@
 from gypsumshift.httpclient import Fetcher, FetchError
 from gypsumshift.jobs.engine import EngineReport
 from gypsumshift.jobs.localengine import AgentIdentity, LocalEngine
-from gypsumshift.serving import BackendServer, Directory
+from gypsumshift.serving import BackendServer, Directory, ServerLoad
 from gypsumshift.serving.directory import ServerStart
 from gypsumshift.serving.loadbalancer import LoadBalancer
 from tests.builders import ManualClock
@@ -46,7 +46,7 @@
     for _ in range(3):
         balancer.record_failure(born(1), [born(1)])
     balancer.record_success(born(1), 5.0)
-    balancer.record_load(born(1), 9)
+    balancer.record_load(born(1), ServerLoad(6, 3, 6))
     assert balancer.stats(born(1)).avoided_until > clock.monotonic()
     assert balancer.choose([born(2)], {born(1).start}) == born(2)
     fresh = balancer.stats(born(2))
