Count runs in flight towards the crash limit of a request

Cause: the crash guard compared recorded crashes with the runs of one call only. Two repetitions of a fatal request at the same time could thus crash a fourth server: one was sent to its third server, and 5 ms later, before that server's crash was recorded, the other one was sent to a fourth.

Change: callers of the guard report the begin and end of each run. Once a crash of a fingerprint is recorded, the distinct server starts at which it is in flight from this process count towards the limit of three, and further sends wait for a run to end, at most until the deadline. Without a recorded crash nothing waits. Runs at one server start count once, since it crashes once, so an agent's items do not wait for one another. The dispatcher, the forwarder, streams and the item runner use it.

--- a/gypsumshift/dispatch.py
+++ b/gypsumshift/dispatch.py
@@ -32,7 +32,7 @@
 from gypsumshift.process import Process
 from gypsumshift.retrybudget import RetryBudget
 from gypsumshift.routing import ROUTERS, Router
-from gypsumshift.serving.crashguard import CrashGuard, Permit
+from gypsumshift.serving.crashguard import HELD_BACK_REASON, CrashGuard, Permit
 from gypsumshift.serving.directory import ServerStart
 from gypsumshift.serving.fingerprints import fingerprint
 
@@ -199,16 +199,18 @@
         refusal = Refusal(f"no backend server of {request.pool} is known here", 1.0)
         lost = None
         for _ in range(MAX_TRIES + MAX_NO_WAIT_TRIES):
-            if not self.guard.may_send(permit, 0, request.attempts > 0):
+            left = request.deadline - self.clock.monotonic()
+            if not await self.guard.wait_until_sendable(
+                permit, request.attempts > 0, left
+            ):
+                refusal = Refusal(
+                    HELD_BACK_REASON, self.guard.retry_after_s(request.fingerprint)
+                )
                 break
             sidecar = self.next_sidecar(request, router)
             if sidecar is None or request.deadline <= self.clock.monotonic():
                 break
-            result = await self.run_attempt(
-                request, sidecar, new_attempt_name(last_mark(sidecar))
-            )
-            if isinstance(result, LostAttempt) and result.server_ended:
-                self.guard.record_crash(permit, backend_start(sidecar))
+            result = await self.run_guarded_attempt(request, sidecar, permit)
             if isinstance(result, LostAttempt):
                 if not request.repeatable:
                     result = await self.resolve_lost_attempt(request, sidecar, result)
@@ -227,6 +229,28 @@
         # If any attempt may have run, the outcome is unknown, whatever followed it.
         return Unknown(lost.reason) if lost else not_run_outcome(refusal)
 
+    async def run_guarded_attempt(
+        self, request: PoolRequest, sidecar: Peer, permit: Permit
+    ):
+        """Run one attempt, and report to the crash guard if its server ended.
+
+        The run of a stream that was begun ends with its last chunk; see
+        `guarded_chunks`.
+        """
+        start = backend_start(sidecar)
+        self.guard.begin_run(permit, start)
+        result = None
+        try:
+            result = await self.run_attempt(
+                request, sidecar, new_attempt_name(last_mark(sidecar))
+            )
+            if isinstance(result, LostAttempt) and result.server_ended:
+                self.guard.record_crash(permit, start)
+            return result
+        finally:
+            if not isinstance(result, StreamedAnswer):
+                self.guard.end_run(permit, start)
+
     def report_to_guard(self, result, permit: Permit, sidecar: Peer):
         """Report an answer to the crash guard, a stream once it has ended."""
         if isinstance(result, CompleteAnswer):
@@ -249,6 +273,7 @@
                 self.guard.record_crash(permit, backend_start(sidecar))
             raise
         finally:
+            self.guard.end_run(permit, backend_start(sidecar))
             self.guard.release_permit(permit, ran=True)
 
     def next_sidecar(self, request: PoolRequest, router: Router) -> Peer | None:
--- a/gypsumshift/jobs/itemrunner.py
+++ b/gypsumshift/jobs/itemrunner.py
@@ -128,6 +128,9 @@
             permit = await self.guard.admit(run.fingerprint, run.item.id)
             if isinstance(permit, HeldBack):
                 return permit
+            if not self.guard.may_send(permit, ran=False, start=server.start):
+                self.guard.release_permit(permit, ran=False)
+                return None
             return await self.generate_with_permit(run, server, permit)
         finally:
             self.running_fingerprints.remove(run.fingerprint)
@@ -138,6 +141,7 @@
         """Generate one item at the engine, and report the outcome to the guard."""
         ran = True
         from_start = not run.events
+        self.guard.begin_run(permit, server.start)
         try:
             result = await run.generate(server)
             run.generated = result is None
@@ -149,6 +153,7 @@
             await self.handle_broken_stream(run, server, error, permit)
             return None
         finally:
+            self.guard.end_run(permit, server.start)
             self.guard.release_permit(permit, ran)
 
     async def wait_held_back(self, run: ItemRun, held: HeldBack) -> Result | None:
--- a/gypsumshift/serving/crashguard.py
+++ b/gypsumshift/serving/crashguard.py
@@ -1,7 +1,16 @@
-"""Crash guard: decides whether a request may be sent, given the crashes it caused."""
+"""Crash guard: decides whether a request may be sent, given the crashes it caused.
 
+A request in flight may be about to crash its server. Once a crash of a request is
+recorded, the servers at which the same request is in flight from this process therefore
+count towards the crash limit; further sends wait for these runs to end. Without a
+recorded crash, requests with the same fingerprint run in parallel without limit, so
+that sound ones are not delayed.
+"""
+
+import asyncio
 import datetime
 import random
+import weakref
 
 import attrs
 
@@ -31,7 +40,7 @@
 log = logs.logger("guard")
 
 
-@attrs.define
+@attrs.define(eq=False)
 class Permit:
     """Permission to send one request to servers.
 
@@ -41,11 +50,14 @@
         Fingerprint and id of the request.
     trial : int
         Number of the trial if the request is held back; 0 if this is no trial.
+    running : list of ServerStart
+        Servers at which the request is in flight under this permit.
     """
 
     fingerprint: str
     request: str
     trial: int = 0
+    running: list[ServerStart] = attrs.field(factory=list)
 
 
 class CrashGuard:
@@ -57,6 +69,14 @@
     clock : Clock
     chance : random.Random
     metrics : Metrics
+
+    Attributes
+    ----------
+    active_permits : weakref.WeakSet of Permit
+        Permits of requests in flight. The references are weak since a stream that its
+        caller never begins to read is dropped without the end of its run.
+    run_ended : asyncio.Event
+        Set, and replaced by a new one, whenever a run ends.
     """
 
     def __init__(
@@ -67,6 +87,8 @@
         self.quarantine = Quarantine(clock)
         self.table = CrashTable(store, self.quarantine, clock, chance)
         self.claiming: set[str] = set()
+        self.active_permits: weakref.WeakSet[Permit] = weakref.WeakSet()
+        self.run_ended = asyncio.Event()
 
     @property
     def loaded(self) -> bool:
@@ -145,20 +167,78 @@
         """Return the seconds after which a caller may retry a request."""
         return max(MIN_RETRY_AFTER_S, self.quarantine.seconds_to_trial(fingerprint))
 
-    def may_send(self, permit: Permit, running: int, ran: bool) -> bool:
+    def begin_run(self, permit: Permit, start: ServerStart) -> None:
+        """Count a request as in flight at a server, before it is sent."""
+        permit.running.append(start)
+        self.active_permits.add(permit)
+
+    def end_run(self, permit: Permit, start: ServerStart) -> None:
+        """Count a run as ended, after its answer or crash was recorded."""
+        permit.running.remove(start)
+        if not permit.running:
+            self.active_permits.discard(permit)
+        self.run_ended.set()
+        self.run_ended = asyncio.Event()
+
+    def starts_in_flight(self, fingerprint: str) -> set[ServerStart]:
+        """Return the servers at which a request is in flight from this process."""
+        return {
+            start
+            for permit in self.active_permits
+            if permit.fingerprint == fingerprint
+            for start in permit.running
+        }
+
+    def may_send(
+        self, permit: Permit, ran: bool, start: ServerStart | None = None
+    ) -> bool:
         """Return whether a request may be sent to one more server.
 
         Parameters
         ----------
         permit : Permit
-        running : int
-            Number of servers at which it runs now; each of them may crash.
         ran : bool
             Whether a server has run it under this permit before.
+        start : ServerStart or None
+            The server, if there is no choice. At a server where the request is in
+            flight already, one more run cannot cause one more crash.
         """
         if permit.trial:
-            return not running and not ran
-        return running < self.quarantine.max_parallel_sends(permit.fingerprint)
+            return not permit.running and not ran
+        limit = self.quarantine.max_parallel_sends(permit.fingerprint)
+        if not self.quarantine.crash_count(permit.fingerprint):
+            return len(permit.running) < limit
+        in_flight = self.starts_in_flight(permit.fingerprint)
+        return len(in_flight) < limit or (limit > 0 and start in in_flight)
+
+    async def wait_until_sendable(
+        self, permit: Permit, ran: bool, timeout: float
+    ) -> bool:
+        """Wait for the runs that prevent a request from being sent to one more server.
+
+        Parameters
+        ----------
+        permit : Permit
+        ran : bool
+            See `may_send`.
+        timeout : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        bool
+            Whether it may be sent now. False at once for a request that is held back
+            and for a trial that has run.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                while not self.may_send(permit, ran):
+                    if permit.trial or self.quarantine.is_held_back(permit.fingerprint):
+                        return False
+                    await self.run_ended.wait()
+        except TimeoutError:
+            return False
+        return True
 
     def record_crash(self, permit: Permit, start: ServerStart) -> None:
         """Record that a server crashed while it ran a request."""
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -172,6 +172,10 @@
             started = self.start_attempt(state)
             if not state.running:
                 blocked = self.blocked_reason(state)
+                if blocked == HELD_BACK_REASON and await self.wait_for_runs(
+                    state, left
+                ):
+                    continue
                 if blocked:
                     return self.final_outcome(state, blocked)
                 if not await self.next_round(state, left):
@@ -186,6 +190,7 @@
             for task in done:
                 server = state.running.pop(task)
                 answer = self.handle_outcome(state, server, task.result())
+                self.guard.end_run(state.permit, server.start)
                 if answer is not None:
                     return answer
 
@@ -202,11 +207,15 @@
         """Return why no more attempts may be made; empty if they may."""
         if not state.call.grant.is_valid:
             return KEY_NOT_CONFIRMED
-        allowed = self.guard.may_send(
-            state.permit, len(state.running), bool(state.ran_on)
-        )
+        allowed = self.guard.may_send(state.permit, bool(state.ran_on))
         return "" if allowed else HELD_BACK_REASON
 
+    async def wait_for_runs(self, state: ForwardState, left: float) -> bool:
+        """Wait for other runs of the request; return whether it may be sent now."""
+        return not state.exhausted and await self.guard.wait_until_sendable(
+            state.permit, bool(state.ran_on), left
+        )
+
     def start_attempt(self, state: ForwardState) -> bool:
         """Start another attempt if allowed; return whether one was started."""
         if state.exhausted or self.blocked_reason(state):
@@ -214,6 +223,7 @@
         server = self.balancer.choose(state.servers, state.excluded)
         if server is None:
             return False
+        self.guard.begin_run(state.permit, server.start)
         task = asyncio.create_task(self.sender.attempt(state.call, server))
         state.running[task] = server
         return True
@@ -269,3 +279,5 @@
             task.cancel()
         if state.running:
             await asyncio.wait(state.running)
+        for server in state.running.values():
+            self.guard.end_run(state.permit, server.start)
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -151,6 +151,12 @@
         self.guard.release_permit(state.permit, ran)
         if state.server is not None:
             self.late_crashes.check_servers(state.permit, [state.server])
+            self.end_run(state)
+
+    def end_run(self, state: RelayState) -> None:
+        """Record that a stream no longer runs at its server."""
+        self.guard.end_run(state.permit, state.server.start)
+        state.server = None
 
     async def report_end(self, state: RelayState, body: AsyncIterator[bytes]):
         """Yield a body, and report its end to the guard."""
@@ -158,8 +164,8 @@
             async with contextlib.aclosing(body):
                 async for data in body:
                     yield data
-            state.server = None
             self.guard.record_answer(state.permit, state.status, state.from_start)
+            self.end_run(state)
         finally:
             self.finish(state)
 
@@ -206,6 +212,7 @@
         """
         call = state.call
         while True:
+            await self.wait_for_runs(state)
             service = call.route.service_for(call.id)
             servers = self.sender.directory.ready_servers(service)
             server = self.choose(state, servers)
@@ -214,12 +221,13 @@
                 return self.not_opened_outcome(state)
             state.tried.add(server.start)
             state.server = server
+            self.guard.begin_run(state.permit, server.start)
             sent_at = self.sender.clock.now().timestamp()
             try:
                 async with asyncio.timeout(left):
                     exchange = await self.open_at(call, server, after)
             except RequestWithheld:
-                state.server = None
+                self.end_run(state)
                 continue
             except (FetchError, TimeoutError) as error:
                 if getattr(error, "sent", True):
@@ -230,9 +238,15 @@
                 self.sender.count_run(call, sent_at)
                 state.runs += 1
                 return exchange, server
-            state.server = None
+            self.end_run(state)
             exchange.close()
 
+    async def wait_for_runs(self, state: RelayState) -> None:
+        """Wait for other runs of the request that prevent one more, if any."""
+        left = state.call.deadline - self.sender.clock.monotonic()
+        if not state.exhausted:
+            await self.guard.wait_until_sendable(state.permit, state.runs > 0, left)
+
     def choose(self, state: RelayState, servers: list) -> BackendServer | None:
         """Return the server to try next; None if none is left or allowed."""
         if state.exhausted or self.blocked_reason(state):
@@ -243,7 +257,7 @@
         """Return why no further server may be tried; empty if one may."""
         if not state.call.grant.is_valid:
             return KEY_NOT_CONFIRMED
-        allowed = self.guard.may_send(state.permit, 0, state.runs > 0)
+        allowed = self.guard.may_send(state.permit, state.runs > 0)
         return "" if allowed else HELD_BACK_REASON
 
     def not_opened_outcome(self, state: RelayState) -> NotRun | Unknown:
@@ -306,11 +320,11 @@
         self, state: RelayState, server: BackendServer, reason: str, sent: bool, gone
     ) -> None:
         """Record that a stream broke, and whether its server ended while running it."""
-        state.server = None
         if gone:
             self.balancer.record_gone(server)
         if gone and sent:
             self.guard.record_crash(state.permit, server.start)
+        self.end_run(state)
         logs.event(
             log,
             "Stream from a backend server could not be opened or broke off.",
