Write usage counts only over the last known version of their row

Cause: a process wrote its totals of a window without a condition. The store may carry out a write late whose answer it lost; that write then replaced newer totals by older ones, and no later flush corrected them. The fault was suspected, and a test with the stand-in store's late writes confirms it: 3 requests were counted of 4.

Change: each write has the row's last known version as its condition. After a conflict the row is read: it shows either that the write took effect and its answer was lost, or the version that the next write has to name.

Result: the test counts 4 of 4; further tests cover lost answers and a row that was removed after its retention time.

--- a/gypsumshift/usage.py
+++ b/gypsumshift/usage.py
@@ -2,7 +2,9 @@
 
 Requests are counted by workspace and time window. Each process counts what it sent and
 writes its counts to the store, one row per window. A row holds the totals that the
-process has counted in the window since its start, so writing it again is harmless.
+process has counted in the window since its start. It is written only if it still has
+the version that the process last saw, so a write that the store carries out late does
+not replace newer counts.
 """
 
 import collections
@@ -13,8 +15,8 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
-from gypsumshift.outcomes import Committed
-from gypsumshift.platforms import RowStore, Write
+from gypsumshift.outcomes import Committed, Conflict, Missing, WriteOutcome
+from gypsumshift.platforms import ABSENT, Row, RowStore, Write
 
 __all__ = ["SHARD_COUNT", "USAGE_TABLE", "UsageCounter", "UsageWriter", "part_name"]
 
@@ -108,6 +110,8 @@
         Random identifier of this start of the process; key of its rows.
     shard : int
         Shard that holds this process's rows.
+    versions : dict of int to int
+        Last known version of this process's row, by window.
     """
 
     def __init__(
@@ -123,6 +127,7 @@
         self.chance = chance
         self.session = secrets.token_hex(6)
         self.shard = zlib.crc32(self.session.encode()) % SHARD_COUNT
+        self.versions: dict[int, int] = {}
 
     async def run(self) -> None:
         """Write changed counts periodically until cancelled."""
@@ -135,10 +140,7 @@
         """Write the counts of changed windows; failed writes are retried next time."""
         for window in sorted(self.counter.unwritten_windows):
             self.counter.unwritten_windows.discard(window)
-            counts = dict(self.counter.counts_by_window.get(window, {}))
-            part = part_name(window, self.shard)
-            write = Write(USAGE_TABLE, self.session, {"counts": counts}, part=part)
-            outcome = await self.store.commit([write])
+            outcome = await self.write_window(window)
             if not isinstance(outcome, Committed):
                 self.counter.unwritten_windows.add(window)
                 reason = getattr(outcome, "reason", type(outcome).__name__)
@@ -147,3 +149,32 @@
                     window,
                     reason,
                 )
+        for window in self.versions.keys() - self.counter.counts_by_window.keys():
+            del self.versions[window]
+
+    async def write_window(self, window: int) -> WriteOutcome:
+        """Write the counts of a window if its row has the last known version.
+
+        A conflict shows that an earlier write took effect though its answer was lost.
+        It is settled by reading the row, which no other process writes.
+        """
+        counts = dict(self.counter.counts_by_window.get(window, {}))
+        part = part_name(window, self.shard)
+        expected = self.versions.get(window, ABSENT)
+        write = Write(
+            USAGE_TABLE, self.session, {"counts": counts}, expected, part=part
+        )
+        outcome = await self.store.commit([write])
+        if isinstance(outcome, Committed):
+            self.versions[window] = outcome.version
+        if not isinstance(outcome, Conflict):
+            return outcome
+        row = await self.store.read(USAGE_TABLE, self.session, part)
+        if isinstance(row, Missing):
+            # The row was removed after its retention time.
+            self.versions.pop(window, None)
+        if isinstance(row, Row):
+            self.versions[window] = row.version
+            if row.value == {"counts": counts}:
+                return Committed(row.version)
+        return outcome
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import datetime
 import random
 
@@ -29,6 +30,7 @@
 from standins.users_documents import config, job_body
 from standins.users_worker import FakeWorker
 from tests.builders import FaultyTables, ManualClock
+from tests.late_store import losing_writes, open_store, wait_for_late_writes
 from tests.platform_cluster import PlatformCluster
 from tests.system import wait_until
 
@@ -249,6 +251,55 @@
     run_scenario(scenario)
 
 
+def test_write_that_takes_effect_late_does_not_replace_newer_counts():
+    """Guards against lost counts: a late write of one request replaced that of two."""
+
+    async def scenario():
+        async with open_store() as (server, store):
+            world = UsageWorld(tables=store)
+            writer = world.new_writer()
+            for lost in (True, False, True, False):
+                writer.counter.count_request("w", world.counter.now())
+                with losing_writes(server) if lost else contextlib.nullcontext():
+                    await writer.flush()
+            await wait_for_late_writes(server)
+            counts = await world.new_reporter().sum_counts(world.window)
+            assert counts == {"w": 4}
+            assert not writer.counter.unwritten_windows
+
+    asyncio.run(scenario())
+
+
+def test_counts_are_written_after_a_write_whose_answer_was_lost():
+    async def scenario(world):
+        writer = world.new_writer()
+        for total in range(1, 4):
+            writer.counter.count_request("w", world.counter.now())
+            world.store.lost_answers = 1
+            for _ in range(3):
+                await writer.flush()
+            counts = await world.new_reporter().sum_counts(world.window)
+            assert counts == {"w": total}
+            assert not writer.counter.unwritten_windows
+
+    run_scenario(scenario)
+
+
+def test_counts_are_written_again_after_their_row_was_removed():
+    async def scenario(world):
+        writer = world.new_writer()
+        writer.counter.count_request("w", world.counter.now())
+        await writer.flush()
+        part = part_name(world.window, writer.shard)
+        await world.store.commit([Write(USAGE_TABLE, writer.session, part=part)])
+        writer.counter.count_request("w", world.counter.now())
+        for _ in range(2):
+            await writer.flush()
+        assert await world.new_reporter().sum_counts(world.window) == {"w": 2}
+
+    run_scenario(scenario)
+
+
 def test_invalid_rows_of_another_writer_are_ignored():
     async def scenario(world):
         part = part_name(world.window, 0)
