Start the fences of a lease from the version of its row

Cause: where the row of a lease was missing, the next holder wrote fence 1. Receivers that saw higher fences of earlier holders reject its calls. The fault was suspected; tests confirm it: holders got the fences 1, 2, 3, 4 and, after the row was removed, 1 and 2.

Change: a missing row is first created without an owner. The version of that row, the number of the transaction that created it, is the first fence; later holders add 1 as before. A fence is never above the number of the transaction that wrote it, so with one version counter for all rows the new fence exceeds all earlier ones. Rows of older processes are read as before.

Result: fences grow in tests with a removed row, lost answers and the stand-in store's late writes.

--- a/gypsumshift/leases.py
+++ b/gypsumshift/leases.py
@@ -4,6 +4,12 @@
 that was paused, or whose clock is wrong, does no harm there. Actions outside the store
 are protected by time: the holder starts an action only if its lease lasts longer than
 the action may take, and no other process takes over before the lease has expired.
+
+Receivers of such actions reject a fence that is lower than one seen before. If the row
+of a lease is missing, the fences used before are unknown. The row is then created
+without an owner, and its version becomes the first fence. In a store with one version
+counter for all rows, this exceeds all earlier fences: each of them is at most the
+version of the transaction that wrote it.
 """
 
 import attrs
@@ -44,6 +50,10 @@
     former: tuple[str, ...] = ()
 
 
+# Record of a new row.
+UNUSED = LeaseRecord("", 0)
+
+
 def parse_lease_record(row: Row) -> LeaseRecord | None:
     """Return the lease record in a row; None if the row holds anything else."""
     value = row.value
@@ -124,9 +134,8 @@
         if isinstance(row, Unavailable):
             return self.held
         if isinstance(row, Missing):
-            await self.write_record(
-                ABSENT, LeaseRecord(self.owner, 1, self.host), began
-            )
+            row = await self.create_row()
+        if not isinstance(row, Row):
             return self.held
         record = parse_lease_record(row)
         if record is None:
@@ -136,11 +145,25 @@
             return self.held
         self.fence = 0
         if self.may_take_over(row, record):
-            former = (record.host, *record.former)[:MAX_FORMER_HOSTS]
-            taken = LeaseRecord(self.owner, record.fence + 1, self.host, former)
-            await self.write_record(row.version, taken, began)
+            await self.write_record(row.version, self.next_record(row, record), began)
         return self.held
 
+    def next_record(self, row: Row, record: LeaseRecord) -> LeaseRecord:
+        """Return the record with which this process takes the lease over."""
+        if record == UNUSED:
+            return LeaseRecord(self.owner, row.version, self.host)
+        former = (record.host, *record.former)[:MAX_FORMER_HOSTS]
+        return LeaseRecord(self.owner, record.fence + 1, self.host, former)
+
+    async def create_row(self) -> Row | Missing | Unavailable:
+        """Create the row of a lease that nobody holds yet, and return it.
+
+        If another process created it in the meantime, that process's row is returned.
+        """
+        value = attrs.asdict(UNUSED)
+        await self.tables.commit([Write(LEASES_TABLE, self.name, value, ABSENT)])
+        return await self.tables.read(LEASES_TABLE, self.name)
+
     def may_take_over(self, row: Row, record: LeaseRecord) -> bool:
         """Return whether this process may take the lease over from another owner."""
         now = self.clock.monotonic_with_suspend()
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,12 +1,16 @@
 """Tests of leases: fences grow, and at most one process holds a lease at a time."""
 
 import asyncio
+import itertools
 
+import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from gypsumshift.backend import Fence
 from gypsumshift.leases import Lease
+from gypsumshift.platforms import Write
+from tests.late_store import losing_writes, open_store, wait_for_late_writes
 
 from . import builders
 
@@ -96,6 +100,69 @@
     asyncio.run(scenario())
 
 
+async def hold_in_turn(leases, clock):
+    """Let each process hold a lease in turn; return the fences in order."""
+    fences = []
+    for lease in leases:
+        for _ in range(4):
+            if await lease.renew_or_acquire():
+                break
+            clock.advance(DURATION_S)
+        fences.append(lease.fence)
+    return fences
+
+
+@pytest.mark.parametrize("lost_answers", [0, 1, 2])
+def test_fence_grows_though_the_row_of_the_lease_was_removed(lost_answers):
+    """Guards against fences that start at 1 again, which receivers would reject."""
+    tables, clock = builders.FaultyTables(), builders.ManualClock()
+    leases = [Lease(tables, "l", f"p{n}", clock, DURATION_S) for n in range(8)]
+
+    async def scenario():
+        before = await hold_in_turn(leases[:4], clock)
+        await tables.commit([Write("leases", "l")])
+        tables.lost_answers = lost_answers
+        after = await hold_in_turn(leases[4:], clock)
+        fences = before + after
+        assert all(old < new for old, new in itertools.pairwise(fences)), fences
+
+    asyncio.run(scenario())
+
+
+def test_holder_whose_row_was_removed_gets_a_higher_fence():
+    tables, clock = builders.FaultyTables(), builders.ManualClock()
+    leases = [Lease(tables, "l", f"p{n}", clock, DURATION_S) for n in range(3)]
+
+    async def scenario():
+        fences = await hold_in_turn(leases, clock)
+        await tables.commit([Write("leases", "l")])
+        assert await leases[-1].renew_or_acquire()
+        assert leases[-1].fence > fences[-1]
+
+    asyncio.run(scenario())
+
+
+def test_write_of_a_lease_that_takes_effect_late_does_not_lower_the_fence():
+    """Guards against a late first write that replaces the record of a later holder."""
+
+    async def scenario():
+        clock = builders.ManualClock()
+        async with open_store() as (server, store):
+            leases = [Lease(store, "l", f"p{n}", clock, DURATION_S) for n in range(4)]
+            with losing_writes(server):
+                assert not await leases[0].renew_or_acquire()
+            fences = await hold_in_turn(leases[1:3], clock)
+            await server.write_row("leases", "l", None)
+            with losing_writes(server):
+                await leases[0].renew_or_acquire()
+            fences += await hold_in_turn(leases[3:], clock)
+            await wait_for_late_writes(server)
+            fences += await hold_in_turn(leases[1:3], clock)
+            assert all(old < new for old, new in itertools.pairwise(fences)), fences
+
+    asyncio.run(scenario())
+
+
 def test_fence_grows_with_each_owner_even_if_an_answer_is_lost():
     tables, clock = builders.FaultyTables(), builders.ManualClock()
 
