Start the fences of a backend server from the version of its row

Cause: a sidecar that finds no row for its backend server took number 1, as a lease did. Numbers of earlier sidecars may be higher, and the processes that have seen them consider the new sidecar superseded.

Change: the row is created without an owner first; its version is the first number.

Result: three sidecars before and three after the removal of the row get the numbers 1, 2, 3 and higher ones, not 1, 2, 3 again.

--- a/gypsumshift/backend.py
+++ b/gypsumshift/backend.py
@@ -7,7 +7,7 @@
 from gypsumshift.generated.declarations import Pool
 from gypsumshift.httpclient import Fetcher, FetchError
 from gypsumshift.outcomes import Committed, Conflict, Missing, Unavailable
-from gypsumshift.platforms import ABSENT, Tables, Write
+from gypsumshift.platforms import ABSENT, Row, Tables, Write
 
 __all__ = ["Backend", "Fence"]
 
@@ -15,6 +15,8 @@
 # An order to load weights times out after this multiple of the pool's swap allowance.
 LATE_ORDER_FACTOR = 5.0
 BACKENDS_TABLE = "backends"
+# Value of a new row, which nobody has claimed yet.
+UNUSED = {"fence": 0, "owner": ""}
 # Pause between attempts to acquire the fence while the platform is down.
 FENCE_RETRY_PERIOD_S = 1.0
 
@@ -152,14 +154,24 @@
             if not isinstance(row, Missing) and row.value["owner"] == self.owner:
                 self.number = row.value["fence"]
                 return self.number
-            version = ABSENT if isinstance(row, Missing) else row.version
-            number = 1 if isinstance(row, Missing) else row.value["fence"] + 1
-            value = {"fence": number, "owner": self.owner}
-            write = Write(BACKENDS_TABLE, self.backend, value, version)
+            write = self.next_write(row)
             outcome = await self.tables.commit([write])
             if not isinstance(outcome, (Committed, Conflict)):
                 await self.clock.sleep(FENCE_RETRY_PERIOD_S)
 
+    def next_write(self, row: Row | Missing) -> Write:
+        """Return the write that claims the next number.
+
+        If the row is missing, the numbers used before are unknown. The row is then
+        created without an owner, and its version becomes the first number; see
+        `leases`.
+        """
+        if isinstance(row, Missing):
+            return Write(BACKENDS_TABLE, self.backend, UNUSED, ABSENT)
+        number = row.value["fence"] + 1 if row.value != UNUSED else row.version
+        value = {"fence": number, "owner": self.owner}
+        return Write(BACKENDS_TABLE, self.backend, value, row.version)
+
     async def is_superseded(self) -> bool:
         """Return whether the platform has a newer owner; False while it is down."""
         row = await self.tables.read(BACKENDS_TABLE, self.backend)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -175,3 +175,16 @@
         assert await first.is_superseded() and not await second.is_superseded()
 
     asyncio.run(scenario())
+
+
+def test_fence_of_a_backend_server_grows_though_its_row_was_removed():
+    tables, clock = builders.FaultyTables(), builders.ManualClock()
+
+    async def scenario():
+        before = [await Fence(tables, "b", name, clock).acquire() for name in "xyz"]
+        await tables.commit([Write("backends", "b")])
+        after = [await Fence(tables, "b", name, clock).acquire() for name in "uvw"]
+        fences = before + after
+        assert all(old < new for old, new in itertools.pairwise(fences)), fences
+
+    asyncio.run(scenario())
