Keep slots and slowdown of servers; sections in digests

Cause: the load balancer kept only the number of busy requests of a reported load, and a digest was one list that nothing could be added to.

Change: LoadReports keeps the newest load of each server start that reports a slowdown, with its age, from own answers and from other processes. LoadBalancer.service_capacity(servers) is the sum of slots over slowness; ejected and lost servers count 0. The section "loads" is left out where no server reports a slowdown.

--- a/gypsumshift/gossip.py
+++ b/gypsumshift/gossip.py
@@ -12,12 +12,14 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
+from gypsumshift.digests import DigestSection, decode_digest
 from gypsumshift.httpclient import FetchError
 from gypsumshift.httpserver import Request, Response, json_response
 from gypsumshift.neighbours import Neighbour, StorePath
 from gypsumshift.serving.directory import Directory
 from gypsumshift.serving.loadbalancer import LoadBalancer
-from gypsumshift.serving.observations import decode, encode
+from gypsumshift.serving.loadreports import LoadSection
+from gypsumshift.serving.observations import ObservationSection
 
 __all__ = ["OBSERVATIONS_PATH", "Gossip"]
 
@@ -48,6 +50,11 @@
         Supplies the other processes, and the client for requests to them.
     clock : Clock
     chance : random.Random
+
+    Attributes
+    ----------
+    sections : dict
+        `DigestSection` by name.
     """
 
     def __init__(
@@ -63,6 +70,13 @@
         self.path = path
         self.clock = clock
         self.chance = chance
+        self.sections: dict[str, DigestSection] = {}
+        self.add_section(ObservationSection(balancer.shared_observations))
+        self.add_section(LoadSection(balancer.load_reports))
+
+    def add_section(self, section: DigestSection) -> None:
+        """Include a further section in the digests."""
+        self.sections[section.name] = section
 
     async def run(self) -> None:
         """Start exchanges at the interval until cancelled."""
@@ -110,17 +124,27 @@
             return json_response(400, {"error": str(error)})
         return json_response(200, self.encoded_digest())
 
-    def encoded_digest(self) -> list[list]:
+    def encoded_digest(self) -> dict[str, object]:
         """Return the current digest as JSON values."""
         self.balancer.share_own_observations(list(self.directory.servers.values()))
-        return encode(
-            self.balancer.shared_observations.digest(), self.clock.monotonic()
-        )
+        encoded = {name: section.encode() for name, section in self.sections.items()}
+        return {name: value for name, value in encoded.items() if value is not None}
 
     def merge_digest(self, body: bytes) -> None:
-        """Merge a received digest; raise ValueError if it is invalid."""
-        try:
-            rows = json.loads(body)
-        except RecursionError as error:
-            raise ValueError("invalid digest: nested too deeply") from error
-        self.balancer.shared_observations.merge(decode(rows, self.clock.monotonic()))
+        """Merge the sections of a received digest that this process knows.
+
+        Raises
+        ------
+        ValueError
+            The digest or a section is invalid; the other sections are merged.
+        """
+        errors = []
+        for name, value in decode_digest(body).items():
+            if name not in self.sections:
+                continue
+            try:
+                self.sections[name].merge(value)
+            except ValueError as error:
+                errors.append(error)
+        if errors:
+            raise errors[0]
--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -16,7 +16,13 @@
 from gypsumshift.ejection import EjectionPolicy
 from gypsumshift.policy import DEFAULT_POLICY, Policy
 from gypsumshift.serving.directory import BackendServer, ServerStart
-from gypsumshift.serving.observations import Observation, Observations
+from gypsumshift.serving.loadreports import LoadReports, make_report
+from gypsumshift.serving.observations import (
+    MAX_AGE_SECONDS,
+    MAX_BUSY,
+    Observation,
+    Observations,
+)
 from gypsumshift.serving.serverload import ServerLoad
 
 __all__ = ["LoadBalancer", "ServerStats"]
@@ -60,6 +66,12 @@
 # How long a server is avoided that was replaced at its address. Its directory entry
 # expires after 4 s.
 REPLACED_PAUSE_SECONDS = 10.0
+# How long a lost server has no capacity unless it answers again. Its directory entry
+# expires after 4 s.
+LOST_SECONDS = 4.0
+# A server's capacity is reduced by its measured answer time if that is more than this
+# many times the usual one. Averages of a few answers often differ by less.
+CAPACITY_MIN_SLOWNESS = 2.0
 
 
 @attrs.define
@@ -84,6 +96,8 @@
     last_outcome_at : float
         Time at which a request last succeeded, failed or was cancelled unanswered, in
         seconds.
+    lost_until : float
+        Time until which the server counts as lost unless it answers, in seconds.
     """
 
     outstanding: int = 0
@@ -95,6 +109,7 @@
     consecutive_ejections: int = 0
     avoided_until: float = 0.0
     last_outcome_at: float = -math.inf
+    lost_until: float = 0.0
 
 
 class LoadBalancer:
@@ -113,6 +128,8 @@
     ----------
     shared_observations : Observations
         Observations of this and other processes, as exchanged between them.
+    load_reports : LoadReports
+        Loads that servers with a slowdown reported to this and other processes.
     has_idle_connection : callable
         Returns whether there is an idle connection to an address; by default False.
     """
@@ -130,6 +147,7 @@
         self.chance = chance
         self.stats_by_start: dict[ServerStart, ServerStats] = {}
         self.shared_observations = Observations(clock)
+        self.load_reports = LoadReports(clock)
         self.has_idle_connection: Callable[[tuple[str, int]], bool] = lambda address: (
             False
         )
@@ -147,6 +165,7 @@
             if not self.stats_by_start[start].outstanding:
                 del self.stats_by_start[start]
         self.shared_observations.prune(known)
+        self.load_reports.prune(known)
 
     def choose(
         self, servers: list[BackendServer], avoid: set[ServerStart]
@@ -230,6 +249,35 @@
                 self.own_observation(server, usual) for server in listed
             )
 
+    def service_capacity(self, servers: list[BackendServer]) -> float:
+        """Return how many requests servers can run at once, in usual service times.
+
+        Each counts its slots over its slowness. A lost or ejected server counts 0, one
+        without recent reports or answers its listed slots.
+
+        Parameters
+        ----------
+        servers : list of BackendServer
+            Ready servers of one service.
+        """
+        usual = self.median_latency(servers)
+        return sum(self.server_capacity(server, usual) for server in servers)
+
+    def server_capacity(self, server: BackendServer, usual: float) -> float:
+        """Return how many requests one server can run at once, in service times."""
+        stats, now = self.stats(server), self.clock.monotonic()
+        if max(stats.avoided_until, stats.lost_until) > now:
+            return 0.0
+        slowness = 1.0
+        observed = self.observation(server, usual)
+        current = now - observed.observed_at < MAX_AGE_SECONDS
+        if current and observed.slowness > CAPACITY_MIN_SLOWNESS:
+            slowness = min(observed.slowness, MAX_SLOWNESS_FACTOR)
+        report = self.load_reports.get(server.start)
+        if report is None:
+            return server.slots / slowness
+        return report.slots / max(slowness, report.expected_slowdown(now))
+
     def record_sent(self, server: BackendServer) -> None:
         """Count a request as sent."""
         self.stats(server).outstanding += 1
@@ -242,13 +290,18 @@
     def record_load(self, server: BackendServer, load: ServerLoad) -> None:
         """Store the load that a server reported with an answer."""
         stats = self.stats(server)
-        stats.busy = load.busy
-        stats.busy_reported_at = self.clock.monotonic()
+        now = self.clock.monotonic()
+        stats.busy = min(load.busy, MAX_BUSY)
+        stats.busy_reported_at = now
+        stats.lost_until = 0.0
+        if load.reports_slowdown:
+            self.load_reports.merge([make_report(server.start, load, now)])
 
     def record_success(self, server: BackendServer, took: float) -> None:
         """Record a successful answer that took ``took`` seconds."""
         stats = self.stats(server)
         stats.last_outcome_at = self.clock.monotonic()
+        stats.lost_until = 0.0
         stats.consecutive_failures = 0
         stats.consecutive_ejections = 0
         stats.failed_share *= 1 - AVERAGE_WEIGHT
@@ -282,6 +335,7 @@
             outstanding=before.outstanding,
             avoided_until=now + GONE_PAUSE_SECONDS,
             last_outcome_at=now,
+            lost_until=now + LOST_SECONDS,
         )
 
     def record_failure(
--- a/gypsumshift/serving/observations.py
+++ b/gypsumshift/serving/observations.py
@@ -13,9 +13,10 @@
 import attrs
 
 from gypsumshift.clock import Clock
+from gypsumshift.digests import DigestSection
 from gypsumshift.serving.directory import ServerStart
 
-__all__ = ["Observation", "Observations", "decode", "encode"]
+__all__ = ["Observation", "ObservationSection", "Observations", "decode", "encode"]
 
 # Age after which an observation is ignored. Slow phases of servers last 5 to 8 s.
 MAX_AGE_SECONDS = 4.0
@@ -109,6 +110,29 @@
         return current[:MAX_DIGEST_SIZE]
 
 
+class ObservationSection(DigestSection):
+    """Section of a digest with the observations of servers.
+
+    Parameters
+    ----------
+    observations : Observations
+    """
+
+    name = "servers"
+
+    def __init__(self, observations: Observations):
+        self.observations = observations
+
+    def encode(self) -> list[list]:
+        """Return the most important observations."""
+        now = self.observations.clock.monotonic()
+        return encode(self.observations.digest(), now)
+
+    def merge(self, value: object) -> None:
+        """Merge the observations of another process; raise ValueError if invalid."""
+        self.observations.merge(decode(value, self.observations.clock.monotonic()))
+
+
 def encode(observations: list[Observation], now: float) -> list[list]:
     """Return observations as JSON values, with ages in place of times."""
     return [
