--- a/tests/test_server_load.py
+++ b/tests/test_server_load.py
@@ -58,6 +58,12 @@
         assert str(error)
 
 
+def test_a_figure_that_overflows_a_float_is_malformed():
+    """Divided by 100, it raised an OverflowError that ended the call."""
+    with pytest.raises(ValueError, match="not three or four whole numbers"):
+        parse("3,0,8," + "9" * 400)
+
+
 def make_platform_sender():
     from wire_protocol import HEADERS
 
