Find faulty engines by their own usual pace

Cause: an engine counted as slow above twice the median pace of all engines. In a fleet of three builds (0.031, 0.053, 0.085 s an event) on shared hosts, slow builds with a busy neighbour or a full batch released all their units and paused, and a fast build that became faulty was not noticed while its pace was that of a slow build. Change: an engine is normal, slow hardware, slowed or faulty, by its own usual pace, its batch and its peers (jobs/enginestate.py); only a faulty one releases its units. The usual pace outlasts a fault and a restart of the agent (jobs/usualpace.py), and heartbeats carry the state. Among engines of similar builds the median decides as before. Switch: engine_states.

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -15,10 +15,15 @@
 from gypsumshift.jobs.claimer import Claimer
 from gypsumshift.jobs.claimtracker import Candidate, ClaimTracker
 from gypsumshift.jobs.engine import EngineClient
+from gypsumshift.jobs.enginestate import (
+    EngineObservation,
+    EngineStateTracker,
+    Verdict,
+)
 from gypsumshift.jobs.heartbeatwriter import STORE_WRITES, HeartbeatWriter
 from gypsumshift.jobs.liveness import NO_PROBE, LivenessProbe
 from gypsumshift.jobs.localengine import AgentIdentity, LocalEngine
-from gypsumshift.jobs.pace import is_slow
+from gypsumshift.jobs.pace import Pace, is_slow
 from gypsumshift.jobs.peers import Peers
 from gypsumshift.jobs.records import (
     AGENTS,
@@ -28,6 +33,7 @@
 )
 from gypsumshift.jobs.unitmigrator import UnitMigrator
 from gypsumshift.jobs.unitrunner import UnitRunner
+from gypsumshift.jobs.usualpace import LastingPace
 from gypsumshift.jobs.weights import WeightManager
 from gypsumshift.metrics import Metrics
 from gypsumshift.platforms import Row, RowStore
@@ -140,7 +146,9 @@
             clock,
             metrics,
             self.wake,
+            LastingPace(clock) if policy.engine_states else Pace(clock),
         )
+        self.state_tracker = EngineStateTracker(clock)
         self.claimer = Claimer(
             self.own_claim,
             store,
@@ -160,6 +168,7 @@
             clock,
             self.free_slots,
             store_writes,
+            self.engine_state,
         )
         self.unit_migrator = UnitMigrator(
             self.heartbeat_writer, self.weights, self.tracker, self.runner, clock
@@ -220,6 +229,7 @@
         self.local_engine.reset_report()
         self.weights.reset_load_state()
         self.runner.pace.reset()
+        self.state_tracker.reset()
         self.slow_at = float("-inf")
         self.wake()
 
@@ -258,7 +268,10 @@
             self.claimer.start_held_units()
             self.runner.hand_over_all("the engine does not serve")
             return
-        self.hand_over_if_slow()
+        if self.policy.engine_states:
+            self.update_state()
+        else:
+            self.hand_over_if_slow()
         if self.policy.long_items_to_faster:
             self.unit_migrator.migrate_long_units()
         if report is not None and not self.draining:
@@ -272,16 +285,65 @@
             return
         if not self.policy.slow_handover:
             return
-        self.slow_at = self.clock.monotonic()
-        pace.clear_gaps()
         logs.event(
             log,
             "The engine is much slower than its peers; releasing all its units.",
             seconds_an_event=round(own, 4),
             peers=[round(pace, 4) for pace in sorted(peers)],
         )
+        self.release_and_pause("the engine is slow")
+
+    def release_and_pause(self, reason: str) -> None:
+        """Hand all units over, and claim none for `SLOW_PAUSE`."""
+        self.slow_at = self.clock.monotonic()
+        self.runner.pace.clear_gaps()
         self.metrics.count("slow_engine")
-        self.runner.hand_over_all("the engine is slow")
+        self.runner.hand_over_all(reason)
+
+    def engine_state(self) -> str:
+        """Return the value of the engine's state; empty if the policy ignores it."""
+        return self.state_tracker.state.value if self.policy.engine_states else ""
+
+    def update_state(self) -> None:
+        """Determine the engine's state; hand all units over if it is faulty."""
+        seen = self.observe_engine()
+        verdict = self.state_tracker.update(seen)
+        if verdict.state is not verdict.previous:
+            self.log_state(verdict, seen)
+        if verdict.release and self.policy.slow_handover:
+            logs.event(
+                log,
+                "The engine is faulty; releasing all its units.",
+                **state_figures(seen),
+            )
+            self.release_and_pause("the engine is faulty")
+
+    def observe_engine(self) -> EngineObservation:
+        """Return the figures that determine the engine's state."""
+        pace, limits = self.runner.pace, self.local_engine.limits
+        # Reading the usual pace adds the current one to it.
+        usual = self.heartbeat_writer.usual_pace()
+        return EngineObservation(
+            pace.current(),
+            usual,
+            pace.usual_age,
+            pace.batch_factor(limits.slots if limits else 0),
+            bool(self.weights.loading_model),
+            len(self.local_engine.directory.ready_engines()),
+            self.peers.peer_paces(),
+        )
+
+    def log_state(self, verdict: Verdict, seen: EngineObservation) -> None:
+        """Log a change of the engine's state, with the figures that decided it."""
+        logs.event(
+            log,
+            "The state of the engine changed.",
+            state=verdict.state.value,
+            was=verdict.previous.value,
+            why=verdict.reason,
+            **state_figures(seen),
+        )
+        self.metrics.count("engine_states", state=verdict.state.value)
 
     async def run_save_loop(self) -> None:
         """Save the output of long runs periodically."""
@@ -372,3 +434,16 @@
             if not self.tracker.pending_claims and not self.runner.units:
                 return
             await self.clock.sleep(DRAIN_POLL_PERIOD)
+
+
+def state_figures(seen: EngineObservation) -> dict:
+    """Return the figures of an observation for a log line."""
+    return {
+        "seconds_an_event": round(seen.current, 4),
+        "usual": round(seen.usual, 4),
+        "usual_age_s": round(seen.usual_age, 1),
+        "batch_factor": round(seen.batch_factor, 2),
+        "ratio": round(seen.ratio, 2),
+        "uniform_fleet": seen.is_uniform_fleet,
+        "peers_usual": [round(pace, 4) for pace in seen.peer_usuals],
+    }
--- a/gypsumshift/jobs/heartbeatwriter.py
+++ b/gypsumshift/jobs/heartbeatwriter.py
@@ -59,6 +59,8 @@
         Returns the number of items that the engine could take now.
     store_writes : float
         Writes a second that the store takes from all processes.
+    engine_state : callable
+        Returns the value of the engine's `EngineState`; empty if unknown.
 
     Attributes
     ----------
@@ -80,6 +82,7 @@
         clock: Clock,
         free_slots: Callable[[], int],
         store_writes: float = STORE_WRITES,
+        engine_state: Callable[[], str] = lambda: "",
     ):
         self.session = session
         self.local_engine = local_engine
@@ -90,6 +93,7 @@
         self.clock = clock
         self.free_slots = free_slots
         self.store_writes = store_writes
+        self.engine_state = engine_state
         self.last_heartbeat = Heartbeat("")
         self.version = ABSENT
 
@@ -186,6 +190,7 @@
             born=start.born,
             places=self.free_slots(),
             home=self.weights.assigned_model() or known.home,
+            state=self.engine_state(),
         )
 
     def usual_pace(self) -> float:
@@ -197,6 +202,7 @@
 
     def usual(self, known: Heartbeat) -> float:
         """Return the measured usual pace, or else that of a heartbeat."""
+        self.pace.seed_usual(known.usual)
         return self.pace.usual() or known.usual
 
     def last_heartbeat_for(self, start: ServerStart) -> Heartbeat:
--- a/gypsumshift/jobs/pace.py
+++ b/gypsumshift/jobs/pace.py
@@ -63,6 +63,12 @@
         self.medians.clear()
         self.best = 0.0
 
+    def seed_usual(self, usual: float) -> None:
+        """Note the usual pace that an earlier process of this agent measured.
+
+        It has no effect here: the measured pace of the last seconds replaces it.
+        """
+
     def usual(self) -> float:
         """Return the lowest median gap within `USUAL_WINDOW`, in seconds; 0 if unknown.
 
--- a/gypsumshift/jobs/peers.py
+++ b/gypsumshift/jobs/peers.py
@@ -14,6 +14,7 @@
 import attrs
 
 from gypsumshift.clock import Clock
+from gypsumshift.jobs.enginestate import EngineState, PeerPace
 from gypsumshift.jobs.pace import is_slower
 from gypsumshift.jobs.placement import EngineView
 from gypsumshift.jobs.records import Claim, Heartbeat, parse_row
@@ -213,6 +214,18 @@
             and self.is_recent(state.seen_at)
         ]
 
+    def peer_paces(self) -> tuple[PeerPace, ...]:
+        """Return the paces of the other engines whose heartbeats are recent."""
+        return tuple(
+            PeerPace(
+                state.heartbeat.pace,
+                state.heartbeat.usual,
+                state.heartbeat.state == EngineState.FAULTY.value,
+            )
+            for state in self.states.values()
+            if state.session != self.session and self.is_recent(state.seen_at)
+        )
+
     def last_heartbeat(self, agent: str) -> Heartbeat:
         """Return the last heartbeat of an agent; an empty one where there is none."""
         state = self.states.get(agent)
--- a/gypsumshift/jobs/records.py
+++ b/gypsumshift/jobs/records.py
@@ -297,6 +297,8 @@
         Number of further items that the engine could take now.
     home : str
         Model that the engine is configured to serve; empty for none or several.
+    state : str
+        Value of the engine's `EngineState`; empty if unknown.
     """
 
     session: str
@@ -307,6 +309,7 @@
     born: int = 0
     places: int = 0
     home: str = ""
+    state: str = ""
 
     @property
     def server_start(self) -> ServerStart:
--- a/gypsumshift/jobs/unitrunner.py
+++ b/gypsumshift/jobs/unitrunner.py
@@ -62,6 +62,8 @@
     metrics : Metrics
     on_capacity_change : callable
         Called when the engine may have room for more items.
+    pace : Pace
+        Collects the times between the events of the items.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         clock: Clock,
         metrics: Metrics,
         on_capacity_change: Callable[[], None],
+        pace: Pace,
     ):
         self.own_claim = own_claim
         self.store = store
@@ -87,7 +90,7 @@
         self.clock = clock
         self.metrics = metrics
         self.on_capacity_change = on_capacity_change
-        self.pace = Pace(clock)
+        self.pace = pace
         self.result_writer = ResultWriter(store, clock)
         self.partials = PartialStore(store, own_claim.session, clock)
         self.units: dict[tuple[str, str], UnitRun] = {}
--- a/gypsumshift/policy.py
+++ b/gypsumshift/policy.py
@@ -45,6 +45,10 @@
         (`jobs/placement.py`).
     slow_handover : bool
         Hand over all work of an engine that has become slow (`jobs/pace.py`).
+    engine_states : bool
+        Find faulty engines by their own usual pace, so that slower builds and busy
+        neighbours are no faults (`jobs/enginestate.py`). Without it, the median of
+        all engines decides.
     saved_runs : bool
         Save the partial results of long runs each second (`jobs/partials.py`).
     store_through_neighbours : bool
@@ -68,6 +72,7 @@
     slow_engines_short_items: bool = True
     settled_models: bool = True
     slow_handover: bool = True
+    engine_states: bool = True
     saved_runs: bool = True
     store_through_neighbours: bool = True
     second_server: bool = True
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -34,6 +34,7 @@
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered
 from gypsumshift.platforms import Row
+from gypsumshift.policy import DEFAULT_POLICY
 from gypsumshift.serving import (
     BackendServer,
     Directory,
@@ -282,6 +283,7 @@
         liveness=NO_PROBE,
         forwarder=None,
         clock=None,
+        policy=DEFAULT_POLICY,
     ):
         """Start an agent with an engine."""
         directory = Directory()
@@ -298,6 +300,7 @@
             clock or SystemClock(),
             chance,
             METRICS,
+            policy,
             liveness=liveness,
         )
         self.agents[name] = agent
