Tell a neighbour's spells from faults by the reported slowdown

Cause: engines report with their answers how long work takes on their host now, but agents did not read it. A fault of 2.5 times cannot be told from a busy neighbour by the times between events until it has lasted for long, and in a uniform fleet on shared hosts the median takes neighbours for faults. Change: the agent reads the load header of answer heads and of the engine's report (jobs/reportedslowdown.py) and relieves each time between events of the reported slowdown. A pace that is well above the usual one and not reported is a fault at once; a reported one may last longer. Heartbeats carry the mean reported slowdown.

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -31,6 +31,7 @@
     JOBS,
     Claim,
 )
+from gypsumshift.jobs.reportedslowdown import ReportedSlowdown
 from gypsumshift.jobs.unitmigrator import UnitMigrator
 from gypsumshift.jobs.unitrunner import UnitRunner
 from gypsumshift.jobs.usualpace import LastingPace
@@ -135,6 +136,8 @@
             self.local_engine, self.tracker, clock, metrics, policy
         )
         self.wake_events = [asyncio.Event() for _ in range(CONCURRENT_CLAIMS)]
+        reported = ReportedSlowdown(clock, names.parse_load, metrics)
+        engine.on_load = reported.note_header
         self.runner = UnitRunner(
             self.own_claim,
             store,
@@ -146,7 +149,7 @@
             clock,
             metrics,
             self.wake,
-            LastingPace(clock) if policy.engine_states else Pace(clock),
+            LastingPace(clock, reported) if policy.engine_states else Pace(clock),
         )
         self.state_tracker = EngineStateTracker(clock)
         self.claimer = Claimer(
@@ -331,6 +334,7 @@
             bool(self.weights.loading_model),
             len(self.local_engine.directory.ready_engines()),
             self.peers.peer_paces(),
+            pace.unexplained(),
         )
 
     def log_state(self, verdict: Verdict, seen: EngineObservation) -> None:
@@ -444,6 +448,7 @@
         "usual_age_s": round(seen.usual_age, 1),
         "batch_factor": round(seen.batch_factor, 2),
         "ratio": round(seen.ratio, 2),
+        "unexplained_share": round(seen.unexplained_share, 2),
         "uniform_fleet": seen.is_uniform_fleet,
         "peers_usual": [round(pace, 4) for pace in seen.peer_usuals],
     }
--- a/gypsumshift/jobs/engine.py
+++ b/gypsumshift/jobs/engine.py
@@ -7,7 +7,7 @@
 import abc
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import attrs
 
@@ -150,12 +150,19 @@
     fetcher : Fetcher
     names : HeaderNames
     protocol : EngineProtocol
+
+    Attributes
+    ----------
+    on_load : callable
+        Called with the load header of each answer; with an empty text where it has
+        none.
     """
 
     def __init__(self, fetcher: Fetcher, names: HeaderNames, protocol: EngineProtocol):
         self.fetcher = fetcher
         self.names = names
         self.protocol = protocol
+        self.on_load: Callable[[str], None] = ignore_load
 
     async def stream(
         self, server: BackendServer, item: Item, job: Job, after: int, urgency: int
@@ -198,6 +205,7 @@
                 f"no response from server {server.id} within {SILENCE_TIMEOUT} s"
             ) from error
         with contextlib.closing(exchange):
+            self.on_load(exchange.header(self.names.load.encode()))
             await self.check_response(exchange, item)
             version = parse_number(exchange.header(self.names.versions.encode()))
             stream = iter_events(exchange, SILENCE_TIMEOUT)
@@ -267,6 +275,7 @@
                 self.protocol.report_target,
                 timeout=REPORT_TIMEOUT,
             )
+            self.on_load(find_header(answer.headers, self.names.load))
             if answer.status != 200:
                 return None
             return self.protocol.parse_report(answer.body)
@@ -295,6 +304,16 @@
         return Answered(answer.status, (), answer.body)
 
 
+def ignore_load(text: str) -> None:
+    """Ignore the load header of an answer."""
+
+
+def find_header(headers: list[tuple[bytes, bytes]], name: str) -> str:
+    """Return the value of a response's header field; an empty text without it."""
+    found = (value for key, value in headers if key.lower() == name.encode())
+    return next(found, b"").decode("latin-1")
+
+
 def parse_number(text: str) -> int:
     """Parse a non-negative integer of a header field; return 0 for anything else."""
     text = text.strip()
--- a/gypsumshift/jobs/enginestate.py
+++ b/gypsumshift/jobs/enginestate.py
@@ -37,6 +37,9 @@
 # explain it. Five spells of 0.6 s in a row keep the median of 1.5 s high for 2.4 s;
 # with a sixth of the time, that is once in an hour and a half at an engine.
 LONGEST_INTERFERENCE = 2.4
+# The same where the host reports a slowdown that explains it. A host that reports it
+# for so long is of no use to the long items of a step, which has 7.5 s.
+LONGEST_REPORTED_INTERFERENCE = 5.0
 # Ratio below which a faulty engine has recovered: a full batch does not exceed it.
 RECOVERED_FACTOR = 1.5
 # Ratios to the own usual pace above which an engine becomes slowed, and below which it
@@ -100,6 +103,9 @@
     engines : int
         Number of engines of the fleet, this one included.
     peers : tuple of PeerPace
+    unexplained : float
+        Current seconds between two events without the slowdown that the engine's host
+        reports; 0 for unknown.
     """
 
     current: float
@@ -109,6 +115,7 @@
     loading: bool = False
     engines: int = 0
     peers: tuple[PeerPace, ...] = ()
+    unexplained: float = 0.0
 
     @property
     def peer_usuals(self) -> list[float]:
@@ -173,16 +180,38 @@
     def ratio(self) -> float:
         """Current pace relative to the one that is expected now; 0 if unknown.
 
-        In a uniform fleet, the median pace of the others is expected. Otherwise it is
-        the reference, times what a larger batch explains and what slows the other
-        engines down as well.
+        In a uniform fleet, the median pace of the others is expected.
         """
-        if self.is_uniform_fleet:
-            expected = self.peer_median
-        else:
-            expected = self.reference * self.batch_factor * self.peer_excess
+        if not self.is_uniform_fleet:
+            return self.reference_ratio
+        return self.current / self.peer_median if self.peer_median else 0.0
+
+    @property
+    def reference_ratio(self) -> float:
+        """Current pace relative to the reference; 0 if unknown.
+
+        What a larger batch explains is expected, and what slows the other engines down
+        as well.
+        """
+        expected = self.reference * self.batch_factor * self.peer_excess
         return self.current / expected if expected else 0.0
 
+    @property
+    def unexplained_share(self) -> float:
+        """Share of the current pace that the reported slowdown does not explain."""
+        if not self.current or not self.unexplained:
+            return 1.0
+        return self.unexplained / self.current
+
+    @property
+    def is_explained(self) -> bool:
+        """Whether the engine is slow only by what its host reports."""
+        return bool(
+            self.unexplained
+            and self.ratio > SLOW_FACTOR
+            and self.ratio * self.unexplained_share <= SLOW_FACTOR
+        )
+
     @property
     def own_ratio(self) -> float:
         """Current pace relative to the engine's own usual one; 0 if unknown."""
@@ -269,14 +298,19 @@
         if seen.loading:
             self.held_since.clear()
             return ""
-        if seen.is_uniform_fleet:
+        if seen.is_uniform_fleet and not seen.is_explained:
             self.held_since.clear()
             slow = seen.ratio > SLOW_FACTOR
             return "far behind engines of its build" if slow else ""
-        extreme = seen.ratio > NEIGHBOUR_FACTOR
+        ratio = seen.reference_ratio
+        unexplained = bool(seen.unexplained) and ratio * seen.unexplained_share
+        longest = (
+            LONGEST_REPORTED_INTERFERENCE if seen.is_explained else LONGEST_INTERFERENCE
+        )
         conditions = (
-            ("more than a neighbour explains", extreme, CONFIRM_TIME),
-            ("lasting", seen.ratio > SLOW_FACTOR, LONGEST_INTERFERENCE),
+            ("more than a neighbour explains", ratio > NEIGHBOUR_FACTOR, CONFIRM_TIME),
+            ("not reported by its host", unexplained > SLOW_FACTOR, CONFIRM_TIME),
+            ("lasting", ratio > SLOW_FACTOR, longest),
         )
         # Each condition is checked, so that all their times are kept.
         found = [name for name, *rest in conditions if self.has_held(name, *rest)]
--- a/gypsumshift/jobs/heartbeatwriter.py
+++ b/gypsumshift/jobs/heartbeatwriter.py
@@ -191,6 +191,7 @@
             places=self.free_slots(),
             home=self.weights.assigned_model() or known.home,
             state=self.engine_state(),
+            slowdown=round(self.pace.slowdown(), 2),
         )
 
     def usual_pace(self) -> float:
--- a/gypsumshift/jobs/pace.py
+++ b/gypsumshift/jobs/pace.py
@@ -63,6 +63,10 @@
         self.medians.clear()
         self.best = 0.0
 
+    def slowdown(self) -> float:
+        """Return the slowdown that the engine's host reports; 0 if unknown."""
+        return 0.0
+
     def seed_usual(self, usual: float) -> None:
         """Note the usual pace that an earlier process of this agent measured.
 
--- a/gypsumshift/jobs/records.py
+++ b/gypsumshift/jobs/records.py
@@ -299,6 +299,9 @@
         Model that the engine is configured to serve; empty for none or several.
     state : str
         Value of the engine's `EngineState`; empty if unknown.
+    slowdown : float
+        Mean slowdown that the engine's host reported during the last seconds; 0 if
+        unknown.
     """
 
     session: str
@@ -310,6 +313,7 @@
     places: int = 0
     home: str = ""
     state: str = ""
+    slowdown: float = 0.0
 
     @property
     def server_start(self) -> ServerStart:
--- a/gypsumshift/jobs/usualpace.py
+++ b/gypsumshift/jobs/usualpace.py
@@ -5,10 +5,14 @@
 far above the usual one leave it unchanged until they have lasted for a minute.
 """
 
+import collections
+import statistics
+
 import attrs
 
 from gypsumshift.clock import Clock
-from gypsumshift.jobs.pace import USUAL_WINDOW, Pace
+from gypsumshift.jobs.pace import USUAL_WINDOW, WINDOW, Pace
+from gypsumshift.jobs.reportedslowdown import ReportedSlowdown
 
 __all__ = ["BATCH_SLOWDOWN", "LastingPace"]
 
@@ -52,9 +56,13 @@
     Parameters
     ----------
     clock : Clock
+    reported : ReportedSlowdown or None
+        What the engine's host reports; None for nothing.
 
     Attributes
     ----------
+    unexplained_gaps : collections.deque of float
+        For each of `gaps`, what it would be without the reported slowdown.
     samples : list of PaceSample
         Paces of the last `USUAL_WINDOW` that are not unusual.
     measured : bool
@@ -67,8 +75,10 @@
         Since when all paces have been unusual.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, reported: ReportedSlowdown | None = None):
         super().__init__(clock)
+        self.reported = reported
+        self.unexplained_gaps: collections.deque[float] = collections.deque()
         self.samples: list[PaceSample] = []
         self.measured = False
         self.best_streams = 0.0
@@ -81,9 +91,46 @@
         since = self.known_since
         return 0.0 if since is None else self.clock.monotonic() - since
 
+    def record_gap(self, gap: float) -> None:
+        """Record the seconds between two events of one stream."""
+        super().record_gap(gap)
+        slowdown = (
+            self.reported.mean(self.clock.monotonic() - gap) if self.reported else 1.0
+        )
+        self.unexplained_gaps.append(gap / slowdown)
+
+    def clear_gaps(self) -> None:
+        """Discard all gaps, once the streams that they come from have ended."""
+        super().clear_gaps()
+        self.unexplained_gaps.clear()
+
+    def unexplained(self) -> float:
+        """Return the median gap without the reported slowdown, in seconds.
+
+        It is 0 where too few gaps are known, or reports do not apply to all of the time
+        in which the gaps were measured.
+        """
+        if not self.current() or not self.reported:
+            return 0.0
+        if not self.reported.covers(self.clock.monotonic() - WINDOW):
+            return 0.0
+        while len(self.unexplained_gaps) > len(self.gaps):
+            self.unexplained_gaps.popleft()
+        return statistics.median_high(self.unexplained_gaps)
+
+    def slowdown(self) -> float:
+        """Return the mean reported slowdown of the last `WINDOW`; 0 if unknown."""
+        since = self.clock.monotonic() - WINDOW
+        if not self.reported or not self.reported.covers(since):
+            return 0.0
+        return self.reported.mean(since)
+
     def reset(self) -> None:
         """Discard all measurements, once another engine has replaced this one."""
         super().reset()
+        self.unexplained_gaps.clear()
+        if self.reported:
+            self.reported.reset()
         self.samples.clear()
         self.measured = False
         self.best_streams = 0.0
--- a/tests/pace_builders.py
+++ b/tests/pace_builders.py
@@ -12,6 +12,7 @@
     PeerPace,
 )
 from gypsumshift.jobs.pace import is_slow
+from gypsumshift.jobs.reportedslowdown import ReportedSlowdown
 from gypsumshift.jobs.usualpace import LastingPace
 from tests.builders import ManualClock
 
@@ -74,9 +75,19 @@
     slowdown, batch : callable
         Slowdown by neighbours, and number of streams, by seconds since the start.
     fault : Fault
+    report : callable or None
+        Slowdown that the host reports at each check, by seconds since the start.
     """
 
-    def __init__(self, rest, chance, slowdown=quiet, batch=full_batch, fault=NO_FAULT):
+    def __init__(
+        self,
+        rest,
+        chance,
+        slowdown=quiet,
+        batch=full_batch,
+        fault=NO_FAULT,
+        report=None,
+    ):
         self.rest = rest
         self.chance = chance
         self.slowdown = slowdown
@@ -84,7 +95,9 @@
         self.fault = fault
         self.clock = ManualClock()
         self.begin = self.clock.seconds
-        self.pace = LastingPace(self.clock)
+        self.report = report
+        self.reported = ReportedSlowdown(self.clock, None, None)
+        self.pace = LastingPace(self.clock, self.reported)
         self.tracker = EngineStateTracker(self.clock)
         self.next_events = [chance.random() * rest for _ in range(SLOTS)]
         self.pending = []
@@ -119,6 +132,8 @@
             self.clock.seconds = self.begin + at
             self.pace.record_gap(gap)
         self.clock.seconds = self.begin + seconds
+        if self.report:
+            self.reported.note_slowdown(self.report(seconds))
 
     def peer_pace(self):
         """Return what the agent's heartbeat says."""
@@ -139,6 +154,7 @@
                 self.pace.batch_factor(SLOTS),
                 engines=engines,
                 peers=tuple(peers),
+                unexplained=self.pace.unexplained(),
             )
         )
         if verdict.release:
