--- a/gypsumshift/jobs/records.py
+++ b/gypsumshift/jobs/records.py
@@ -297,6 +297,11 @@
         Number of further items that the engine could take now.
     home : str
         Model that the engine is configured to serve; empty for none or several.
+    state : str
+        Value of the engine's `EngineState`; empty if unknown.
+    slowdown : float
+        Mean slowdown that the engine's host reported during the last seconds; 0 if
+        unknown.
     """
 
     session: str
@@ -307,6 +312,8 @@
     born: int = 0
     places: int = 0
     home: str = ""
+    state: str = ""
+    slowdown: float = 0.0
 
     @property
     def server_start(self) -> ServerStart:
