Add the memory budget for buffered bytes as a decision without network

Cause: a process buffers request bodies, answers and streams without any limit, and is killed above the memory that its host grants. Change: ByteBudget reserves bytes by kind. Answers, streams and batch jobs have guaranteed shares, and a further share is left to small requests. Jobs count ten times their body: 100 items of 208 kB took 1.8 MB (tracemalloc) while they were decoded and written. Nothing uses the budget yet.

--- /dev/null
+++ b/gypsumshift/bytebudget.py
@@ -0,0 +1,272 @@
+"""Memory budget: how many bytes a process may buffer for callers and servers.
+
+A reservation either fits, is refused, or waits. Some kinds of data have a guaranteed
+share that the others cannot take. Requests hold bytes until their answers arrive, and
+trainers' batch jobs are larger than callers' requests: without the shares, answers and
+jobs could stay without memory while callers' bodies hold all of it. A further share is
+only for small requests. The module uses no network, and the clock is injected.
+"""
+
+import asyncio
+import enum
+import math
+import random
+
+from gypsumshift import logs
+from gypsumshift.clock import Clock
+from gypsumshift.metrics import Metrics
+
+__all__ = ["ByteBudget", "ByteKind", "Holding", "budget_bytes"]
+
+MIB = 1024 * 1024
+# Memory of an idle gateway: 37 MiB after the imports, and its copies of the tables.
+IDLE_MEMORY_BYTES = 56 * MIB
+# Memory that a buffered byte takes: bodies are copied when they are joined and when
+# they are written to a socket.
+COPIES_PER_BYTE = 2
+# Smallest budget: two batch jobs and some hundred small requests.
+MIN_BUDGET_BYTES = 8 * MIB
+# A request or an answer up to this size is small. It covers the usual calls and keeps
+# them going while large bodies take the rest.
+SMALL_BYTES = 8 * 1024
+SMALL_SHARE = 1 / 12
+# A refused caller waits a third of its time limit of 1.5 s at most. The range keeps
+# retries from arriving together.
+RETRY_AFTER_RANGE_S = (0.2, 0.4)
+# Share of the bytes held when the budget was exceeded at or below which it counts as
+# free again, so that it is not reported for each request.
+FREE_SHARE = 0.5
+# At most ten lines per second about refusals.
+REFUSAL_LOG_INTERVAL_S = 0.1
+
+log = logs.logger("bytebudget")
+
+
+class ByteKind(enum.StrEnum):
+    """What buffered bytes are part of."""
+
+    REQUEST = "request"
+    ANSWER = "answer"
+    STREAM = "stream"
+    JOB = "job"
+
+
+# Shares of the budget that the other kinds leave free. The smallest host (160 MB) keeps
+# four batch jobs of 200 kB, 8 MB of answers and 32 streams; requests get half at most.
+GUARANTEED_SHARES = {
+    ByteKind.ANSWER: 1 / 6,
+    ByteKind.STREAM: 1 / 12,
+    ByteKind.JOB: 1 / 6,
+}
+# Bytes held for each byte received. A batch job of 100 items (208 kB) takes 1.8 MB
+# while it is decoded and written to the store.
+HELD_PER_BYTE = {ByteKind.JOB: 10}
+
+
+def budget_bytes(memory_bytes: float) -> float:
+    """Return the budget of a process that is killed above ``memory_bytes``."""
+    free = (memory_bytes - IDLE_MEMORY_BYTES) / COPIES_PER_BYTE
+    return max(MIN_BUDGET_BYTES, free)
+
+
+class ByteBudget:
+    """Budget of the bytes that a process buffers, divided by kind.
+
+    Parameters
+    ----------
+    limit : float
+        Bytes; infinite for no limit.
+    clock : Clock or None
+        For the rate of the log lines; needed only with a limit.
+    chance : random.Random or None
+        For the retry delays; needed only with a limit.
+    metrics : Metrics or None
+
+    Attributes
+    ----------
+    held : dict of ByteKind to float
+        Bytes held now.
+    exceeded_at : float
+        Bytes that were held when the budget was exceeded; 0 while it is not.
+    """
+
+    def __init__(
+        self,
+        limit: float = math.inf,
+        clock: Clock | None = None,
+        chance: random.Random | None = None,
+        metrics: Metrics | None = None,
+    ):
+        self.limit = limit
+        self.clock = clock
+        self.chance = chance
+        self.metrics = metrics
+        self.held = dict.fromkeys(ByteKind, 0)
+        self.total = 0
+        self.exceeded_at = 0.0
+        self.waiters: list[asyncio.Future] = []
+        self.refusals_unlogged = 0
+        self.refusal_logged_at = -math.inf
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether there is a limit."""
+        return self.limit < math.inf
+
+    def hold(self) -> "Holding":
+        """Return a new holding, without any bytes."""
+        return Holding(self)
+
+    def available(self, kind: ByteKind, small: bool) -> float:
+        """Return how many more bytes a reservation of a kind may take now."""
+        if not self.is_limited:
+            return math.inf
+        kept = 0.0 if small else SMALL_SHARE * self.limit
+        for other in GUARANTEED_SHARES:
+            if other is not kind:
+                kept += self.unused_guarantee(other)
+        free = self.limit - self.total
+        return max(free - kept, min(free, self.unused_guarantee(kind)))
+
+    def unused_guarantee(self, kind: ByteKind) -> float:
+        """Return the bytes that are free for a kind whatever the others ask for."""
+        guaranteed = GUARANTEED_SHARES.get(kind, 0.0) * self.limit
+        return max(0.0, guaranteed - self.held[kind])
+
+    def capacity(self, kind: ByteKind) -> float:
+        """Return how many bytes of a kind fit if nothing is held."""
+        others = sum(s for k, s in GUARANTEED_SHARES.items() if k is not kind)
+        return self.limit * (1 - SMALL_SHARE - others) if self.is_limited else math.inf
+
+    def reserve(self, kind: ByteKind, size: float, small: bool = False) -> bool:
+        """Reserve bytes; return False if they do not fit."""
+        if size > self.available(kind, small):
+            self.note_exceeded(kind, size)
+            return False
+        self.add(kind, size)
+        return True
+
+    def add(self, kind: ByteKind, size: float) -> None:
+        """Count bytes that are held already, whether they fit or not."""
+        self.held[kind] += size
+        self.total += size
+
+    def release(self, kind: ByteKind, size: float) -> None:
+        """Release bytes, and wake the reservations that wait."""
+        self.held[kind] -= size
+        self.total -= size
+        if not self.is_limited:
+            return
+        if self.exceeded_at and self.total <= FREE_SHARE * self.exceeded_at:
+            self.exceeded_at = 0.0
+            logs.event(log, "The memory budget is free again.", **self.figures())
+        waiters, self.waiters = self.waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def wait_for_release(self) -> None:
+        """Wait until bytes are released."""
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters.append(waiter)
+        await waiter
+
+    def retry_after(self) -> float:
+        """Return the seconds after which a refused caller may retry."""
+        return round(self.chance.uniform(*RETRY_AFTER_RANGE_S), 3)
+
+    def figures(self) -> dict[str, int]:
+        """Return the limit and the bytes held by kind, for log lines."""
+        held = {f"{kind}_bytes": round(size) for kind, size in self.held.items()}
+        return {"limit_bytes": round(self.limit), **held}
+
+    def gauges(self) -> dict[str, float]:
+        """Return the gauges for the metrics page."""
+        return {f"bytes_held.{kind}": size for kind, size in self.held.items()}
+
+    def note_exceeded(self, kind: ByteKind, size: float) -> None:
+        """Log that the budget is exceeded, once until it is free again.
+
+        A reservation that does not fit into an empty budget says nothing about the
+        bytes held.
+        """
+        if self.exceeded_at or size > self.capacity(kind):
+            return
+        self.exceeded_at = self.total
+        logs.event(
+            log,
+            "The memory budget is exceeded; large bodies are refused or wait.",
+            kind=str(kind),
+            asked_bytes=round(size),
+            **self.figures(),
+        )
+
+    def record_refusal(self, kind: ByteKind, size: float, request: str) -> None:
+        """Count a refused request, and log it unless lines are too frequent."""
+        if self.metrics is not None:
+            self.metrics.count("byte_refusals", kind=str(kind))
+        now = self.clock.monotonic()
+        if now - self.refusal_logged_at < REFUSAL_LOG_INTERVAL_S:
+            self.refusals_unlogged += 1
+            return
+        logs.event(
+            log,
+            "Request refused; its body or answer does not fit into the memory budget.",
+            request=request,
+            kind=str(kind),
+            asked_bytes=round(size),
+            unlogged=self.refusals_unlogged,
+            **self.figures(),
+        )
+        self.refusal_logged_at = now
+        self.refusals_unlogged = 0
+
+
+class Holding:
+    """Bytes that one request holds in a budget.
+
+    Parameters
+    ----------
+    budget : ByteBudget
+
+    Attributes
+    ----------
+    sizes : dict of ByteKind to float
+        Bytes held, by kind.
+    """
+
+    def __init__(self, budget: ByteBudget):
+        self.budget = budget
+        self.sizes: dict[ByteKind, float] = {}
+
+    def add(self, kind: ByteKind, received: int) -> bool:
+        """Reserve the memory for received bytes; return False if it does not fit."""
+        size = received * HELD_PER_BYTE.get(kind, 1)
+        held = self.sizes.get(kind, 0)
+        if not self.budget.reserve(kind, size, held + size <= SMALL_BYTES):
+            return False
+        self.sizes[kind] = held + size
+        return True
+
+    async def add_when_free(self, kind: ByteKind, received: int) -> bool:
+        """Reserve memory as soon as it fits; return False if it never can."""
+        while not self.add(kind, received):
+            if received * HELD_PER_BYTE.get(kind, 1) > self.budget.capacity(kind):
+                return False
+            await self.budget.wait_for_release()
+        return True
+
+    def keep(self, kind: ByteKind, size: float) -> None:
+        """Release all but ``size`` bytes of a kind, or count those beyond the held."""
+        change = size - self.sizes.get(kind, 0)
+        if change > 0:
+            self.budget.add(kind, change)
+        elif change < 0:
+            self.budget.release(kind, -change)
+        self.sizes[kind] = size
+
+    def release(self) -> None:
+        """Release all bytes."""
+        for kind, size in self.sizes.items():
+            self.budget.release(kind, size)
+        self.sizes.clear()
