Reserve request bodies in the memory budget of the host

Cause: any number of request bodies could be buffered at once, up to the size limit of each, so that a process could be killed with all its callers. The rest of a refused body is discarded for up to 1 s: closing with unread data resets the connection, and the caller may lose the response. The adapter reads limits.memory_mb and tells batch jobs by their route. Without the setting, or with GYPSUMSHIFT_WITHOUT=byte_budget, nothing changes.

--- a/gypsumshift/httpserver.py
+++ b/gypsumshift/httpserver.py
@@ -1,6 +1,7 @@
 """HTTP server: HTTP/1.1 for callers, trainers and operators, based on h11."""
 
 import asyncio
+import contextlib
 import json
 import urllib.parse
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -9,9 +10,12 @@
 import h11
 
 from gypsumshift import logs
+from gypsumshift.bytebudget import ByteBudget, ByteKind, Holding
 from gypsumshift.listeners import close_listener
 
 __all__ = [
+    "BodyClassifier",
+    "Handler",
     "HttpServer",
     "Request",
     "Response",
@@ -27,6 +31,10 @@
 READ_TIMEOUT_S = 15.0
 IDLE_TIMEOUT_S = 75.0
 MAX_CONNECTIONS = 20_000
+# Longest time for which a refused body is discarded. A connection that is closed with
+# unread data is reset, and the caller may lose the response; a caller that sent 1 MB
+# over 30 Mbit/s needs 0.3 s.
+DISCARD_TIMEOUT_S = 1.0
 
 log = logs.logger("http")
 
@@ -49,6 +57,8 @@
     headers : list of (str, str)
         Names in lower case.
     body : bytes
+    holding : Holding
+        Bytes that the request holds in the memory budget until its response is sent.
     """
 
     method: str
@@ -56,6 +66,7 @@
     query: str = ""
     headers: list[tuple[str, str]] = attrs.field(factory=list)
     body: bytes = b""
+    holding: Holding = attrs.field(factory=ByteBudget().hold, eq=False, repr=False)
 
     @property
     def target(self) -> str:
@@ -94,6 +105,8 @@
 
 
 Handler = Callable[[Request], Awaitable[Response]]
+# Returns what the body of a request is part of, given the request without its body.
+BodyClassifier = Callable[[Request], ByteKind]
 
 
 def json_response(status: int, value: object) -> Response:
@@ -134,6 +147,10 @@
         Takes a `Request`, returns a `Response`.
     max_body_bytes : int
         Maximum size of a request's body.
+    budget : ByteBudget or None
+        Limits the bytes of requests and responses; None for no limit.
+    classify_body : callable
+        Returns the `ByteKind` of a request's body.
 
     Attributes
     ----------
@@ -142,9 +159,17 @@
         ``connection: close``.
     """
 
-    def __init__(self, handler: Handler, max_body_bytes: int = MAX_BODY_BYTES):
+    def __init__(
+        self,
+        handler: Handler,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        budget: ByteBudget | None = None,
+        classify_body: BodyClassifier = lambda request: ByteKind.REQUEST,
+    ):
         self.handler = handler
         self.max_body_bytes = max_body_bytes
+        self.budget = budget or ByteBudget()
+        self.classify_body = classify_body
         self.draining = False
         self.connections: dict[asyncio.Task, ServerConnection] = {}
         self.listener: asyncio.Server | None = None
@@ -228,8 +253,19 @@
     async def serve_request(self) -> bool:
         """Serve one request; return whether another may follow."""
         self.busy = False
-        request = await self.read_request()
-        if request is None:
+        head = await self.next_event(IDLE_TIMEOUT_S)
+        if not isinstance(head, h11.Request):
+            return False
+        self.busy = True
+        request = parse_head(head, self.server.budget.hold())
+        try:
+            return await self.serve_read_request(request)
+        finally:
+            request.holding.release()
+
+    async def serve_read_request(self, request: Request) -> bool:
+        """Serve a request whose head was read; return whether another may follow."""
+        if not await self.read_body(request):
             return False
         response = await self.run_handler(request)
         if response is None:
@@ -238,28 +274,60 @@
             return False
         return self.state.our_state in (h11.DONE, h11.MUST_CLOSE)
 
-    async def read_request(self) -> Request | None:
-        """Read a complete request; return None if the connection ended instead."""
-        head = await self.next_event(IDLE_TIMEOUT_S)
-        if not isinstance(head, h11.Request):
-            return None
-        self.busy = True
+    async def read_body(self, request: Request) -> bool:
+        """Read the body of a request; return False if it is incomplete or refused.
+
+        Its declared length is reserved in the memory budget at once. A body of unknown
+        length is reserved as it arrives.
+        """
+        declared = declared_length(request)
+        if self.server.budget.is_limited and declared > self.server.max_body_bytes:
+            await self.send_too_large()
+            await self.discard_unread()
+            return False
+        kind = self.server.classify_body(request) if may_have_body(request) else None
+        if declared and not request.holding.add(kind, declared):
+            return await self.refuse_body(request, kind, declared)
         body = bytearray()
         while True:
             event = await self.next_event(READ_TIMEOUT_S)
             if isinstance(event, h11.EndOfMessage):
                 break
             if not isinstance(event, h11.Data):
-                return None
+                return False
             body += event.data
             if len(body) > self.server.max_body_bytes:
-                limit = self.server.max_body_bytes
-                await self.send_error(413, f"the body exceeds {limit} bytes")
-                return None
-        target = head.target.decode("ascii", "replace")
-        path, _, query = target.partition("?")
-        headers = [(k.decode(), v.decode("latin-1")) for k, v in head.headers]
-        return Request(head.method.decode(), path, query, headers, bytes(body))
+                await self.send_too_large()
+                return False
+            if not declared and not request.holding.add(kind, len(event.data)):
+                return await self.refuse_body(request, kind, len(body))
+        request.body = bytes(body)
+        return True
+
+    async def send_too_large(self) -> None:
+        """Answer a request whose body exceeds the maximum size."""
+        limit = self.server.max_body_bytes
+        await self.send_error(413, f"the body exceeds {limit} bytes")
+
+    async def refuse_body(self, request: Request, kind: ByteKind, size: int) -> bool:
+        """Refuse a request whose body does not fit into the memory budget."""
+        budget = self.server.budget
+        budget.record_refusal(kind, size, request.target)
+        request.holding.release()
+        detail = "the body does not fit into this process's memory budget"
+        retry_after = ("retry-after", f"{budget.retry_after():g}")
+        await self.send_error(503, detail, [retry_after])
+        await self.discard_unread()
+        return False
+
+    async def discard_unread(self) -> None:
+        """Discard what the caller still sends, so that it can read the response."""
+        if self.writer.can_write_eof():
+            self.writer.write_eof()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+                while await self.read():
+                    pass
 
     async def next_event(self, timeout: float):
         """Return the next h11 event of the peer, reading as needed."""
@@ -363,15 +431,34 @@
         await self.writer.drain()
         return True
 
-    async def send_error(self, status: int, detail: str) -> None:
+    async def send_error(self, status: int, detail: str, extra_headers=()) -> None:
         """Answer a request that cannot be read with an error, and close."""
         if self.state.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         response = problem_response(status, "not run", detail)
-        headers = [*response.headers, ("connection", "close")]
+        headers = [*response.headers, *extra_headers, ("connection", "close")]
         headers.append(("content-length", str(len(response.body))))
         head = h11.Response(status_code=status, headers=headers)
         self.writer.write(self.state.send(head))
         self.writer.write(self.state.send(h11.Data(response.body)))
         self.writer.write(self.state.send(h11.EndOfMessage()))
         await self.writer.drain()
+
+
+def parse_head(head: h11.Request, holding: Holding) -> Request:
+    """Return a request, still without its body."""
+    target = head.target.decode("ascii", "replace")
+    path, _, query = target.partition("?")
+    headers = [(k.decode(), v.decode("latin-1")) for k, v in head.headers]
+    return Request(head.method.decode(), path, query, headers, holding=holding)
+
+
+def declared_length(request: Request) -> int:
+    """Return the length of the body that a request declares; 0 if it is unknown."""
+    text = request.header("content-length")
+    return int(text) if text.isdecimal() else 0
+
+
+def may_have_body(request: Request) -> bool:
+    """Return whether a body may follow the head of a request."""
+    return bool(declared_length(request) or request.header("transfer-encoding"))
--- a/gypsumshift/lifecycle.py
+++ b/gypsumshift/lifecycle.py
@@ -11,8 +11,9 @@
 
 from gypsumshift import logs
 from gypsumshift.bootstrap import Bootstrap
+from gypsumshift.bytebudget import ByteBudget, ByteKind
 from gypsumshift.clock import Clock
-from gypsumshift.httpserver import MAX_BODY_BYTES, Handler, HttpServer
+from gypsumshift.httpserver import MAX_BODY_BYTES, BodyClassifier, Handler, HttpServer
 from gypsumshift.neighbours import NeighbourRegistry
 from gypsumshift.serving.directory import Directory
 from gypsumshift.serving.loadbalancer import LoadBalancer
@@ -91,9 +92,11 @@
         address: tuple[str, int],
         handler: Handler,
         open_while_draining: bool = False,
+        budget: ByteBudget | None = None,
+        classify_body: BodyClassifier = lambda request: ByteKind.REQUEST,
     ) -> None:
         """Add a port at which a handler answers requests; see `Port`."""
-        server = HttpServer(handler, self.max_body_bytes)
+        server = HttpServer(handler, self.max_body_bytes, budget, classify_body)
         self.ports.append(Port(address, server, open_while_draining))
 
     async def run(self) -> None:
--- a/gypsumshift/policy.py
+++ b/gypsumshift/policy.py
@@ -60,6 +60,9 @@
     shared_rereads : bool
         Let one process of a zone read a whole table for the others
         (`sharedreads.py`).
+    byte_budget : bool
+        Limit the bytes that a process buffers and those outstanding at a server
+        (`bytebudget.py`).
     """
 
     hedged_writes: bool = True
@@ -74,6 +77,7 @@
     ejection: bool = True
     shared_sight: bool = True
     shared_rereads: bool = True
+    byte_budget: bool = True
 
 
 DEFAULT_POLICY = Policy()
--- /dev/null
+++ b/tests/test_memory_settings.py
@@ -0,0 +1,48 @@
+"""The memory limit of the platform's settings, and the budget made from it."""
+
+import pytest
+
+from tests.platform_cluster import ADAPTER_FOLDER, run_scenario  # noqa: F401
+
+import main  # isort: skip
+import node_settings  # isort: skip
+
+from gypsumshift.bytebudget import MIB, ByteKind
+from gypsumshift.httpserver import Request
+from standins.users_documents import HOST, settings_text
+
+
+def load(tmp_path, **extra):
+    file = tmp_path / "front.conf"
+    fields = {"listen.front": "127.0.0.1:0"} | extra
+    file.write_text(settings_text("front", "127.0.0.1", ("127.0.0.1", 1), **fields))
+    return node_settings.load(file)
+
+
+def test_without_a_memory_limit_there_is_no_budget(tmp_path):
+    settings = load(tmp_path)
+    assert settings.memory == 0
+    assert not main.new_components(settings).budget.is_limited
+
+
+def test_the_budget_leaves_the_memory_of_an_idle_process(tmp_path):
+    settings = load(tmp_path, **{"limits.memory_mb": "200"})
+    assert main.new_components(settings).budget.limit == pytest.approx(72 * MIB)
+
+
+def test_the_budget_can_be_switched_off(tmp_path, monkeypatch):
+    monkeypatch.setenv("GYPSUMSHIFT_WITHOUT", "byte_budget")
+    settings = load(tmp_path, **{"limits.memory_mb": "200"})
+    assert not main.new_components(settings).budget.is_limited
+
+
+def test_batch_jobs_are_told_from_callers_requests_by_their_route(tmp_path):
+    async def scenario(cluster):
+        port = cluster.gateway.ports[0].server
+        headers = [("host", HOST)]
+        job = Request("POST", "/batch/run", "", headers)
+        assert port.classify_body(job) is ByteKind.JOB
+        call = Request("POST", "/score/", "", headers)
+        assert port.classify_body(call) is ByteKind.REQUEST
+
+    run_scenario(scenario, tmp_path)
