Reserve answers that are read completely in the memory budget

Cause: the gateway read whole answers of servers, up to 64 MiB each, in any number at once. Change: Exchange.read reserves the declared length, or the bytes as they arrive, and waits while they do not fit; the server's connection is not read meanwhile. The call holds the bytes until its response was sent. An answer that can never fit ends with an unknown outcome, which is not counted as a failure of the server. The fake exchange of the crash tests reserves its body as the real one does.

--- a/gypsumshift/bytebudget.py
+++ b/gypsumshift/bytebudget.py
@@ -16,7 +16,7 @@
 from gypsumshift.clock import Clock
 from gypsumshift.metrics import Metrics
 
-__all__ = ["ByteBudget", "ByteKind", "Holding", "budget_bytes"]
+__all__ = ["NO_BUDGET", "ByteBudget", "ByteKind", "Holding", "budget_bytes"]
 
 MIB = 1024 * 1024
 # Memory of an idle gateway: 37 MiB after the imports, and its copies of the tables.
@@ -211,7 +211,7 @@
             return
         logs.event(
             log,
-            "Request refused; its body or answer does not fit into the memory budget.",
+            "Body or answer refused; it does not fit into the memory budget.",
             request=request,
             kind=str(kind),
             asked_bytes=round(size),
@@ -256,17 +256,18 @@
             await self.budget.wait_for_release()
         return True
 
-    def keep(self, kind: ByteKind, size: float) -> None:
-        """Release all but ``size`` bytes of a kind, or count those beyond the held."""
-        change = size - self.sizes.get(kind, 0)
-        if change > 0:
-            self.budget.add(kind, change)
-        elif change < 0:
-            self.budget.release(kind, -change)
-        self.sizes[kind] = size
+    def remove(self, kind: ByteKind, size: int) -> None:
+        """Release some of the bytes of a kind."""
+        if size:
+            self.sizes[kind] -= size
+            self.budget.release(kind, size)
 
     def release(self) -> None:
         """Release all bytes."""
         for kind, size in self.sizes.items():
             self.budget.release(kind, size)
         self.sizes.clear()
+
+
+# Budget without a limit, for processes and requests that have none.
+NO_BUDGET = ByteBudget()
--- a/gypsumshift/httpclient.py
+++ b/gypsumshift/httpclient.py
@@ -12,13 +12,21 @@
 import h11
 
 from gypsumshift.httpconnection import (
+    AnswerTooLarge,
     ClientConnection,
     Exchange,
     FetchError,
     RequestWithheld,
 )
 
-__all__ = ["Exchange", "FetchError", "FetchedResponse", "Fetcher", "RequestWithheld"]
+__all__ = [
+    "AnswerTooLarge",
+    "Exchange",
+    "FetchError",
+    "FetchedResponse",
+    "Fetcher",
+    "RequestWithheld",
+]
 
 MAX_IDLE_PER_ADDRESS = 64
 CONNECT_TIMEOUT_S = 2.0
@@ -173,6 +181,7 @@
             raise RequestWithheld
         exchange = Exchange(self, address, connection)
         exchange.reused = reused
+        exchange.has_body = method != "HEAD"
         connection.repeatable = not fresh
         self.in_use.setdefault(address, set()).add(connection)
         fields = [("host", host or f"{address[0]}:{address[1]}"), *headers]
--- a/gypsumshift/httpconnection.py
+++ b/gypsumshift/httpconnection.py
@@ -5,7 +5,15 @@
 
 import h11
 
-__all__ = ["Exchange", "FetchError", "ClientConnection", "RequestWithheld"]
+from gypsumshift.bytebudget import NO_BUDGET, ByteKind, Holding
+
+__all__ = [
+    "AnswerTooLarge",
+    "ClientConnection",
+    "Exchange",
+    "FetchError",
+    "RequestWithheld",
+]
 
 READ_SIZE_BYTES = 64 * 1024
 # Value of SO_LINGER (on, 0 s): closing the socket discards unsent data and resets the
@@ -55,6 +63,20 @@
         super().__init__("request not sent, it is no longer allowed", False)
 
 
+class AnswerTooLarge(FetchError):
+    """Raised if a response never fits into the memory budget of this process.
+
+    Parameters
+    ----------
+    size : int
+        Bytes that did not fit.
+    """
+
+    def __init__(self, size: int):
+        super().__init__("the response exceeds this process's memory budget", True)
+        self.size = size
+
+
 class ClientConnection:
     """One connection of the client with its HTTP state.
 
@@ -116,6 +138,8 @@
         Whether the body was read up to its end.
     reused : bool
         Whether the connection had served an exchange before.
+    has_body : bool
+        Whether the response may have a body; False for the method HEAD.
     """
 
     def __init__(self, fetcher, address, connection):
@@ -126,6 +150,7 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.complete = False
         self.reused = False
+        self.has_body = True
 
     def header(self, name: bytes) -> str:
         """Return a header field of the response by its lower-case name, or ``""``."""
@@ -172,15 +197,45 @@
                 raise FetchError(reason, True, closed=True)
             yield bytes(event.data)
 
-    async def read(self) -> bytes:
-        """Return the complete body."""
+    async def read(self, holding: Holding | None = None) -> bytes:
+        """Return the complete body; its bytes are then held in the memory budget.
+
+        Reading waits while the body does not fit, and the server with it. A declared
+        length is reserved before, so that bodies read in part do not wait for each
+        other.
+        """
+        holding = holding or NO_BUDGET.hold()
         parts = bytearray()
-        async for data in self.chunks():
-            parts += data
-            if len(parts) > MAX_BODY_BYTES:
-                raise FetchError(f"response body exceeds {MAX_BODY_BYTES} bytes", True)
+        reserved = 0
+        try:
+            reserved += await reserve(holding, self.declared_length())
+            async for data in self.chunks():
+                parts += data
+                if len(parts) > MAX_BODY_BYTES:
+                    raise FetchError(
+                        f"response body exceeds {MAX_BODY_BYTES} bytes", True
+                    )
+                reserved += await reserve(holding, len(parts) - reserved)
+        except BaseException:
+            holding.remove(ByteKind.ANSWER, reserved)
+            raise
+        holding.remove(ByteKind.ANSWER, reserved - len(parts))
         return bytes(parts)
 
+    def declared_length(self) -> int:
+        """Return the length of the body that the response declares; 0 if unknown."""
+        text = self.header(b"content-length")
+        return int(text) if self.has_body and text.isdecimal() else 0
+
     def close(self) -> None:
         """Return the connection to the client for reuse if it can be reused."""
         self.fetcher.release(self)
+
+
+async def reserve(holding: Holding, size: int) -> int:
+    """Reserve bytes of a response, waiting until they fit; return their number."""
+    if size <= 0:
+        return 0
+    if not await holding.add_when_free(ByteKind.ANSWER, size):
+        raise AnswerTooLarge(size)
+    return size
--- a/gypsumshift/httpserver.py
+++ b/gypsumshift/httpserver.py
@@ -10,7 +10,7 @@
 import h11
 
 from gypsumshift import logs
-from gypsumshift.bytebudget import ByteBudget, ByteKind, Holding
+from gypsumshift.bytebudget import NO_BUDGET, ByteBudget, ByteKind, Holding
 from gypsumshift.listeners import close_listener
 
 __all__ = [
@@ -66,7 +66,7 @@
     query: str = ""
     headers: list[tuple[str, str]] = attrs.field(factory=list)
     body: bytes = b""
-    holding: Holding = attrs.field(factory=ByteBudget().hold, eq=False, repr=False)
+    holding: Holding = attrs.field(factory=NO_BUDGET.hold, eq=False, repr=False)
 
     @property
     def target(self) -> str:
@@ -147,8 +147,8 @@
         Takes a `Request`, returns a `Response`.
     max_body_bytes : int
         Maximum size of a request's body.
-    budget : ByteBudget or None
-        Limits the bytes of requests and responses; None for no limit.
+    budget : ByteBudget
+        Limits the bytes of requests and responses.
     classify_body : callable
         Returns the `ByteKind` of a request's body.
 
@@ -163,12 +163,12 @@
         self,
         handler: Handler,
         max_body_bytes: int = MAX_BODY_BYTES,
-        budget: ByteBudget | None = None,
+        budget: ByteBudget = NO_BUDGET,
         classify_body: BodyClassifier = lambda request: ByteKind.REQUEST,
     ):
         self.handler = handler
         self.max_body_bytes = max_body_bytes
-        self.budget = budget or ByteBudget()
+        self.budget = budget
         self.classify_body = classify_body
         self.draining = False
         self.connections: dict[asyncio.Task, ServerConnection] = {}
--- a/gypsumshift/lifecycle.py
+++ b/gypsumshift/lifecycle.py
@@ -11,7 +11,7 @@
 
 from gypsumshift import logs
 from gypsumshift.bootstrap import Bootstrap
-from gypsumshift.bytebudget import ByteBudget, ByteKind
+from gypsumshift.bytebudget import NO_BUDGET, ByteBudget, ByteKind
 from gypsumshift.clock import Clock
 from gypsumshift.httpserver import MAX_BODY_BYTES, BodyClassifier, Handler, HttpServer
 from gypsumshift.neighbours import NeighbourRegistry
@@ -92,7 +92,7 @@
         address: tuple[str, int],
         handler: Handler,
         open_while_draining: bool = False,
-        budget: ByteBudget | None = None,
+        budget: ByteBudget = NO_BUDGET,
         classify_body: BodyClassifier = lambda request: ByteKind.REQUEST,
     ) -> None:
         """Add a port at which a handler answers requests; see `Port`."""
--- a/gypsumshift/serving/calls.py
+++ b/gypsumshift/serving/calls.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from gypsumshift.bytebudget import NO_BUDGET, Holding
 from gypsumshift.outcomes import Answered
 from gypsumshift.serving.authorization import KEYLESS_GRANT, Grant
 from gypsumshift.serving.fingerprints import fingerprint
@@ -36,6 +37,8 @@
         Permission to run the request, with the workspace.
     usage_counted : bool
         Whether the request is already counted as one that a server began to run.
+    holding : Holding
+        Bytes that the request and its answer hold in the memory budget.
     """
 
     id: str
@@ -49,6 +52,7 @@
     failed_before: bool = False
     grant: Grant = KEYLESS_GRANT
     usage_counted: bool = False
+    holding: Holding = attrs.field(factory=NO_BUDGET.hold, eq=False, repr=False)
 
     @functools.cached_property
     def fingerprint(self) -> str:
@@ -89,11 +93,14 @@
     gone : bool
         Whether the server is gone: it is not listed any more, or nothing listens at its
         address.
+    local : bool
+        Whether the cause lies in this process and not in the server.
     """
 
     reason: str
     sent: bool
     gone: bool = False
+    local: bool = False
 
     @property
     def ended(self) -> bool:
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -4,9 +4,16 @@
 import contextlib
 
 from gypsumshift import logs
+from gypsumshift.bytebudget import ByteKind
 from gypsumshift.clock import Clock
 from gypsumshift.eventstream import StreamBroken
-from gypsumshift.httpclient import Exchange, Fetcher, FetchError, RequestWithheld
+from gypsumshift.httpclient import (
+    AnswerTooLarge,
+    Exchange,
+    Fetcher,
+    FetchError,
+    RequestWithheld,
+)
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered
 from gypsumshift.serving.authorization import KEY_NOT_CONFIRMED
@@ -103,6 +110,8 @@
             self.balancer.record_replaced(server)
         elif isinstance(outcome, Answered) and call.failed_before:
             return
+        elif isinstance(outcome, Failed) and outcome.local:
+            return
         elif not isinstance(outcome, Refused):
             gone = isinstance(outcome, Failed) and outcome.gone
             call.failed_before = call.failed_before or isinstance(outcome, Answered)
@@ -130,6 +139,9 @@
             return await self.exchange_once(call, server, fresh)
         except RequestWithheld:
             return Refused(KEY_NOT_CONFIRMED)
+        except AnswerTooLarge as error:
+            call.holding.budget.record_refusal(ByteKind.ANSWER, error.size, call.id)
+            return Failed(str(error), True, local=True)
         except FetchError as error:
             first = error
         if not first.reused:
@@ -166,8 +178,11 @@
                     f"answer belongs to request {other_id}, not to {call.id}", True
                 )
             self.record_load(server, exchange)
-            body = await exchange.read()
-            return self.classify(exchange, body)
+            body = await exchange.read(call.holding)
+            outcome = self.classify(exchange, body)
+            if not isinstance(outcome, Answered):
+                call.holding.remove(ByteKind.ANSWER, len(body))
+            return outcome
 
     async def open(
         self, call: Call, server: BackendServer, fields: list, fresh: bool
--- a/tests/crash_fakes.py
+++ b/tests/crash_fakes.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from gypsumshift.bytebudget import ByteKind
 from gypsumshift.httpclient import FetchError
 from gypsumshift.httpserver import Request
 from gypsumshift.memory import MemoryTables
@@ -144,7 +145,8 @@
     def header(self, name):
         return next((v.decode() for k, v in self.headers if k == name), "")
 
-    async def read(self):
+    async def read(self, holding):
+        holding.add(ByteKind.ANSWER, len(self.body))
         return self.body
 
     async def chunks(self):
