--- a/gypsumshift/serving/crashguard.py
+++ b/gypsumshift/serving/crashguard.py
@@ -181,13 +181,18 @@
         self.run_ended = asyncio.Event()
 
     def starts_in_flight(self, fingerprint: str) -> set[ServerStart]:
-        """Return the servers at which a request is in flight from this process."""
-        return {
+        """Return the servers that a request in flight from this process may crash.
+
+        A server whose crash is recorded cannot crash again. A run there may not have
+        noticed the crash, and the others would wait for it until their deadline.
+        """
+        starts = {
             start
             for permit in self.active_permits
             if permit.fingerprint == fingerprint
             for start in permit.running
         }
+        return starts - {crash.start for crash in self.quarantine.crashes(fingerprint)}
 
     def may_send(
         self, permit: Permit, ran: bool, start: ServerStart | None = None
--- a/tests/test_fatal_parallel.py
+++ b/tests/test_fatal_parallel.py
@@ -163,6 +163,24 @@
     asyncio.run(scenario())
 
 
+def test_a_run_at_a_server_that_has_crashed_does_not_block_the_others():
+    """A run that had not noticed the crash kept a sample waiting to its deadline."""
+
+    async def scenario():
+        guard, crashed = make_guard(), ServerStart("b", 1)
+        first, second = await guard.admit("f", "r"), await guard.admit("f", "r2")
+        guard.begin_run(first, crashed)
+        guard.begin_run(second, crashed)
+        guard.record_crash(first, ServerStart("a", 1))
+        guard.record_crash(first, crashed)
+        guard.end_run(first, crashed)
+        assert guard.may_send(first, ran=True)
+        guard.begin_run(first, ServerStart("c", 1))
+        assert not guard.may_send(second, ran=True)
+
+    asyncio.run(scenario())
+
+
 def test_a_run_whose_permit_was_dropped_no_longer_counts():
     """A stream that its caller never begins to read would block the others forever."""
 
