Report tokens per event of completed items in heartbeats

Cause: lengths of items are estimated in tokens, while the pace of an engine is measured in events, of which each holds some 50 tokens.

Heartbeats of older versions lack the field, which then means unknown.

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -160,6 +160,7 @@
             clock,
             self.free_slots,
             store_writes,
+            self.runner.event_size,
         )
         self.unit_migrator = UnitMigrator(
             self.heartbeat_writer, self.weights, self.tracker, self.runner, clock
--- a/gypsumshift/jobs/heartbeatwriter.py
+++ b/gypsumshift/jobs/heartbeatwriter.py
@@ -12,6 +12,7 @@
 from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.jobs.claimtracker import ClaimTracker
+from gypsumshift.jobs.eventsize import EventSize
 from gypsumshift.jobs.localengine import LocalEngine
 from gypsumshift.jobs.pace import Pace
 from gypsumshift.jobs.records import AGENTS, Heartbeat, to_row
@@ -59,6 +60,7 @@
         Returns the number of items that the engine could take now.
     store_writes : float
         Writes a second that the store takes from all processes.
+    event_size : EventSize or None
 
     Attributes
     ----------
@@ -80,6 +82,7 @@
         clock: Clock,
         free_slots: Callable[[], int],
         store_writes: float = STORE_WRITES,
+        event_size: EventSize | None = None,
     ):
         self.session = session
         self.local_engine = local_engine
@@ -90,6 +93,7 @@
         self.clock = clock
         self.free_slots = free_slots
         self.store_writes = store_writes
+        self.event_size = event_size or EventSize()
         self.last_heartbeat = Heartbeat("")
         self.version = ABSENT
 
@@ -186,6 +190,7 @@
             born=start.born,
             places=self.free_slots(),
             home=self.weights.assigned_model() or known.home,
+            event_tokens=round(self.event_size.tokens_per_event(), 3),
         )
 
     def usual_pace(self) -> float:
--- a/gypsumshift/jobs/records.py
+++ b/gypsumshift/jobs/records.py
@@ -297,6 +297,9 @@
         Number of further items that the engine could take now.
     home : str
         Model that the engine is configured to serve; empty for none or several.
+    event_tokens : float
+        Average number of estimated tokens per event of its completed items; 0 if
+        unknown.
     """
 
     session: str
@@ -307,6 +310,7 @@
     born: int = 0
     places: int = 0
     home: str = ""
+    event_tokens: float = 0.0
 
     @property
     def server_start(self) -> ServerStart:
--- a/gypsumshift/jobs/unitrunner.py
+++ b/gypsumshift/jobs/unitrunner.py
@@ -9,6 +9,7 @@
 from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.jobs.claimtracker import Candidate, ClaimTracker
+from gypsumshift.jobs.eventsize import EventSize
 from gypsumshift.jobs.itemrun import RETRY_PAUSE, ItemRun
 from gypsumshift.jobs.itemrunner import ItemRunner
 from gypsumshift.jobs.localengine import LocalEngine
@@ -88,6 +89,7 @@
         self.metrics = metrics
         self.on_capacity_change = on_capacity_change
         self.pace = Pace(clock)
+        self.event_size = EventSize()
         self.result_writer = ResultWriter(store, clock)
         self.partials = PartialStore(store, own_claim.session, clock)
         self.units: dict[tuple[str, str], UnitRun] = {}
@@ -254,6 +256,7 @@
         result = await self.item_runner.generate(run)
         generated_at = self.clock.monotonic()
         if result is None:
+            self.event_size.record_item(run.item.hint, len(run.events))
             result = await self.item_runner.score(run)
         now = self.clock.monotonic()
         logs.event(
