Divide engines between workspaces while steps need more than there is

Cause: engines were divided between models by the sizes of the newest steps, so a workspace with two trainers got twice as many as one with a single trainer. Units were claimed in the order of the steps' arrival, so where the engines did not suffice, they worked on steps that were late in any case.

Change: while the open steps need more than 1.1 times what the engines can do, steps are admitted as a whole, the workspace that was served least first. The engines are assigned to the models of admitted steps, and their units are claimed first; steps that cannot be in time come last. The switch is workspace_shares. With room for all, or without workspaces, assignments and completions are the same as without it.

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -26,6 +26,7 @@
     JOBS,
     Claim,
 )
+from gypsumshift.jobs.stepneeds import EngineDivider
 from gypsumshift.jobs.unitmigrator import UnitMigrator
 from gypsumshift.jobs.unitrunner import UnitRunner
 from gypsumshift.jobs.weights import WeightManager
@@ -126,7 +127,12 @@
         self.tracker = ClaimTracker(self.own_claim.session, clock, chance, self.peers)
         self.local_engine = LocalEngine(identity, directory, engine, clock)
         self.weights = WeightManager(
-            self.local_engine, self.tracker, clock, metrics, policy
+            self.local_engine,
+            self.tracker,
+            clock,
+            metrics,
+            policy,
+            EngineDivider(self.tracker, self.local_engine, store.now, clock),
         )
         self.wake_events = [asyncio.Event() for _ in range(CONCURRENT_CLAIMS)]
         self.runner = UnitRunner(
@@ -339,6 +345,7 @@
                 self.free_capacity(limits),
                 self.unit_migrator.faster_free_slots,
                 self.claimer.may_probe,
+                self.weights.division().ranks,
             )
             if candidate is None:
                 return
--- a/gypsumshift/jobs/claimtracker.py
+++ b/gypsumshift/jobs/claimtracker.py
@@ -6,8 +6,9 @@
 double work: two runs of an item do no harm, and its result is stored once.
 """
 
+import functools
 import random
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Mapping
 
 import attrs
 
@@ -35,6 +36,8 @@
 # of its model. The longest items take 7.3 s of the 7.5 s that a step has, and 9.4 to
 # 10.2 s on an engine with slower hardware; a slot becomes free within a second.
 LONG_UNIT_WAIT = 1.0
+# Ranks of the open steps while the engines suffice for all.
+NO_RANKS: Mapping[str, int] = {}
 # Number of next units from which an agent chooses at random. A whole step arrives at
 # all agents at once: if each claimed the very next unit, all but one would lose each
 # claim.
@@ -288,6 +291,7 @@
         capacity: FreeCapacity,
         slower_for: Collection[str] = (),
         may_probe: bool = True,
+        step_ranks: Mapping[str, int] = NO_RANKS,
     ) -> Candidate | None:
         """Return the unit to claim next; None where there is none.
 
@@ -307,10 +311,21 @@
         may_probe : bool
             Whether units of silent agents, which have to be probed first, may be
             chosen.
+        step_ranks : mapping
+            Rank of each open step by job, if the engines do not suffice for all; the
+            lowest comes first. Of equal ranks, the models assigned to the engine come
+            before others, whose share would otherwise grow with their backlog.
         """
         now = self.clock.monotonic()
         found: list[Candidate] = []
-        for open_job in sorted(self.open_jobs.values(), key=lambda j: j.first_seen_at):
+        claim_class = functools.partial(self.claim_class, models, step_ranks)
+        found_class = None
+        for open_job in sorted(
+            self.open_jobs.values(), key=lambda j: (claim_class(j), j.first_seen_at)
+        ):
+            if found and claim_class(open_job) != found_class:
+                break
+            found_class = claim_class(open_job)
             job = open_job.job
             if job.model and versions.get(job.model, 0) < job.oldest_version:
                 continue
@@ -328,6 +343,19 @@
                 return self.chance.choice(silent)
         return self.chance.choice(found) if found else None
 
+    def claim_class(
+        self,
+        models: Collection[str],
+        step_ranks: Mapping[str, int],
+        open_job: OpenJob,
+    ) -> tuple[int, bool]:
+        """Return the class of a job; units of a lower class are claimed first."""
+        if not step_ranks:
+            return (0, False)
+        job = open_job.job
+        lent = bool(job.model) and job.model not in models
+        return (step_ranks.get(job.id, 0), lent)
+
     def candidates(
         self, open_job: OpenJob, capacity: FreeCapacity, slower: bool
     ) -> Iterator[Candidate]:
--- a/gypsumshift/jobs/peers.py
+++ b/gypsumshift/jobs/peers.py
@@ -223,13 +223,17 @@
         state = self.states.get(agent)
         return state.version if state else ABSENT
 
+    def heartbeats(self) -> dict[ServerStart, Heartbeat]:
+        """Return the last heartbeats, by start of the engine."""
+        states = sorted(self.states.values(), key=lambda state: state.seen_at)
+        return {state.heartbeat.server_start: state.heartbeat for state in states}
+
     def engine_views(self) -> dict[ServerStart, EngineView]:
         """Return the engine state in the last heartbeats, by start of the engine."""
-        beats = [
-            state.heartbeat
-            for state in sorted(self.states.values(), key=lambda state: state.seen_at)
-        ]
-        return {b.server_start: EngineView(b.engine, b.home, b.usual) for b in beats}
+        return {
+            start: EngineView(beat.engine, beat.home, beat.usual)
+            for start, beat in self.heartbeats().items()
+        }
 
     def faster_engines(self, usual: float, engines: Collection[str]) -> list[Heartbeat]:
         """Return the recent heartbeats of agents whose engines are faster than one.
--- a/gypsumshift/jobs/placement.py
+++ b/gypsumshift/jobs/placement.py
@@ -16,6 +16,7 @@
 
 import attrs
 
+from gypsumshift.jobs.engineshares import NO_DIVISION, Division
 from gypsumshift.jobs.pace import is_slower
 from gypsumshift.jobs.records import Job
 
@@ -67,8 +68,15 @@
         """Return the estimate of the longest item of each model, in output tokens."""
         return {model: max(kept.values()) for model, kept in self.longest.items()}
 
-    def shares(self, models: tuple[str, ...]) -> dict[str, float]:
-        """Return each model's share of the demand; equal shares until all are known."""
+    def shares(
+        self, models: tuple[str, ...], division: Division = NO_DIVISION
+    ) -> dict[str, float]:
+        """Return each model's share of the demand; equal shares until all are known.
+
+        While the engines are divided between workspaces, that division decides.
+        """
+        if divided := division.shares(models):
+            return divided
         known = {
             model: sum(sizes.values()) / len(sizes)
             for model, sizes in self.sizes.items()
--- /dev/null
+++ b/gypsumshift/jobs/stepneeds.py
@@ -0,0 +1,219 @@
+"""Needs of the open steps and capacity of the engines, as one agent knows them.
+
+Both come from data that all agents have: the open jobs, their claims, and heartbeats.
+"""
+
+import datetime
+import math
+import statistics
+from collections.abc import Callable
+
+import attrs
+
+from gypsumshift import logs
+from gypsumshift.clock import Clock
+from gypsumshift.jobs.claimtracker import ClaimTracker, OpenJob
+from gypsumshift.jobs.engineshares import (
+    BEGUN_SHARE,
+    LOAD_TIME_S,
+    NO_DIVISION,
+    Division,
+    StepNeed,
+    StepRank,
+    divide_engines,
+)
+from gypsumshift.jobs.localengine import LocalEngine
+from gypsumshift.jobs.records import Job
+from gypsumshift.jobs.schedule import spare_groups
+from gypsumshift.jobs.servicerecord import ServiceRecord
+
+__all__ = ["EngineCapacity", "EngineDivider"]
+
+# Time in which a step is to be complete, for routes without an objective: trainers
+# request a step every 4 s and have at most two in progress.
+STEP_TIME_S = 7.5
+# Time between two divisions. It is shorter than an item, so that engines return within
+# an item's length, and as long as the changes of claims take to reach all agents.
+REFRESH_PERIOD_S = 0.5
+# Ratio of need to capacity above which the engines are divided, and below which the
+# division ends. A trainer with two steps in progress, one each 4 s, counts 1.07 times
+# its need in the long run. Between the two ratios the needs change as steps come and
+# end; engines that change their models lose 0.9 s each.
+BEGIN_RATIO = 1.1
+END_RATIO = 0.8
+# Time for which the need must be below the capacity before the division ends: the
+# needs of a trainer differ over the time of a step.
+END_DELAY_S = STEP_TIME_S
+# Share of an item that is still to be generated, on average over running items.
+RUNNING_SHARE = 0.5
+
+log = logs.logger("shares")
+
+
+@attrs.frozen
+class EngineCapacity:
+    """Capacity of the engines of a service.
+
+    Attributes
+    ----------
+    tokens_per_s : float
+        Estimated tokens per second of all engines; 0 if unknown.
+    token_s : float
+        Seconds per token of one item at the fastest engine.
+    """
+
+    tokens_per_s: float = 0.0
+    token_s: float = 0.0
+
+
+class EngineDivider:
+    """Divides the engines between workspaces if the open steps need more than there is.
+
+    Parameters
+    ----------
+    tracker : ClaimTracker
+    local_engine : LocalEngine
+    store_time : callable
+        Returns the store's time, by which steps are dated.
+    clock : Clock
+
+    Attributes
+    ----------
+    division : Division
+        Division that is in force.
+    service : ServiceRecord
+    """
+
+    def __init__(
+        self,
+        tracker: ClaimTracker,
+        local_engine: LocalEngine,
+        store_time: Callable[[], datetime.timedelta],
+        clock: Clock,
+    ):
+        self.tracker = tracker
+        self.local_engine = local_engine
+        self.store_time = store_time
+        self.clock = clock
+        self.division = NO_DIVISION
+        self.divided_at = -math.inf
+        self.exceeded_at = -math.inf
+        self.service = ServiceRecord()
+
+    def current_division(self) -> Division:
+        """Return the division in force, made anew every `REFRESH_PERIOD_S`."""
+        now = self.clock.monotonic()
+        if now - self.divided_at >= REFRESH_PERIOD_S:
+            self.divided_at = now
+            self.division = self.divide()
+        return self.division
+
+    def divide(self) -> Division:
+        """Return the division of the engines by the needs known now."""
+        open_jobs = [
+            open_job
+            for open_job in self.tracker.open_jobs.values()
+            if open_job.job.model
+        ]
+        capacity = self.capacity()
+        if not any(j.job.workspace for j in open_jobs) or not capacity.tokens_per_s:
+            return self.note_division(NO_DIVISION, 0.0, capacity)
+        steps = [self.step_need(open_job, capacity) for open_job in open_jobs]
+        self.service.record(steps, self.division)
+        need = sum(step.usual_rate for step in steps)
+        if not self.is_division_needed(need / capacity.tokens_per_s):
+            return self.note_division(NO_DIVISION, need, capacity)
+        division = divide_engines(
+            steps, capacity.tokens_per_s, self.service.tokens, self.division
+        )
+        return self.note_division(division, need, capacity)
+
+    def is_division_needed(self, ratio: float) -> bool:
+        """Return whether the engines are divided, by the ratio of need to capacity."""
+        now = self.clock.monotonic()
+        if ratio > (END_RATIO if self.division.rates else BEGIN_RATIO):
+            self.exceeded_at = now
+        return now - self.exceeded_at < END_DELAY_S
+
+    def note_division(
+        self, division: Division, need: float, capacity: EngineCapacity
+    ) -> Division:
+        """Log the begin and the end of a division; return the new division."""
+        if bool(division.rates) != bool(self.division.rates):
+            begun = bool(division.rates)
+            logs.event(
+                log,
+                "Open steps need more than the engines can do; the engines are divided "
+                "between workspaces."
+                if begun
+                else "The engines suffice for all open steps; the division ends.",
+                need=round(need, 1),
+                capacity=round(capacity.tokens_per_s, 1),
+                models={m: round(rate, 1) for m, rate in division.rates.items()},
+                late=sum(rank is StepRank.LATE for rank in division.ranks.values()),
+            )
+        return division
+
+    def step_need(self, open_job: OpenJob, capacity: EngineCapacity) -> StepNeed:
+        """Return what an open step still needs."""
+        job = open_job.job
+        spare = spare_groups(list(job.units), job.groups_needed)
+        total = running = waiting = longest = 0.0
+        usual = statistics.median(unit.hint for unit in job.units) if job.units else 0
+        for unit in job.units:
+            if unit.group in spare:
+                continue
+            stored = open_job.claims.get(unit.key)
+            # A unit without an estimate counts as a small one.
+            size = float(max(unit.hint, 1) * len(unit.items))
+            total += size
+            if self.tracker.is_free(stored):
+                waiting += size
+                longest = max(longest, unit.hint)
+            elif not stored.claim.done:
+                running += size
+        step_time = self.step_time_s(job)
+        age = self.store_time().total_seconds() - job.submitted
+        begun = 1 - waiting / total if total else 1.0
+        # The last items take their time, and the first ones may wait for weights.
+        tail = usual * capacity.token_s / 2 + LOAD_TIME_S * (begun < BEGUN_SHARE)
+        return StepNeed(
+            job.id,
+            job.model,
+            job.workspace,
+            job.submitted,
+            waiting + RUNNING_SHARE * running if waiting else 0.0,
+            total,
+            step_time,
+            begun,
+            longest * capacity.token_s,
+            step_time - age - tail,
+            self.service.last_step_of(job.workspace, job.model),
+        )
+
+    def step_time_s(self, job: Job) -> float:
+        """Return the seconds from a step's submission until it is late."""
+        route = self.local_engine.directory.routes.find(job.host, job.path)
+        known = route is not None and route.objective is not None
+        return route.objective.total_seconds() if known else STEP_TIME_S
+
+    def capacity(self) -> EngineCapacity:
+        """Return the capacity of the engines by their agents' last heartbeats.
+
+        An engine whose pace is unknown counts with the median of the others.
+        """
+        limits = self.local_engine.limits
+        heartbeats = self.tracker.peers.heartbeats()
+        found = [heartbeats.get(e.start) for e in self.local_engine.service_engines]
+        sizes = [beat.event_tokens for beat in found if beat and beat.event_tokens]
+        paces = [beat.pace or beat.usual for beat in found if beat]
+        known = [pace for pace in paces if pace]
+        if limits is None or not sizes or not known:
+            return EngineCapacity()
+        size, usual = statistics.median(sizes), statistics.median(known)
+        unknown = len(found) - len(known)
+        events_per_s = sum(1 / pace for pace in known) + unknown / usual
+        return EngineCapacity(
+            limits.slots * events_per_s * size,
+            min(known) / size,
+        )
--- a/gypsumshift/jobs/weights.py
+++ b/gypsumshift/jobs/weights.py
@@ -7,8 +7,10 @@
 from gypsumshift.jobs import placement
 from gypsumshift.jobs.claimtracker import ClaimTracker
 from gypsumshift.jobs.engine import EngineReport, WeightLoadOrder
+from gypsumshift.jobs.engineshares import NO_DIVISION, Division
 from gypsumshift.jobs.localengine import LocalEngine
 from gypsumshift.jobs.records import Job
+from gypsumshift.jobs.stepneeds import EngineDivider
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered
 from gypsumshift.policy import DEFAULT_POLICY, Policy
@@ -41,6 +43,8 @@
     clock : Clock
     metrics : Metrics
     policy : Policy
+    divider : EngineDivider or None
+        Divides the engines between workspaces; None to leave them undivided.
 
     Attributes
     ----------
@@ -66,8 +70,10 @@
         clock: Clock,
         metrics: Metrics,
         policy: Policy = DEFAULT_POLICY,
+        divider: EngineDivider | None = None,
     ):
         self.policy = policy
+        self.divider = divider
         self.local_engine = local_engine
         self.tracker = tracker
         self.clock = clock
@@ -103,11 +109,17 @@
             self.apply_policy(views.get(peer.start, placement.EngineView(peer.id)))
             for peer in self.local_engine.service_engines
         ]
-        shares = self.demand.shares(limits.models)
+        shares = self.demand.shares(limits.models, self.division())
         return self.assignment_cache.assign(
             engines, shares, self.demand.longest_estimates()
         )
 
+    def division(self) -> Division:
+        """Return the division of the engines between workspaces, if one is needed."""
+        if self.divider is None or not self.policy.workspace_shares:
+            return NO_DIVISION
+        return self.divider.current_division()
+
     def apply_policy(self, engine: placement.EngineView) -> placement.EngineView:
         """Return an engine without the properties that the policy ignores."""
         if not self.policy.settled_models:
--- a/gypsumshift/policy.py
+++ b/gypsumshift/policy.py
@@ -60,6 +60,9 @@
     shared_rereads : bool
         Let one process of a zone read a whole table for the others
         (`sharedreads.py`).
+    workspace_shares : bool
+        Divide the engines between workspaces while their steps need more than the
+        engines can do (`jobs/engineshares.py`).
     """
 
     hedged_writes: bool = True
@@ -74,6 +77,7 @@
     ejection: bool = True
     shared_sight: bool = True
     shared_rereads: bool = True
+    workspace_shares: bool = True
 
 
 DEFAULT_POLICY = Policy()
--- a/tests/test_claimtracker.py
+++ b/tests/test_claimtracker.py
@@ -30,6 +30,30 @@
     )
 
 
+def test_admitted_steps_come_first_and_then_the_models_of_the_engine():
+    clock = ManualClock()
+    tracker = make_tracker(clock=clock)
+    for version, (name, model) in enumerate(
+        (("late", MODEL), ("other", "m2"), ("own", MODEL), ("admitted", MODEL)), 1
+    ):
+        value = job(split_into_units(items(1, step=name)), name, model)
+        tracker.apply_job_rows([job_row(value, version)])
+        clock.advance(1.0)
+    ranks = {"late": 2, "other": 1, "own": 1, "admitted": 0}
+
+    def next_job(step_ranks):
+        found = tracker.choose_candidate(
+            [MODEL], {MODEL: 1, "m2": 1}, FreeCapacity(2), step_ranks=step_ranks
+        )
+        return found.job.id if found else None
+
+    order = []
+    while found := next_job(ranks):
+        order.append(found)
+        tracker.close_job(found)
+    assert order == ["admitted", "own", "other", "late"]
+
+
 def test_a_claim_stays_with_its_agent_until_the_heartbeat_timeout():
     tracker, clock, _ = make_tracker_with_job(groups=1)
     tracker.peers.apply_rows([heartbeat_row("other", "s", 1, 2)])
