--- a/tests/test_stepneeds.py
+++ b/tests/test_stepneeds.py
@@ -1,18 +1,22 @@
 """Needs of open steps and capacity of the engines, as the heartbeats show them."""
 
+import asyncio
 import datetime
 
 import attrs
 import pytest
 
 from gypsumshift.jobs import split_into_units
-from gypsumshift.jobs.engineshares import NO_DIVISION
+from gypsumshift.jobs.engineshares import NO_DIVISION, StepRank
+from gypsumshift.jobs.heartbeatwriter import HEARTBEAT_PERIOD
 from gypsumshift.jobs.records import AGENTS, Heartbeat, from_row, to_row
 from gypsumshift.jobs.stepneeds import STEP_TIME_S, EngineCapacity
 from gypsumshift.platforms import Row
 from gypsumshift.serving import RequestKind, Route, RouteTable
-from tests.job_builders import HOST, items, job
+from tests.crash_fakes import LoopTimeTables
+from tests.job_builders import HOST, FakeEngine, JobCluster, items, job
 from tests.shares_world import EVENT_S, SLOTS, TOKENS, SharesWorld, Trainer
+from tests.virtual_time import LoopClock, run_in_virtual_time
 
 ENGINES = 4
 
@@ -90,3 +94,33 @@
     (open_job,) = world.tracker.open_jobs.values()
     open_job.job = value
     assert need_of(world).total_tokens == 3 * 2 * 10
+
+
+def test_agent_claims_units_of_an_admitted_step_before_those_of_a_late_one():
+    """Guards against claims in the order of arrival while steps wait for engines."""
+
+    async def scenario():
+        cluster = JobCluster(store=LoopTimeTables())
+        engine = FakeEngine(length=20)
+        engine.gap = 0.05
+        clock = LoopClock()
+        agent = cluster.agent("a", engine, clock=clock)
+        await cluster.submit("first", groups=4)
+        await cluster.results("first")
+        await asyncio.sleep(2 * HEARTBEAT_PERIOD)
+        for name, groups, age in (("late", 16, 100.0), ("new", 4, 0.0)):
+            units = split_into_units(items(groups, step=name))
+            value = attrs.evolve(
+                job(units, name),
+                workspace="one",
+                submitted=clock.monotonic() - age,
+            )
+            await cluster.job_manager.submit_job(value, units, clock.monotonic() + 5)
+        await cluster.results("new")
+        ranks = agent.weights.division().ranks
+        assert ranks["late"] is StepRank.LATE
+        started = [item.partition("-")[0] for item, _ in engine.started]
+        assert started.count("late") <= 12, "the new step had to wait for the late one"
+        await cluster.close()
+
+    run_in_virtual_time(scenario)
