Divide engines only once the need is clearly above the capacity

Cause: the need counts open steps as a whole, 1.07 times the need in the long run for two steps in progress, and the size of a unit by its longest item. A deployment that is almost full, but in time, could have been divided at a ratio of 1.1.

Change: the division begins at 1.25 and ends at 1.0; rates of 0 in sum are treated like no admitted step.

--- a/gypsumshift/jobs/engineshares.py
+++ b/gypsumshift/jobs/engineshares.py
@@ -245,9 +245,9 @@
     weights: dict[str, float] = {}
     for step in admitted:
         weights[step.model] = weights.get(step.model, 0.0) + step.planned_rate
-    if not weights and previous.rates:
+    if not sum(weights.values()) and previous.rates:
         return previous.rates
-    if not weights:
+    if not sum(weights.values()):
         for step in steps:
             weights[step.model] = weights.get(step.model, 0.0) + step.usual_rate
     total = sum(weights.values())
--- a/gypsumshift/jobs/stepneeds.py
+++ b/gypsumshift/jobs/stepneeds.py
@@ -37,10 +37,11 @@
 REFRESH_PERIOD_S = 0.5
 # Ratio of need to capacity above which the engines are divided, and below which the
 # division ends. A trainer with two steps in progress, one each 4 s, counts 1.07 times
-# its need in the long run. Between the two ratios the needs change as steps come and
-# end; engines that change their models lose 0.9 s each.
-BEGIN_RATIO = 1.1
-END_RATIO = 0.8
+# its need in the long run, and the size of a unit is estimated by its longest item,
+# which is 1.14 times too much where items differ. Between the two ratios the needs
+# change as steps come and end; engines that change their models lose 0.9 s each.
+BEGIN_RATIO = 1.25
+END_RATIO = 1.0
 # Time for which the need must be below the capacity before the division ends: the
 # needs of a trainer differ over the time of a step.
 END_DELAY_S = STEP_TIME_S
--- a/tests/test_engineshares.py
+++ b/tests/test_engineshares.py
@@ -5,9 +5,11 @@
 division, no step of three trainers was in time with engines for half of the demand.
 """
 
+import random
+
 import attrs
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from gypsumshift.jobs.engineshares import (
@@ -189,6 +191,7 @@
 )
 
 
+@example([need("a1", tokens=5e-324)], random.Random(1))
 @given(STEPS, st.randoms())
 def test_division_uses_all_engines_and_does_not_depend_on_the_order(steps, chance):
     division = divide_engines(steps, CAPACITY, {})
