--- a/gypsumshift/jobs/servicerecord.py
+++ b/gypsumshift/jobs/servicerecord.py
@@ -1,7 +1,8 @@
 """Record of how much each workspace and each trainer was served lately.
 
 It is kept by each agent from the claims that all agents see. An agent that has just
-started has an empty record, and may admit other steps than the others for some seconds.
+started has an empty record. Until the difference has decayed, it may at times admit
+other steps than the others do.
 """
 
 import math
