--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -32,6 +32,7 @@
     Claim,
 )
 from gypsumshift.jobs.reportedslowdown import ReportedSlowdown
+from gypsumshift.jobs.stepneeds import EngineDivider
 from gypsumshift.jobs.unitmigrator import UnitMigrator
 from gypsumshift.jobs.unitrunner import UnitRunner
 from gypsumshift.jobs.usualpace import LastingPace
@@ -133,7 +134,12 @@
         self.tracker = ClaimTracker(self.own_claim.session, clock, chance, self.peers)
         self.local_engine = LocalEngine(identity, directory, engine, clock)
         self.weights = WeightManager(
-            self.local_engine, self.tracker, clock, metrics, policy
+            self.local_engine,
+            self.tracker,
+            clock,
+            metrics,
+            policy,
+            EngineDivider(self.tracker, self.local_engine, store.now, clock),
         )
         self.wake_events = [asyncio.Event() for _ in range(CONCURRENT_CLAIMS)]
         reported = ReportedSlowdown(clock, names.parse_load, metrics)
@@ -172,6 +178,7 @@
             self.free_slots,
             store_writes,
             self.engine_state,
+            self.runner.event_size,
         )
         self.unit_migrator = UnitMigrator(
             self.heartbeat_writer, self.weights, self.tracker, self.runner, clock
@@ -404,6 +411,7 @@
                 self.free_capacity(limits),
                 self.unit_migrator.faster_free_slots,
                 self.claimer.may_probe,
+                self.weights.division().ranks,
             )
             if candidate is None:
                 return
--- a/gypsumshift/jobs/heartbeatwriter.py
+++ b/gypsumshift/jobs/heartbeatwriter.py
@@ -12,6 +12,7 @@
 from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.jobs.claimtracker import ClaimTracker
+from gypsumshift.jobs.eventsize import EventSize
 from gypsumshift.jobs.localengine import LocalEngine
 from gypsumshift.jobs.pace import Pace
 from gypsumshift.jobs.records import AGENTS, Heartbeat, to_row
@@ -61,6 +62,7 @@
         Writes a second that the store takes from all processes.
     engine_state : callable
         Returns the value of the engine's `EngineState`; empty if unknown.
+    event_size : EventSize or None
 
     Attributes
     ----------
@@ -83,6 +85,7 @@
         free_slots: Callable[[], int],
         store_writes: float = STORE_WRITES,
         engine_state: Callable[[], str] = lambda: "",
+        event_size: EventSize | None = None,
     ):
         self.session = session
         self.local_engine = local_engine
@@ -94,6 +97,7 @@
         self.free_slots = free_slots
         self.store_writes = store_writes
         self.engine_state = engine_state
+        self.event_size = event_size or EventSize()
         self.last_heartbeat = Heartbeat("")
         self.version = ABSENT
 
@@ -192,6 +196,7 @@
             home=self.weights.assigned_model() or known.home,
             state=self.engine_state(),
             slowdown=round(self.pace.slowdown(), 2),
+            event_tokens=round(self.event_size.tokens_per_event(), 3),
         )
 
     def usual_pace(self) -> float:
--- a/gypsumshift/jobs/records.py
+++ b/gypsumshift/jobs/records.py
@@ -302,6 +302,9 @@
     slowdown : float
         Mean slowdown that the engine's host reported during the last seconds; 0 if
         unknown.
+    event_tokens : float
+        Average number of estimated tokens per event of its completed items; 0 if
+        unknown.
     """
 
     session: str
@@ -314,6 +317,7 @@
     home: str = ""
     state: str = ""
     slowdown: float = 0.0
+    event_tokens: float = 0.0
 
     @property
     def server_start(self) -> ServerStart:
--- a/gypsumshift/policy.py
+++ b/gypsumshift/policy.py
@@ -67,6 +67,9 @@
     byte_budget : bool
         Limit the bytes that a process buffers and those outstanding at a server
         (`bytebudget.py`).
+    workspace_shares : bool
+        Divide the engines between workspaces while their steps need more than the
+        engines can do (`jobs/engineshares.py`).
     """
 
     hedged_writes: bool = True
@@ -83,6 +86,7 @@
     shared_sight: bool = True
     shared_rereads: bool = True
     byte_budget: bool = True
+    workspace_shares: bool = True
 
 
 DEFAULT_POLICY = Policy()
