Choose servers by their reported slowdown, without herds

Cause: the slowdown that servers report did not enter the choice of a server, and every gateway took the one with the least stale load.

Change: where a server of the service reports a slowdown, the expected time is (work ahead / slots + 1) x slowness x slowdown. The measured slowness is relative to the slowdown reported with the answers, so that a wrong report is cancelled. Each choice draws the work ahead from the exponential distribution with the reported mean, and whether the slowdown still holds.

--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -16,6 +16,7 @@
 from gypsumshift.ejection import EjectionPolicy
 from gypsumshift.policy import DEFAULT_POLICY, Policy
 from gypsumshift.serving.directory import BackendServer, ServerStart
+from gypsumshift.serving.expectedload import MAX_SLOWNESS_FACTOR, ExpectedLoad
 from gypsumshift.serving.loadreports import LoadReports, make_report
 from gypsumshift.serving.observations import (
     MAX_AGE_SECONDS,
@@ -37,6 +38,10 @@
 # reduced new connections from 126 to 35 of 180 requests, since idle ones are kept for
 # 4 s.
 NEW_CONNECTION_PENALTY = 0.15
+# Expected times of servers that report a slowdown differ in earnest only if by more
+# than this, in usual service times. Otherwise all processes would choose the server
+# that is better by a trace. Less than the penalties above.
+INSIGNIFICANT_TIME = 0.1
 # A reported load counts half after this time, which is about ten service times.
 LOAD_HALF_LIFE_SECONDS = 0.3
 # Weight of the newest answer in the moving averages, which cover about ten answers.
@@ -50,9 +55,6 @@
 # The ejection time doubles from 1 s to 8 s, which is how long servers have been slow.
 # At least half of the servers stay in use, to carry the load.
 EJECTION = EjectionPolicy(first_pause_s=1.0, max_pause_s=8.0, max_share=0.5)
-# Upper limit of the slowness factor, so that a slow server still gets a request from
-# time to time and is measured again.
-MAX_SLOWNESS_FACTOR = 8.0
 # How long own observations take precedence over those of other processes. An entry host
 # with one request every ten seconds has not yet observed a server that turned slow.
 OWN_FRESH_SECONDS = 1.0
@@ -86,7 +88,8 @@
         Number of requests running and waiting there as last reported, and the time of
         the report in seconds.
     latency : float
-        Moving average of the time to an answer, in seconds; 0 before the first.
+        Moving average of the time to an answer over the reported slowdown, in seconds;
+        0 before the first.
     consecutive_failures : int
     failed_share : float
         Moving average of the share of failed requests, 0 to 1.
@@ -187,7 +190,12 @@
         if not healthy:
             return min(candidates, key=lambda server: self.stats(server).avoided_until)
         usual = self.median_latency(servers)
-        return min(healthy, key=lambda s: (self.cost(s, usual), self.chance.random()))
+        cost = self.reported_cost if self.know_slowdown(servers) else self.cost
+        return min(healthy, key=lambda s: (cost(s, usual), self.chance.random()))
+
+    def know_slowdown(self, servers: list[BackendServer]) -> bool:
+        """Return whether any of the servers recently reported a slowdown."""
+        return any(self.load_reports.get(server.start) for server in servers)
 
     def median_latency(self, servers: list[BackendServer]) -> float:
         """Return the median of the servers' average answer times, in seconds."""
@@ -203,10 +211,42 @@
         )
         busy = max(reported, stats.outstanding)
         slowness = min(max(observed.slowness, 1.0), MAX_SLOWNESS_FACTOR)
-        penalty = 0.0 if server.zone == self.zone else OTHER_ZONE_PENALTY
-        if not self.has_idle_connection(server.address):
-            penalty += NEW_CONNECTION_PENALTY
-        return (1.0 + busy / max(server.slots, 1)) * slowness + penalty
+        time = (1.0 + busy / max(server.slots, 1)) * slowness
+        return time + self.penalty(server, NEW_CONNECTION_PENALTY)
+
+    def penalty(self, server: BackendServer, new_connection: float) -> float:
+        """Return the cost of reaching a server, in usual service times."""
+        zone = 0.0 if server.zone == self.zone else OTHER_ZONE_PENALTY
+        idle = self.has_idle_connection(server.address)
+        return zone + (0.0 if idle else new_connection)
+
+    def reported_cost(self, server: BackendServer, usual: float) -> float:
+        """Return the cost of a server, if servers of the service report a slowdown."""
+        time = self.expected_load(server, usual).draw_time(self.chance)
+        time += self.chance.uniform(0.0, INSIGNIFICANT_TIME)
+        return time + self.penalty(server, NEW_CONNECTION_PENALTY)
+
+    def expected_load(self, server: BackendServer, usual: float) -> ExpectedLoad:
+        """Return the load to expect at a server, by its newest report if there is one.
+
+        The measured slowness is relative to the reported slowdowns, so that a wrong
+        slowdown is cancelled by the answer times.
+        """
+        now = self.clock.monotonic()
+        observed = self.observation(server, usual)
+        report = self.load_reports.get(server.start)
+        if report is None:
+            ahead = decayed_load(observed.busy, now - observed.observed_at)
+        else:
+            ahead = decayed_load(report.busy, now - report.reported_at)
+        return ExpectedLoad(
+            ahead,
+            self.stats(server).outstanding,
+            report.slots if report else server.slots,
+            observed.slowness or 1.0,
+            self.expected_slowdown(server),
+            self.load_reports.average_slowdown(server.start),
+        )
 
     def observation(self, server: BackendServer, usual: float) -> Observation:
         """Return the own observation while it is fresh, else the newest available.
@@ -268,15 +308,14 @@
         stats, now = self.stats(server), self.clock.monotonic()
         if max(stats.avoided_until, stats.lost_until) > now:
             return 0.0
-        slowness = 1.0
         observed = self.observation(server, usual)
         current = now - observed.observed_at < MAX_AGE_SECONDS
+        slowness = self.expected_slowdown(server)
         if current and observed.slowness > CAPACITY_MIN_SLOWNESS:
-            slowness = min(observed.slowness, MAX_SLOWNESS_FACTOR)
+            slowness *= min(observed.slowness, MAX_SLOWNESS_FACTOR)
         report = self.load_reports.get(server.start)
-        if report is None:
-            return server.slots / slowness
-        return report.slots / max(slowness, report.expected_slowdown(now))
+        slots = report.slots if report else server.slots
+        return slots / max(slowness, 1.0)
 
     def record_sent(self, server: BackendServer) -> None:
         """Count a request as sent."""
@@ -297,6 +336,11 @@
         if load.reports_slowdown:
             self.load_reports.merge([make_report(server.start, load, now)])
 
+    def expected_slowdown(self, server: BackendServer) -> float:
+        """Return the slowdown that a server's host is expected to have now."""
+        report = self.load_reports.get(server.start)
+        return report.expected_slowdown(self.clock.monotonic()) if report else 1.0
+
     def record_success(self, server: BackendServer, took: float) -> None:
         """Record a successful answer that took ``took`` seconds."""
         stats = self.stats(server)
@@ -305,6 +349,7 @@
         stats.consecutive_failures = 0
         stats.consecutive_ejections = 0
         stats.failed_share *= 1 - AVERAGE_WEIGHT
+        took /= self.expected_slowdown(server)
         if not stats.latency:
             stats.latency = took
         stats.latency += AVERAGE_WEIGHT * (took - stats.latency)
@@ -313,6 +358,7 @@
         """Record a request that was still unanswered after ``took`` seconds."""
         stats = self.stats(server)
         stats.last_outcome_at = self.clock.monotonic()
+        took /= self.expected_slowdown(server)
         if took > stats.latency:
             stats.latency += AVERAGE_WEIGHT * (took - stats.latency)
 
