Limit reward calls by the measured capacity of servers

Cause: the limit was half of the listed slots, so reward calls kept the slots of callers when servers were slow, ejected or lost.

Change: an agent's limit uses LoadBalancer.usable_slots: the capacity where a server reports a slowdown, is ejected or lost, and the listed slots otherwise. If no server is usable, one slot counts, as 0 means unknown.

--- a/gypsumshift/agentnode.py
+++ b/gypsumshift/agentnode.py
@@ -84,6 +84,8 @@
             liveness,
             store_writes,
         )
+        limiter = self.agent.runner.item_runner.reward_limiter
+        limiter.usable_slots = self.balancer.usable_slots
 
     def background_tasks(self):
         """Return the coroutines of the agent and of the crash guard."""
--- a/gypsumshift/jobs/rewardlimiter.py
+++ b/gypsumshift/jobs/rewardlimiter.py
@@ -2,7 +2,8 @@
 
 An application may serve callers and score samples with the same slots. Whatever the
 number of agents, their reward calls together leave about half of the slots to callers,
-also while the application is slow and each call occupies a slot for longer. With a
+also while the application is slow and each call occupies a slot for longer, or while
+some of its servers are lost. With a
 fixed limit of three calls per agent, 19 agents had 57 calls in flight on 36 slots, and
 callers' requests queued behind them.
 """
@@ -10,12 +11,12 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from gypsumshift.clock import Clock
 from gypsumshift.jobs.prioritysemaphore import PrioritySemaphore
 from gypsumshift.jobs.records import RewardCall
-from gypsumshift.serving.directory import Directory
+from gypsumshift.serving.directory import BackendServer, Directory
 
 __all__ = ["RewardLimiter", "calls_per_agent"]
 
@@ -27,17 +28,20 @@
 DEFAULT_CALLS = 1.0
 # Maximum of calls in flight per agent, however few agents there are.
 MAX_CALLS = 8
+# Least number of slots of an application whose servers are listed, but all ejected or
+# lost at the moment.
+MIN_SLOTS = 1.0
 # Maximum delay between the end of a call and the next one, in seconds: a call that took
 # long for other reasons says nothing about the next.
 MAX_PAUSE = 1.0
 
 
-def calls_per_agent(slots: int, agents: int) -> float:
+def calls_per_agent(slots: float, agents: int) -> float:
     """Return the number of reward calls that one agent may have in flight.
 
     Parameters
     ----------
-    slots : int
+    slots : float
         Requests that all servers of the application run at once; 0 for unknown.
     agents : int
         Number of agents that share the slots.
@@ -52,6 +56,11 @@
     return min(REWARD_SLOT_SHARE * slots / max(agents, 1), MAX_CALLS)
 
 
+def listed_slots(servers: list[BackendServer]) -> float:
+    """Return the sum of the slots that servers are listed with."""
+    return sum(server.slots for server in servers)
+
+
 class RewardLimiter:
     """Limits an agent's reward calls in flight, and starts the lowest ranks first.
 
@@ -63,6 +72,9 @@
 
     Attributes
     ----------
+    usable_slots : callable
+        Returns the slots of given servers that are usable now; by default the listed
+        ones.
     call_limit : float
         Limit in force; see `calls_per_agent`.
     pause_tasks : set of Task
@@ -72,6 +84,7 @@
     def __init__(self, clock: Clock, directory: Directory):
         self.clock = clock
         self.directory = directory
+        self.usable_slots: Callable[[list[BackendServer]], float] = listed_slots
         self.semaphore = PrioritySemaphore(1)
         self.call_limit = DEFAULT_CALLS
         self.pause_tasks: set[asyncio.Task] = set()
@@ -86,7 +99,7 @@
         if route is None:
             return
         servers = self.directory.ready_servers(route.service_for(reward.id))
-        slots = sum(server.slots for server in servers)
+        slots = max(self.usable_slots(servers), MIN_SLOTS) if servers else 0
         self.set_call_limit(calls_per_agent(slots, len(self.directory.ready_engines())))
 
     def set_call_limit(self, call_limit: float) -> None:
--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -303,6 +303,18 @@
         usual = self.median_latency(servers)
         return sum(self.server_capacity(server, usual) for server in servers)
 
+    def usable_slots(self, servers: list[BackendServer]) -> float:
+        """Return the capacity if it may be reduced, else the listed slots.
+
+        It may be reduced if a server reports a slowdown, is ejected or is lost.
+        """
+        now = self.clock.monotonic()
+        avoided = any(self.stats(server).avoided_until > now for server in servers)
+        lost = any(self.stats(server).lost_until > now for server in servers)
+        if avoided or lost or self.know_slowdown(servers):
+            return self.service_capacity(servers)
+        return sum(server.slots for server in servers)
+
     def server_capacity(self, server: BackendServer, usual: float) -> float:
         """Return how many requests one server can run at once, in service times."""
         stats, now = self.stats(server), self.clock.monotonic()
