Take a current slowdown to hold in every choice

Cause: each choice drew whether a reported slowdown still holds, against herds. Since idle connections are preferred by more, requests of different processes no longer change the server together, and the draw only sends some to slow servers.

Change: the draw and the average slowdown that it used are removed.

--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -16,7 +16,7 @@
 from gypsumshift.ejection import EjectionPolicy
 from gypsumshift.policy import DEFAULT_POLICY, Policy
 from gypsumshift.serving.directory import BackendServer, ServerStart
-from gypsumshift.serving.expectedload import MAX_SLOWNESS_FACTOR, ExpectedLoad
+from gypsumshift.serving.expectedload import ExpectedLoad
 from gypsumshift.serving.loadreports import LoadReports, make_report
 from gypsumshift.serving.observations import (
     MAX_AGE_SECONDS,
@@ -61,6 +61,9 @@
 # The ejection time doubles from 1 s to 8 s, which is how long servers have been slow.
 # At least half of the servers stay in use, to carry the load.
 EJECTION = EjectionPolicy(first_pause_s=1.0, max_pause_s=8.0, max_share=0.5)
+# Upper limit of the slowness factor, so that a slow server still gets a request from
+# time to time and is measured again.
+MAX_SLOWNESS_FACTOR = 8.0
 # How long own observations take precedence over those of other processes. An entry host
 # with one request every ten seconds has not yet observed a server that turned slow.
 OWN_FRESH_SECONDS = 1.0
@@ -245,13 +248,12 @@
             ahead = decayed_load(observed.busy, now - observed.observed_at)
         else:
             ahead = decayed_load(report.busy, now - report.reported_at)
+        slowness = (observed.slowness or 1.0) * self.expected_slowdown(server)
         return ExpectedLoad(
             ahead,
             self.stats(server).outstanding,
             report.slots if report else server.slots,
-            observed.slowness or 1.0,
-            self.expected_slowdown(server),
-            self.load_reports.average_slowdown(server.start),
+            min(max(slowness, 1.0), MAX_SLOWNESS_FACTOR),
         )
 
     def observation(self, server: BackendServer, usual: float) -> Observation:
--- a/gypsumshift/serving/loadreports.py
+++ b/gypsumshift/serving/loadreports.py
@@ -30,8 +30,6 @@
 # halves from then on. Interference on a shared host lasts about 0.6 s.
 FULL_WEIGHT_SECONDS = 0.6
 HALF_LIFE_SECONDS = 0.3
-# Weight of the newest report in the average slowdown, which covers about ten reports.
-AVERAGE_WEIGHT = 0.2
 # Maximum number of reports in a digest, the newest first. One has about 40 bytes.
 MAX_DIGEST_SIZE = 16
 # Limits of the values received from servers and from other processes.
@@ -80,14 +78,11 @@
     ----------
     newest : dict
         `LoadReport` by `ServerStart`.
-    averages : dict
-        Moving average of the reported slowdowns by `ServerStart`.
     """
 
     def __init__(self, clock: Clock):
         self.clock = clock
         self.newest: dict[ServerStart, LoadReport] = {}
-        self.averages: dict[ServerStart, float] = {}
 
     def merge(self, reports: Iterable[LoadReport]) -> None:
         """Store reports, except those older than the stored ones."""
@@ -95,13 +90,6 @@
             known = self.newest.get(report.start)
             if known is None or known.reported_at < report.reported_at:
                 self.newest[report.start] = report
-                average = self.average_slowdown(report.start)
-                average += AVERAGE_WEIGHT * (report.slowdown - average)
-                self.averages[report.start] = average
-
-    def average_slowdown(self, start: ServerStart) -> float:
-        """Return the average of the slowdowns that a server start reported."""
-        return self.averages.get(start, 1.0)
 
     def get(self, start: ServerStart) -> LoadReport | None:
         """Return the report of a server start, unless it has expired."""
@@ -118,7 +106,6 @@
         for start in list(self.newest):
             if start not in known or self.get(start) is None:
                 del self.newest[start]
-                del self.averages[start]
 
     def digest(self) -> list[LoadReport]:
         """Return the reports to send, a limited number of the newest."""
--- a/tests/test_server_choice.py
+++ b/tests/test_server_choice.py
@@ -69,7 +69,7 @@
 
 
 def test_own_open_requests_are_known_exactly():
-    load = ExpectedLoad(0.0, 6, 6, 1.0, 1.0, 1.0)
+    load = ExpectedLoad(0.0, 6, 6, 1.0)
     assert load.draw_time(random.Random(1)) == 2.0
 
 
