--- a/tests/test_reward_capacity.py
+++ b/tests/test_reward_capacity.py
@@ -4,12 +4,27 @@
 dead: the limit was half of the listed slots, whatever the servers could serve.
 """
 
+import random
+
 import pytest
 
+from gypsumshift import memory
+from gypsumshift.agentnode import AgentNode
+from gypsumshift.httpclient import Fetcher
+from gypsumshift.jobs.localengine import AgentIdentity
 from gypsumshift.jobs.records import RewardCall
 from gypsumshift.jobs.rewardlimiter import MIN_SLOTS, REWARD_SLOT_SHARE, RewardLimiter
 from gypsumshift.serving import Directory, ServerLoad
-from tests.job_builders import HOST, routes, server
+from tests.builders import ManualClock
+from tests.job_builders import (
+    ADDRESS,
+    HOST,
+    METRICS,
+    NAMES,
+    SERVICE,
+    routes,
+    server,
+)
 from tests.load_builders import make_balancer, make_load, make_servers
 
 AGENTS = 6
@@ -69,3 +84,23 @@
     for lost in listed:
         balancer.record_gone(lost)
     assert limit_for(limiter) == REWARD_SLOT_SHARE * MIN_SLOTS / AGENTS
+
+
+def test_the_limiter_of_an_agent_process_uses_the_capacity_measured_there():
+    directory, listed = Directory(), make_servers(6)
+    node = AgentNode(
+        AgentIdentity("a", SERVICE, ADDRESS),
+        memory.MemoryTables(),
+        directory,
+        [],
+        NAMES,
+        None,
+        "here",
+        ManualClock(),
+        Fetcher(),
+        random.Random(1),
+        METRICS,
+    )
+    node.balancer.record_gone(listed[0])
+    limiter = node.agent.runner.item_runner.reward_limiter
+    assert limiter.usable_slots(listed) == 30
