--- a/gypsumshift/serving/loadreports.py
+++ b/gypsumshift/serving/loadreports.py
@@ -73,6 +73,11 @@
     Parameters
     ----------
     clock : Clock
+
+    Attributes
+    ----------
+    newest : dict
+        `LoadReport` by `ServerStart`.
     """
 
     def __init__(self, clock: Clock):
