Slow down servers instead of buffering for callers that read slowly

Cause: a body was written to the socket buffer of asyncio at once, asyncio received up to 256 kB of a stream at a time, and a caller that never read kept all of it for ever. In HTTP/1.0, an aborted stream looked complete. Change: with a memory budget, connections buffer about 16 kB in each direction, and nothing is read from a server while its caller does not read. A caller without any progress for 10 s is cut off by a reset. A stream holds a window of 128 kB, and is refused with 503 before it is sent if that does not fit. An aborted answer to an HTTP/1.0 caller ends with a reset. What still runs for a request after its end is not counted any more.

--- a/gypsumshift/bytebudget.py
+++ b/gypsumshift/bytebudget.py
@@ -233,14 +233,19 @@
     ----------
     sizes : dict of ByteKind to float
         Bytes held, by kind.
+    ended : bool
+        Whether the request has ended; what still runs for it is not counted any more.
     """
 
     def __init__(self, budget: ByteBudget):
         self.budget = budget
+        self.ended = False
         self.sizes: dict[ByteKind, float] = {}
 
     def add(self, kind: ByteKind, received: int) -> bool:
         """Reserve the memory for received bytes; return False if it does not fit."""
+        if self.ended:
+            return True
         size = received * HELD_PER_BYTE.get(kind, 1)
         held = self.sizes.get(kind, 0)
         if not self.budget.reserve(kind, size, held + size <= SMALL_BYTES):
@@ -258,12 +263,13 @@
 
     def remove(self, kind: ByteKind, size: int) -> None:
         """Release some of the bytes of a kind."""
-        if size:
+        if size and not self.ended:
             self.sizes[kind] -= size
             self.budget.release(kind, size)
 
     def release(self) -> None:
-        """Release all bytes."""
+        """Release all bytes at the end of the request."""
+        self.ended = True
         for kind, size in self.sizes.items():
             self.budget.release(kind, size)
         self.sizes.clear()
--- a/gypsumshift/httpclient.py
+++ b/gypsumshift/httpclient.py
@@ -11,6 +11,7 @@
 import attrs
 import h11
 
+from gypsumshift.flowcontrol import open_limited_connection
 from gypsumshift.httpconnection import (
     AnswerTooLarge,
     ClientConnection,
@@ -62,6 +63,9 @@
         Whether to reset connections when they are closed, which discards unsent data.
         Otherwise data sent into a broken network may arrive long after the request was
         given up.
+    receive_window_bytes : int or None
+        Limit of what a connection buffers before the other side is slowed down; None
+        for the system's usual limits.
 
     Attributes
     ----------
@@ -71,8 +75,11 @@
         Connections with an exchange in progress, by address.
     """
 
-    def __init__(self, reset_on_close: bool = False):
+    def __init__(
+        self, reset_on_close: bool = False, receive_window_bytes: int | None = None
+    ):
         self.reset_on_close = reset_on_close
+        self.receive_window_bytes = receive_window_bytes
         self.idle: dict[tuple[str, int], list[ClientConnection]] = {}
         self.in_use: dict[tuple[str, int], set[ClientConnection]] = {}
 
@@ -82,14 +89,21 @@
         """Open a connection; a `FetchError` means that nothing was sent."""
         try:
             async with asyncio.timeout(timeout):
-                return ClientConnection(
-                    *await asyncio.open_connection(*address), self.reset_on_close
-                )
+                return await self.open_connection(address)
         except (OSError, TimeoutError) as error:
             reason = f"connection to {address[0]}:{address[1]} failed: {error}"
             refused = isinstance(error, ConnectionRefusedError)
             raise FetchError(reason, False, refused=refused) from error
 
+    async def open_connection(self, address: tuple[str, int]) -> ClientConnection:
+        """Open a connection whose buffers have the configured limits."""
+        window = self.receive_window_bytes
+        if window is None:
+            streams = await asyncio.open_connection(*address)
+            return ClientConnection(*streams, self.reset_on_close)
+        streams = await open_limited_connection(address, window)
+        return ClientConnection(*streams, self.reset_on_close, window)
+
     async def is_connection_refused(
         self, address: tuple[str, int], timeout: float
     ) -> bool:
--- a/gypsumshift/httpconnection.py
+++ b/gypsumshift/httpconnection.py
@@ -1,11 +1,9 @@
 """HTTP connections of the client, and exchanges on them, based on h11."""
 
-import socket
-import struct
-
 import h11
 
 from gypsumshift.bytebudget import NO_BUDGET, ByteKind, Holding
+from gypsumshift.flowcontrol import discard_on_close
 
 __all__ = [
     "AnswerTooLarge",
@@ -16,9 +14,6 @@
 ]
 
 READ_SIZE_BYTES = 64 * 1024
-# Value of SO_LINGER (on, 0 s): closing the socket discards unsent data and resets the
-# connection.
-LINGER_RESET = struct.pack("ii", 1, 0)
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
@@ -86,6 +81,8 @@
     writer : asyncio.StreamWriter
     reset_on_close : bool
         Whether closing discards unsent data and resets the connection.
+    read_size : int
+        Maximum number of bytes that are read at once.
 
     Attributes
     ----------
@@ -96,12 +93,18 @@
         Whether the request on it may be repeated.
     """
 
-    def __init__(self, reader, writer, reset_on_close: bool = False):
+    def __init__(
+        self,
+        reader,
+        writer,
+        reset_on_close: bool = False,
+        read_size: int = READ_SIZE_BYTES,
+    ):
+        self.read_size = read_size
         self.reader = reader
         self.writer = writer
         if reset_on_close:
-            sock = writer.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            discard_on_close(writer)
         self.state = h11.Connection(h11.CLIENT)
         self.idle_until = 0.0
         self.repeatable = True
@@ -165,7 +168,7 @@
                 event = self.connection.state.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                data = await self.connection.reader.read(READ_SIZE_BYTES)
+                data = await self.connection.reader.read(self.connection.read_size)
                 self.connection.state.receive_data(data)
         except h11.RemoteProtocolError as error:
             reason = f"invalid response: {error}"
--- a/gypsumshift/httpserver.py
+++ b/gypsumshift/httpserver.py
@@ -11,6 +11,7 @@
 
 from gypsumshift import logs
 from gypsumshift.bytebudget import NO_BUDGET, ByteBudget, ByteKind, Holding
+from gypsumshift.flowcontrol import BUFFER_BYTES, limit_sending, reset_connection
 from gypsumshift.listeners import close_listener
 
 __all__ = [
@@ -31,6 +32,10 @@
 READ_TIMEOUT_S = 15.0
 IDLE_TIMEOUT_S = 75.0
 MAX_CONNECTIONS = 20_000
+# Time without any progress after which a caller that does not read is cut off. Servers
+# cut off a response that stays unread for some seconds; a caller gets longer, so that
+# the gateway never cuts it off earlier than a server would.
+UNREAD_TIMEOUT_S = 10.0
 # Longest time for which a refused body is discarded. A connection that is closed with
 # unread data is reset, and the caller may lose the response; a caller that sent 1 MB
 # over 30 Mbit/s needs 0.3 s.
@@ -39,6 +44,10 @@
 log = logs.logger("http")
 
 
+class CallerStalled(ConnectionError):
+    """Raised if a caller read nothing of its response within the time limit."""
+
+
 class ResponseAborted(Exception):
     """Raised by the iterator of a streamed body that cannot be completed."""
 
@@ -177,8 +186,9 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Listen on an address; return the port (chosen by the system for 0)."""
+        limits = {"limit": BUFFER_BYTES} if self.budget.is_limited else {}
         self.listener = await asyncio.start_server(
-            self.accept, host, port, backlog=4096
+            self.accept, host, port, backlog=4096, **limits
         )
         return self.listener.sockets[0].getsockname()[1]
 
@@ -201,7 +211,7 @@
         except (ConnectionError, TimeoutError, h11.ProtocolError):
             pass
         finally:
-            connection.writer.close()
+            connection.close()
 
     async def stop(self, grace: float) -> None:
         """Stop listening; wait up to ``grace`` seconds for requests in progress."""
@@ -236,6 +246,53 @@
         )
         self.pending_read: asyncio.Task | None = None
         self.busy = False
+        self.max_pipelined_bytes = MAX_PIPELINED_BYTES
+        if server.budget.is_limited:
+            self.limit_buffers()
+
+    def limit_buffers(self) -> None:
+        """Limit what is buffered for the caller and from it."""
+        self.max_pipelined_bytes = BUFFER_BYTES
+        limit_sending(self.writer, BUFFER_BYTES)
+
+    def close(self) -> None:
+        """Close the connection; data that stays unread is discarded after a time."""
+        self.writer.close()
+        transport = self.writer.transport
+        if self.server.budget.is_limited and transport.get_write_buffer_size():
+            loop = asyncio.get_running_loop()
+            loop.call_later(UNREAD_TIMEOUT_S, reset_connection, self.writer)
+
+    async def drain(self) -> None:
+        """Wait until the caller has read enough; raise `CallerStalled` if it does not.
+
+        Without a memory budget there is no time limit.
+        """
+        transport = self.writer.transport
+        unsent = transport.get_write_buffer_size()
+        if not self.server.budget.is_limited or unsent <= BUFFER_BYTES:
+            await self.writer.drain()
+            return
+        while True:
+            try:
+                async with asyncio.timeout(UNREAD_TIMEOUT_S):
+                    await self.writer.drain()
+                return
+            except TimeoutError:
+                if transport.get_write_buffer_size() >= unsent:
+                    self.cut_off(unsent)
+                unsent = transport.get_write_buffer_size()
+
+    def cut_off(self, unsent: int) -> None:
+        """Reset the connection of a stalled caller; raise `CallerStalled`."""
+        reset_connection(self.writer)
+        log.info(
+            "Caller cut off: it read nothing of its response for {} s ({} bytes are "
+            "buffered here).",
+            UNREAD_TIMEOUT_S,
+            unsent,
+        )
+        raise CallerStalled("the caller does not read its response")
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -357,7 +414,7 @@
         buffered = 0
         try:
             while not handling.done():
-                if self.pending_read is None and buffered < MAX_PIPELINED_BYTES:
+                if self.pending_read is None and buffered < self.max_pipelined_bytes:
                     self.pending_read = asyncio.ensure_future(
                         self.reader.read(READ_SIZE_BYTES)
                     )
@@ -408,27 +465,44 @@
         self.writer.write(self.state.send(head))
         if not streamed:
             if response.body and method != "HEAD":
-                self.writer.write(self.state.send(h11.Data(response.body)))
+                await self.send_data(response.body)
             self.writer.write(self.state.send(h11.EndOfMessage()))
-            await self.writer.drain()
+            await self.drain()
             return True
         return await self.send_stream(response)
 
+    async def send_data(self, data: bytes) -> None:
+        """Send a body or a chunk of one, in parts if there is a memory budget.
+
+        Written at once, all that the caller has not read yet would be buffered again.
+        """
+        if not self.server.budget.is_limited or len(data) <= BUFFER_BYTES:
+            self.writer.write(self.state.send(h11.Data(data)))
+            return
+        view = memoryview(data)
+        for start in range(0, len(data), BUFFER_BYTES):
+            part = view[start : start + BUFFER_BYTES]
+            self.writer.write(self.state.send(h11.Data(part)))
+            await self.drain()
+
     async def send_stream(self, response: Response) -> bool:
         """Send a streamed body with its trailers; return whether it was completed."""
         try:
             async for data in response.body:
                 if data:
-                    self.writer.write(self.state.send(h11.Data(data)))
-                    await self.writer.drain()
+                    await self.send_data(data)
+                    await self.drain()
         except ResponseAborted as reason:
             log.info("Streamed response aborted, connection closed: {}.", reason)
+            if self.state.their_http_version == b"1.0":
+                # Without chunks, only a reset tells the body from a complete one.
+                reset_connection(self.writer)
             return False
         finally:
             await response.body.aclose()
         end = h11.EndOfMessage(headers=response.trailers())
         self.writer.write(self.state.send(end))
-        await self.writer.drain()
+        await self.drain()
         return True
 
     async def send_error(self, status: int, detail: str, extra_headers=()) -> None:
@@ -442,7 +516,7 @@
         self.writer.write(self.state.send(head))
         self.writer.write(self.state.send(h11.Data(response.body)))
         self.writer.write(self.state.send(h11.EndOfMessage()))
-        await self.writer.drain()
+        await self.drain()
 
 
 def parse_head(head: h11.Request, holding: Holding) -> Request:
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -14,6 +14,7 @@
 import attrs
 
 from gypsumshift import logs
+from gypsumshift.bytebudget import ByteKind, Holding
 from gypsumshift.eventstream import StreamBroken, event_field, iter_events
 from gypsumshift.httpclient import Exchange, FetchError, RequestWithheld
 from gypsumshift.httpserver import ResponseAborted
@@ -25,11 +26,15 @@
 from gypsumshift.serving.forwarder import RETRY_AFTER_SECONDS, Forwarder
 from gypsumshift.serving.responses import end_to_end_headers, parse_refusal
 
-__all__ = ["Stream", "StreamRelay"]
+__all__ = ["STREAM_WINDOW_BYTES", "Stream", "StreamRelay"]
 
 # Time without an event after which a resumable stream continues at another server.
 # Callers give up after 2 s.
 SILENCE_TIMEOUT_SECONDS = 1.2
+# What a process buffers for a stream whose caller does not read: 48 kB received and not
+# read yet, 32 kB that are being decoded and relayed, 32 kB not sent yet, and the states
+# of both connections.
+STREAM_WINDOW_BYTES = 128 * 1024
 
 log = logs.logger("streams")
 
@@ -105,6 +110,8 @@
 
     async def start(self, call: Call) -> Stream | NotRun | Unknown:
         """Open a stream at the first server that accepts it."""
+        if not call.holding.add(ByteKind.STREAM, STREAM_WINDOW_BYTES):
+            return budget_refusal(call)
         permit = await self.guard.admit(call.fingerprint, call.id)
         if isinstance(permit, HeldBack):
             return permit
@@ -142,7 +149,7 @@
         state.status = exchange.status
         body = self.report_end(state, relay(state, exchange, server))
         if permit.trial:
-            body = self.read_detached(body, call.deadline)
+            body = self.read_detached(body, call)
         return Stream(exchange.status, headers, body)
 
     def finish(self, state: RelayState) -> None:
@@ -163,21 +170,31 @@
         finally:
             self.finish(state)
 
-    def read_detached(self, body, deadline: float) -> AsyncIterator[bytes]:
+    def read_detached(self, body, call: Call) -> AsyncIterator[bytes]:
         """Return a body that is read to its end even if the caller disconnects."""
         parts: asyncio.Queue[bytes | ResponseAborted | None] = asyncio.Queue()
-        self.start_trial_task(self.read_all(body, parts, deadline))
-        return self.read_queue(parts)
+        self.start_trial_task(self.read_all(body, parts, call))
+        return self.read_queue(parts, call.holding)
 
-    async def read_all(self, body, parts: asyncio.Queue, deadline: float) -> None:
-        """Read a body into a queue until its end or its deadline."""
-        left = max(0.0, deadline - self.sender.clock.monotonic())
+    async def read_all(self, body, parts: asyncio.Queue, call: Call) -> None:
+        """Read a body into a queue until its end or the call's deadline.
+
+        Once a part does not fit into the memory budget, or the caller disconnected, the
+        rest is discarded.
+        """
+        left = max(0.0, call.deadline - self.sender.clock.monotonic())
         end = ResponseAborted("an error inside this process; see its log")
         try:
             async with asyncio.timeout(left), contextlib.aclosing(body):
+                fits = True
                 async for data in body:
-                    parts.put_nowait(data)
-            end = None
+                    fits = fits and call.holding.add(ByteKind.STREAM, len(data))
+                    if fits and not call.holding.ended:
+                        parts.put_nowait(data)
+            if fits:
+                end = None
+            else:
+                end = ResponseAborted("it does not fit into the memory budget")
         except ResponseAborted as reason:
             end = reason
         except TimeoutError:
@@ -185,12 +202,13 @@
         finally:
             parts.put_nowait(end)
 
-    async def read_queue(self, parts: asyncio.Queue):
+    async def read_queue(self, parts: asyncio.Queue, holding: Holding):
         """Yield queued parts of a body; raise `ResponseAborted` if it was cut off."""
         while (data := await parts.get()) is not None:
             if isinstance(data, ResponseAborted):
                 raise data
             yield data
+            holding.remove(ByteKind.STREAM, len(data))
 
     async def open(
         self, state: RelayState, after: str | None = None
@@ -363,3 +381,11 @@
 def call_header(call: Call, name: str) -> str:
     """Return the value of a header field of a call; empty if missing."""
     return next((value for key, value in call.headers if key == name), "")
+
+
+def budget_refusal(call: Call) -> NotRun:
+    """Return the outcome of a stream whose window does not fit, and record it."""
+    budget = call.holding.budget
+    budget.record_refusal(ByteKind.STREAM, STREAM_WINDOW_BYTES, call.id)
+    reason = "the stream does not fit into this process's memory budget"
+    return NotRun(reason, datetime.timedelta(seconds=budget.retry_after()))
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -160,11 +160,11 @@
     return worker.id in cluster.gateway.directory.servers
 
 
-def run_scenario(test, tmp_path):
+def run_scenario(test, tmp_path, **extra_settings):
     """Run a test scenario on a new deployment, for at most 60 s."""
 
     async def run():
-        cluster = PlatformCluster()
+        cluster = PlatformCluster(extra_settings=extra_settings)
         try:
             async with asyncio.timeout(60):
                 await cluster.start(tmp_path)
