Limit the bytes outstanding at a server that crashed under load

Cause: a server whose memory the requests in it exceed crashes, starts again, and gets the same load at once. Change: the sender counts the bytes of open calls by server start. The load balancer passes over a server without room; if none has room, the call ends as not run, as at a full service. Streams count from their start to their end.

--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -175,9 +175,7 @@
                 if blocked:
                     return self.final_outcome(state, blocked)
                 if not await self.next_round(state, left):
-                    return self.final_outcome(
-                        state, "no backend server accepted the request"
-                    )
+                    return self.final_outcome(state, self.not_accepted_reason(state))
                 continue
             wait_seconds = min(left, hedge) if started else left
             done, _ = await asyncio.wait(
@@ -207,11 +205,23 @@
         )
         return "" if allowed else HELD_BACK_REASON
 
+    def not_accepted_reason(self, state: ForwardState) -> str:
+        """Return why no server took a call in the last round."""
+        size = len(state.call.body)
+        has_room = self.balancer.byte_limits.has_room
+        if any(not has_room(server, size) for server in state.servers):
+            return (
+                "no backend server accepted the request; at least one crashed under "
+                "load and has as many bytes outstanding as it may"
+            )
+        return "no backend server accepted the request"
+
     def start_attempt(self, state: ForwardState) -> bool:
         """Start another attempt if allowed; return whether one was started."""
         if state.exhausted or self.blocked_reason(state):
             return False
-        server = self.balancer.choose(state.servers, state.excluded)
+        size = len(state.call.body)
+        server = self.balancer.choose(state.servers, state.excluded, size)
         if server is None:
             return False
         task = asyncio.create_task(self.sender.attempt(state.call, server))
--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -15,6 +15,7 @@
 from gypsumshift.clock import Clock
 from gypsumshift.ejection import EjectionPolicy
 from gypsumshift.policy import DEFAULT_POLICY, Policy
+from gypsumshift.serving.bytelimits import ServerByteLimits
 from gypsumshift.serving.directory import BackendServer, ServerStart
 from gypsumshift.serving.observations import Observation, Observations
 from gypsumshift.serving.serverload import ServerLoad
@@ -113,6 +114,8 @@
     ----------
     shared_observations : Observations
         Observations of this and other processes, as exchanged between them.
+    byte_limits : ServerByteLimits
+        Limits on the bytes outstanding at servers that crashed under load.
     has_idle_connection : callable
         Returns whether there is an idle connection to an address; by default False.
     """
@@ -130,6 +133,7 @@
         self.chance = chance
         self.stats_by_start: dict[ServerStart, ServerStats] = {}
         self.shared_observations = Observations(clock)
+        self.byte_limits = ServerByteLimits(clock, policy.byte_budget)
         self.has_idle_connection: Callable[[tuple[str, int]], bool] = lambda address: (
             False
         )
@@ -147,9 +151,10 @@
             if not self.stats_by_start[start].outstanding:
                 del self.stats_by_start[start]
         self.shared_observations.prune(known)
+        self.byte_limits.prune()
 
     def choose(
-        self, servers: list[BackendServer], avoid: set[ServerStart]
+        self, servers: list[BackendServer], avoid: set[ServerStart], size: int = 0
     ) -> BackendServer | None:
         """Return the server to send a request to; None if none is left.
 
@@ -159,8 +164,13 @@
             Ready servers of the service.
         avoid : set of ServerStart
             Servers already tried.
+        size : int
+            Bytes of the request's body.
         """
         candidates = [server for server in servers if server.start not in avoid]
+        if self.byte_limits.limits:
+            has_room = self.byte_limits.has_room
+            candidates = [server for server in candidates if has_room(server, size)]
         if not candidates:
             return None
         now = self.clock.monotonic()
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -67,16 +67,20 @@
     async def attempt(self, call: Call, server: BackendServer) -> AttemptOutcome:
         """Send a call to one server and return the outcome of the attempt."""
         self.balancer.record_sent(server)
+        self.balancer.byte_limits.begin(server, len(call.body))
         started = self.clock.monotonic()
         sent_at = self.clock.now().timestamp()
         try:
             outcome = await self.exchange(call, server)
+            if isinstance(outcome, Failed) and outcome.ended:
+                self.balancer.byte_limits.record_crash(server)
         except asyncio.CancelledError:
             self.count_run(call, sent_at)
             self.balancer.record_wait(server, self.clock.monotonic() - started)
             raise
         finally:
             self.balancer.record_finished(server)
+            self.balancer.byte_limits.end(server, len(call.body))
         if isinstance(outcome, Answered) or getattr(outcome, "sent", False):
             self.count_run(call, sent_at)
         self.record_outcome(call, server, outcome, self.clock.monotonic() - started)
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -75,6 +75,8 @@
         Number of the last event that was sent to the caller; empty before the first.
     from_start : bool
         Whether the current server began with the first event.
+    counted_at : BackendServer or None
+        Server at which the bytes of the call count as outstanding.
     """
 
     call: Call
@@ -85,6 +87,7 @@
     status: int = 200
     last_event: str = ""
     from_start: bool = True
+    counted_at: BackendServer | None = None
 
     @property
     def exhausted(self) -> bool:
@@ -154,11 +157,21 @@
 
     def finish(self, state: RelayState) -> None:
         """Close a stream's permit, and watch the server if the stream was cut off."""
+        self.count_at(state, None)
         ran = state.runs > 0 or state.server is not None
         self.guard.release_permit(state.permit, ran)
         if state.server is not None:
             self.late_crashes.check_servers(state.permit, [state.server])
 
+    def count_at(self, state: RelayState, server: BackendServer | None) -> None:
+        """Count the bytes of a stream's call at a server, and not at the last one."""
+        limits, size = self.balancer.byte_limits, len(state.call.body)
+        if state.counted_at is not None:
+            limits.end(state.counted_at, size)
+        if server is not None:
+            limits.begin(server, size)
+        state.counted_at = server
+
     async def report_end(self, state: RelayState, body: AsyncIterator[bytes]):
         """Yield a body, and report its end to the guard."""
         try:
@@ -232,6 +245,7 @@
                 return self.not_opened_outcome(state)
             state.tried.add(server.start)
             state.server = server
+            self.count_at(state, server)
             sent_at = self.sender.clock.now().timestamp()
             try:
                 async with asyncio.timeout(left):
@@ -255,7 +269,7 @@
         """Return the server to try next; None if none is left or allowed."""
         if state.exhausted or self.blocked_reason(state):
             return None
-        return self.balancer.choose(servers, state.tried)
+        return self.balancer.choose(servers, state.tried, len(state.call.body))
 
     def blocked_reason(self, state: RelayState) -> str:
         """Return why no further server may be tried; empty if one may."""
@@ -329,6 +343,8 @@
             self.balancer.record_gone(server)
         if gone and sent:
             self.guard.record_crash(state.permit, server.start)
+            self.balancer.byte_limits.record_crash(server)
+        self.count_at(state, None)
         logs.event(
             log,
             "Stream from a backend server could not be opened or broke off.",
