--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -14,6 +14,7 @@
 from gypsumshift.clock import Clock
 from gypsumshift.ejection import EjectionPolicy
 from gypsumshift.policy import DEFAULT_POLICY, Policy
+from gypsumshift.serving.bytelimits import ServerByteLimits
 from gypsumshift.serving.directory import BackendServer, ServerStart
 from gypsumshift.serving.expectedload import ExpectedLoad
 from gypsumshift.serving.loadreports import LoadReports, make_report
@@ -103,6 +104,8 @@
         Observations of this and other processes, as exchanged between them.
     load_reports : LoadReports
         Loads that servers with a slowdown reported to this and other processes.
+    byte_limits : ServerByteLimits
+        Limits on the bytes outstanding at servers that crashed under load.
     has_idle_connection : callable
         Returns whether there is an idle connection to an address; by default False.
     """
@@ -121,6 +124,7 @@
         self.stats_by_start: dict[ServerStart, ServerStats] = {}
         self.shared_observations = Observations(clock)
         self.load_reports = LoadReports(clock)
+        self.byte_limits = ServerByteLimits(clock, policy.byte_budget)
         self.has_idle_connection: Callable[[tuple[str, int]], bool] = lambda address: (
             False
         )
@@ -139,9 +143,10 @@
                 del self.stats_by_start[start]
         self.shared_observations.prune(known)
         self.load_reports.prune(known)
+        self.byte_limits.prune()
 
     def choose(
-        self, servers: list[BackendServer], avoid: set[ServerStart]
+        self, servers: list[BackendServer], avoid: set[ServerStart], size: int = 0
     ) -> BackendServer | None:
         """Return the server to send a request to; None if none is left.
 
@@ -151,8 +156,13 @@
             Ready servers of the service.
         avoid : set of ServerStart
             Servers already tried.
+        size : int
+            Bytes of the request's body.
         """
         candidates = [server for server in servers if server.start not in avoid]
+        if self.byte_limits.limits:
+            has_room = self.byte_limits.has_room
+            candidates = [server for server in candidates if has_room(server, size)]
         if not candidates:
             return None
         now = self.clock.monotonic()
