Assign items to engines of unlike pace by their expected end

Cause: an agent knew other engines only as faster or not. It claimed the longest or the shortest units first, and after a second of waiting a slow engine took a long item although a fast one would have ended it earlier. Units with long items were migrated within 3 s of their claim whenever a faster engine had room, also where they would have ended in time. Change: each agent plans the whole step from claims and heartbeats (jobs/assignment.py, jobs/stepplanner.py) and claims what the plan gives to engines of its pace now. Lengths in events are learned from ended items, with their error (jobs/lengthestimates.py); units carry the estimate of each item. An item is migrated only if it may be late here and gains more than the error of its estimate, and a unit that was taken over stays. The plan applies where engines are of unlike pace and paces and lengths are known; otherwise nothing changes. Switch: expected_end.

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -11,6 +11,7 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
+from gypsumshift.jobs.assignment import StepPlan
 from gypsumshift.jobs.capacity import NO_CAPACITY, FreeCapacity
 from gypsumshift.jobs.claimer import Claimer
 from gypsumshift.jobs.claimtracker import Candidate, ClaimTracker
@@ -32,6 +33,7 @@
     Claim,
 )
 from gypsumshift.jobs.reportedslowdown import ReportedSlowdown
+from gypsumshift.jobs.stepplanner import StepPlanner
 from gypsumshift.jobs.unitmigrator import UnitMigrator
 from gypsumshift.jobs.unitrunner import UnitRunner
 from gypsumshift.jobs.usualpace import LastingPace
@@ -174,7 +176,20 @@
             self.engine_state,
         )
         self.unit_migrator = UnitMigrator(
-            self.heartbeat_writer, self.weights, self.tracker, self.runner, clock
+            self.heartbeat_writer,
+            self.weights,
+            self.tracker,
+            self.runner,
+            clock,
+            metrics,
+            policy,
+        )
+        self.planner = StepPlanner(
+            self.heartbeat_writer,
+            self.weights,
+            self.tracker,
+            self.runner.lengths,
+            clock,
         )
         directory.on_restart.append(self.note_restart)
         self.slow_at = float("-inf")
@@ -359,6 +374,9 @@
     def free_slots(self) -> int:
         """Return the number of items that the engine could take now."""
         limits = self.local_engine.limits
+        if self.policy.expected_end and self.weights.loading_model:
+            # No item starts meanwhile; others would leave their units to this engine.
+            return 0
         return (
             self.free_capacity(limits).free_slots
             if limits and self.local_engine.healthy
@@ -404,6 +422,7 @@
                 self.free_capacity(limits),
                 self.unit_migrator.faster_free_slots,
                 self.claimer.may_probe,
+                self.plan_job,
             )
             if candidate is None:
                 return
@@ -412,6 +431,12 @@
             if not await self.claimer.claim(candidate):
                 return
 
+    def plan_job(self, open_job, free: int, claimable) -> StepPlan | None:
+        """Return the plan of an open job; None where the policy has none."""
+        if not self.policy.expected_end:
+            return None
+        return self.planner.plan(open_job, free, claimable)
+
     async def may_claim(self, candidate: Candidate, limits: EngineLimits) -> bool:
         """Probe an agent without heartbeats; return whether its unit may be claimed.
 
--- a/gypsumshift/jobs/claimtracker.py
+++ b/gypsumshift/jobs/claimtracker.py
@@ -7,11 +7,12 @@
 """
 
 import random
-from collections.abc import Collection, Iterator
+from collections.abc import Callable, Collection, Iterator
 
 import attrs
 
 from gypsumshift.clock import Clock
+from gypsumshift.jobs.assignment import StepPlan
 from gypsumshift.jobs.capacity import FreeCapacity
 from gypsumshift.jobs.peers import HolderState, Peers
 from gypsumshift.jobs.records import (
@@ -107,6 +108,9 @@
     claims: dict[str, StoredClaim] = attrs.field(factory=dict)
 
 
+PlanJob = Callable[[OpenJob, int, Iterator[UnitSummary]], StepPlan | None]
+
+
 class ClaimTracker:
     """Tracks open jobs and the claims of their units, as the store reports them.
 
@@ -288,6 +292,7 @@
         capacity: FreeCapacity,
         slower_for: Collection[str] = (),
         may_probe: bool = True,
+        plan_job: PlanJob = lambda *_: None,
     ) -> Candidate | None:
         """Return the unit to claim next; None where there is none.
 
@@ -307,6 +312,9 @@
         may_probe : bool
             Whether units of silent agents, which have to be probed first, may be
             chosen.
+        plan_job : callable
+            Returns the `StepPlan` of an open job, given the free slots and the units
+            that may be claimed; None for the usual order.
         """
         now = self.clock.monotonic()
         found: list[Candidate] = []
@@ -318,35 +326,63 @@
             if not own and now - open_job.first_seen_at < STEAL_AFTER:
                 continue
             silent: list[Candidate] = []
+            plan = self.make_plan(open_job, capacity, plan_job)
+            limit = plan.choices if plan else MAX_CANDIDATES
             for candidate in self.candidates(
-                open_job, capacity, job.model in slower_for
+                open_job, capacity, job.model in slower_for, plan
             ):
                 (silent if candidate.silent_claim else found).append(candidate)
-                if len(found) == MAX_CANDIDATES:
+                if len(found) >= limit:
                     return self.chance.choice(found)
             if silent and may_probe and not found:
                 return self.chance.choice(silent)
         return self.chance.choice(found) if found else None
 
+    def make_plan(
+        self, open_job: OpenJob, capacity: FreeCapacity, plan_job: PlanJob
+    ) -> StepPlan | None:
+        """Return the plan for the units of a job; None for the usual order."""
+        if capacity.free_slots <= 0:
+            return None
+        claimable = (u for u in open_job.order if self.may_start(open_job, u))
+        return plan_job(open_job, capacity.free_slots, claimable)
+
+    def may_start(self, open_job: OpenJob, unit: UnitSummary) -> bool:
+        """Return whether a unit is free, and this agent is not claiming it already."""
+        pending = (open_job.job.id, unit.key) in self.pending_claims
+        return not pending and self.is_free(open_job.claims.get(unit.key))
+
     def candidates(
-        self, open_job: OpenJob, capacity: FreeCapacity, slower: bool
+        self,
+        open_job: OpenJob,
+        capacity: FreeCapacity,
+        slower: bool,
+        plan: StepPlan | None = None,
     ) -> Iterator[Candidate]:
         """Yield the claimable units of a job for which the engine has capacity."""
-        for unit in open_job.short_order if slower else open_job.order:
-            stored = open_job.claims.get(unit.key)
-            if (
-                not self.is_free(stored)
-                or (open_job.job.id, unit.key) in self.pending_claims
-            ):
-                continue
-            if slower and self.is_left_to_faster(open_job, unit):
+        for unit in self.ordered_units(open_job, slower, plan):
+            if not self.may_start(open_job, unit):
                 continue
             if capacity.fits(len(unit.items), unit.memory):
+                stored = open_job.claims.get(unit.key)
                 version = stored.version if stored else ABSENT
                 taken_over = stored is not None
                 silent_claim = self.silent_claim(stored)
                 yield Candidate(open_job.job, unit, version, taken_over, silent_claim)
 
+    def ordered_units(
+        self, open_job: OpenJob, slower: bool, plan: StepPlan | None
+    ) -> Iterator[UnitSummary]:
+        """Yield the units that the plan gives to this engine, or the usual order."""
+        if plan is not None:
+            yield from (unit for unit in open_job.order if unit.key in plan.own)
+        elif slower:
+            for unit in open_job.short_order:
+                if not self.is_left_to_faster(open_job, unit):
+                    yield unit
+        else:
+            yield from open_job.order
+
     def is_left_to_faster(self, open_job: OpenJob, unit: UnitSummary) -> bool:
         """Return whether a slower engine must not claim a long unit yet."""
         waited = self.clock.monotonic() - self.free_since(open_job, unit)
--- a/gypsumshift/jobs/records.py
+++ b/gypsumshift/jobs/records.py
@@ -151,6 +151,8 @@
         Largest estimate among the items, in output tokens.
     memory : int
         Largest estimated engine memory among the items, in tokens.
+    hints : tuple of int
+        Estimate of each item, in output tokens; empty in rows of older versions.
     """
 
     key: str
@@ -158,6 +160,12 @@
     items: tuple[str, ...]
     hint: int = 0
     memory: int = 0
+    hints: tuple[int, ...] = ()
+
+    @property
+    def item_hints(self) -> tuple[int, ...]:
+        """Estimate of each item; the largest one where they are unknown."""
+        return self.hints or (self.hint,) * len(self.items)
 
 
 @attrs.frozen
@@ -393,4 +401,5 @@
     ids = tuple(item.id for item in unit.items)
     hint = max(item.hint for item in unit.items)
     memory = max(item.memory for item in unit.items)
-    return UnitSummary(unit.key, unit.items[0].group, ids, hint, memory)
+    hints = tuple(item.hint for item in unit.items)
+    return UnitSummary(unit.key, unit.items[0].group, ids, hint, memory, hints)
--- a/gypsumshift/jobs/unitmigrator.py
+++ b/gypsumshift/jobs/unitmigrator.py
@@ -4,17 +4,30 @@
 items then start before the pace of their engine is known. The longest ones take 10.2 s
 at a slower engine and 7.5 s at a faster one, of the 7.5 s of a step (logs of a
 simulated day).
+
+Where the lengths of items are known from earlier ones, their expected ends decide
+instead: a unit is migrated only if it may end after its step is due, and a faster
+engine would end it earlier by more than the error of the estimate.
 """
 
+from collections.abc import Iterator
+
+import attrs
+
+from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.jobs.claimtracker import ClaimTracker
 from gypsumshift.jobs.heartbeatwriter import HeartbeatWriter
+from gypsumshift.jobs.itemrun import ItemRun
+from gypsumshift.jobs.lengthestimates import LengthEstimates
 from gypsumshift.jobs.schedule import long_units
 from gypsumshift.jobs.unitrun import UnitRun
 from gypsumshift.jobs.unitrunner import UnitRunner
 from gypsumshift.jobs.weights import WeightManager
+from gypsumshift.metrics import Metrics
+from gypsumshift.policy import DEFAULT_POLICY, Policy
 
-__all__ = ["UnitMigrator"]
+__all__ = ["ExpectedEnds", "UnitMigrator", "expected_ends"]
 
 # A unit is migrated if its estimate is more than this many times the usual one: the
 # migration takes some 0.1 s and processes the prompt again, and estimates are off by
@@ -23,6 +36,61 @@
 # Seconds after its claim within which a unit is migrated: an engine's pace is known
 # after half a second of its first step, and later there is less to gain.
 MIGRATE_WITHIN = 3.0
+# Seconds after its submission at which a step is due.
+STEP_TIME = 7.5
+# Seconds that a migration takes: saving the output, two writes of the claim, and
+# reading the prompt again.
+MIGRATION_TIME = 0.3
+
+log = logs.logger("units")
+
+
+@attrs.frozen
+class ExpectedEnds:
+    """When an item is expected to end here and at a faster engine.
+
+    Attributes
+    ----------
+    here, there : float
+        Seconds from now, in the mean.
+    error : float
+        Relative error of the estimated length.
+    """
+
+    here: float
+    there: float
+    error: float
+
+    def is_worth_migrating(self, left: float) -> bool:
+        """Return whether to migrate the item, if its step is due in ``left`` seconds.
+
+        An item that ends in time here is left alone whatever is to be gained.
+        """
+        may_be_late = self.here * (1 + self.error) > left
+        return may_be_late and self.here - self.there > self.error * self.here
+
+
+def expected_ends(
+    run: ItemRun, lengths: LengthEstimates, own: float, faster: float
+) -> ExpectedEnds | None:
+    """Return when an item is expected to end; None if its length is unknown.
+
+    An item that is longer than estimated is expected to be as long again as the error
+    of the estimates says.
+
+    Parameters
+    ----------
+    run : ItemRun
+    lengths : LengthEstimates
+    own, faster : float
+        Seconds between two events here and at the faster engine.
+    """
+    expected = lengths.events(run.job.model, run.item.hint)
+    if not expected:
+        return None
+    error = lengths.error(run.job.model)
+    left = max(expected - len(run.events), error * expected)
+    return ExpectedEnds(left * own, MIGRATION_TIME + left * faster, error)
 
 
 class UnitMigrator:
@@ -35,11 +103,15 @@
     tracker : ClaimTracker
     runner : UnitRunner
     clock : Clock
+    metrics : Metrics
+    policy : Policy
 
     Attributes
     ----------
     faster_free_slots : dict
         Free slots of the faster engines, by model.
+    fastest_paces : dict
+        Usual pace of the fastest engine with free slots, by model.
     migrated : set of (str, str)
         Job and unit of the migrated units whose jobs are open.
     """
@@ -51,12 +123,17 @@
         tracker: ClaimTracker,
         runner: UnitRunner,
         clock: Clock,
+        metrics: Metrics,
+        policy: Policy = DEFAULT_POLICY,
     ):
         self.heartbeat_writer = heartbeat_writer
         self.weights = weights
         self.tracker = tracker
         self.runner = runner
         self.clock = clock
+        self.metrics = metrics
+        self.policy = policy
+        self.fastest_paces: dict[str, float] = {}
         self.faster_free_slots: dict[str, int] = {}
         self.migrated: set[tuple[str, str]] = set()
 
@@ -84,6 +161,8 @@
             )
             if faster:
                 found[model] = sum(heartbeat.places for heartbeat in faster)
+                paces = [beat.usual for beat in faster if beat.places]
+                self.fastest_paces[model] = min(paces, default=usual)
         return found
 
     def migrate_units(self, model: str, free_slots: int) -> None:
@@ -93,17 +172,55 @@
             if free_slots < 0:
                 return
             self.migrated.add((unit.job.id, unit.key))
+            self.metrics.count("migrations")
             self.runner.hand_over_unit(unit, "a faster engine has room")
 
     def migratable_units(self, model: str) -> list[UnitRun]:
         """Return the units of a model that a faster engine would complete sooner."""
-        since = self.clock.monotonic() - MIGRATE_WITHIN
         return [
             unit
             for unit in self.runner.units.values()
             if unit.job.model == model
-            and unit.claimed_at > since
             and "" not in unit.tasks
             and (unit.job.id, unit.key) not in self.migrated
-            and unit.key in long_units(unit.job, MIN_ESTIMATE_FACTOR)
+            and self.is_migratable(unit)
         ]
+
+    def is_migratable(self, unit: UnitRun) -> bool:
+        """Return whether a faster engine would complete a unit sooner."""
+        if self.policy.expected_end and self.runner.lengths.events(unit.job.model, 1):
+            return not unit.taken_over and self.gains_by_migration(unit)
+        since = self.clock.monotonic() - MIGRATE_WITHIN
+        is_long = unit.key in long_units(unit.job, MIN_ESTIMATE_FACTOR)
+        return unit.claimed_at > since and is_long
+
+    def gains_by_migration(self, unit: UnitRun) -> bool:
+        """Return whether an item of a unit is worth migrating, and log its ends."""
+        open_job = self.tracker.open_jobs.get(unit.job.id)
+        if open_job is None:
+            return False
+        left = open_job.first_seen_at + STEP_TIME - self.clock.monotonic()
+        for run, ends in self.ends_of(unit):
+            if ends.is_worth_migrating(left):
+                logs.event(
+                    log,
+                    "An item is expected to end earlier at a faster engine.",
+                    item=run.item.id,
+                    job=unit.job.id,
+                    events=len(run.events),
+                    here_s=round(ends.here, 2),
+                    there_s=round(ends.there, 2),
+                    error=round(ends.error, 2),
+                    due_s=round(left, 2),
+                )
+                return True
+        return False
+
+    def ends_of(self, unit: UnitRun) -> Iterator[tuple[ItemRun, ExpectedEnds]]:
+        """Yield the generating items of a unit with their expected ends."""
+        own = self.heartbeat_writer.usual_pace()
+        faster = self.fastest_paces.get(unit.job.model, own)
+        for run in unit.generating_runs:
+            ends = expected_ends(run, self.runner.lengths, own, faster)
+            if ends is not None:
+                yield run, ends
--- a/gypsumshift/jobs/unitrun.py
+++ b/gypsumshift/jobs/unitrun.py
@@ -27,6 +27,8 @@
     tasks : dict
         Task by item id. While the items are read from the store, the reading task is
         listed under the empty string.
+    taken_over : bool
+        Whether another agent held the unit before.
     """
 
     job: Job
@@ -35,6 +37,7 @@
     claimed_at: float = 0.0
     runs: dict[str, ItemRun] = attrs.field(factory=dict)
     tasks: dict[str, asyncio.Task] = attrs.field(factory=dict)
+    taken_over: bool = False
 
     @property
     def key(self) -> str:
--- a/gypsumshift/jobs/unitrunner.py
+++ b/gypsumshift/jobs/unitrunner.py
@@ -11,6 +11,7 @@
 from gypsumshift.jobs.claimtracker import Candidate, ClaimTracker
 from gypsumshift.jobs.itemrun import RETRY_PAUSE, ItemRun
 from gypsumshift.jobs.itemrunner import ItemRunner
+from gypsumshift.jobs.lengthestimates import LengthEstimates
 from gypsumshift.jobs.localengine import LocalEngine
 from gypsumshift.jobs.pace import Pace
 from gypsumshift.jobs.partials import PartialStore, scan_until_answered
@@ -91,6 +92,7 @@
         self.metrics = metrics
         self.on_capacity_change = on_capacity_change
         self.pace = pace
+        self.lengths = LengthEstimates(metrics)
         self.result_writer = ResultWriter(store, clock)
         self.partials = PartialStore(store, own_claim.session, clock)
         self.units: dict[tuple[str, str], UnitRun] = {}
@@ -158,7 +160,13 @@
             # The job ended while the claim was being written, or the store's answer
             # came late.
             return
-        unit = UnitRun(job, summary, version, self.clock.monotonic())
+        unit = UnitRun(
+            job,
+            summary,
+            version,
+            self.clock.monotonic(),
+            taken_over=candidate.taken_over,
+        )
         self.units[job.id, summary.key] = unit
         logs.event(
             log,
@@ -258,6 +266,8 @@
         generated_at = self.clock.monotonic()
         if result is None:
             result = await self.item_runner.score(run)
+        if run.generated:
+            self.lengths.record(run.job.model, run.item.hint, len(run.events))
         now = self.clock.monotonic()
         logs.event(
             log,
--- a/gypsumshift/jobs/usualpace.py
+++ b/gypsumshift/jobs/usualpace.py
@@ -26,6 +26,9 @@
 # hardware does. Slow phases of engines were seen to last for 8 s. After a minute, short
 # items are of more use to trainers at a slow engine than nowhere.
 ADOPT_AFTER = 60.0
+# Least seconds between two samples. The usual pace is asked for at each claim, and the
+# median changes little in this time.
+SAMPLE_PERIOD = 0.1
 # Ratio of the mean gap to the median one above which a median is not used. After a
 # freeze of this process, many events are read at once: their median gap is close to 0.
 MAX_MEAN_RATIO = 2.0
@@ -159,6 +162,8 @@
     def add_sample(self, value: float) -> None:
         """Add a measured pace, and update the usual one."""
         now = self.clock.monotonic()
+        if self.samples and now - self.samples[-1].at < SAMPLE_PERIOD:
+            return
         self.samples.append(PaceSample(now, value, self.streams()))
         self.samples = [s for s in self.samples if s.at >= now - USUAL_WINDOW]
         best = min(self.samples, key=lambda sample: sample.pace)
--- a/gypsumshift/policy.py
+++ b/gypsumshift/policy.py
@@ -49,6 +49,9 @@
         Find faulty engines by their own usual pace, so that slower builds and busy
         neighbours are no faults (`jobs/enginestate.py`). Without it, the median of
         all engines decides.
+    expected_end : bool
+        Assign and migrate items by their expected end at engines of unlike pace
+        (`jobs/assignment.py`, `jobs/unitmigrator.py`).
     saved_runs : bool
         Save the partial results of long runs each second (`jobs/partials.py`).
     store_through_neighbours : bool
@@ -73,6 +76,7 @@
     settled_models: bool = True
     slow_handover: bool = True
     engine_states: bool = True
+    expected_end: bool = True
     saved_runs: bool = True
     store_through_neighbours: bool = True
     second_server: bool = True
