Try a second server soon when the first accepts no connection

Cause: a call to a silent server waited for half of its objective before a second server was tried, although nothing of it had been sent, and the silent server never counted as failing, since the answer of the second one came before the connection timed out. Change: without a connection after 30 ms, the next attempt starts; an attempt that is cancelled in this state counts as a failure of its server. A server that has accepted the connection keeps its time, so no work is doubled. The fake fetcher of the crash tests calls 'allowed' before it sends, as the real one does.

--- a/gypsumshift/serving/calls.py
+++ b/gypsumshift/serving/calls.py
@@ -10,7 +10,7 @@
 from gypsumshift.serving.fingerprints import fingerprint
 from gypsumshift.serving.routes import RequestKind, Route
 
-__all__ = ["AttemptOutcome", "Call", "Failed", "Refused"]
+__all__ = ["AttemptOutcome", "AttemptProgress", "Call", "Failed", "Refused"]
 
 
 @attrs.define
@@ -66,6 +66,20 @@
         return self.route.kind in (RequestKind.SAFE, RequestKind.BATCH)
 
 
+@attrs.define
+class AttemptProgress:
+    """Progress of one attempt, shared by the sender and who waits for it.
+
+    Attributes
+    ----------
+    connected : bool
+        Whether there was a connection to the server, so that the request may have been
+        sent.
+    """
+
+    connected: bool = False
+
+
 @attrs.frozen
 class Refused:
     """A backend server stated that it has not run the request.
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -16,11 +16,17 @@
 from gypsumshift.outcomes import Answered, HeldBack, NotRun, Unknown
 from gypsumshift.policy import DEFAULT_POLICY, Policy
 from gypsumshift.serving.authorization import KEY_NOT_CONFIRMED
-from gypsumshift.serving.calls import AttemptOutcome, Call, Failed, Refused
+from gypsumshift.serving.calls import (
+    AttemptOutcome,
+    AttemptProgress,
+    Call,
+    Failed,
+    Refused,
+)
 from gypsumshift.serving.crashguard import HELD_BACK_REASON, CrashGuard, Permit
 from gypsumshift.serving.directory import BackendServer, ServerStart
 from gypsumshift.serving.latecrashes import LateCrashDetector
-from gypsumshift.serving.sender import Sender
+from gypsumshift.serving.sender import CONNECT_HEDGE_SECONDS, Sender
 
 __all__ = ["Forwarder"]
 
@@ -183,10 +189,10 @@
                         state, "no backend server accepted the request"
                     )
                 continue
-            wait_seconds = min(left, hedge) if started else left
-            done, _ = await asyncio.wait(
-                state.running, timeout=wait_seconds, return_when=asyncio.FIRST_COMPLETED
-            )
+            if started is None:
+                done = await self.wait_for_attempts(state, left)
+            else:
+                done = await self.wait_for_hedge(state, started, min(left, hedge))
             for task in done:
                 server = state.running.pop(task)
                 answer = self.handle_outcome(state, server, task.result())
@@ -216,17 +222,48 @@
             state.permit, bool(state.ran_on), left
         )
 
-    def start_attempt(self, state: ForwardState) -> bool:
-        """Start another attempt if allowed; return whether one was started."""
+    def start_attempt(self, state: ForwardState) -> AttemptProgress | None:
+        """Start another attempt and return its progress; None if none is allowed."""
         if state.exhausted or self.blocked_reason(state):
-            return False
+            return None
         server = self.balancer.choose(state.servers, state.excluded)
         if server is None:
-            return False
+            return None
         self.guard.begin_run(state.permit, server.start)
-        task = asyncio.create_task(self.sender.attempt(state.call, server))
+        progress = AttemptProgress()
+        task = asyncio.create_task(self.sender.attempt(state.call, server, progress))
         state.running[task] = server
-        return True
+        return progress
+
+    async def wait_for_hedge(
+        self, state: ForwardState, newest: AttemptProgress, delay: float
+    ) -> set[asyncio.Task]:
+        """Wait until an attempt has ended or the next one is due; return the ended.
+
+        Parameters
+        ----------
+        state : ForwardState
+        newest : AttemptProgress
+            Of the attempt that was started last. If it has no connection, the next one
+            is due after `CONNECT_HEDGE_SECONDS`.
+        delay : float
+            Seconds after which the next attempt is due in any case.
+        """
+        first = min(delay, CONNECT_HEDGE_SECONDS)
+        done = await self.wait_for_attempts(state, first)
+        unconnected = self.policy.second_server and not newest.connected
+        if done or unconnected:
+            return done
+        return await self.wait_for_attempts(state, delay - first)
+
+    async def wait_for_attempts(
+        self, state: ForwardState, timeout: float
+    ) -> set[asyncio.Task]:
+        """Wait until an attempt has ended, at most for ``timeout`` seconds."""
+        done, _ = await asyncio.wait(
+            state.running, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
+        )
+        return done
 
     async def next_round(self, state: ForwardState, left: float) -> bool:
         """Wait before the next round; return False if no further round is allowed."""
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -17,7 +17,13 @@
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered
 from gypsumshift.serving.authorization import KEY_NOT_CONFIRMED
-from gypsumshift.serving.calls import AttemptOutcome, Call, Failed, Refused
+from gypsumshift.serving.calls import (
+    AttemptOutcome,
+    AttemptProgress,
+    Call,
+    Failed,
+    Refused,
+)
 from gypsumshift.serving.directory import BackendServer, Directory
 from gypsumshift.serving.headers import HOP_BY_HOP, HeaderNames
 from gypsumshift.serving.liveness import is_gone
@@ -29,12 +35,16 @@
 )
 from gypsumshift.usage import UsageCounter
 
-__all__ = ["Sender"]
+__all__ = ["CONNECT_HEDGE_SECONDS", "Sender"]
 
 # Timeout to open a connection inside a region, where a round trip takes 3 ms. It is
 # long enough for a host whose link is saturated, and a server that does not answer
 # costs no more than the hedge delay.
 CONNECT_TIMEOUT_SECONDS = 0.3
+# Time without a connection after which a request is also sent to a second server. It is
+# ten round trips between availability zones, and a fifth of a usual objective; nothing
+# of the request was sent, so the second server costs no work.
+CONNECT_HEDGE_SECONDS = 0.03
 
 
 log = logs.logger("sender")
@@ -64,16 +74,22 @@
         self.metrics: Metrics = metrics
         self.usage: UsageCounter | None = usage
 
-    async def attempt(self, call: Call, server: BackendServer) -> AttemptOutcome:
+    async def attempt(
+        self,
+        call: Call,
+        server: BackendServer,
+        progress: AttemptProgress | None = None,
+    ) -> AttemptOutcome:
         """Send a call to one server and return the outcome of the attempt."""
+        progress = progress or AttemptProgress()
         self.balancer.record_sent(server)
         started = self.clock.monotonic()
         sent_at = self.clock.now().timestamp()
         try:
-            outcome = await self.exchange(call, server)
+            outcome = await self.exchange(call, server, progress)
         except asyncio.CancelledError:
-            self.count_run(call, sent_at)
-            self.balancer.record_wait(server, self.clock.monotonic() - started)
+            took = self.clock.monotonic() - started
+            self.record_cancelled(call, server, progress, sent_at, took)
             raise
         finally:
             self.balancer.record_finished(server)
@@ -82,6 +98,23 @@
         self.record_outcome(call, server, outcome, self.clock.monotonic() - started)
         return outcome
 
+    def record_cancelled(
+        self, call, server, progress: AttemptProgress, sent_at: float, took: float
+    ) -> None:
+        """Record an attempt that was cancelled before its outcome was known.
+
+        A server that did not accept a connection for `CONNECT_HEDGE_SECONDS` counts as
+        failing. Otherwise a server that is silent would be chosen again and again,
+        since the answer of a second server always comes before the connection times
+        out.
+        """
+        if progress.connected:
+            self.count_run(call, sent_at)
+        elif took >= CONNECT_HEDGE_SECONDS:
+            servers = self.directory.ready_servers(server.service)
+            self.balancer.record_failure(server, servers)
+        self.balancer.record_wait(server, took)
+
     def count_run(self, call: Call, at: float) -> None:
         """Count a request that a server began to run; repetitions are not counted.
 
@@ -132,11 +165,13 @@
                 ejected=ejected,
             )
 
-    async def exchange(self, call: Call, server: BackendServer) -> AttemptOutcome:
+    async def exchange(
+        self, call: Call, server: BackendServer, progress: AttemptProgress
+    ) -> AttemptOutcome:
         """Exchange request and answer; retry once if a reused connection broke."""
         fresh = not call.repeatable
         try:
-            return await self.exchange_once(call, server, fresh)
+            return await self.exchange_once(call, server, fresh, progress)
         except RequestWithheld:
             return Refused(KEY_NOT_CONFIRMED)
         except AnswerTooLarge as error:
@@ -147,7 +182,7 @@
         if not first.reused:
             return Failed(str(first), first.sent, await self.is_gone(first, server))
         try:
-            return await self.exchange_once(call, server, True)
+            return await self.exchange_once(call, server, True, progress)
         except FetchError as error:
             # The first connection may have delivered it, so it counts as sent.
             return Failed(str(error), True, await self.is_gone(error, server))
@@ -160,7 +195,9 @@
             return error.refused
         return await is_gone(self.directory, self.fetcher, server)
 
-    async def exchange_once(self, call, server, fresh: bool) -> AttemptOutcome:
+    async def exchange_once(
+        self, call, server, fresh: bool, progress: AttemptProgress
+    ) -> AttemptOutcome:
         """Exchange request and answer on one connection.
 
         Raises
@@ -169,7 +206,7 @@
             The connection broke, or the answer belongs to another request.
         """
         exchange = await self.open(
-            call, server, self.request_headers(call, server), fresh
+            call, server, self.request_headers(call, server), fresh, progress
         )
         with contextlib.closing(exchange):
             other_id = mismatched_request_id(exchange, self.names, call.id)
@@ -185,9 +222,20 @@
             return outcome
 
     async def open(
-        self, call: Call, server: BackendServer, fields: list, fresh: bool
+        self,
+        call: Call,
+        server: BackendServer,
+        fields: list,
+        fresh: bool,
+        progress: AttemptProgress | None = None,
     ) -> Exchange:
         """Send a call with the given header fields; return once the head arrived."""
+
+        def may_send() -> bool:
+            if progress is not None:
+                progress.connected = True
+            return call.grant.is_valid
+
         return await self.fetcher.open(
             server.address,
             call.method,
@@ -197,7 +245,7 @@
             fresh=fresh,
             host=call.host,
             connect_timeout=CONNECT_TIMEOUT_SECONDS,
-            allowed=lambda: call.grant.is_valid,
+            allowed=may_send,
         )
 
     def request_headers(
--- a/tests/crash_fakes.py
+++ b/tests/crash_fakes.py
@@ -9,7 +9,7 @@
 import attrs
 
 from gypsumshift.bytebudget import ByteKind
-from gypsumshift.httpclient import FetchError
+from gypsumshift.httpclient import FetchError, RequestWithheld
 from gypsumshift.httpserver import Request
 from gypsumshift.memory import MemoryTables
 from gypsumshift.neighbours import Neighbour
@@ -200,6 +200,8 @@
         worker = self.world.worker(address)
         if not worker.up:
             raise FetchError("connection refused", False, refused=True)
+        if not options.get("allowed", lambda: True)():
+            raise RequestWithheld
         fields = dict(fields)
         if fields[NAMES.expected_server] != worker.id:
             return FakeExchange([], status=421)
