--- a/gypsumshift/serving/routes.py
+++ b/gypsumshift/serving/routes.py
@@ -61,6 +61,9 @@
         Time after which an item of a batch job may be given up.
     public : bool
         Whether callers need no key.
+    priority : int
+        Priority of its requests when the service is too small for all; 0 is the
+        highest. A workspace's own priority takes precedence.
     """
 
     name: str
@@ -75,6 +78,7 @@
     one_version: bool = False
     retention: datetime.timedelta | None = None
     public: bool = False
+    priority: int = 0
 
     def service_for(self, request_id: str) -> str:
         """Return the service for a request id; the same one on each retry."""
--- a/gypsumshift/workspaces.py
+++ b/gypsumshift/workspaces.py
@@ -31,10 +31,14 @@
     name : str
     keys : frozenset of str
         Digests of its keys; see `key_digest`.
+    priority : int or None
+        Priority of its requests, which takes precedence over that of their routes; 0 is
+        the highest. None if the workspace has none.
     """
 
     name: str
     keys: frozenset[str] = frozenset()
+    priority: int | None = None
 
 
 class Workspaces:
