Start-time fair queueing in a module of its own

The queue of calls that wait at a gateway needs the same order between workspaces as the admission of a sidecar. The tags and the virtual time move from FairAdmission to fairqueueing.FairTags, which both use. The order and the bound on the tags are unchanged (the bound's fixed part is 256 tags as before, counted per name that waits).

--- a/gypsumshift/admission.py
+++ b/gypsumshift/admission.py
@@ -17,6 +17,7 @@
 
 from gypsumshift.clock import Clock
 from gypsumshift.concurrencylimit import ConcurrencyLimit
+from gypsumshift.fairqueueing import FairTags
 from gypsumshift.generated.messages import RequestClass
 
 __all__ = ["Admission", "FairAdmission", "FifoAdmission", "Ticket"]
@@ -206,16 +207,13 @@
 class FairAdmission(Admission):
     """Strict priority of classes, weighted shares of workspaces, then urgency.
 
-    The shares are those of start-time fair queueing: each admission advances the
-    finish tag of its workspace by the inverse of the workspace's weight, and the
-    workspace with the lowest tag is served next.
+    The shares are those of start-time fair queueing (`fairqueueing.py`).
     """
 
     def __init__(self, limit: ConcurrencyLimit, max_waiting: int, clock: Clock):
         super().__init__(limit, max_waiting, clock)
         self.queues: dict[tuple[int, str], list] = {}
-        self.finish_tags: dict[str, float] = {}
-        self.virtual_time = 0.0
+        self.tags = FairTags()
         self.sequence = itertools.count()
         self.last_client_at = float("-inf")
         self.average_clients = 0.0
@@ -286,28 +284,16 @@
             names = [name for each, name in self.queues if each == request_class]
             if not names:
                 return None
-            name = min(
-                names, key=lambda n: max(self.finish_tags.get(n, 0), self.virtual_time)
-            )
+            name = self.tags.least_served(names)
             heap = self.queues[request_class, name]
             ticket = heapq.heappop(heap)[2]
             if not heap:
                 del self.queues[request_class, name]
             if ticket.waiting:
                 self.waiting_by_class[request_class] -= 1
-                self.charge_workspace(ticket)
+                self.tags.charge(ticket.workspace, ticket.share, len(self.queues))
                 return ticket
 
-    def charge_workspace(self, ticket: Ticket) -> None:
-        """Advance a workspace's finish tag by one admission."""
-        start = max(self.finish_tags.get(ticket.workspace, 0.0), self.virtual_time)
-        self.virtual_time = start
-        self.finish_tags[ticket.workspace] = start + 1.0 / ticket.share
-        if len(self.finish_tags) > 4 * (len(self.queues) + 64):
-            self.finish_tags = {
-                n: p for n, p in self.finish_tags.items() if p > self.virtual_time
-            }
-
     def evict_for(self, ticket):
         """Remove and return a ticket of a lower class or of a larger workspace.
 
