Divide a service's capacity by priority and max-min fairness

Where a service is too small, today whoever sends most gets most. fairshares.py computes which share of its demand each workspace and priority is served: priorities in order, weighted max-min fairness within one, and a floor of a quarter of the average share for everyone. Reward calls have a rank of their own below all priorities. Capacity and demand are in places (calls per second times their time at a server), so that short calls and reward calls of the same service are comparable.

tests/test_fairshares.py: 6 tests, one of them a property test of the whole capacity being used and never exceeded.

--- /dev/null
+++ b/gypsumshift/serving/fairshares.py
@@ -0,0 +1,113 @@
+"""Division of a service's capacity between the workspaces that ask for it.
+
+Capacity and demand are in places: calls per second times the seconds that one occupies
+a place at a server. Priorities are served in order, and the workspaces of one priority
+by weighted max-min fairness: each gets what it asks for or an equal share, whichever is
+less. Everyone keeps a floor, so that a surge of urgent calls starves nobody. The module
+is pure: the same demands give the same shares in every process.
+"""
+
+from collections.abc import Mapping
+
+import attrs
+
+__all__ = ["OTHERS", "REWARD_RANK", "Demand", "ShareKey", "divide_capacity"]
+
+# No workspace is served less often than this share of how often all are served on
+# average: its callers time out if nothing of theirs is answered for long.
+FLOOR_SHARE = 0.25
+# Rank of reward calls, below that of every priority: a step waits seconds for its
+# scores, callers a fraction of a second for their answers.
+REWARD_RANK = 1_000_000
+# Stands for the workspaces that a digest has no row for.
+OTHERS = None
+
+
+@attrs.frozen(order=False, cache_hash=True)
+class ShareKey:
+    """Those who share one part of the capacity.
+
+    Attributes
+    ----------
+    rank : int
+        Priority, 0 being the highest, or `REWARD_RANK`.
+    workspace : str or None
+        Empty for callers without a key; `OTHERS` for all that have no key of their own.
+    """
+
+    rank: int
+    workspace: str | None
+
+
+@attrs.frozen
+class Demand:
+    """What those of one key ask for.
+
+    Attributes
+    ----------
+    places : float
+    weight : float
+        Relative to others of the same rank: the number of workspaces.
+    """
+
+    places: float
+    weight: float = 1.0
+
+
+def divide_capacity(
+    places: float, demands: Mapping[ShareKey, Demand]
+) -> dict[ShareKey, float]:
+    """Return the share of its demand that is served, 0 to 1, by key."""
+    total = sum(demand.places for demand in demands.values())
+    if total <= places:
+        return dict.fromkeys(demands, 1.0)
+    floor = FLOOR_SHARE * places / total
+    shares = {}
+    # What is left for a rank and those below it, and the floors of these.
+    left, floors_left = places, floor * total
+    for rank in sorted({key.rank for key in demands}):
+        group = {key: demand for key, demand in demands.items() if key.rank == rank}
+        floors_left -= floor * sum(demand.places for demand in group.values())
+        given = divide_fairly(left - floors_left, group, floor)
+        left -= sum(given.values())
+        for key, amount in given.items():
+            asked = group[key].places
+            shares[key] = min(amount / asked, 1.0) if asked else 1.0
+    return shares
+
+
+def divide_fairly(
+    places: float, demands: Mapping[ShareKey, Demand], floor: float
+) -> dict[ShareKey, float]:
+    """Return the places of each key by weighted max-min fairness.
+
+    Each key gets at least ``floor`` times what it asks for; ``places`` suffices for
+    that.
+    """
+    raised: dict[ShareKey, float] = {}
+    while True:
+        rest = {key: demand for key, demand in demands.items() if key not in raised}
+        given = divide_max_min(places - sum(raised.values()), rest)
+        below = {
+            key: floor * demands[key].places
+            for key, amount in given.items()
+            if amount < floor * demands[key].places
+        }
+        if not below:
+            return given | raised
+        raised |= below
+
+
+def divide_max_min(
+    places: float, demands: Mapping[ShareKey, Demand]
+) -> dict[ShareKey, float]:
+    """Return the places of each key by weighted max-min fairness, without a floor."""
+    given = {}
+    weight_left = sum(demand.weight for demand in demands.values())
+    by_need = sorted(demands.items(), key=lambda item: item[1].places / item[1].weight)
+    for key, demand in by_need:
+        share = max(places, 0.0) * demand.weight / weight_left
+        given[key] = min(demand.places, share)
+        places -= given[key]
+        weight_left -= demand.weight
+    return given
--- /dev/null
+++ b/tests/test_fairshares.py
@@ -0,0 +1,70 @@
+"""Division of capacity: whole, in order of priority, max-min fair and with a floor."""
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import given
+
+from gypsumshift.serving.fairshares import (
+    FLOOR_SHARE,
+    REWARD_RANK,
+    Demand,
+    ShareKey,
+    divide_capacity,
+)
+
+
+def key(workspace="w", rank=0):
+    return ShareKey(rank, workspace)
+
+
+def test_everyone_is_served_where_capacity_suffices():
+    demands = {key("a"): Demand(3.0), key("b", 5): Demand(1.0)}
+    assert set(divide_capacity(4.0, demands).values()) == {1.0}
+
+
+def test_a_large_workspace_does_not_displace_small_ones():
+    """Ten ask for 0.9 of the capacity, one more for ten times its share of it."""
+    demands = {key(f"w{n}"): Demand(0.09) for n in range(10)}
+    shares = divide_capacity(1.0, demands | {key("large"): Demand(0.9)})
+    assert all(shares[small] > 0.95 for small in demands)
+    assert 0.1 < shares[key("large")] < 0.3
+
+
+def test_a_higher_priority_is_served_first_and_the_lower_keeps_its_floor():
+    demands = {key("high", 0): Demand(6.0), key("low", 1): Demand(14.0)}
+    shares = divide_capacity(10.0, demands)
+    assert shares[key("high", 0)] > 0.99
+    assert shares[key("low", 1)] == pytest.approx(4 / 14, abs=0.01)
+    crowded = divide_capacity(6.0, demands)
+    assert crowded[key("low", 1)] == pytest.approx(FLOOR_SHARE * 6 / 20)
+
+
+def test_reward_calls_rank_below_the_lowest_priority():
+    demands = {key("a", 9): Demand(10.0), key("", REWARD_RANK): Demand(10.0)}
+    shares = divide_capacity(10.0, demands)
+    assert shares[key("a", 9)] == pytest.approx(1 - FLOOR_SHARE / 2)
+    assert shares[key("", REWARD_RANK)] == pytest.approx(FLOOR_SHARE / 2)
+
+
+def test_weights_count_the_workspaces_of_one_row():
+    demands = {key("a"): Demand(10.0), key(None): Demand(10.0, weight=3.0)}
+    shares = divide_capacity(8.0, demands)
+    assert shares[key(None)] > 2 * shares[key("a")]
+
+
+@given(
+    st.floats(0, 100),
+    st.dictionaries(
+        st.builds(ShareKey, st.integers(0, 3), st.sampled_from("abcdefgh")),
+        st.builds(Demand, st.floats(0, 50), st.floats(0.1, 10)),
+        min_size=1,
+    ),
+)
+def test_capacity_is_used_up_never_exceeded_and_nobody_is_starved(places, demands):
+    shares = divide_capacity(places, demands)
+    total = sum(demand.places for demand in demands.values())
+    used = sum(shares[k] * demand.places for k, demand in demands.items())
+    assert used == pytest.approx(min(places, total), abs=1e-6, rel=1e-6)
+    average = min(1.0, places / total) if total else 1.0
+    for k in demands:
+        assert FLOOR_SHARE * average - 1e-9 <= shares[k] <= 1.0
