Floors of shares do not grow with what is asked for

The floor is now a quarter of what a key would get by max-min fairness without priorities. Asking for more raises nobody's floor, and a workspace of low priority that asks for no more than its equal share is still served a quarter as often as all.

--- a/gypsumshift/serving/fairshares.py
+++ b/gypsumshift/serving/fairshares.py
@@ -3,8 +3,9 @@
 Capacity and demand are in places: calls per second times the seconds that one occupies
 a place at a server. Priorities are served in order, and the workspaces of one priority
 by weighted max-min fairness: each gets what it asks for or an equal share, whichever is
-less. Everyone keeps a floor, so that a surge of urgent calls starves nobody. The module
-is pure: the same demands give the same shares in every process.
+less. Everyone keeps a floor, a part of what they would get without priorities, so that
+a surge of urgent calls starves nobody, and asking for more raises nobody's floor. The
+module is pure: the same demands give the same shares in every process.
 """
 
 from collections.abc import Mapping
@@ -13,8 +14,9 @@
 
 __all__ = ["OTHERS", "REWARD_RANK", "Demand", "ShareKey", "divide_capacity"]
 
-# No workspace is served less often than this share of how often all are served on
-# average: its callers time out if nothing of theirs is answered for long.
+# Part of its share without priorities that everyone keeps. A workspace of low priority
+# is thereby served at least a quarter as often as all are on average: its callers time
+# out if nothing of theirs is answered for long.
 FLOOR_SHARE = 0.25
 # Rank of reward calls, below that of every priority: a step waits seconds for its
 # scores, callers a fraction of a second for their answers.
@@ -61,14 +63,15 @@
     total = sum(demand.places for demand in demands.values())
     if total <= places:
         return dict.fromkeys(demands, 1.0)
-    floor = FLOOR_SHARE * places / total
+    equal = divide_max_min(places, demands)
+    floors = {key: FLOOR_SHARE * amount for key, amount in equal.items()}
     shares = {}
     # What is left for a rank and those below it, and the floors of these.
-    left, floors_left = places, floor * total
+    left, floors_left = places, sum(floors.values())
     for rank in sorted({key.rank for key in demands}):
         group = {key: demand for key, demand in demands.items() if key.rank == rank}
-        floors_left -= floor * sum(demand.places for demand in group.values())
-        given = divide_fairly(left - floors_left, group, floor)
+        floors_left -= sum(floors[key] for key in group)
+        given = divide_with_floors(left - floors_left, group, floors)
         left -= sum(given.values())
         for key, amount in given.items():
             asked = group[key].places
@@ -76,23 +79,20 @@
     return shares
 
 
-def divide_fairly(
-    places: float, demands: Mapping[ShareKey, Demand], floor: float
+def divide_with_floors(
+    places: float,
+    demands: Mapping[ShareKey, Demand],
+    floors: Mapping[ShareKey, float],
 ) -> dict[ShareKey, float]:
-    """Return the places of each key by weighted max-min fairness.
+    """Return the places of each key by weighted max-min fairness above the floors.
 
-    Each key gets at least ``floor`` times what it asks for; ``places`` suffices for
-    that.
+    ``places`` suffices for the floors of all keys.
     """
     raised: dict[ShareKey, float] = {}
     while True:
         rest = {key: demand for key, demand in demands.items() if key not in raised}
         given = divide_max_min(places - sum(raised.values()), rest)
-        below = {
-            key: floor * demands[key].places
-            for key, amount in given.items()
-            if amount < floor * demands[key].places
-        }
+        below = {k: floors[k] for k, amount in given.items() if amount < floors[k]}
         if not below:
             return given | raised
         raised |= below
