Ask the admission control before the first attempt of a call

Forwarder passes each call through an AdmissionGate, behind the crash guard and before anything is sent, so its refusal is a true NotRun. A call that all servers refused gets its Retry-After from the same schedule, if the service is contended. Reward calls carry the workspace of their item and rank below every priority.

The switch is service_admission.

--- a/gypsumshift/agentnode.py
+++ b/gypsumshift/agentnode.py
@@ -10,7 +10,9 @@
 from gypsumshift.jobs.localengine import AgentIdentity
 from gypsumshift.lifecycle import Node
 from gypsumshift.policy import DEFAULT_POLICY, Policy
+from gypsumshift.serving.admissiongate import new_admission_gate
 from gypsumshift.serving.crashguard import CrashGuard
+from gypsumshift.serving.demand import DemandTable
 from gypsumshift.serving.forwarder import Forwarder
 from gypsumshift.serving.loadbalancer import LoadBalancer
 from gypsumshift.serving.sender import Sender
@@ -68,7 +70,9 @@
         directory.on_restart.append(lambda old: fetcher.close_connections(old.address))
         self.balancer.has_idle_connection = fetcher.has_idle_connection
         sender = Sender(directory, self.balancer, fetcher, names, clock, metrics)
-        forwarder = Forwarder(sender, self.guard, policy)
+        self.demand = DemandTable(identity.name, clock)
+        gate = new_admission_gate(sender, self.demand, chance, policy)
+        forwarder = Forwarder(sender, self.guard, policy, gate)
         engine = EngineClient(fetcher, names, protocol)
         self.agent = Agent(
             identity,
@@ -93,6 +97,7 @@
         """Remove outdated data about servers and crashes."""
         await super().sweep()
         self.guard.sweep()
+        self.demand.prune()
 
     async def drain(self, grace: float) -> None:
         """Release the agent's units of work within ``grace`` seconds."""
--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -9,8 +9,10 @@
 from gypsumshift.lifecycle import Node
 from gypsumshift.platforms import RowStore
 from gypsumshift.policy import DEFAULT_POLICY, Policy
+from gypsumshift.serving.admissiongate import new_admission_gate
 from gypsumshift.serving.authorization import Authorizer
 from gypsumshift.serving.crashguard import CrashGuard
+from gypsumshift.serving.demand import DemandTable
 from gypsumshift.serving.forwarder import Forwarder
 from gypsumshift.serving.loadbalancer import LoadBalancer
 from gypsumshift.serving.sender import Sender
@@ -49,6 +51,8 @@
     chance : random.Random
     metrics : Metrics
     policy : Policy
+    name : str
+        Name of the process, under which it reports the demand of its callers.
     """
 
     max_body_bytes = DEFAULT_MAX_BODY_BYTES
@@ -67,6 +71,7 @@
         chance,
         metrics,
         policy: Policy = DEFAULT_POLICY,
+        name: str = "",
     ):
         self.store: RowStore = store
         self.authorizer: Authorizer = authorizer
@@ -87,7 +92,9 @@
         self.balancer.has_idle_connection = fetcher.has_idle_connection
         usage = accounting.counter if accounting else None
         sender = Sender(directory, self.balancer, fetcher, names, clock, metrics, usage)
-        self.forwarder = Forwarder(sender, self.guard, policy)
+        self.demand = DemandTable(name, clock)
+        gate = new_admission_gate(sender, self.demand, chance, policy)
+        self.forwarder = Forwarder(sender, self.guard, policy, gate)
         self.streams = StreamRelay(self.forwarder)
         self.draining = False
 
@@ -109,6 +116,7 @@
                 self.directory.routes.body_limit or DEFAULT_MAX_BODY_BYTES
             )
         self.guard.sweep()
+        self.demand.prune()
         await self.job_manager.remove_expired_jobs(self.chance)
 
     def background_tasks(self):
--- a/gypsumshift/gossip.py
+++ b/gypsumshift/gossip.py
@@ -9,6 +9,7 @@
 
 import json
 import random
+from collections.abc import Callable
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
@@ -28,12 +29,17 @@
 # Interval between the exchanges that a process starts, and the timeout of one.
 PERIOD_SECONDS = 1.0
 EXCHANGE_TIMEOUT_SECONDS = 0.3
+# Interval while calls compete for a service: a surge is known to all within a second.
+URGENT_PERIOD_SECONDS = 0.25
 # Relative variation of the interval, so that processes do not start exchanges at the
 # same time.
 JITTER = 0.2
 # Share of exchanges that may go to a process of another zone, to which traffic is
 # expensive.
 OTHER_ZONE_SHARE = 0.1
+# The same while calls compete for a service. The zones share it, and would otherwise
+# learn of each other's demand 2 s later.
+URGENT_OTHER_ZONE_SHARE = 0.35
 
 log = logs.logger("gossip")
 
@@ -55,6 +61,8 @@
     ----------
     sections : dict
         `DigestSection` by name.
+    is_urgent : callable
+        Returns whether exchanges are to be more frequent; by default False.
     """
 
     def __init__(
@@ -71,6 +79,7 @@
         self.clock = clock
         self.chance = chance
         self.sections: dict[str, DigestSection] = {}
+        self.is_urgent: Callable[[], bool] = lambda: False
         self.add_section(ObservationSection(balancer.shared_observations))
         self.add_section(LoadSection(balancer.load_reports))
 
@@ -82,7 +91,8 @@
         """Start exchanges at the interval until cancelled."""
         while True:
             factor = self.chance.uniform(1 - JITTER, 1 + JITTER)
-            await self.clock.sleep(PERIOD_SECONDS * factor)
+            period = URGENT_PERIOD_SECONDS if self.is_urgent() else PERIOD_SECONDS
+            await self.clock.sleep(period * factor)
             await self.exchange()
 
     async def exchange(self) -> None:
@@ -112,7 +122,8 @@
         """Return a random process to exchange with, mostly one of the own zone."""
         known = list(self.path.neighbours.values())
         same_zone = [n for n in known if n.zone == self.path.zone]
-        any_zone = self.chance.random() < OTHER_ZONE_SHARE
+        share = URGENT_OTHER_ZONE_SHARE if self.is_urgent() else OTHER_ZONE_SHARE
+        any_zone = self.chance.random() < share
         chosen = known if any_zone or not same_zone else same_zone
         return self.chance.choice(chosen) if chosen else None
 
--- a/gypsumshift/jobs/itemrun.py
+++ b/gypsumshift/jobs/itemrun.py
@@ -290,6 +290,7 @@
             once,
             self.clock.monotonic() + SCORE_TIMEOUT,
             suspect,
+            reward_for=self.job.workspace,
         )
 
     async def make_result(self) -> Result | HeldBack:
--- a/gypsumshift/policy.py
+++ b/gypsumshift/policy.py
@@ -60,6 +60,10 @@
     shared_rereads : bool
         Let one process of a zone read a whole table for the others
         (`sharedreads.py`).
+    service_admission : bool
+        Divide the capacity of a service that is too small by priority and workspace,
+        and refuse calls that cannot be served in time
+        (`serving/serviceadmission.py`).
     """
 
     hedged_writes: bool = True
@@ -74,6 +78,7 @@
     ejection: bool = True
     shared_sight: bool = True
     shared_rereads: bool = True
+    service_admission: bool = True
 
 
 DEFAULT_POLICY = Policy()
--- a/gypsumshift/serving/calls.py
+++ b/gypsumshift/serving/calls.py
@@ -36,6 +36,9 @@
         Permission to run the request, with the workspace.
     usage_counted : bool
         Whether the request is already counted as one that a server began to run.
+    reward_for : str or None
+        Workspace whose item a reward call scores; None for callers' requests, which go
+        before reward calls where a service is too small for both.
     """
 
     id: str
@@ -49,6 +52,7 @@
     failed_before: bool = False
     grant: Grant = KEYLESS_GRANT
     usage_counted: bool = False
+    reward_for: str | None = None
 
     @functools.cached_property
     def fingerprint(self) -> str:
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -15,6 +15,7 @@
 from gypsumshift import logs
 from gypsumshift.outcomes import Answered, HeldBack, NotRun, Unknown
 from gypsumshift.policy import DEFAULT_POLICY, Policy
+from gypsumshift.serving.admissiongate import AdmissionGate
 from gypsumshift.serving.authorization import KEY_NOT_CONFIRMED
 from gypsumshift.serving.calls import AttemptOutcome, Call, Failed, Refused
 from gypsumshift.serving.crashguard import HELD_BACK_REASON, CrashGuard, Permit
@@ -61,6 +62,8 @@
         Number of rounds in which every server refused.
     error_answer : Answered or None
         Error response of a server, returned if no attempt succeeds.
+    refused_at_gate : bool
+        Whether the call was refused before its first attempt; the gate reports that.
     """
 
     call: Call
@@ -71,6 +74,7 @@
     refused_by: set[ServerStart] = attrs.field(factory=set)
     rounds: int = 0
     error_answer: Answered | None = None
+    refused_at_gate: bool = False
 
     @property
     def excluded(self) -> set[ServerStart]:
@@ -94,12 +98,20 @@
     sender : Sender
     guard : CrashGuard
     policy : Policy
+    gate : AdmissionGate or None
+        Decides which calls are sent when a service is too small for all; None sends all
+        calls.
     """
 
     def __init__(
-        self, sender: Sender, guard: CrashGuard, policy: Policy = DEFAULT_POLICY
+        self,
+        sender: Sender,
+        guard: CrashGuard,
+        policy: Policy = DEFAULT_POLICY,
+        gate: AdmissionGate | None = None,
     ):
         self.policy = policy
+        self.gate = gate
         self.sender = sender
         self.guard = guard
         self.directory = sender.directory
@@ -133,7 +145,7 @@
         started = self.clock.monotonic()
         outcome = None
         try:
-            outcome = await self.run_attempts(state)
+            outcome = await self.enter(state) or await self.run_attempts(state)
         finally:
             ran = bool(state.ran_on or state.running)
             cancelled = list(state.running.values())
@@ -146,7 +158,7 @@
         self.metrics.record_duration(
             "request_seconds", took, service=service, outcome=outcome_name
         )
-        if not isinstance(outcome, Answered):
+        if not isinstance(outcome, Answered) and not state.refused_at_gate:
             logs.event(
                 log,
                 "Request not served by any backend server.",
@@ -162,6 +174,18 @@
             )
         return outcome
 
+    async def enter(self, state: ForwardState) -> NotRun | None:
+        """Return None once the first attempt may start, or the call's refusal."""
+        if self.gate is None:
+            return None
+        service = state.call.route.service_for(state.call.id)
+        refusal = await self.gate.enter(state.call, service)
+        state.refused_at_gate = refusal is not None
+        if refusal is None:
+            # Servers may have left while the call waited.
+            state.servers = self.directory.ready_servers(service)
+        return refusal
+
     async def run_attempts(self, state: ForwardState) -> Answered | NotRun | Unknown:
         """Start attempts until one settles the call or no more may be made."""
         hedge = self.hedge_delay(state.call)
@@ -214,10 +238,20 @@
         server = self.balancer.choose(state.servers, state.excluded)
         if server is None:
             return False
-        task = asyncio.create_task(self.sender.attempt(state.call, server))
+        task = asyncio.create_task(self.attempt(state.call, server))
         state.running[task] = server
         return True
 
+    async def attempt(self, call: Call, server: BackendServer) -> AttemptOutcome:
+        """Send a call to one server; report the time of its answer to the gate."""
+        started = self.clock.monotonic()
+        outcome = await self.sender.attempt(call, server)
+        answered = isinstance(outcome, Answered) and outcome.status < 500
+        if self.gate is not None and answered:
+            took = self.clock.monotonic() - started
+            self.gate.record_answer(call, server, took)
+        return outcome
+
     async def next_round(self, state: ForwardState, left: float) -> bool:
         """Wait before the next round; return False if no further round is allowed."""
         if state.exhausted or state.rounds >= MAX_FULL_ROUNDS:
@@ -261,7 +295,15 @@
             return Unknown(reason)
         if reason == HELD_BACK_REASON:
             return self.guard.held_back_outcome(state.permit.fingerprint)
-        return NotRun(reason, datetime.timedelta(seconds=RETRY_AFTER_SECONDS))
+        seconds = self.retry_after(state) or RETRY_AFTER_SECONDS
+        return NotRun(reason, datetime.timedelta(seconds=seconds))
+
+    def retry_after(self, state: ForwardState) -> float | None:
+        """Return the seconds until a retry that the gate schedules; None if none."""
+        if self.gate is None or not state.rounds:
+            return None
+        service = state.call.route.service_for(state.call.id)
+        return self.gate.refused_by_servers(state.call, service)
 
     async def cancel_attempts(self, state: ForwardState) -> None:
         """Cancel the attempts that are still running, and wait for their end."""
--- a/standins/users_worker.py
+++ b/standins/users_worker.py
@@ -87,6 +87,8 @@
         File to which these are also written, since it outlives the process.
     break_at_events : list of int
         Numbers of the events in the middle of which the next streams break off.
+    reported_load : str
+        Load to report in place of the actual one; empty to report the actual one.
     loses_answers : bool
         Whether requests are run and their connections closed instead of a response.
     fatal : bytes
@@ -111,6 +113,7 @@
         self.runs: list[dict] = []
         self.run_log = None
         self.break_at_events: list[int] = []
+        self.reported_load = ""
         self.loses_answers = False
         self.fatal = b""
         self.on_fatal: Callable[[], None] = lambda: os._exit(1)
@@ -194,7 +197,10 @@
         headers = [
             ("request-id", request_id),
             ("server-stamp", f"{self.id}.{request_id}"),
-            ("server-load", f"{self.running},0,{self.slots}"),
+            (
+                "server-load",
+                self.reported_load or f"{self.running},0,{self.slots}",
+            ),
         ]
         if not self.models:
             self.running += 1
