--- a/gypsumshift/policy.py
+++ b/gypsumshift/policy.py
@@ -73,6 +73,10 @@
     workspace_shares : bool
         Divide the engines between workspaces while their steps need more than the
         engines can do (`jobs/engineshares.py`).
+    service_admission : bool
+        Divide the capacity of a service that is too small by priority and workspace,
+        and refuse calls that cannot be served in time
+        (`serving/serviceadmission.py`).
     """
 
     hedged_writes: bool = True
@@ -91,6 +95,7 @@
     shared_rereads: bool = True
     byte_budget: bool = True
     workspace_shares: bool = True
+    service_admission: bool = True
 
 
 DEFAULT_POLICY = Policy()
--- a/gypsumshift/serving/calls.py
+++ b/gypsumshift/serving/calls.py
@@ -39,6 +39,9 @@
         Whether the request is already counted as one that a server began to run.
     holding : Holding
         Bytes that the request and its answer hold in the memory budget.
+    reward_for : str or None
+        Workspace whose item a reward call scores; None for callers' requests, which go
+        before reward calls where a service is too small for both.
     """
 
     id: str
@@ -53,6 +56,7 @@
     grant: Grant = KEYLESS_GRANT
     usage_counted: bool = False
     holding: Holding = attrs.field(factory=NO_BUDGET.hold, eq=False, repr=False)
+    reward_for: str | None = None
 
     @functools.cached_property
     def fingerprint(self) -> str:
