Divide engines of unlike pace between models by capacity

Cause: models got engines by their number, and slower engines went to the model of the shortest items. With three builds, two engines in three are slower than the fastest: one model had much less capacity than its work needs, and another none that completes its longest item in time. Change: where usual paces differ by more than a third, work is compared with the sum of 1 / pace; engines keep their models unless a move or a swap lowers the busier model's load 1.25 times, or a model has no fast engine (jobs/modelcapacity.py). Until three quarters of the paces are known, engines keep their models. Switch: expected_end. Open load orders are not considered.

--- a/gypsumshift/jobs/assignment.py
+++ b/gypsumshift/jobs/assignment.py
@@ -14,7 +14,15 @@
 
 from gypsumshift.jobs.pace import SLOWER_FACTOR
 
-__all__ = ["EngineLoad", "StepPlan", "WaitingUnit", "free_times", "plan_step"]
+__all__ = [
+    "EngineLoad",
+    "StepPlan",
+    "WaitingUnit",
+    "class_pace",
+    "free_times",
+    "pace_classes",
+    "plan_step",
+]
 
 # Seconds until an item is expected to end that has taken longer than its estimate:
 # estimates are off by half, and most items last for less than a second.
@@ -125,6 +133,11 @@
     return max(0, sum(pace >= first for first in classes) - 1)
 
 
+def class_pace(pace: float, classes: Sequence[float]) -> float:
+    """Return the fastest pace of the class that a pace belongs to."""
+    return classes[class_of(pace, classes)]
+
+
 def plan_step(
     units: Sequence[WaitingUnit], engines: Sequence[EngineLoad], own: float
 ) -> StepPlan:
--- a/gypsumshift/jobs/placement.py
+++ b/gypsumshift/jobs/placement.py
@@ -16,6 +16,11 @@
 
 import attrs
 
+from gypsumshift.jobs.modelcapacity import (
+    assign_by_capacity,
+    is_uneven,
+    knows_paces,
+)
 from gypsumshift.jobs.pace import is_slower
 from gypsumshift.jobs.records import Job
 
@@ -99,7 +104,10 @@
 
 
 def assign_models(
-    engines: list[EngineView], shares: dict[str, float], lengths: dict[str, int]
+    engines: list[EngineView],
+    shares: dict[str, float],
+    lengths: dict[str, int],
+    by_capacity: bool = False,
 ) -> dict[str, tuple[str, ...]]:
     """Return the models that each engine is to serve.
 
@@ -111,6 +119,8 @@
         Share of the work by model, summing to 1.
     lengths : dict
         Estimate of the longest item by model, as far as known.
+    by_capacity : bool
+        Whether engines of unlike pace are divided by their capacity, not their number.
 
     Returns
     -------
@@ -129,6 +139,10 @@
         return {engine: tuple(served) for engine, served in assignment.items()}
     if len(models) == 1:
         return {engine.id: (models[0],) for engine in engines}
+    if by_capacity and is_uneven(engines):
+        if knows_paces(engines):
+            return assign_by_capacity(engines, shares, lengths)
+        engines = [attrs.evolve(engine, usual_pace=0.0) for engine in engines]
     slow = slow_engines(engines)
     order = sort_by_length(engines, slow, models, lengths)
     counts = count_engines(engines, shares, len(slow), order[0])
@@ -246,12 +260,14 @@
         self.arguments: tuple = ()
         self.assignment: dict[str, tuple[str, ...]] = {}
 
-    def assign(self, engines, shares, lengths) -> dict[str, tuple[str, ...]]:
+    def assign(
+        self, engines, shares, lengths, by_capacity=False
+    ) -> dict[str, tuple[str, ...]]:
         """Return the models that each engine is to serve; see `assign_models`."""
-        arguments = (engines, shares, lengths)
+        arguments = (engines, shares, lengths, by_capacity)
         if arguments != self.arguments:
             self.arguments = arguments
-            self.assignment = assign_models(engines, shares, lengths)
+            self.assignment = assign_models(*arguments)
         return self.assignment
 
 
--- a/gypsumshift/jobs/weights.py
+++ b/gypsumshift/jobs/weights.py
@@ -105,7 +105,10 @@
         ]
         shares = self.demand.shares(limits.models)
         return self.assignment_cache.assign(
-            engines, shares, self.demand.longest_estimates()
+            engines,
+            shares,
+            self.demand.longest_estimates(),
+            self.policy.expected_end,
         )
 
     def apply_policy(self, engine: placement.EngineView) -> placement.EngineView:
