Log expected ends of migrated items only

Cause: the line with the expected ends of an item was written five times a second for each unit worth migrating, also while no faster engine had room. Change: it is written once, when the unit is handed over. A test in virtual time shows that an item that ends in time stays, one that may be late is migrated, and none where the faster engine has no room.

--- a/gypsumshift/jobs/unitmigrator.py
+++ b/gypsumshift/jobs/unitmigrator.py
@@ -172,6 +172,7 @@
             if free_slots < 0:
                 return
             self.migrated.add((unit.job.id, unit.key))
+            self.log_expected_ends(unit)
             self.metrics.count("migrations")
             self.runner.hand_over_unit(unit, "a faster engine has room")
 
@@ -189,32 +190,44 @@
     def is_migratable(self, unit: UnitRun) -> bool:
         """Return whether a faster engine would complete a unit sooner."""
         if self.policy.expected_end and self.runner.lengths.events(unit.job.model, 1):
-            return not unit.taken_over and self.gains_by_migration(unit)
+            return not unit.taken_over and self.find_gain(unit) is not None
         since = self.clock.monotonic() - MIGRATE_WITHIN
         is_long = unit.key in long_units(unit.job, MIN_ESTIMATE_FACTOR)
         return unit.claimed_at > since and is_long
 
-    def gains_by_migration(self, unit: UnitRun) -> bool:
-        """Return whether an item of a unit is worth migrating, and log its ends."""
+    def find_gain(self, unit: UnitRun) -> tuple[ItemRun, ExpectedEnds] | None:
+        """Return an item of a unit that is worth migrating; None if there is none."""
+        left = self.time_left(unit)
+        worth = (
+            (run, ends)
+            for run, ends in self.ends_of(unit)
+            if ends.is_worth_migrating(left)
+        )
+        return next(worth, None)
+
+    def time_left(self, unit: UnitRun) -> float:
+        """Return in how many seconds the step of a unit is due."""
         open_job = self.tracker.open_jobs.get(unit.job.id)
-        if open_job is None:
-            return False
-        left = open_job.first_seen_at + STEP_TIME - self.clock.monotonic()
-        for run, ends in self.ends_of(unit):
-            if ends.is_worth_migrating(left):
-                logs.event(
-                    log,
-                    "An item is expected to end earlier at a faster engine.",
-                    item=run.item.id,
-                    job=unit.job.id,
-                    events=len(run.events),
-                    here_s=round(ends.here, 2),
-                    there_s=round(ends.there, 2),
-                    error=round(ends.error, 2),
-                    due_s=round(left, 2),
-                )
-                return True
-        return False
+        begin = open_job.first_seen_at if open_job else unit.claimed_at
+        return begin + STEP_TIME - self.clock.monotonic()
+
+    def log_expected_ends(self, unit: UnitRun) -> None:
+        """Log why a unit is migrated, where expected ends decided it."""
+        found = self.find_gain(unit)
+        if found is None:
+            return
+        run, ends = found
+        logs.event(
+            log,
+            "An item is expected to end earlier at a faster engine.",
+            item=run.item.id,
+            job=unit.job.id,
+            events=len(run.events),
+            here_s=round(ends.here, 2),
+            there_s=round(ends.there, 2),
+            error=round(ends.error, 2),
+            due_s=round(self.time_left(unit), 2),
+        )
 
     def ends_of(self, unit: UnitRun) -> Iterator[tuple[ItemRun, ExpectedEnds]]:
         """Yield the generating items of a unit with their expected ends."""
--- a/tests/test_stepplanner.py
+++ b/tests/test_stepplanner.py
@@ -129,3 +129,36 @@
 
     found, fast = run_in_virtual_time(run)
     assert found == [fast]
+
+
+async def run_slow_engine(hint, places):
+    """Run items of one length at a slow engine, then a faster one sends heartbeats.
+
+    Returns the agent, and the units that it migrated.
+    """
+    world = JobCluster()
+    start_agents(world, paces={"s1": 0.09})
+    agent = world.agents["s1"]
+    entry = server("e-f1", address=("127.0.0.1", 100))
+    agent.local_engine.directory.set_server(entry)
+    await world.submit("first", groups=4, size=4)
+    await world.results("first")
+    hints = {f"second-0-{number}": hint for number in range(2)}
+    await world.submit("second", groups=1, size=2, hints=hints)
+    await asyncio.sleep(0.5)
+    for beat in range(1, 6):
+        value = {"session": "f", "beat": beat, "usual": 0.03, "engine": "e-f1"}
+        await world.store.commit([Write(AGENTS, "f1", value | {"places": places})])
+        await asyncio.sleep(0.4)
+    await world.close()
+    return agent, agent.unit_migrator.migrated
+
+
+@pytest.mark.parametrize(
+    ("hint", "places", "migrates"), [(100, 4, True), (100, 1, False), (60, 4, False)]
+)
+def test_a_running_item_is_migrated_only_if_it_may_be_late(hint, places, migrates):
+    """Items that end in time were migrated as well, and read their prompts again."""
+    agent, migrated = run_in_virtual_time(lambda: run_slow_engine(hint, places))
+    assert bool(migrated) == migrates
+    assert agent.local_engine.client.started.count(("second-0-0", 0)) == 1
