--- a/gypsumshift/jobs/weights.py
+++ b/gypsumshift/jobs/weights.py
@@ -111,7 +111,10 @@
         ]
         shares = self.demand.shares(limits.models, self.division())
         return self.assignment_cache.assign(
-            engines, shares, self.demand.longest_estimates()
+            engines,
+            shares,
+            self.demand.longest_estimates(),
+            self.policy.expected_end,
         )
 
     def division(self) -> Division:
