Wait for memory in order, and tell a slow caller from a stalled one

Each release woke all waiting answers, and calls that waited were hedged to a second server. Streams that lasted long left no memory for callers' bodies. Each cut wrote a log line. Change: progress is read from the kernel's queue of unacknowledged bytes. Waiting answers are granted in order, and small ones pass. A call whose answer waits for memory is not hedged. Requests get a guaranteed share of a sixth. Lines about refusals and cut callers are limited to ten per second.

--- a/gypsumshift/bytebudget.py
+++ b/gypsumshift/bytebudget.py
@@ -12,6 +12,8 @@
 import math
 import random
 
+import attrs
+
 from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.metrics import Metrics
@@ -36,8 +38,8 @@
 # Share of the bytes held when the budget was exceeded at or below which it counts as
 # free again, so that it is not reported for each request.
 FREE_SHARE = 0.5
-# At most ten lines per second about refusals.
-REFUSAL_LOG_INTERVAL_S = 0.1
+# At most ten lines per second about refusals, and about callers that are cut off.
+LOG_INTERVAL_S = 0.1
 
 log = logs.logger("bytebudget")
 
@@ -52,8 +54,9 @@
 
 
 # Shares of the budget that the other kinds leave free. The smallest host (160 MB) keeps
-# four batch jobs of 200 kB, 8 MB of answers and 32 streams; requests get half at most.
+# four batch jobs of 200 kB, 8 MB of requests, 8 MB of answers and 34 streams.
 GUARANTEED_SHARES = {
+    ByteKind.REQUEST: 1 / 6,
     ByteKind.ANSWER: 1 / 6,
     ByteKind.STREAM: 1 / 12,
     ByteKind.JOB: 1 / 6,
@@ -69,6 +72,24 @@
     return max(MIN_BUDGET_BYTES, free)
 
 
+@attrs.define(eq=False)
+class Waiter:
+    """A reservation that waits.
+
+    Attributes
+    ----------
+    kind : ByteKind
+    size : float
+    small : bool
+    granted : asyncio.Future
+    """
+
+    kind: ByteKind
+    size: float
+    small: bool
+    granted: asyncio.Future
+
+
 class ByteBudget:
     """Budget of the bytes that a process buffers, divided by kind.
 
@@ -88,6 +109,8 @@
         Bytes held now.
     exceeded_at : float
         Bytes that were held when the budget was exceeded; 0 while it is not.
+    waiters : list of Waiter
+        Reservations that wait, in order.
     """
 
     def __init__(
@@ -104,9 +127,9 @@
         self.held = dict.fromkeys(ByteKind, 0)
         self.total = 0
         self.exceeded_at = 0.0
-        self.waiters: list[asyncio.Future] = []
-        self.refusals_unlogged = 0
-        self.refusal_logged_at = -math.inf
+        self.waiters: list[Waiter] = []
+        self.refusal_events = logs.RateLimitedEvents(log, LOG_INTERVAL_S)
+        self.stall_events = logs.RateLimitedEvents(log, LOG_INTERVAL_S)
 
     @property
     def is_limited(self) -> bool:
@@ -152,7 +175,7 @@
         self.total += size
 
     def release(self, kind: ByteKind, size: float) -> None:
-        """Release bytes, and wake the reservations that wait."""
+        """Release bytes, and grant the reservations that wait."""
         self.held[kind] -= size
         self.total -= size
         if not self.is_limited:
@@ -160,16 +183,40 @@
         if self.exceeded_at and self.total <= FREE_SHARE * self.exceeded_at:
             self.exceeded_at = 0.0
             logs.event(log, "The memory budget is free again.", **self.figures())
-        waiters, self.waiters = self.waiters, []
-        for waiter in waiters:
-            if not waiter.done():
-                waiter.set_result(None)
-
-    async def wait_for_release(self) -> None:
-        """Wait until bytes are released."""
-        waiter = asyncio.get_running_loop().create_future()
+        self.grant_waiting()
+
+    async def reserve_when_free(self, kind: ByteKind, size: float, small: bool) -> None:
+        """Reserve bytes as soon as they fit; earlier reservations come first."""
+        if (small or not self.waiters) and self.reserve(kind, size, small):
+            return
+        granted = asyncio.get_running_loop().create_future()
+        waiter = Waiter(kind, size, small, granted)
         self.waiters.append(waiter)
-        await waiter
+        try:
+            await granted
+        except asyncio.CancelledError:
+            if waiter in self.waiters:
+                self.waiters.remove(waiter)
+                self.grant_waiting()
+            else:
+                self.release(kind, size)
+            raise
+
+    def grant_waiting(self) -> None:
+        """Grant waiting reservations in order.
+
+        Only small ones pass the first that does not fit.
+        """
+        blocked = False
+        for waiter in list(self.waiters):
+            if blocked and not waiter.small:
+                continue
+            if waiter.size > self.available(waiter.kind, waiter.small):
+                blocked = True
+            elif not waiter.granted.done():
+                self.waiters.remove(waiter)
+                self.add(waiter.kind, waiter.size)
+                waiter.granted.set_result(None)
 
     def retry_after(self) -> float:
         """Return the seconds after which a refused caller may retry."""
@@ -205,21 +252,25 @@
         """Count a refused request, and log it unless lines are too frequent."""
         if self.metrics is not None:
             self.metrics.count("byte_refusals", kind=str(kind))
-        now = self.clock.monotonic()
-        if now - self.refusal_logged_at < REFUSAL_LOG_INTERVAL_S:
-            self.refusals_unlogged += 1
-            return
-        logs.event(
-            log,
+        self.refusal_events.event(
+            self.clock.monotonic(),
             "Body or answer refused; it does not fit into the memory budget.",
             request=request,
             kind=str(kind),
             asked_bytes=round(size),
-            unlogged=self.refusals_unlogged,
             **self.figures(),
         )
-        self.refusal_logged_at = now
-        self.refusals_unlogged = 0
+
+    def record_stall(self, unread: int, seconds: float) -> None:
+        """Count a caller that was cut off since it read nothing for some seconds."""
+        if self.metrics is not None:
+            self.metrics.count("stalled_callers")
+        self.stall_events.event(
+            self.clock.monotonic(),
+            "Caller cut off; it read nothing of its response within the time limit.",
+            limit_s=seconds,
+            unread_bytes=unread,
+        )
 
 
 class Holding:
@@ -235,11 +286,14 @@
         Bytes held, by kind.
     ended : bool
         Whether the request has ended; what still runs for it is not counted any more.
+    waiting : int
+        Number of its reservations that wait.
     """
 
     def __init__(self, budget: ByteBudget):
         self.budget = budget
         self.ended = False
+        self.waiting = 0
         self.sizes: dict[ByteKind, float] = {}
 
     def add(self, kind: ByteKind, received: int) -> bool:
@@ -255,10 +309,21 @@
 
     async def add_when_free(self, kind: ByteKind, received: int) -> bool:
         """Reserve memory as soon as it fits; return False if it never can."""
-        while not self.add(kind, received):
-            if received * HELD_PER_BYTE.get(kind, 1) > self.budget.capacity(kind):
-                return False
-            await self.budget.wait_for_release()
+        if self.ended:
+            return True
+        size = received * HELD_PER_BYTE.get(kind, 1)
+        if size > self.budget.capacity(kind):
+            return False
+        small = self.sizes.get(kind, 0) + size <= SMALL_BYTES
+        self.waiting += 1
+        try:
+            await self.budget.reserve_when_free(kind, size, small)
+        finally:
+            self.waiting -= 1
+        if self.ended:
+            self.budget.release(kind, size)
+        else:
+            self.sizes[kind] = self.sizes.get(kind, 0) + size
         return True
 
     def remove(self, kind: ByteKind, size: int) -> None:
--- a/gypsumshift/flowcontrol.py
+++ b/gypsumshift/flowcontrol.py
@@ -1,8 +1,10 @@
 """Flow control of connections: small buffers, and resets that discard unsent data."""
 
 import asyncio
+import fcntl
 import socket
 import struct
+import termios
 
 __all__ = [
     "BUFFER_BYTES",
@@ -10,6 +12,7 @@
     "limit_sending",
     "open_limited_connection",
     "reset_connection",
+    "unread_bytes",
 ]
 
 # With a memory budget, a connection buffers about this much in each direction before
@@ -75,6 +78,20 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
 
 
+def unread_bytes(writer: asyncio.StreamWriter) -> int:
+    """Return how many bytes the other side has not acknowledged yet.
+
+    The kernel accepts data again only once a third of its buffer is free, which takes
+    a slow reader many seconds. Its queue shows the progress within less.
+    """
+    unsent = writer.transport.get_write_buffer_size()
+    sock = writer.get_extra_info("socket")
+    if sock.fileno() < 0:
+        return unsent
+    queue = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+    return unsent + struct.unpack("i", queue)[0]
+
+
 def discard_on_close(writer: asyncio.StreamWriter) -> None:
     """Let closing a connection discard unsent data and reset the connection."""
     sock = writer.get_extra_info("socket")
--- a/gypsumshift/httpserver.py
+++ b/gypsumshift/httpserver.py
@@ -11,7 +11,12 @@
 
 from gypsumshift import logs
 from gypsumshift.bytebudget import NO_BUDGET, ByteBudget, ByteKind, Holding
-from gypsumshift.flowcontrol import BUFFER_BYTES, limit_sending, reset_connection
+from gypsumshift.flowcontrol import (
+    BUFFER_BYTES,
+    limit_sending,
+    reset_connection,
+    unread_bytes,
+)
 from gypsumshift.listeners import close_listener
 
 __all__ = [
@@ -268,30 +273,25 @@
 
         Without a memory budget there is no time limit.
         """
-        transport = self.writer.transport
-        unsent = transport.get_write_buffer_size()
+        unsent = self.writer.transport.get_write_buffer_size()
         if not self.server.budget.is_limited or unsent <= BUFFER_BYTES:
             await self.writer.drain()
             return
+        unread = unread_bytes(self.writer)
         while True:
             try:
                 async with asyncio.timeout(UNREAD_TIMEOUT_S):
                     await self.writer.drain()
                 return
             except TimeoutError:
-                if transport.get_write_buffer_size() >= unsent:
-                    self.cut_off(unsent)
-                unsent = transport.get_write_buffer_size()
+                before, unread = unread, unread_bytes(self.writer)
+                if unread >= before:
+                    self.cut_off(unread)
 
-    def cut_off(self, unsent: int) -> None:
+    def cut_off(self, unread: int) -> None:
         """Reset the connection of a stalled caller; raise `CallerStalled`."""
         reset_connection(self.writer)
-        log.info(
-            "Caller cut off: it read nothing of its response for {} s ({} bytes are "
-            "buffered here).",
-            UNREAD_TIMEOUT_S,
-            unsent,
-        )
+        self.server.budget.record_stall(unread, UNREAD_TIMEOUT_S)
         raise CallerStalled("the caller does not read its response")
 
     async def run(self) -> None:
--- a/gypsumshift/logs.py
+++ b/gypsumshift/logs.py
@@ -8,7 +8,7 @@
 
 import logbook
 
-__all__ = ["RateLimitedStream", "configure", "event", "logger"]
+__all__ = ["RateLimitedEvents", "RateLimitedStream", "configure", "event", "logger"]
 
 # Maximum rate of log lines of one process. At 300 bytes a line this is 60 kB/s, which a
 # host with 30 Mbit/s can spare.
@@ -32,6 +32,37 @@
     log.info("{}", message, extra=fields)
 
 
+class RateLimitedEvents:
+    """Logs events of one kind, with a minimum time between two lines.
+
+    Parameters
+    ----------
+    log : logbook.Logger
+    interval : float
+        Seconds.
+
+    Attributes
+    ----------
+    unlogged : int
+        Number of events without a line since the last line, which the next one tells.
+    """
+
+    def __init__(self, log: logbook.Logger, interval: float):
+        self.log = log
+        self.interval = interval
+        self.logged_at = float("-inf")
+        self.unlogged = 0
+
+    def event(self, now: float, message: str, **fields) -> None:
+        """Log an event that happens at the monotonic time ``now``, or count it."""
+        if now - self.logged_at < self.interval:
+            self.unlogged += 1
+            return
+        event(self.log, message, unlogged=self.unlogged, **fields)
+        self.logged_at = now
+        self.unlogged = 0
+
+
 class RateLimitedStream:
     """Stream that drops lines instead of blocking or exceeding a rate limit.
 
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -220,6 +220,9 @@
         """Start another attempt if allowed; return whether one was started."""
         if state.exhausted or self.blocked_reason(state):
             return False
+        if state.call.holding.waiting:
+            # An answer has arrived and waits for memory; a second one would do so, too.
+            return False
         size = len(state.call.body)
         server = self.balancer.choose(state.servers, state.excluded, size)
         if server is None:
--- a/tests/test_answer_budget.py
+++ b/tests/test_answer_budget.py
@@ -14,8 +14,10 @@
 from gypsumshift.serving.sender import Sender
 from tests import job_builders
 from tests.budget_builders import HOST, new_budget
+from tests.platform_cluster import gateway_lists
+from tests.platform_cluster import run_scenario as run_cluster_scenario
 
-# Answers may take 7/12 of it while nothing else is held.
+# Answers may take half of it while nothing else is held.
 LIMIT_BYTES = 12 * MIB
 ANSWER_BYTES = 5 * MIB
 
@@ -125,6 +127,26 @@
     run_scenario(scenario)
 
 
+def test_a_call_that_waits_for_memory_is_not_sent_to_a_second_server(tmp_path):
+    """Its answer has arrived; a second one would wait for the same memory."""
+
+    async def scenario(cluster):
+        second = (await cluster.add_crashing_workers(1))[0]
+        while not gateway_lists(cluster, second):
+            await asyncio.sleep(0.01)
+        budget = new_budget(LIMIT_BYTES)
+        cluster.gateway.ports[0].server.budget = budget
+        budget.add(ByteKind.REQUEST, LIMIT_BYTES)
+        task = asyncio.create_task(cluster.send_request("GET", "/app/1"))
+        await asyncio.sleep(0.6)
+        budget.release(ByteKind.REQUEST, LIMIT_BYTES)
+        exchange, _ = await task
+        assert exchange.status == 200
+        assert len(cluster.app.runs) + len(second.runs) == 1
+
+    run_cluster_scenario(scenario, tmp_path)
+
+
 def test_the_body_of_a_refusal_is_released_at_once():
     async def scenario(bench):
         _, attempt = bench.start_attempt("/full")
--- a/tests/test_bytebudget.py
+++ b/tests/test_bytebudget.py
@@ -59,6 +59,13 @@
     assert budget.hold().add(ByteKind.STREAM, 128 * 1024)
 
 
+def test_slow_streams_leave_room_for_callers_bodies():
+    """Streams last long; callers' bodies would be refused as long as they do."""
+    budget = new_budget()
+    fill(budget, ByteKind.STREAM, 128 * 1024)
+    assert budget.hold().add(ByteKind.REQUEST, MIB)
+
+
 def test_small_requests_do_not_take_the_guaranteed_shares():
     budget = new_budget()
     fill(budget, ByteKind.REQUEST, SMALL_BYTES)
@@ -95,6 +102,64 @@
     asyncio.run(run())
 
 
+def test_waiting_answers_are_served_in_order_and_cancelled_ones_hold_nothing():
+    """A large answer would wait for ever behind a sequence of smaller ones."""
+
+    async def run():
+        budget = new_budget()
+        first = fill(budget, ByteKind.ANSWER).pop(0)
+        large, small = budget.hold(), budget.hold()
+        waiting = [
+            asyncio.create_task(large.add_when_free(ByteKind.ANSWER, MIB)),
+            asyncio.create_task(small.add_when_free(ByteKind.ANSWER, MIB // 2)),
+        ]
+        await asyncio.sleep(0)
+        assert large.waiting == small.waiting == 1
+        first.release()
+        await asyncio.sleep(0.01)
+        assert not waiting[0].done() and not waiting[1].done()
+        waiting[0].cancel()
+        await asyncio.wait(waiting, timeout=1)
+        assert await waiting[1] and not small.waiting and not large.waiting
+        small.release()
+        assert not budget.waiters and budget.total == LIMIT_BYTES / 2 - MIB // 2
+
+    asyncio.run(run())
+
+
+def test_a_small_answer_passes_large_ones_that_wait():
+    async def run():
+        budget = new_budget()
+        held = budget.hold()
+        budget.add(ByteKind.REQUEST, LIMIT_BYTES)
+        large = asyncio.create_task(budget.hold().add_when_free("answer", MIB))
+        small = asyncio.create_task(budget.hold().add_when_free("answer", 1000))
+        await asyncio.sleep(0)
+        budget.release(ByteKind.REQUEST, MIB / 2)
+        assert await asyncio.wait_for(small, 1) and not large.done()
+        held.release()
+        large.cancel()
+
+    asyncio.run(run())
+
+
+def test_an_answer_that_is_cancelled_as_it_is_granted_holds_nothing():
+    async def run():
+        budget = new_budget()
+        held = fill(budget, ByteKind.ANSWER)
+        task = asyncio.create_task(
+            budget.hold().add_when_free(ByteKind.ANSWER, MIB // 2)
+        )
+        await asyncio.sleep(0)
+        for holding in held:
+            holding.release()
+        task.cancel()
+        await asyncio.wait({task})
+        assert budget.total == 0
+
+    asyncio.run(run())
+
+
 def test_an_answer_that_never_fits_does_not_wait():
     async def run():
         added = new_budget().hold().add_when_free(ByteKind.ANSWER, LIMIT_BYTES)
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -156,14 +156,18 @@
 
 
 def test_a_caller_that_reads_slowly_is_not_cut_off(short_timeout):
-    """The limit is on the time without any progress, not on the whole response."""
+    """The limit is on the time without any progress, not on the whole response.
+
+    The kernel buffers what the caller reads within several times the limit, so the
+    process's own buffer does not show the progress.
+    """
 
     async def scenario(source, caller):
         await caller.send(b"/whole")
         started = asyncio.get_running_loop().time()
         received = 0
         while asyncio.get_running_loop().time() < started + 4 * UNREAD_TIMEOUT_S:
-            received += len(await caller.read())
+            received += len(await caller.read(8 * 1024))
             await asyncio.sleep(UNREAD_TIMEOUT_S / 8)
         rest, reset = await caller.read_all()
         assert not reset and received + len(rest) > BODY_BYTES
