--- a/tests/slow_reader_load.py
+++ b/tests/slow_reader_load.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from gypsumshift.httpclient import Fetcher
+from gypsumshift.httpclient import Fetcher, FetchError
 from gypsumshift.httpserver import Response
 from standins.deployment import free_port
 from standins.users_documents import HOST, config, route, settings_text
@@ -23,13 +23,17 @@
 from standins.users_worker import FakeWorker
 
 LOOPBACK = "127.0.0.1"
-ANSWER_BYTES = 1024 * 1024
+# More than the kernel buffers for a connection: the gateway has to hold the rest.
+ANSWER_BYTES = 4 * 1024 * 1024
 CHUNK_BYTES = 16 * 1024
 STREAM_CHUNKS = 256
 WORK_S = 0.027
 # Each slow reader reads this much, this often: 8 kB/s.
 READ_BYTES = 4096
 READ_PERIOD_S = 0.5
+# Slow readers arrive one after another, as a burst of new requests delays other callers
+# whatever is buffered.
+ARRIVAL_PERIOD_S = 0.01
 
 
 class LargeWorker(FakeWorker):
@@ -75,11 +79,15 @@
 
 
 async def run_slow_readers(port, path, count):
-    """Run slow readers until all of their answers ended."""
+    """Run slow readers until all of their answers ended; print when all started."""
     address = LOOPBACK, port
-    await asyncio.gather(
-        *(read_slowly(address, path, f"{path}{number}") for number in range(count))
-    )
+    tasks = []
+    for number in range(count):
+        work = read_slowly(address, path, f"{path}{number}")
+        tasks.append(asyncio.create_task(work))
+        await asyncio.sleep(ARRIVAL_PERIOD_S)
+    print("started", flush=True)
+    await asyncio.wait(tasks)
 
 
 def address_text(address):
@@ -91,47 +99,30 @@
 
 
 @attrs.define
-class SlowReaderLoad:
-    """A gateway process with a store, two servers, and slow and usual callers.
+class GatewayProcess:
+    """A gateway in a process of its own.
 
     Attributes
     ----------
-    memory_mb : int
-        Memory limit in the settings of the gateway.
-    without : str
-        Mechanisms that are switched off.
+    settings : dict
+        Added to its settings file.
     folder : Path
-        For the settings file and the log of the gateway.
+        For the settings file and the log.
     """
 
-    memory_mb: int
-    without: str
+    settings: dict
     folder: pathlib.Path
-    process: asyncio.subprocess.Process = None
     address: tuple = ()
     ready_address: tuple = ()
-    fetcher: Fetcher = attrs.field(factory=Fetcher)
-    helpers: list = attrs.field(factory=list)
-    sent: int = 0
+    process: asyncio.subprocess.Process = None
 
-    async def start(self):
-        """Start everything; return once the gateway is ready and warm."""
-        store = FakeMetadataStore()
-        store_address = LOOPBACK, await store.server.listen(LOOPBACK, 0)
-        large = route("large", kind="safe", service="pool", attempts=2)
-        await store.write_row("op", "config", config(routes=[large]))
-        small_worker, large_worker = LargeWorker("app"), LargeWorker("pool", ("m",))
-        ports = await small_worker.server.listen(LOOPBACK, 0), free_port()
-        await self.start_helper("serve", str(ports[1]), large_worker.id)
-        for worker, port in zip((small_worker, large_worker), ports, strict=True):
-            entry = worker.table_entry(f"{LOOPBACK}:{port}")
-            await store.write_row("servers", worker.id, entry)
+    async def start(self, store_address, without):
+        self.folder.mkdir()
         self.address = LOOPBACK, free_port()
         self.ready_address = LOOPBACK, free_port()
-        fields = {
+        fields = self.settings | {
             "listen.front": address_text(self.address),
             "listen.ready": address_text(self.ready_address),
-            "limits.memory_mb": self.memory_mb,
         }
         file = self.folder / "front.conf"
         file.write_text(settings_text("front", LOOPBACK, store_address, **fields))
@@ -140,66 +131,118 @@
             "-m",
             "tests.gateway_process",
             str(file),
-            stdout=self.open_log(),
-            env=os.environ | {"GYPSUMSHIFT_WITHOUT": self.without},
+            stdout=(self.folder / "log").open("w"),
+            env=os.environ | {"GYPSUMSHIFT_WITHOUT": without},
         )
-        while not await self.is_ready():
+
+    async def wait_until_ready(self, fetcher):
+        while True:
+            with contextlib.suppress(FetchError):
+                answer = await fetcher.fetch(
+                    self.ready_address, "GET", "/gypsumshift/ready"
+                )
+                if answer.status == 200:
+                    return
             await asyncio.sleep(0.05)
-        await self.measure_callers(20)
 
-    def open_log(self):
-        return (self.folder / "log").open("w")
+    def peak_memory_mb(self):
+        """Return the largest resident memory that the gateway ever had."""
+        text = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(text.partition("VmHWM:")[2].split()[0]) / 1024
+
+    def log_lines(self):
+        lines = (self.folder / "log").read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
 
-    async def is_ready(self):
-        try:
-            answer = await self.fetcher.fetch(
-                self.ready_address, "GET", "/gypsumshift/ready"
-            )
-        except Exception:
-            return False
-        return answer.status == 200
+
+@attrs.define
+class SlowReaderLoad:
+    """Two gateways with the same servers; only one of them has slow readers.
+
+    The usual callers use both at the same time, so that what else the machine does
+    delays them alike.
+
+    Attributes
+    ----------
+    idle, loaded : GatewayProcess
+    fetcher : Fetcher
+    helpers : list of Process
+    sent : int
+        Number of requests of the usual callers.
+    """
+
+    idle: GatewayProcess
+    loaded: GatewayProcess
+    fetcher: Fetcher = attrs.field(factory=Fetcher)
+    helpers: list = attrs.field(factory=list)
+    sent: int = 0
+
+    async def start(self, without):
+        """Start everything; return once the gateways are ready and warm."""
+        store = FakeMetadataStore()
+        store_address = LOOPBACK, await store.server.listen(LOOPBACK, 0)
+        large = route("large", kind="safe", service="pool", attempts=2)
+        await store.write_row("op", "config", config(routes=[large]))
+        small_worker, large_worker = LargeWorker("app"), LargeWorker("pool", ("m",))
+        ports = await small_worker.server.listen(LOOPBACK, 0), free_port()
+        await self.start_helper("serve", str(ports[1]), large_worker.id)
+        for worker, port in zip((small_worker, large_worker), ports, strict=True):
+            entry = worker.table_entry(f"{LOOPBACK}:{port}")
+            await store.write_row("servers", worker.id, entry)
+        for gateway in (self.idle, self.loaded):
+            await gateway.start(store_address, without)
+        for gateway in (self.idle, self.loaded):
+            await gateway.wait_until_ready(self.fetcher)
+        await self.measure_callers(20)
 
     async def start_helper(self, *arguments):
-        """Start another process of this module."""
+        """Start another process of this module, and return it."""
         helper = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "tests.slow_reader_load", *arguments
+            sys.executable,
+            "-m",
+            "tests.slow_reader_load",
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
         )
         self.helpers.append(helper)
+        return helper
 
     async def add_slow_readers(self, path, count):
-        await self.start_helper("read", str(self.address[1]), path, str(count))
+        """Add slow readers; return once all of them have sent their requests."""
+        port = str(self.loaded.address[1])
+        helper = await self.start_helper("read", port, path, str(count))
+        assert await helper.stdout.readline() == b"started\n"
 
     async def measure_callers(self, count, period=0.01):
-        """Send small requests at a steady rate; return statuses and times in s."""
-        calls = []
+        """Send small requests to both gateways at a steady rate.
+
+        Returns
+        -------
+        dict
+            Lists of statuses and times in seconds, by gateway, ``idle`` and ``loaded``.
+        """
+        gateways = {"idle": self.idle, "loaded": self.loaded}
+        tasks = {name: [] for name in gateways}
         for _ in range(count):
-            calls.append(asyncio.create_task(self.call_once()))
-            await asyncio.sleep(period)
-        return await asyncio.gather(*calls)
+            for name, gateway in gateways.items():
+                tasks[name].append(asyncio.create_task(self.call_once(gateway)))
+                await asyncio.sleep(period / len(gateways))
+        return {name: await asyncio.gather(*tasks[name]) for name in gateways}
 
-    async def call_once(self):
+    async def call_once(self, gateway):
         self.sent += 1
         headers = [("request-id", f"r{self.sent}")]
         started = time.perf_counter()
         exchange = await self.fetcher.open(
-            self.address, "GET", "/app/small", headers, host=HOST
+            gateway.address, "GET", "/app/small", headers, host=HOST
         )
         await exchange.read()
         exchange.close()
         return exchange.status, time.perf_counter() - started
 
-    def peak_memory_mb(self):
-        """Return the largest resident memory that the gateway ever had."""
-        text = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
-        return int(text.partition("VmHWM:")[2].split()[0]) / 1024
-
-    def log_lines(self):
-        lines = (self.folder / "log").read_text().splitlines()
-        return [json.loads(line) for line in lines if line.startswith("{")]
-
     async def stop(self):
-        started = [self.process] if self.process else []
-        for process in [*self.helpers, *started]:
+        gateways = [g.process for g in (self.idle, self.loaded) if g.process]
+        for process in [*self.helpers, *gateways]:
             if process.returncode is None:
                 process.kill()
             await process.wait()
