--- a/gypsumshift/jobs/stepneeds.py
+++ b/gypsumshift/jobs/stepneeds.py
@@ -29,8 +29,8 @@
 
 __all__ = ["EngineCapacity", "EngineDivider"]
 
-# Time in which a step is to be complete, for routes without an objective: trainers
-# request a step every 4 s and have at most two in progress.
+# Time in which a step is to be complete, for routes without a completion objective:
+# trainers request a step every 4 s and have at most two in progress.
 STEP_TIME_S = 7.5
 # Time between two divisions. It is shorter than an item, so that engines return within
 # an item's length, and as long as the changes of claims take to reach all agents.
@@ -195,8 +195,8 @@
     def step_time_s(self, job: Job) -> float:
         """Return the seconds from a step's submission until it is late."""
         route = self.local_engine.directory.routes.find(job.host, job.path)
-        known = route is not None and route.objective is not None
-        return route.objective.total_seconds() if known else STEP_TIME_S
+        objective = route.completion_objective if route is not None else None
+        return objective.total_seconds() if objective is not None else STEP_TIME_S
 
     def capacity(self) -> EngineCapacity:
         """Return the capacity of the engines by their agents' last heartbeats.
--- a/gypsumshift/serving/routes.py
+++ b/gypsumshift/serving/routes.py
@@ -52,7 +52,10 @@
     timeout : timedelta or None
         Longest time that a caller waits for an answer.
     objective : timedelta or None
-        Latency objective: answers within this time are on time.
+        Latency objective: answers within this time are on time. Of a batch job, it is
+        the objective of the submission.
+    completion_objective : timedelta or None
+        Time after its submission within which a batch job is to be complete.
     resumable : bool
         Whether a stream may continue at another backend server.
     one_version : bool
@@ -74,6 +77,7 @@
     attempts: int = 1
     timeout: datetime.timedelta | None = None
     objective: datetime.timedelta | None = None
+    completion_objective: datetime.timedelta | None = None
     resumable: bool = False
     one_version: bool = False
     retention: datetime.timedelta | None = None
--- a/tests/test_stepneeds.py
+++ b/tests/test_stepneeds.py
@@ -62,13 +62,15 @@
     assert world.weights.division() is NO_DIVISION
 
 
-def test_step_is_due_after_the_objective_of_its_route_if_there_is_one():
+def test_step_is_due_after_the_completion_objective_of_its_route_if_there_is_one():
     world = make_world()
     divider = world.weights.divider
     assert need_of(world).step_time_s == STEP_TIME_S
     directory = divider.local_engine.directory
     objective = datetime.timedelta(seconds=20)
-    route = Route("run", HOST, "/run/", RequestKind.BATCH, (), objective=objective)
+    route = Route(
+        "run", HOST, "/run/", RequestKind.BATCH, (), completion_objective=objective
+    )
     services = directory.routes.services.values()
     directory.set_routes(RouteTable(2, [route], services))
     assert need_of(world).step_time_s == 20.0
