--- a/gypsumshift/serving/capacitycorrection.py
+++ b/gypsumshift/serving/capacitycorrection.py
@@ -21,9 +21,11 @@
 # slots are idle at times, since the processes send independently of each other.
 TARGET_BUSY_PER_SLOT = 2.0
 # Exponent by which the factor follows the ratio of load and target in a step, and the
-# largest changes of a step. An error of a fifth is corrected within about 2 s.
+# largest changes of a step. Places that stay free are used again within about 2 s. The
+# factor falls more slowly: a surge fills the queues before the shares follow it, and a
+# lower factor would then cost the callers who stay within their share.
 STEP_GAIN = 0.2
-MAX_DECREASE, MAX_INCREASE = 0.05, 0.1
+MAX_DECREASE, MAX_INCREASE = 0.02, 0.1
 MIN_BUSY_PER_SLOT = 0.1
 # Immediate change of the corrected amount, per call and slot of difference, so that a
 # queue drains; a larger one would swing, as reports are up to 0.6 s old.
@@ -31,7 +33,7 @@
 MAX_QUEUE_REDUCTION = 0.2
 # The factor is reduced once the queue has been longer than the target for this long. A
 # surge fills the queues until the shares follow, which says nothing about the factor.
-MIN_QUEUE_SECONDS = 2.0
+MIN_QUEUE_SECONDS = 3.0
 
 
 @attrs.frozen
--- a/gypsumshift/serving/demand.py
+++ b/gypsumshift/serving/demand.py
@@ -6,10 +6,11 @@
 and expires within seconds; it is never written to the store.
 """
 
+import functools
 import hashlib
 import heapq
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -73,10 +74,6 @@
 AGE_ROUNDING_SECONDS = 0.02
 
 
-# Demand of a key that is missing.
-NO_SUMS = (0.0, 0.0, 0)
-
-
 def share_name(workspace: str) -> str:
     """Return the name under which a workspace is counted; a hash if it is long."""
     if len(workspace) <= MAX_NAME_LENGTH:
@@ -111,21 +108,6 @@
         """The larger of the two averages."""
         return max(self.long, self.short)
 
-    def has_changed(self, seconds: float) -> bool:
-        """Return whether the averages differ by more than random arrivals explain.
-
-        Parameters
-        ----------
-        seconds : float
-            Usual seconds of a call, which decide how much the short average varies.
-        """
-        variance = seconds * self.larger / (2 * SHORT_WINDOW_SECONDS)
-        difference = self.short - self.long
-        return difference * difference > SIGNIFICANT_DEVIATIONS**2 * variance
-
-
-NO_RATES = Rates(0.0, 0.0)
-
 
 @attrs.define
 class ArrivalSums:
@@ -219,12 +201,12 @@
     others: int = 0
     age: float = 0.0
 
-    @property
+    @functools.cached_property
     def places(self) -> float:
         """Demand of all processes."""
         return sum(demand.places for demand in self.demands.values())
 
-    @property
+    @functools.cached_property
     def own_places(self) -> float:
         """Demand of this process."""
         return sum(demand.places for demand in self.own.values())
@@ -266,8 +248,12 @@
 
     def rates(self, now: float) -> dict[ShareKey, Rates]:
         """Return the current averages by key."""
-        rates = ((key, sums.rates(now)) for key, sums in self.arrivals.items())
-        return {key: each for key, each in rates if each.larger >= MIN_PLACES}
+        current = {}
+        for key, sums in self.arrivals.items():
+            rates = sums.rates(now)
+            if rates.larger >= MIN_PLACES:
+                current[key] = rates
+        return current
 
 
 class OthersDemand:
@@ -317,9 +303,7 @@
             self.remove(process)
 
     def weight(self, key: ShareKey) -> float:
-        """Return the number of workspaces that a key stands for."""
-        if key.workspace is not OTHERS:
-            return 1.0
+        """Return the number of workspaces that a key for the rest stands for."""
         rows = (each.rates.get(key) for each in self.records.values())
         return max((row.weight for row in rows if row), default=1.0)
 
@@ -341,6 +325,8 @@
         `OthersDemand` by service.
     retries : dict
         Time at which a refused call is expected again, by its mark.
+    count_processes : callable
+        Returns the number of processes that may share a service; by default 1.
     """
 
     def __init__(self, process: str, clock: Clock):
@@ -349,6 +335,7 @@
         self.own: dict[str, OwnDemand] = {}
         self.others: dict[str, OthersDemand] = {}
         self.retries: dict[str, float] = {}
+        self.count_processes: Callable[[], int] = lambda: 1
 
     def own_demand(self, service: str) -> OwnDemand:
         """Return the own demand for a service, created if missing."""
@@ -417,15 +404,14 @@
         now = self.clock.monotonic()
         own = self.own_demand(service).rates(now)
         others = self.elsewhere(service)
-        sums = {}
-        for key in own.keys() | others.sums.keys():
-            mine = own.get(key, NO_RATES)
-            long, short, _ = others.sums.get(key, NO_SUMS)
-            weight = others.weight(key)
-            sums[key] = Rates(mine.long + long, mine.short + short, weight)
+        sums = {key: (sums[0], sums[1]) for key, sums in others.sums.items()}
+        for key, mine in own.items():
+            long, short = sums.get(key, (0.0, 0.0))
+            sums[key] = mine.long + long, mine.short + short
+        weights = {key: others.weight(key) for key in sums if key.workspace is OTHERS}
         records = others.records.values()
         return Total(
-            settle(sums, seconds),
+            settle(sums, weights, seconds),
             {key: Demand(rates.long) for key, rates in own.items()},
             sum(each.waiting for each in records),
             len(records),
@@ -529,29 +515,48 @@
         return [ExpectedRetry(mark, due_at) for due_at, mark in soonest]
 
 
-def settle(sums: dict[ShareKey, Rates], seconds: float) -> dict[ShareKey, Demand]:
+def settle(
+    sums: dict[ShareKey, tuple[float, float]],
+    weights: dict[ShareKey, float],
+    seconds: float,
+) -> dict[ShareKey, Demand]:
     """Return the demands: long averages, or short ones where the demand has changed.
 
     The change is judged by key, and for the other keys by rank: in a surge of many
     small workspaces none has changed by more than usual, but all together have.
+
+    Parameters
+    ----------
+    sums : dict
+        Long and short average by key.
+    weights : dict
+        By key, where the weight is not 1.
+    seconds : float
+        Usual seconds of a call, which decide how much the short average varies.
     """
-    changed = {key for key, rates in sums.items() if rates.has_changed(seconds)}
-    ranks: dict[int, list[float]] = {}
-    for key in sums.keys() - changed:
-        rank = ranks.setdefault(key.rank, [0.0, 0.0])
-        rank[0] += sums[key].long
-        rank[1] += sums[key].short
+    ranks: dict[int, tuple[float, float]] = {}
+    settled = {}
+    for key, (long, short) in sums.items():
+        if has_changed(long, short, seconds):
+            settled[key] = Demand(short, weights.get(key, 1.0))
+        else:
+            rank_long, rank_short = ranks.get(key.rank, (0.0, 0.0))
+            ranks[key.rank] = rank_long + long, rank_short + short
     factors = {
-        rank: short / long if long and Rates(long, short).has_changed(seconds) else 1.0
+        rank: short / long if long and has_changed(long, short, seconds) else 1.0
         for rank, (long, short) in ranks.items()
     }
-    return {
-        key: Demand(
-            rates.short if key in changed else rates.long * factors[key.rank],
-            rates.weight,
-        )
-        for key, rates in sums.items()
-    }
+    for key, (long, _) in sums.items():
+        if key not in settled:
+            settled[key] = Demand(long * factors[key.rank], weights.get(key, 1.0))
+    return settled
+
+
+def has_changed(long: float, short: float, seconds: float) -> bool:
+    """Return whether two averages differ by more than random arrivals explain."""
+    difference = short - long
+    variance = seconds * max(long, short) / (2 * SHORT_WINDOW_SECONDS)
+    return difference * difference > SIGNIFICANT_DEVIATIONS**2 * variance
 
 
 def summarize(rates: dict[ShareKey, Rates]) -> dict[ShareKey, Rates]:
--- a/gypsumshift/serving/fairshares.py
+++ b/gypsumshift/serving/fairshares.py
@@ -9,8 +9,7 @@
 """
 
 from collections.abc import Mapping
-
-import attrs
+from typing import NamedTuple
 
 __all__ = ["OTHERS", "REWARD_RANK", "Demand", "ShareKey", "divide_capacity"]
 
@@ -25,10 +24,11 @@
 OTHERS = None
 
 
-@attrs.frozen(order=False, cache_hash=True)
-class ShareKey:
+class ShareKey(NamedTuple):
     """Those who share one part of the capacity.
 
+    A tuple, since it is hashed some hundred times in one division.
+
     Attributes
     ----------
     rank : int
@@ -41,8 +41,7 @@
     workspace: str | None
 
 
-@attrs.frozen
-class Demand:
+class Demand(NamedTuple):
     """What those of one key ask for.
 
     Attributes
@@ -60,7 +59,7 @@
     places: float, demands: Mapping[ShareKey, Demand]
 ) -> dict[ShareKey, float]:
     """Return the share of its demand that is served, 0 to 1, by key."""
-    total = sum(demand.places for demand in demands.values())
+    total = sum([demand.places for demand in demands.values()])
     if total <= places:
         return dict.fromkeys(demands, 1.0)
     equal = divide_max_min(places, demands)
@@ -103,11 +102,14 @@
 ) -> dict[ShareKey, float]:
     """Return the places of each key by weighted max-min fairness, without a floor."""
     given = {}
-    weight_left = sum(demand.weight for demand in demands.values())
-    by_need = sorted(demands.items(), key=lambda item: item[1].places / item[1].weight)
-    for key, demand in by_need:
-        share = max(places, 0.0) * demand.weight / weight_left
-        given[key] = min(demand.places, share)
-        places -= given[key]
-        weight_left -= demand.weight
+    weight_left = sum([demand.weight for demand in demands.values()])
+    by_need = [
+        (asked / weight, number, key, asked, weight)
+        for number, (key, (asked, weight)) in enumerate(demands.items())
+    ]
+    for _, _, key, asked, weight in sorted(by_need):
+        share = places * weight / weight_left
+        given[key] = amount = asked if asked < share else max(share, 0.0)
+        places -= amount
+        weight_left -= weight
     return given
--- a/gypsumshift/serving/serviceadmission.py
+++ b/gypsumshift/serving/serviceadmission.py
@@ -36,7 +36,9 @@
 NEAR_FULL_UTILIZATION = 0.7
 # Age up to which computed shares are used: much less than that of the figures in them,
 # and the division costs little also when many calls arrive.
-SHARES_MAX_AGE_SECONDS = 0.2
+SHARES_MAX_AGE_SECONDS = 0.25
+# Calls for which computed shares are used, so that a burst does not use old ones.
+SHARES_MAX_CALLS = 16
 # Share of the free places that is lent to waiting calls at a time. All of them would be
 # lent again until the servers report them as busy, 0.1 to 0.6 s later.
 LENT_SHARE = 0.5
@@ -211,6 +213,7 @@
         self.state: ServiceState | None = None
         self.capacity = 0.0
         self.updated_at = -math.inf
+        self.calls_since_update = 0
         self.lent = 0.0
         self.lent_at = clock.monotonic()
         self.slow_rate = 0.0
@@ -226,9 +229,12 @@
     def update(self, state: ServiceState, key: ShareKey | None = None) -> None:
         """Compute the shares again if they are too old, or lack a given key."""
         now = self.clock.monotonic()
+        self.calls_since_update += 1
         is_known = key is None or key in self.shares
-        if is_known and now - self.updated_at < SHARES_MAX_AGE_SECONDS:
+        is_current = now - self.updated_at < SHARES_MAX_AGE_SECONDS
+        if is_known and is_current and self.calls_since_update < SHARES_MAX_CALLS:
             return
+        self.calls_since_update = 0
         self.updated_at = now
         self.state = state
         self.total = self.demand.total(self.service, self.usual_seconds())
@@ -281,9 +287,20 @@
         self.credits[key] = credit - 1.0 if admitted else credit
         return admitted
 
+    def retry_fraction(self) -> float:
+        """Return the part of the capacity that this process plans retries for.
+
+        Right after a surge the demand of others is known late, and the own part seems
+        larger than it is. It is therefore limited to an equal part.
+        """
+        if not self.total.others:
+            return 1.0 / max(self.demand.count_processes(), 1)
+        return min(self.own_fraction(), 1.0 / (self.total.others + 1))
+
     def calls_per_second(self) -> float:
-        """Return the rate at which this process could send calls of the usual cost."""
-        return self.capacity * self.own_fraction() / self.usual_seconds()
+        """Return the rate of calls of the usual cost that retries are planned by."""
+        places = self.state.places if self.state else self.capacity
+        return places * self.retry_fraction() / self.usual_seconds()
 
     def usual_seconds(self) -> float:
         """Return the usual time of the own calls, by their demand."""
@@ -489,7 +506,11 @@
     def refuse(self, ticket: Ticket) -> float:
         """Register a refusal; return the seconds until a retry."""
         now = self.clock.monotonic()
-        seconds = self.control(ticket.service).retry_after(ticket.deadline - now)
+        control = self.control(ticket.service)
+        state = self.loads.state(ticket.service)
+        if state is not None:
+            control.update(state)
+        seconds = control.retry_after(ticket.deadline - now)
         self.demand.expect_retry(ticket.mark, now + seconds)
         return seconds
 
--- a/tests/contention_world.py
+++ b/tests/contention_world.py
@@ -138,6 +138,7 @@
         self.up, self.connected = True, True
         self.loads = Loads(world)
         self.demand = DemandTable(name, world.clock)
+        self.demand.count_processes = lambda: len(world.gateways)
         self.section = DemandSection(self.demand)
         self.chance = random.Random(f"{world.seed} {name}")
         self.admission = rule(self) if rule else None
