--- a/gypsumshift/serving/serviceadmission.py
+++ b/gypsumshift/serving/serviceadmission.py
@@ -34,6 +34,9 @@
 # Demand is reported and shares are computed from this utilization on. A service whose
 # servers are mostly free is left alone, and nothing is added to the digests.
 NEAR_FULL_UTILIZATION = 0.7
+# Below this utilization every call is sent, whatever demand is known: refusing a call
+# while most places are free would be wrong, and a queue is far.
+FREE_UTILIZATION = 0.5
 # Age up to which computed shares are used: much less than that of the figures in them,
 # and the division costs little also when many calls arrive.
 SHARES_MAX_AGE_SECONDS = 0.25
@@ -142,8 +145,8 @@
         """Cancel a waiting call whose caller left."""
 
     @abc.abstractmethod
-    def is_contended(self, service: str) -> bool:
-        """Return whether calls to a service may have to wait."""
+    def knows_load(self, service: str) -> bool:
+        """Return whether servers have lately reported the load of a service."""
 
     @abc.abstractmethod
     def refuse(self, ticket: Ticket) -> float:
@@ -293,9 +296,10 @@
         Right after a surge the demand of others is known late, and the own part seems
         larger than it is. It is therefore limited to an equal part.
         """
+        processes = max(self.total.others + 1, self.demand.count_processes())
         if not self.total.others:
-            return 1.0 / max(self.demand.count_processes(), 1)
-        return min(self.own_fraction(), 1.0 / (self.total.others + 1))
+            return 1.0 / processes
+        return min(self.own_fraction(), 1.0 / processes)
 
     def calls_per_second(self) -> float:
         """Return the rate of calls of the usual cost that retries are planned by."""
@@ -441,6 +445,8 @@
             return None
         if state.utilization >= NEAR_FULL_UTILIZATION:
             self.demand.record_full(service)
+        if state.utilization < FREE_UTILIZATION:
+            return None
         return state if self.demand.is_contended(service) else None
 
     def defer(self, control: ServiceControl, ticket: Ticket) -> Decision:
@@ -499,9 +505,9 @@
         control.queue.withdraw(ticket)
         self.demand.own_demand(ticket.service).waiting = len(control.queue)
 
-    def is_contended(self, service: str) -> bool:
-        """Return whether calls to a service may have to wait."""
-        return self.contended_state(service) is not None
+    def knows_load(self, service: str) -> bool:
+        """Return whether servers have lately reported the load of a service."""
+        return self.loads.state(service) is not None
 
     def refuse(self, ticket: Ticket) -> float:
         """Register a refusal; return the seconds until a retry."""
