Decide about new workspaces without dividing the capacity again

Each first call of a workspace since the last division repeated the division, which took most of the time where many workspaces call seldom.

--- a/gypsumshift/serving/serviceadmission.py
+++ b/gypsumshift/serving/serviceadmission.py
@@ -194,6 +194,8 @@
         is known.
     shares : dict
         Share of its demand that is sent, by key.
+    rank_shares : dict
+        Largest share by rank.
     credits : dict
         Calls that may be sent at once, by key.
     """
@@ -212,6 +214,7 @@
         self.schedule = RetrySchedule(clock, chance)
         self.credits: dict[ShareKey, float] = {}
         self.shares: dict[ShareKey, float] = {}
+        self.rank_shares: dict[int, float] = {}
         self.total = Total({}, {})
         self.state: ServiceState | None = None
         self.capacity = 0.0
@@ -230,10 +233,10 @@
         self.updated_at = -math.inf
 
     def update(self, state: ServiceState, key: ShareKey | None = None) -> None:
-        """Compute the shares again if they are too old, or lack a given key."""
+        """Compute the shares again if they are too old, or lack the rank of a key."""
         now = self.clock.monotonic()
         self.calls_since_update += 1
-        is_known = key is None or key in self.shares
+        is_known = key is None or key.rank in self.rank_shares
         is_current = now - self.updated_at < SHARES_MAX_AGE_SECONDS
         if is_known and is_current and self.calls_since_update < SHARES_MAX_CALLS:
             return
@@ -252,6 +255,10 @@
             sent = self.total.own_places * self.solo.value
             self.capacity = min(state.places, sent)
             self.shares = divide_capacity(self.capacity, self.total.own)
+        self.rank_shares = {}
+        for known, share in self.shares.items():
+            best = self.rank_shares.get(known.rank, 0.0)
+            self.rank_shares[known.rank] = max(best, share)
 
     def average_share(self) -> float:
         """Return the share of the own demand that is sent."""
@@ -264,10 +271,16 @@
         return sent / asked
 
     def share_of(self, key: ShareKey) -> float:
-        """Return the share of a key's demand that is sent."""
+        """Return the share of a key's demand that is sent.
+
+        A key that is new since the division has asked for little yet, so it gets the
+        largest share of its rank.
+        """
         share = self.shares.get(key)
         if share is None:
-            share = self.shares.get(ShareKey(key.rank, OTHERS), 1.0)
+            share = self.shares.get(ShareKey(key.rank, OTHERS))
+        if share is None:
+            share = self.rank_shares.get(key.rank, 1.0)
         return share
 
     def own_fraction(self) -> float:
