Move the check of an engine's state out of the agent

agent.py (487 lines) both ran the agent's tasks and decided whether its engine was faulty. EngineMonitor in jobs/enginemonitor.py now observes the engine, logs its states, hands units over and pauses claims. The arguments of Agent.plan_job are documented.

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -8,29 +8,26 @@
 import asyncio
 import contextlib
 import random
+from collections.abc import Iterator
 
-from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.jobs.assignment import StepPlan
 from gypsumshift.jobs.capacity import NO_CAPACITY, FreeCapacity
 from gypsumshift.jobs.claimer import Claimer
-from gypsumshift.jobs.claimtracker import Candidate, ClaimTracker
+from gypsumshift.jobs.claimtracker import Candidate, ClaimTracker, OpenJob
 from gypsumshift.jobs.engine import EngineClient
-from gypsumshift.jobs.enginestate import (
-    EngineObservation,
-    EngineStateTracker,
-    Verdict,
-)
+from gypsumshift.jobs.enginemonitor import EngineMonitor
 from gypsumshift.jobs.heartbeatwriter import STORE_WRITES, HeartbeatWriter
 from gypsumshift.jobs.liveness import NO_PROBE, LivenessProbe
 from gypsumshift.jobs.localengine import AgentIdentity, LocalEngine
-from gypsumshift.jobs.pace import Pace, is_slow
+from gypsumshift.jobs.pace import Pace
 from gypsumshift.jobs.peers import Peers
 from gypsumshift.jobs.records import (
     AGENTS,
     CLAIMS,
     JOBS,
     Claim,
+    UnitSummary,
 )
 from gypsumshift.jobs.reportedslowdown import ReportedSlowdown
 from gypsumshift.jobs.stepneeds import EngineDivider
@@ -54,10 +51,6 @@
 REPORT_PERIOD = 0.2
 # Seconds after which the agent tries to claim work again without being woken.
 CLAIM_PERIOD = 0.25
-# Seconds for which a slow engine gets no work, and up to which it then gets one unit at
-# a time to be measured again: engines were seen to stay slow for 6 to 8 s.
-SLOW_PAUSE = 2.0
-SLOW_PROBATION = 4.0
 # Claims that an agent makes concurrently. With a single sequence, each claim waited for
 # the one before: while half of the store's answers were lost, items were claimed up to
 # 3.1 s after their step had arrived.
@@ -75,8 +68,6 @@
 # answer times of the store.
 DRAIN_POLL_PERIOD = 0.05
 
-log = logs.logger("agent")
-
 
 class Agent:
     """Claims units while its engine has capacity, and hands them over if it fails.
@@ -105,8 +96,8 @@
     ----------
     wake_events : list of asyncio.Event
         One for each claim loop; set when there may be work or capacity.
-    slow_at : float
-        When the engine was last found to be slow, by the monotonic clock, in seconds.
+    monitor : EngineMonitor
+        Checks whether the engine is faulty or slow.
     draining : bool
         Whether this agent gives its work back and claims none.
     """
@@ -159,7 +150,6 @@
             self.wake,
             LastingPace(clock, reported) if policy.engine_states else Pace(clock),
         )
-        self.state_tracker = EngineStateTracker(clock)
         self.claimer = Claimer(
             self.own_claim,
             store,
@@ -182,6 +172,15 @@
             self.engine_state,
             self.runner.event_size,
         )
+        self.monitor = EngineMonitor(
+            self.heartbeat_writer,
+            self.weights,
+            self.peers,
+            self.runner,
+            clock,
+            metrics,
+            policy,
+        )
         self.unit_migrator = UnitMigrator(
             self.heartbeat_writer,
             self.weights,
@@ -199,7 +198,6 @@
             clock,
         )
         directory.on_restart.append(self.note_restart)
-        self.slow_at = float("-inf")
         self.draining = False
         peers = self.peers
         self.peer_watch = Watch(
@@ -223,6 +221,10 @@
         """Return when the table of agents was last current, in seconds."""
         return self.peer_watch.current_at
 
+    def engine_state(self) -> str:
+        """Return the value of the engine's state; empty if the policy ignores it."""
+        return self.monitor.state_name()
+
     def wake(self) -> None:
         """Wake all claim loops, as units or capacity may have become available."""
         for event in self.wake_events:
@@ -254,8 +256,7 @@
         self.local_engine.reset_report()
         self.weights.reset_load_state()
         self.runner.pace.reset()
-        self.state_tracker.reset()
-        self.slow_at = float("-inf")
+        self.monitor.reset()
         self.wake()
 
     # Tasks.
@@ -277,11 +278,9 @@
             await self.clock.sleep(REPORT_PERIOD)
 
     async def update_engine(self) -> None:
-        """Fetch the engine's report, then release units or order a load if needed."""
-        was_healthy, versions = (
-            self.local_engine.healthy,
-            self.weights.ready_versions(),
-        )
+        """Fetch the engine's report, then hand over units or order a load if needed."""
+        was_healthy = self.local_engine.healthy
+        versions = self.weights.ready_versions()
         report = await self.local_engine.fetch_report()
         if report is not None:
             self.weights.note_report(report)
@@ -293,84 +292,12 @@
             self.claimer.start_held_units()
             self.runner.hand_over_all("the engine does not serve")
             return
-        if self.policy.engine_states:
-            self.update_state()
-        else:
-            self.hand_over_if_slow()
+        self.monitor.check()
         if self.policy.long_items_to_faster:
             self.unit_migrator.migrate_long_units()
         if report is not None and not self.draining:
             await self.weights.order_due_load(report)
 
-    def hand_over_if_slow(self) -> None:
-        """Hand all units over if this engine is far behind its peers."""
-        pace = self.runner.pace
-        own, peers = pace.current(), self.peers.paces()
-        if self.weights.loading_model or not is_slow(own, peers):
-            return
-        if not self.policy.slow_handover:
-            return
-        logs.event(
-            log,
-            "The engine is much slower than its peers; releasing all its units.",
-            seconds_an_event=round(own, 4),
-            peers=[round(pace, 4) for pace in sorted(peers)],
-        )
-        self.release_and_pause("the engine is slow")
-
-    def release_and_pause(self, reason: str) -> None:
-        """Hand all units over, and claim none for `SLOW_PAUSE`."""
-        self.slow_at = self.clock.monotonic()
-        self.runner.pace.clear_gaps()
-        self.metrics.count("slow_engine")
-        self.runner.hand_over_all(reason)
-
-    def engine_state(self) -> str:
-        """Return the value of the engine's state; empty if the policy ignores it."""
-        return self.state_tracker.state.value if self.policy.engine_states else ""
-
-    def update_state(self) -> None:
-        """Determine the engine's state; hand all units over if it is faulty."""
-        seen = self.observe_engine()
-        verdict = self.state_tracker.update(seen)
-        if verdict.state is not verdict.previous:
-            self.log_state(verdict, seen)
-        if verdict.release and self.policy.slow_handover:
-            logs.event(
-                log,
-                "The engine is faulty; releasing all its units.",
-                **state_figures(seen),
-            )
-            self.release_and_pause("the engine is faulty")
-
-    def observe_engine(self) -> EngineObservation:
-        """Return the figures that determine the engine's state."""
-        pace, limits = self.runner.pace, self.local_engine.limits
-        # Reading the usual pace adds the current one to it.
-        usual = self.heartbeat_writer.usual_pace()
-        return EngineObservation(
-            pace.current(),
-            usual,
-            pace.usual_age,
-            pace.batch_factor(limits.slots if limits else 0),
-            bool(self.weights.loading_model),
-            len(self.local_engine.directory.ready_engines()),
-            self.peers.peer_paces(),
-            pace.unexplained(),
-        )
-
-    def log_state(self, verdict: Verdict, seen: EngineObservation) -> None:
-        """Log a change of the engine's state, with the figures that decided it."""
-        logs.event(
-            log,
-            "The state of the engine changed.",
-            state=verdict.state.value,
-            was=verdict.previous.value,
-            why=verdict.reason,
-            **state_figures(seen),
-        )
-        self.metrics.count("engine_states", state=verdict.state.value)
-
     async def run_save_loop(self) -> None:
         """Save the output of long runs periodically."""
         while True:
@@ -394,10 +321,7 @@
         """Return the capacity for further items, less that of pending claims."""
         pending = self.claimer.pending_units()
         load = self.runner.slots_used + sum(len(unit.items) for unit in pending)
-        since = self.clock.monotonic() - self.slow_at
-        if since < SLOW_PAUSE:
-            return NO_CAPACITY
-        if since < SLOW_PROBATION and load:
+        if self.monitor.is_paused(load):
             return NO_CAPACITY
         if self.runner.scoring_count >= SCORING_ROUNDS * limits.slots:
             return NO_CAPACITY
@@ -439,8 +363,19 @@
             if not await self.claimer.claim(candidate):
                 return
 
-    def plan_job(self, open_job, free: int, claimable) -> StepPlan | None:
-        """Return the plan of an open job; None where the policy has none."""
+    def plan_job(
+        self, open_job: OpenJob, free: int, claimable: Iterator[UnitSummary]
+    ) -> StepPlan | None:
+        """Return the plan of an open job; None to claim its units in the usual order.
+
+        Parameters
+        ----------
+        open_job : OpenJob
+        free : int
+            Free slots of the engine.
+        claimable : iterator of UnitSummary
+            Units that may be claimed, in the usual order.
+        """
         if not self.policy.expected_end:
             return None
         return self.planner.plan(open_job, free, claimable)
@@ -471,17 +406,3 @@
             if not self.tracker.pending_claims and not self.runner.units:
                 return
             await self.clock.sleep(DRAIN_POLL_PERIOD)
-
-
-def state_figures(seen: EngineObservation) -> dict:
-    """Return the figures of an observation for a log line."""
-    return {
-        "seconds_an_event": round(seen.current, 4),
-        "usual": round(seen.usual, 4),
-        "usual_age_s": round(seen.usual_age, 1),
-        "batch_factor": round(seen.batch_factor, 2),
-        "ratio": round(seen.ratio, 2),
-        "unexplained_share": round(seen.unexplained_share, 2),
-        "uniform_fleet": seen.is_uniform_fleet,
-        "peers_usual": [round(pace, 4) for pace in seen.peer_usuals],
-    }
--- a/gypsumshift/jobs/claimtracker.py
+++ b/gypsumshift/jobs/claimtracker.py
@@ -28,7 +28,7 @@
 from gypsumshift.jobs.schedule import LONG_FACTOR, long_units, order_units
 from gypsumshift.platforms import ABSENT, Row
 
-__all__ = ["Candidate", "ClaimTracker", "StoredClaim"]
+__all__ = ["Candidate", "ClaimTracker", "OpenJob", "StoredClaim"]
 
 # Seconds that a unit waits for an engine that serves its model before an engine of
 # another model may run it.
--- a/tests/pace_builders.py
+++ b/tests/pace_builders.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from gypsumshift.jobs.agent import SLOW_PAUSE
+from gypsumshift.jobs.enginemonitor import SLOW_PAUSE
 from gypsumshift.jobs.enginestate import (
     EngineObservation,
     EngineState,
--- a/tests/test_enginestate.py
+++ b/tests/test_enginestate.py
@@ -244,8 +244,8 @@
 def test_an_agent_keeps_the_units_of_a_slow_build():
     """The median of all engines takes it for faulty, and its units start anew."""
     new, old = run_in_virtual_time(run_old_and_new_policy)
-    assert old.slow_at > 0 and not old.runner.units
-    assert new.slow_at < 0 and new.runner.units
+    assert old.monitor.slow_at > 0 and not old.runner.units
+    assert new.monitor.slow_at < 0 and new.runner.units
     assert new.heartbeat_writer.last_heartbeat.state == "slow hardware"
     assert old.heartbeat_writer.last_heartbeat.state == ""
 
--- a/tests/test_late_claims.py
+++ b/tests/test_late_claims.py
@@ -92,7 +92,7 @@
         store.changes_allowed.clear()
         await run_loop_turns()
         # A slow engine gets no new work for two seconds.
-        agent.slow_at = agent.clock.monotonic()
+        agent.monitor.slow_at = agent.clock.monotonic()
         agent.runner.hand_over_all("the engine is slow")
         await wait_until(
             lambda: store.lost_answers and not agent.runner.releaser.pending
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -105,7 +105,7 @@
         value = {"session": name, "beat": 1, "pace": 0.001}
         await world.store.commit([Write(AGENTS, name, value)])
     await world.submit(groups=1)
-    await wait_until(lambda: agent.slow_at > 0)
+    await wait_until(lambda: agent.monitor.slow_at > 0)
     await wait_until(lambda: not slow.running)
     assert all(row.value["events"] for row in await saved_rows(world))
     assert agent.free_capacity(agent.local_engine.limits).free_slots == 0
