--- a/gypsumshift/jobs/weights.py
+++ b/gypsumshift/jobs/weights.py
@@ -11,6 +11,7 @@
 from gypsumshift.jobs.localengine import LocalEngine
 from gypsumshift.jobs.records import Job
 from gypsumshift.jobs.stepneeds import EngineDivider
+from gypsumshift.jobs.weightloads import LoadConditions, choose_load
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered
 from gypsumshift.policy import DEFAULT_POLICY, Policy
@@ -150,7 +151,7 @@
             return False
         conditions = self.load_conditions(report, model, self.engines_serving(model))
         due = conditions.newest_age < ORDER_DUE_WITHIN
-        return due and placement.choose_load(conditions) is not None
+        return due and choose_load(conditions) is not None
 
     def engines_serving(self, model: str) -> list[str]:
         """Return the sorted ids of the engines that are to serve a model."""
@@ -184,12 +185,12 @@
             conditions = self.load_conditions(
                 report, model, self.engines_serving(model)
             )
-            choice = placement.choose_load(conditions)
+            choice = choose_load(conditions)
             if choice is not None:
                 await self.send_load_order(server, report, choice)
                 return
 
-    def load_conditions(self, report, model: str, engines) -> placement.LoadConditions:
+    def load_conditions(self, report, model: str, engines) -> LoadConditions:
         """Return the conditions that determine whether a model's weights are loaded.
 
         Parameters
@@ -212,7 +213,7 @@
             self.local_engine.directory.routes.find(job.host, job.path) if job else None
         )
         one_version = route is not None and route.one_version
-        return placement.LoadConditions(
+        return LoadConditions(
             model=model,
             loaded=report.versions.get(model, 0),
             newest=newest,
--- a/gypsumshift/policy.py
+++ b/gypsumshift/policy.py
@@ -33,7 +33,7 @@
         Send a write once more if the store does not answer it (`hedging.py`).
     loads_behind_steps : bool
         Load weights when a training step has begun, not when the next one needs them
-        (`jobs/placement.py`).
+        (`jobs/weightloads.py`).
     long_items_to_faster : bool
         Leave long items to the faster engines of a model, or move them there
         (`jobs/claimtracker.py`, `jobs/agent.py`).
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,12 +6,14 @@
 
 from gypsumshift.jobs import split_into_units
 from gypsumshift.jobs.placement import (
-    SECOND_HALF_DELAY,
     AssignmentCache,
     Demand,
     EngineView,
-    LoadConditions,
     assign_models,
+)
+from gypsumshift.jobs.weightloads import (
+    SECOND_HALF_DELAY,
+    LoadConditions,
     choose_load,
 )
 from tests.job_builders import items, job
