Move the data of open jobs out of claimtracker.py; split choose_candidate

The classes are now in jobs/openjob.py, the check is ClaimTracker.may_run. The docstring of version_for_waiting_units says which version it returns.

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -14,12 +14,13 @@
 from gypsumshift.jobs.assignment import StepPlan
 from gypsumshift.jobs.capacity import NO_CAPACITY, FreeCapacity
 from gypsumshift.jobs.claimer import Claimer
-from gypsumshift.jobs.claimtracker import Candidate, ClaimTracker, OpenJob
+from gypsumshift.jobs.claimtracker import ClaimTracker
 from gypsumshift.jobs.engine import EngineClient
 from gypsumshift.jobs.enginemonitor import EngineMonitor
 from gypsumshift.jobs.heartbeatwriter import STORE_WRITES, HeartbeatWriter
 from gypsumshift.jobs.liveness import NO_PROBE, LivenessProbe
 from gypsumshift.jobs.localengine import AgentIdentity, LocalEngine
+from gypsumshift.jobs.openjob import Candidate, OpenJob
 from gypsumshift.jobs.pace import Pace
 from gypsumshift.jobs.peers import Peers
 from gypsumshift.jobs.records import (
--- a/gypsumshift/jobs/claimer.py
+++ b/gypsumshift/jobs/claimer.py
@@ -2,8 +2,9 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
-from gypsumshift.jobs.claimtracker import Candidate, ClaimTracker
+from gypsumshift.jobs.claimtracker import ClaimTracker
 from gypsumshift.jobs.liveness import LivenessProbe
+from gypsumshift.jobs.openjob import Candidate
 from gypsumshift.jobs.records import CLAIMS, Claim, UnitSummary, to_row
 from gypsumshift.jobs.unitrunner import UnitRunner
 from gypsumshift.metrics import Metrics
--- a/gypsumshift/jobs/claimtracker.py
+++ b/gypsumshift/jobs/claimtracker.py
@@ -10,11 +10,10 @@
 import random
 from collections.abc import Callable, Collection, Iterator, Mapping
 
-import attrs
-
 from gypsumshift.clock import Clock
 from gypsumshift.jobs.assignment import StepPlan
 from gypsumshift.jobs.capacity import FreeCapacity
+from gypsumshift.jobs.openjob import Candidate, OpenJob, StoredClaim
 from gypsumshift.jobs.peers import HolderState, Peers
 from gypsumshift.jobs.records import (
     END_KEY,
@@ -28,7 +27,7 @@
 from gypsumshift.jobs.schedule import LONG_FACTOR, long_units, order_units
 from gypsumshift.platforms import ABSENT, Row
 
-__all__ = ["Candidate", "ClaimTracker", "OpenJob", "StoredClaim"]
+__all__ = ["ClaimTracker"]
 
 # Seconds that a unit waits for an engine that serves its model before an engine of
 # another model may run it.
@@ -45,75 +44,7 @@
 MAX_CANDIDATES = 6
 
 
-@attrs.frozen
-class StoredClaim:
-    """A claim with the version of its row.
-
-    Attributes
-    ----------
-    claim : Claim
-    version : int
-        Version of its row, which a write that replaces it has to name.
-    seen_at : float
-        When it was received, by the monotonic clock, in seconds.
-    """
-
-    claim: Claim
-    version: int
-    seen_at: float
-
-
-@attrs.frozen
-class Candidate:
-    """A unit that may be claimed.
-
-    Attributes
-    ----------
-    job : Job
-    unit : UnitSummary
-    version : int
-        Version that the row of its claim must have.
-    taken_over : bool
-        Whether another agent held it before.
-    silent_claim : Claim or None
-        Claim of an agent without a recent heartbeat, which has to be probed first.
-    planned : bool
-        Whether the unit was chosen by expected end.
-    """
-
-    job: Job
-    unit: UnitSummary
-    version: int
-    taken_over: bool
-    silent_claim: Claim | None = None
-    planned: bool = False
-
-
-@attrs.define
-class OpenJob:
-    """An open job, with the order of its units and their claims.
-
-    Attributes
-    ----------
-    job : Job
-    first_seen_at : float
-        When it was first seen, by the monotonic clock, in seconds.
-    order, short_order : list of UnitSummary
-        Order in which its units are claimed, and the order for slower engines.
-    long_units : frozenset of str
-        Keys of the units of long items.
-    claims : dict
-        `StoredClaim` by unit.
-    """
-
-    job: Job
-    first_seen_at: float
-    order: list[UnitSummary]
-    short_order: list[UnitSummary]
-    long_units: frozenset[str]
-    claims: dict[str, StoredClaim] = attrs.field(factory=dict)
-
-
+# Plans an open job's units, given the free slots and the units that may be claimed.
 PlanJob = Callable[[OpenJob, int, Iterator[UnitSummary]], StepPlan | None]
 
 
@@ -282,7 +213,10 @@
         ]
 
     def version_for_waiting_units(self, model: str) -> int:
-        """Return the oldest version for a model's waiting units; -1 if none wait."""
+        """Return the oldest version that all waiting units of a model accept.
+
+        It is -1 if none wait.
+        """
         versions = [
             open_job.job.oldest_version
             for open_job in self.open_jobs.values()
@@ -327,7 +261,6 @@
             Returns the `StepPlan` of an open job, given the free slots and the units
             that may be claimed; None for the usual order.
         """
-        now = self.clock.monotonic()
         found: list[Candidate] = []
         claim_class = functools.partial(self.claim_class, models, step_ranks)
         found_class = None
@@ -337,18 +270,13 @@
             if found and claim_class(open_job) != found_class:
                 break
             found_class = claim_class(open_job)
-            job = open_job.job
-            if job.model and versions.get(job.model, 0) < job.oldest_version:
-                continue
-            own = not job.model or job.model in models
-            if not own and now - open_job.first_seen_at < STEAL_AFTER:
+            if not self.may_run(open_job, models, versions):
                 continue
             silent: list[Candidate] = []
             plan = self.make_plan(open_job, capacity, plan_job)
             limit = plan.choices if plan else MAX_CANDIDATES
-            for candidate in self.candidates(
-                open_job, capacity, job.model in slower_for, plan
-            ):
+            slower = open_job.job.model in slower_for
+            for candidate in self.candidates(open_job, capacity, slower, plan):
                 (silent if candidate.silent_claim else found).append(candidate)
                 if len(found) >= limit:
                     return self.chance.choice(found)
@@ -356,6 +284,21 @@
                 return self.chance.choice(silent)
         return self.chance.choice(found) if found else None
 
+    def may_run(
+        self, open_job: OpenJob, models: Collection[str], versions: Mapping[str, int]
+    ) -> bool:
+        """Return whether the engine may run a job's units with the weights it has.
+
+        Units of a model that the engine is not assigned are left to the model's own
+        engines for `STEAL_AFTER`.
+        """
+        job = open_job.job
+        if job.model and versions.get(job.model, 0) < job.oldest_version:
+            return False
+        if not job.model or job.model in models:
+            return True
+        return self.clock.monotonic() - open_job.first_seen_at >= STEAL_AFTER
+
     def claim_class(
         self,
         models: Collection[str],
@@ -366,8 +309,8 @@
         if not step_ranks:
             return (0, False)
         job = open_job.job
-        lent = bool(job.model) and job.model not in models
-        return (step_ranks.get(job.id, 0), lent)
+        other_model = bool(job.model) and job.model not in models
+        return (step_ranks.get(job.id, 0), other_model)
 
     def make_plan(
         self, open_job: OpenJob, capacity: FreeCapacity, plan_job: PlanJob
--- /dev/null
+++ b/gypsumshift/jobs/openjob.py
@@ -0,0 +1,76 @@
+"""Open batch jobs, the claims of their units, and the candidates for further claims."""
+
+import attrs
+
+from gypsumshift.jobs.records import Claim, Job, UnitSummary
+
+__all__ = ["Candidate", "OpenJob", "StoredClaim"]
+
+
+@attrs.frozen
+class StoredClaim:
+    """A claim with the version of its row.
+
+    Attributes
+    ----------
+    claim : Claim
+    version : int
+        Version of its row, which a write that replaces it has to name.
+    seen_at : float
+        When it was received, by the monotonic clock, in seconds.
+    """
+
+    claim: Claim
+    version: int
+    seen_at: float
+
+
+@attrs.frozen
+class Candidate:
+    """A unit that may be claimed.
+
+    Attributes
+    ----------
+    job : Job
+    unit : UnitSummary
+    version : int
+        Version that the row of its claim must have.
+    taken_over : bool
+        Whether another agent held it before.
+    silent_claim : Claim or None
+        Claim of an agent without a recent heartbeat, which has to be probed first.
+    planned : bool
+        Whether the unit was chosen by expected end.
+    """
+
+    job: Job
+    unit: UnitSummary
+    version: int
+    taken_over: bool
+    silent_claim: Claim | None = None
+    planned: bool = False
+
+
+@attrs.define
+class OpenJob:
+    """An open job, with the order of its units and their claims.
+
+    Attributes
+    ----------
+    job : Job
+    first_seen_at : float
+        When it was first seen, by the monotonic clock, in seconds.
+    order, short_order : list of UnitSummary
+        Order in which its units are claimed, and the order for slower engines.
+    long_units : frozenset of str
+        Keys of the units of long items.
+    claims : dict
+        `StoredClaim` by unit.
+    """
+
+    job: Job
+    first_seen_at: float
+    order: list[UnitSummary]
+    short_order: list[UnitSummary]
+    long_units: frozenset[str]
+    claims: dict[str, StoredClaim] = attrs.field(factory=dict)
--- a/gypsumshift/jobs/stepneeds.py
+++ b/gypsumshift/jobs/stepneeds.py
@@ -12,7 +12,7 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
-from gypsumshift.jobs.claimtracker import ClaimTracker, OpenJob
+from gypsumshift.jobs.claimtracker import ClaimTracker
 from gypsumshift.jobs.engineshares import (
     BEGUN_SHARE,
     LOAD_TIME_S,
@@ -23,6 +23,7 @@
     divide_engines,
 )
 from gypsumshift.jobs.localengine import LocalEngine
+from gypsumshift.jobs.openjob import OpenJob
 from gypsumshift.jobs.records import Job
 from gypsumshift.jobs.schedule import spare_groups
 from gypsumshift.jobs.servicerecord import ServiceRecord
--- a/gypsumshift/jobs/stepplanner.py
+++ b/gypsumshift/jobs/stepplanner.py
@@ -10,10 +10,11 @@
     free_times,
     plan_step,
 )
-from gypsumshift.jobs.claimtracker import ClaimTracker, OpenJob
+from gypsumshift.jobs.claimtracker import ClaimTracker
 from gypsumshift.jobs.enginestate import EngineState
 from gypsumshift.jobs.heartbeatwriter import HeartbeatWriter
 from gypsumshift.jobs.lengthestimates import LengthEstimates
+from gypsumshift.jobs.openjob import OpenJob
 from gypsumshift.jobs.pace import is_slower
 from gypsumshift.jobs.peers import PeerState
 from gypsumshift.jobs.records import UnitSummary
--- a/gypsumshift/jobs/unitrunner.py
+++ b/gypsumshift/jobs/unitrunner.py
@@ -8,12 +8,13 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
-from gypsumshift.jobs.claimtracker import Candidate, ClaimTracker
+from gypsumshift.jobs.claimtracker import ClaimTracker
 from gypsumshift.jobs.eventsize import EventSize
 from gypsumshift.jobs.itemrun import RETRY_PAUSE, ItemRun
 from gypsumshift.jobs.itemrunner import ItemRunner
 from gypsumshift.jobs.lengthestimates import LengthEstimates
 from gypsumshift.jobs.localengine import LocalEngine
+from gypsumshift.jobs.openjob import Candidate
 from gypsumshift.jobs.pace import Pace
 from gypsumshift.jobs.partials import PartialStore, scan_until_answered
 from gypsumshift.jobs.records import (
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -5,7 +5,7 @@
 import attrs
 
 from gypsumshift.jobs import ResultState
-from gypsumshift.jobs.claimtracker import Candidate
+from gypsumshift.jobs.openjob import Candidate
 from gypsumshift.jobs.records import AGENTS, END_KEY, JOBS, PARTIALS, RESULTS
 from gypsumshift.platforms import Row, Write
 from tests.job_builders import MODEL, FakeEngine, JobCluster, server
