Soak: servers with queues, paces and four load figures

The soak's servers reported three figures, refused every request above their slots, and were all alike. The product's handling of reported slowdowns, of queues and of engines of unlike pace was never under faults.

The seed chooses the conditions, so that three figures and alike engines remain in the mix. The regression seeds keep the conditions in which they failed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
 import typer
 
 from soak.checks import check_backends, check_results
+from soak.conditions import Conditions, choose_conditions
 from soak.deployment import Deployment
 from soak.fatal import check_fatal_requests, send_fatal_requests, wait_all_ready
 from soak.faults import FaultInjector
@@ -29,11 +30,17 @@
 SETTLE_TIMEOUT_S = 60.0
 
 
-async def soak(folder: pathlib.Path, seed: int, seconds: float, nodes: int):
+async def soak(
+    folder: pathlib.Path,
+    seed: int,
+    seconds: float,
+    nodes: int,
+    conditions: Conditions,
+):
     """Run one seed; return the violations, a summary line and the injected faults."""
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
-    deployment = Deployment(folder, seed, nodes)
+    deployment = Deployment(folder, seed, nodes, conditions)
     workload = Workload(deployment, seed)
     faults = FaultInjector(deployment, seed)
     try:
@@ -103,19 +110,25 @@
     ] = False,
 ) -> None:
     """Run the real programs under random faults and check the guarantees."""
-    planned = [(number, seconds, nodes) for number in range(seed, seed + runs)]
+    planned = [
+        (number, seconds, nodes, choose_conditions(number))
+        for number in range(seed, seed + runs)
+    ]
     if regression:
-        planned = [(known.seed, known.seconds, known.nodes) for known in SEEDS]
+        planned = [(k.seed, k.seconds, k.nodes, k.conditions) for k in SEEDS]
     failed = [one for one in planned if not play(*one, keep)]
     sys.exit(1 if failed else 0)
 
 
-def play(number: int, seconds: float, nodes: int, keep: str) -> bool:
+def play(
+    number: int, seconds: float, nodes: int, conditions: Conditions, keep: str
+) -> bool:
     """Run one seed and print the result; return whether all guarantees held."""
     with KeptFolder(keep, number) if keep else tempfile.TemporaryDirectory() as name:
-        run = soak(pathlib.Path(name), number, seconds, nodes)
+        run = soak(pathlib.Path(name), number, seconds, nodes, conditions)
         violations, summary, faults = asyncio.run(run)
-    print(f"seed {number}: {summary}; {len(violations)} broken promises", flush=True)
+    result = f"{summary}; {len(violations)} broken promises"
+    print(f"seed {number} ({conditions}): {result}", flush=True)
     for line in violations[:20]:
         print(f"  {line}")
     if violations:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -11,6 +11,7 @@
 import attrs
 
 from gypsumshift.httpclient import Fetcher, FetchError
+from soak.conditions import PLAIN, Conditions
 from soak.proxy import Proxy
 from standins.users_documents import MODEL, settings_text
 from standins.users_worker import put_row
@@ -24,6 +25,8 @@
 # the delay below.
 FATAL_TEXT = "fatal"
 RESTART_DELAY_S = 0.3
+# Usual time of an engine for an event.
+EVENT_WORK_MS = 20.0
 FRONT_PORT, READY_PORT, WORKER_PORT, STORE_PORT, NEIGHBOUR_PORT, CLOUD_PORT = (
     8100,
     8101,
@@ -119,9 +122,17 @@
         Determines where the search for unused loopback addresses begins.
     nodes : int
         Number of gateways, of engines with an agent each, and of plain workers.
+    conditions : Conditions
     """
 
-    def __init__(self, folder: pathlib.Path, seed: int, nodes: int):
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        seed: int,
+        nodes: int,
+        conditions: Conditions = PLAIN,
+    ):
+        self.conditions = conditions
         self.folder = folder
         self.seed = seed
         self.nodes = nodes
@@ -159,8 +170,8 @@
         await cloud.start()
         await self.write("op", "config", first)
         for number in range(self.nodes):
-            await self.add_worker(f"app-{number}", "app")
-            engine = await self.add_worker(f"engine-{number}", "pool", MODEL)
+            await self.add_app_server(number)
+            engine = await self.add_engine(number)
             app = {"app": f"{engine.ip}:{WORKER_PORT}", "service": "pool"}
             await self.add_node(f"agent-{number}", app)
             front = {"listen.front": FRONT_PORT, "listen.ready": READY_PORT}
@@ -200,15 +211,33 @@
         self.processes.append(process)
         return process
 
-    async def add_worker(self, name: str, service: str, models: str = "") -> Process:
-        """Add and start a fake worker."""
+    async def add_app_server(self, number: int) -> Process:
+        """Add and start an application server."""
+        fields = {
+            "--slots": self.conditions.app_slots,
+            "--work-ms": self.conditions.app_work_ms,
+            "--queue-length": self.conditions.app_queue_length,
+        }
+        return await self.add_worker(f"app-{number}", "app", fields)
+
+    async def add_engine(self, number: int) -> Process:
+        """Add and start an engine."""
+        factors = self.conditions.engine_factors
+        factor = factors[number % len(factors)]
+        fields = {"--models": MODEL, "--work-ms": EVENT_WORK_MS * factor}
+        return await self.add_worker(f"engine-{number}", "pool", fields)
+
+    async def add_worker(self, name: str, service: str, fields: dict) -> Process:
+        """Add and start a fake worker with further command-line options."""
         store = "{}:{}".format(*self.store_address)
         runs = str(self.folder / f"{name}.runs")
         # Every other worker keeps its id across restarts.
         same_id = f"i-{name}" if name.endswith(("0", "2")) else ""
         arguments = ["--port", str(WORKER_PORT), "--service", service, "--store", store]
-        arguments += ["--models", models, "--runs", runs, "--name", same_id]
-        arguments += ["--fatal", FATAL_TEXT]
+        arguments += ["--runs", runs, "--name", same_id, "--fatal", FATAL_TEXT]
+        arguments += [str(part) for field in fields.items() for part in field]
+        if self.conditions.shared_hosts:
+            arguments.append("--shared-host")
         process = self.add(name, "standins.users_worker", *arguments)
         await process.start()
         return process
--- a/soak/regression.py
+++ b/soak/regression.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from soak.conditions import PLAIN, Conditions
+
 __all__ = ["SEEDS", "RegressionSeed"]
 
 DOUBLE_RUN_CAUSE = (
@@ -32,6 +34,8 @@
     cause : str
     in_tests : bool
         Whether the tests run it.
+    conditions : Conditions
+        Conditions in which it violated the guarantee.
     """
 
     seed: int
@@ -39,6 +43,7 @@
     nodes: int
     cause: str
     in_tests: bool = False
+    conditions: Conditions = PLAIN
 
 
 SEEDS = (
--- a/standins/users_worker.py
+++ b/standins/users_worker.py
@@ -24,6 +24,7 @@
     ResponseAborted,
     json_response,
 )
+from standins.hostpace import HostPace, SharedHostPace, SteadyPace
 
 __all__ = ["FakeWorker", "event_text", "plain_answer", "put_row"]
 
@@ -95,6 +96,16 @@
         Requests whose body contains it crash the worker; empty for none.
     on_fatal : callable
         Crashes the worker; by default ends the process.
+    queue_length : int
+        Requests to a plain service that wait for a slot; further ones are rejected.
+    waiting : int
+        Requests waiting for a slot now.
+    host_pace : HostPace
+        Slows down its work.
+    slowdown : float
+        Further slowdown, which ``PUT /slowdown`` sets.
+    reports_pace : bool
+        Whether its load has the pace as a fourth figure.
     """
 
     def __init__(self, service, models=(), slots=6, events=4, pause=0.02):
@@ -117,6 +128,12 @@
         self.loses_answers = False
         self.fatal = b""
         self.on_fatal: Callable[[], None] = lambda: os._exit(1)
+        self.queue_length = 0
+        self.waiting = 0
+        self.host_pace: HostPace = SteadyPace()
+        self.slowdown = 1.0
+        self.reports_pace = False
+        self.slot_freed = asyncio.Condition()
         self.server = HttpServer(self.serve)
 
     def restart(self) -> None:
@@ -134,6 +151,9 @@
         if request.path == "/drain":
             self.state = "draining"
             return Response(200)
+        if request.path == "/slowdown":
+            self.slowdown = float(request.body)
+            return Response(200)
         if request.path == "/gypsumshift/report":
             return json_response(200, self.report())
         expected_id = request.header("expect-instance")
@@ -141,15 +161,46 @@
             return Response(421, [("instance-id", self.id)])
         if request.path == "/gypsumshift/order":
             return await self.accept_order(json.loads(request.body))
-        if self.running >= self.slots:
-            return Response(503, NOT_RUN_HEADERS)
+        if self.running + self.waiting >= self.slots + self.queue_length:
+            return Response(503, [*NOT_RUN_HEADERS, self.load_header()])
         return await self.run_request(request)
 
+    def current_slowdown(self) -> float:
+        """Return how long work takes now, in units of the usual time."""
+        return self.host_pace.slowdown() * self.slowdown
+
+    def load_header(self) -> tuple[str, str]:
+        """Return the header with the current load."""
+        figures = [self.running, self.waiting, self.slots]
+        if self.reports_pace:
+            figures.append(round(100 * self.current_slowdown()))
+        return "server-load", self.reported_load or ",".join(map(str, figures))
+
+    async def work(self, seconds: float) -> None:
+        """Wait for a slot, and use it for a time."""
+        self.waiting += 1
+        try:
+            async with self.slot_freed:
+                await self.slot_freed.wait_for(lambda: self.running < self.slots)
+                self.running += 1
+        finally:
+            self.waiting -= 1
+        try:
+            await asyncio.sleep(seconds * self.current_slowdown())
+        finally:
+            self.running -= 1
+            async with self.slot_freed:
+                self.slot_freed.notify_all()
+
     def record_run(self, run: dict) -> None:
         """Record a run or an order, also in the log file if there is one."""
         self.runs.append(run)
+        self.log_line(run)
+
+    def log_line(self, line: dict) -> None:
+        """Write a line to the log file, if there is one."""
         if self.run_log is not None:
-            self.run_log.write(json.dumps(run) + "\n")
+            self.run_log.write(json.dumps(line) + "\n")
             self.run_log.flush()
 
     def report(self) -> dict:
@@ -197,22 +248,19 @@
         headers = [
             ("request-id", request_id),
             ("server-stamp", f"{self.id}.{request_id}"),
-            (
-                "server-load",
-                self.reported_load or f"{self.running},0,{self.slots}",
-            ),
         ]
         if not self.models:
-            self.running += 1
             try:
-                await asyncio.sleep(CRASH_DELAY_S * 10 if fatal else self.pause)
+                await self.work(CRASH_DELAY_S * 10 if fatal else self.pause)
             finally:
-                self.running -= 1
+                self.log_line({"ended": request_id, "at": time.time()})
+            headers.append(self.load_header())
             if self.loses_answers:
                 return Response(200, headers, cut_connection())
             run["end"] = "whole"
             return Response(200, headers, plain_answer(request_id))
         model = next(iter(self.models))
+        headers.append(self.load_header())
         headers.append(("weight-versions", str(self.models[model])))
         headers.append(("content-type", "text/event-stream"))
         return Response(200, headers, self.stream_events(run, request_id, after, model))
@@ -223,7 +271,7 @@
         self.running += 1
         try:
             for number in range(after + 1, self.events + 1):
-                await asyncio.sleep(self.pause)
+                await asyncio.sleep(self.pause * self.current_slowdown())
                 version_line = ""
                 if self.models[model] != version:
                     version = self.models[model]
@@ -298,18 +346,27 @@
     runs: str = "",
     name: str = "",
     fatal: str = "",
+    work_ms: float = 20,
+    queue_length: int = 0,
+    shared_host: bool = False,
 ) -> None:
     """Run a stand-in for a backend server; ``models`` are separated by commas.
 
     ``name`` is its id at each start; without it the id is random. ``runs`` is a file to
     which its runs are appended. A request whose body contains ``fatal`` crashes it.
+    ``work_ms`` is the time of a plain request or of an event. With ``shared_host`` its
+    pace changes like that of a shared host, and is reported with its load.
     """
     names = tuple(models.split(",")) if models else ()
-    worker = FakeWorker(service, names, slots)
+    worker = FakeWorker(service, names, slots, pause=work_ms / 1000)
     worker.id = name or worker.id
     worker.fatal = fatal.encode()
+    worker.queue_length = queue_length
+    if shared_host:
+        worker.host_pace, worker.reports_pace = SharedHostPace(f"{ip}:{port}"), True
     if runs:
         worker.run_log = open(runs, "a")
+        worker.log_line({"started": worker.id, "at": time.time(), "slots": slots})
     asyncio.run(run(worker, ip, port, store))
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,16 +4,19 @@
 
 import pytest
 
+from gypsumshift.httpserver import Request
 from soak.__main__ import soak
+from soak.conditions import PLAIN, choose_conditions
 from soak.deployment import Deployment
 from soak.regression import SEEDS
+from standins.users_worker import FakeWorker
 
 IN_TESTS = [known for known in SEEDS if known.in_tests]
 
 
 @pytest.mark.parametrize("known", IN_TESTS, ids=lambda known: f"seed-{known.seed}")
 def test_run_that_once_violated_a_guarantee_has_no_violations(tmp_path, known):
-    run = soak(tmp_path, known.seed, known.seconds, known.nodes)
+    run = soak(tmp_path, known.seed, known.seconds, known.nodes, known.conditions)
     violations, summary, faults = asyncio.run(run)
     assert not violations, (known.cause, violations, summary, faults)
 
@@ -31,3 +34,27 @@
     finally:
         for deployment in (first, second):
             deployment.claim.close()
+
+
+def test_conditions_of_seeds_include_each_kind_of_server():
+    """Servers with three figures and alike engines were not run any more."""
+    chosen = {str(choose_conditions(seed)) for seed in range(200)}
+    assert len(chosen) == 8
+    assert {known.conditions for known in IN_TESTS} == {PLAIN}
+
+
+def test_server_queues_requests_and_refuses_further_ones():
+    """More requests than slots ran at once, or a refused request ran."""
+
+    async def scenario():
+        worker = FakeWorker("app", slots=1, pause=0.05)
+        worker.queue_length = 1
+        worker.reports_pace = True
+        ids = [("request-id", f"q-{number}") for number in range(3)]
+        requests = [Request("POST", "/app/1", headers=[one]) for one in ids]
+        answers = await asyncio.gather(*map(worker.serve, requests))
+        assert [answer.status for answer in answers] == [200, 200, 503]
+        assert [run["request"] for run in worker.runs] == ["q-0", "q-1"]
+        assert dict(answers[2].headers)["server-load"] == "1,1,1,100"
+
+    asyncio.run(scenario())
