Soak: a caller that floods the application servers

All callers of the soak shared one rate, and the servers were never too small for them, so admission by workspace never took effect.

In crowded runs a workspace sends 1.5 times what all servers can do, through all gateways, for 3 to 5 s, while half of the servers are slowed down or suspended. Three other workspaces with own keys and priorities send 12 requests per second each, and all go on at that rate for 4 s after it. This happens once among the other faults and once without them.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
 
 from soak.checks import check_backends, check_results
 from soak.conditions import Conditions, choose_conditions
+from soak.crowding import Crowding
 from soak.deployment import Deployment
 from soak.fatal import check_fatal_requests, send_fatal_requests, wait_all_ready
 from soak.faults import FaultInjector
@@ -43,6 +44,7 @@
     deployment = Deployment(folder, seed, nodes, conditions)
     workload = Workload(deployment, seed)
     faults = FaultInjector(deployment, seed)
+    crowding = Crowding(deployment, workload, seed, faults.record_fault)
     try:
         await deployment.start(workload.keys.make_config())
         await workload.keys.write_config()
@@ -52,9 +54,10 @@
         callers.append(asyncio.create_task(send_fatal_requests(workload, seed)))
         restarting = asyncio.create_task(deployment.keep_workers())
         key_rotation = asyncio.create_task(workload.keys.run_rotation())
-        await faults.run(seconds)
+        await asyncio.gather(faults.run(seconds), crowding.run(seconds))
         key_rotation.cancel()
         await wait_all_ready(deployment)
+        await crowding.run_alone()
         calm_from = time.time()
         await asyncio.sleep(CALM_S)
         workload.stopping = True
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -1,6 +1,7 @@
 """Run the real programs and the stand-ins as processes on loopback addresses."""
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -284,6 +285,12 @@
         body = json.dumps(faults).encode()
         await self.fetcher.fetch(self.cloud_address, "PUT", "/faults", [], body)
 
+    async def set_slowdown(self, process: Process, slowdown: float) -> None:
+        """Set the slowdown of a worker; one that is not running starts without any."""
+        address, body = (process.ip, WORKER_PORT), str(slowdown).encode()
+        with contextlib.suppress(FetchError):
+            await self.fetcher.fetch(address, "PUT", "/slowdown", [], body, 1.0)
+
     async def until_answered(self, address, method, target, status) -> None:
         """Wait until an address answers a request with the given status."""
         while True:
--- a/soak/keys.py
+++ b/soak/keys.py
@@ -12,9 +12,13 @@
 from soak.runs import read_runs
 from standins.users_documents import config
 
-__all__ = ["KeyRotator", "SentRequest", "check_keys"]
+__all__ = ["CROWD_WORKSPACES", "FLOODER", "KeyRotator", "SentRequest", "check_keys"]
 
 WORKSPACES = ("red", "blue")
+# Workspaces with priorities that only send requests in crowded runs. The priority of the
+# flooder is between those of the others.
+FLOODER = "flood"
+CROWD_WORKSPACES = {"first": 0, FLOODER: 1, "equal": 1, "last": 2}
 # Range of the time between two configurations, each of which replaces a key.
 CHANGE_GAPS_S = (0.3, 2.5)
 # Time after which a new key is known to all gateways that receive the store's changes.
@@ -66,6 +70,8 @@
     ----------
     permanent : Key
         A key that is never removed.
+    crowd_keys : dict
+        Key of each crowd workspace, which is never removed.
     sent_requests : dict
         `SentRequest` by request id.
     """
@@ -77,6 +83,8 @@
         self.version = 1
         self.permanent = self.new_key(WORKSPACES[0])
         self.valid_keys = [self.permanent, *map(self.new_key, WORKSPACES)]
+        crowd = CROWD_WORKSPACES if deployment.conditions.crowding else {}
+        self.crowd_keys = {name: self.new_key(name) for name in crowd}
         self.removed_keys: list[Key] = []
         self.sent_requests: dict[str, SentRequest] = {}
 
@@ -89,12 +97,15 @@
         keys: dict[str, list[str]] = {name: [] for name in WORKSPACES}
         for key in self.valid_keys:
             keys[key.workspace].append(key.text)
-        return config(self.version, slots=6, workspaces=keys)
+        keys |= {key.workspace: [key.text] for key in self.crowd_keys.values()}
+        return config(
+            self.version, slots=6, workspaces=keys, priorities=CROWD_WORKSPACES
+        )
 
     async def write_config(self) -> None:
         """Write the configuration, and record when the store acknowledged it."""
         await self.deployment.write("op", "config", self.make_config())
-        for key in self.valid_keys:
+        for key in [*self.valid_keys, *self.crowd_keys.values()]:
             key.added_at = key.added_at or time.time()
         for key in self.removed_keys:
             key.removed_at = key.removed_at or time.time()
@@ -118,6 +129,12 @@
         )
         return sent.key.text
 
+    def use_crowd_key(self, request: str, workspace: str) -> str:
+        """Return the permanent key of a crowd workspace for a request."""
+        key = self.crowd_keys[workspace]
+        self.sent_requests[request] = SentRequest(key, time.time())
+        return key.text
+
     def check_answer(self, request: str, status: int) -> str:
         """Return the violation in the answer to a request; empty if there is none."""
         sent = self.sent_requests.get(request)
@@ -126,7 +143,7 @@
         key = sent.key
         known = key.added_at and sent.at > key.added_at + KNOWN_WITHIN_S
         # A key that is being removed may be rejected already.
-        if not known or key not in self.valid_keys:
+        if not known or key.removed_at or key in self.removed_keys:
             return ""
         return f"{request}: rejected with 401, although its key is valid"
 
--- a/standins/users_documents.py
+++ b/standins/users_documents.py
@@ -3,6 +3,8 @@
 import base64
 import itertools
 import json
+import types
+from collections.abc import Mapping
 
 __all__ = [
     "HOST",
@@ -29,6 +31,7 @@
     routes=(),
     slots: int = 4,
     workspaces: dict[str, list[str]] | None = None,
+    priorities: Mapping[str, int] = types.MappingProxyType({}),
 ) -> dict:
     """Return a configuration with a service ``app`` and a service ``pool`` of engines.
 
@@ -41,6 +44,8 @@
         Requests that an engine runs concurrently.
     workspaces : dict or None
         Keys by the name of their workspace; None if callers need no keys.
+    priorities : mapping
+        Priorities by the name of their workspace, for those that have one.
     """
     default_routes = [
         route("app", kind="safe", service="app", attempts=2),
@@ -61,6 +66,9 @@
     if workspaces is None:
         return value
     tenants = [{"name": n, "api_keys": keys} for n, keys in workspaces.items()]
+    for tenant in tenants:
+        if tenant["name"] in priorities:
+            tenant["priority"] = priorities[tenant["name"]]
     return value | {"tenants": tenants}
 
 
