Soak: no process starts after the end of a run

A fault that was still running when a run was ended, such as a kill with its restart, could start a process again while all were being stopped, and that one remained.

Processes of a closed deployment are not started again.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -57,6 +57,8 @@
     child : asyncio.subprocess.Process or None
     lock : asyncio.Lock
         Held while it is stopped and restarted.
+    is_closed : bool
+        Whether it must not be started again, by a fault that is still running.
     """
 
     name: str
@@ -67,9 +69,12 @@
     proxy: Proxy | None = None
     child: asyncio.subprocess.Process | None = None
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    is_closed: bool = False
 
     async def start(self) -> None:
-        """Start the program; its output is appended to the log."""
+        """Start the program, unless the run has ended; its output goes to the log."""
+        if self.is_closed:
+            return
         with self.log.open("ab") as log:
             self.child = await asyncio.create_subprocess_exec(
                 *self.command,
@@ -305,6 +310,8 @@
 
     async def close(self) -> None:
         """Stop all processes that this run started."""
+        for process in self.processes:
+            process.is_closed = True
         for task in self.restart_tasks:
             task.cancel()
         await asyncio.gather(*(process.stop() for process in self.processes))
