--- a/tests/test_broken_connections.py
+++ b/tests/test_broken_connections.py
@@ -55,11 +55,12 @@
     return await sender.attempt(call, server)
 
 
-def run_scenario(scenario):
+def run_scenario(scenario, peer=None):
     async def run():
         clock, directory, fetcher = SystemClock(), Directory(), Fetcher()
         balancer = LoadBalancer("here", clock, random.Random(1))
-        peer = Peer()
+        nonlocal peer
+        peer = peer or Peer()
         server = BackendServer("s", "app", await peer.listen(), "here")
         directory.set_server(server)
         sender = Sender(directory, balancer, fetcher, NAMES, clock, METRICS)
