Soak: check refusals, free places and shares during a flood

Only requests that may not be repeated were checked for runs after a refusal. Nothing checked that refusals were needed, nor how a flood was shared between workspaces.

- No server runs a request or an item of a job of which each attempt was refused.
- No request is refused while at least half of the places were free from its sending to its answer.
Places come from the servers' run logs, where a server has none from its last line before a kill until 3 s after its next start.
Refusals during a flood and 3 s after it do not count, nor those of a gateway that a fault disturbed within 3 s, nor while the store did not answer: gateways refuse keys that they cannot verify.
- Each workspace that does not flood is served at least a quarter as often as all, and each is served within 3 s after the flood.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 
 import typer
 
+from soak.admission import check_crowding, check_needless_refusals
 from soak.checks import check_backends, check_results
 from soak.conditions import Conditions, choose_conditions
 from soak.crowding import Crowding
@@ -17,6 +18,7 @@
 from soak.fatal import check_fatal_requests, send_fatal_requests, wait_all_ready
 from soak.faults import FaultInjector
 from soak.keys import check_keys
+from soak.places import PlaceHistory
 from soak.regression import SEEDS
 from soak.usagereports import check_usage_reports
 from soak.workload import Workload
@@ -54,6 +56,7 @@
         callers.append(asyncio.create_task(send_fatal_requests(workload, seed)))
         restarting = asyncio.create_task(deployment.keep_workers())
         key_rotation = asyncio.create_task(workload.keys.run_rotation())
+        watching = asyncio.create_task(faults.disturbances.watch_store(deployment))
         await asyncio.gather(faults.run(seconds), crowding.run(seconds))
         key_rotation.cancel()
         await wait_all_ready(deployment)
@@ -62,6 +65,7 @@
         await asyncio.sleep(CALM_S)
         workload.stopping = True
         await asyncio.gather(*callers)
+        watching.cancel()
         violations = await settle(workload, deployment)
         violations += await check_usage_reports(deployment)
         restarting.cancel()
@@ -70,6 +74,16 @@
     violations += check_backends(folder, workload.seen)
     violations += check_fatal_requests(folder, calm_from)
     violations += check_keys(folder, workload.keys)
+    violations += check_needless_refusals(
+        workload.seen,
+        workload.keys,
+        PlaceHistory(folder),
+        faults.disturbances,
+        crowding.periods,
+    )
+    gateways = [process.name for process in deployment.of_kind("gateway")]
+    for period in crowding.periods:
+        violations += check_crowding(period, gateways, faults.disturbances)
     seen = workload.seen
     summary = (
         f"{seen.served_count} requests served, {len(seen.refused)} refused, "
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,6 +10,8 @@
 __all__ = ["check_backends", "check_results"]
 
 EVENTS_PER_ITEM = 4
+# Group and number, which follow the job in the id of an item.
+ITEM_ID_PARTS = 2
 
 
 def check_backends(folder: pathlib.Path, seen: Observations) -> list[str]:
@@ -20,10 +22,24 @@
     for request in seen.unrepeatable:
         if counts[request] > 1:
             violations.append(f"{request}: ran {counts[request]} times")
-    for request in seen.refused & seen.unrepeatable:
-        if counts[request]:
+    engine_runs = read_runs(folder, "engine")
+    violations += check_refused(runs + engine_runs, seen)
+    return violations + check_orders(engine_runs)
+
+
+def check_refused(runs: list[dict], seen: Observations) -> list[str]:
+    """Return requests and jobs of which each attempt was refused, but which ran.
+
+    An attempt with an uncertain outcome may have run before the last one was refused.
+    """
+    refused = seen.refused.keys() - seen.uncertain
+    violations = []
+    for run in runs:
+        request = run.get("request", "")
+        job = request.removeprefix("score-").rsplit("-", ITEM_ID_PARTS)[0]
+        if request in refused or job in refused:
             violations.append(f"{request}: was refused as not run, but ran")
-    return violations + check_orders(read_runs(folder, "engine"))
+    return violations
 
 
 def check_orders(runs: list[dict]) -> list[str]:
--- a/soak/crowding.py
+++ b/soak/crowding.py
@@ -145,7 +145,11 @@
         next_at = loop.time()
         while (next_at := next_at + self.rng.expovariate(rate)) < until:
             await asyncio.sleep(next_at - loop.time())
-            await places.acquire()
+            try:
+                async with asyncio.timeout_at(until):
+                    await places.acquire()
+            except TimeoutError:
+                return
             task = asyncio.create_task(self.send(period, workspace))
             task.add_done_callback(lambda _: places.release())
             self.open_requests.add(task)
--- a/soak/fatal.py
+++ b/soak/fatal.py
@@ -40,8 +40,6 @@
             workload.seen.violations.append(
                 f"{name}: answered with 200, although it crashes its worker"
             )
-        if answer is not None and answer[0] in (429, 503):
-            workload.seen.refused.add(name)
         if target.startswith("/once"):
             workload.seen.unrepeatable.add(name)
         await asyncio.sleep(rng.uniform(*SEND_GAPS_S))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,7 @@
 import signal
 
 from soak.deployment import Deployment, Process
+from soak.disturbances import Disturbances
 from soak.proxy import Mode
 
 __all__ = ["FaultInjector"]
@@ -43,6 +44,7 @@
         self.rng = random.Random(seed)
         self.running: set[asyncio.Task] = set()
         self.injected: list[str] = []
+        self.disturbances = Disturbances()
         self.fault_methods = [
             self.kill_node,
             self.terminate_node,
@@ -92,26 +94,29 @@
         process = self.choose_process("gateway", "agent")
         self.record_fault(f"kill {process.name} for {span:.1f} s")
         async with process.lock:
-            await process.stop()
-            await asyncio.sleep(span)
-            await process.start()
+            with self.disturbances.record(process.name):
+                await process.stop()
+                await asyncio.sleep(span)
+                await process.start()
 
     async def terminate_node(self, span: float) -> None:
         """Terminate a gateway or agent, and restart it once it has ended."""
         process = self.choose_process("gateway", "agent")
         self.record_fault(f"stop {process.name}")
         async with process.lock:
-            process.signal(signal.SIGTERM)
-            await process.child.wait()
-            await process.start()
+            with self.disturbances.record(process.name):
+                process.signal(signal.SIGTERM)
+                await process.child.wait()
+                await process.start()
 
     async def suspend_node(self, span: float) -> None:
         """Suspend a gateway or agent for a while."""
         process = self.choose_process("gateway", "agent")
         self.record_fault(f"freeze {process.name} for {span:.1f} s")
-        process.signal(signal.SIGSTOP)
-        await asyncio.sleep(span)
-        process.signal(signal.SIGCONT)
+        with self.disturbances.record(process.name):
+            process.signal(signal.SIGSTOP)
+            await asyncio.sleep(span)
+            process.signal(signal.SIGCONT)
 
     async def disturb_store_connection(self, span: float) -> None:
         """Disturb the connection of a gateway or agent to the store for a while."""
@@ -119,9 +124,10 @@
         modes = [mode for mode in Mode if mode is not Mode.PASS]
         mode = self.rng.choice(modes)
         self.record_fault(f"{mode.value} {process.name} for {span:.1f} s")
-        process.proxy.set_mode(mode, 0.3)
-        await asyncio.sleep(span)
-        process.proxy.set_mode(Mode.PASS)
+        with self.disturbances.record(process.name):
+            process.proxy.set_mode(mode, 0.3)
+            await asyncio.sleep(span)
+            process.proxy.set_mode(Mode.PASS)
 
     async def disturb_store(self, span: float) -> None:
         """Set faults of the store for a while."""
@@ -136,11 +142,12 @@
             ]
         )
         self.record_fault(f"store {faults} for {span:.1f} s")
-        self.store_faults = faults
-        await self.switch_store()
-        await asyncio.sleep(span)
-        self.store_faults = {}
-        await self.switch_store()
+        with self.disturbances.record():
+            self.store_faults = faults
+            await self.switch_store()
+            await asyncio.sleep(span)
+            self.store_faults = {}
+            await self.switch_store()
 
     async def delay_store_answers(self, until: float) -> None:
         """Delay answers to writes from time to time, besides the other faults."""
@@ -201,4 +208,5 @@
         key = self.rng.choice([f"i-{process.name}", "i-nobody"])
         entry = self.rng.choice(INVALID_ENTRIES)
         self.record_fault(f"invalid entry {key}: {entry[:30]!r}")
-        await self.deployment.write("servers", key, entry)
+        with self.disturbances.record():
+            await self.deployment.write("servers", key, entry)
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import random
+import time
 
 import attrs
 
@@ -14,14 +15,34 @@
 from standins.users_documents import HOST, job_body, results_target
 from standins.users_worker import plain_answer
 
-__all__ = ["Observations", "Workload"]
+__all__ = ["Observations", "Refusal", "Workload"]
 
 GROUPS, GROUP_SIZE = 3, 3
+REFUSAL_STATUSES = (429, 503)
 ANSWER_TIMEOUT_S = 4.0
 # Number of the newest jobs that are read while faults are injected.
 RECENT_JOBS = 8
 
 
+@attrs.frozen
+class Refusal:
+    """A refused attempt.
+
+    Attributes
+    ----------
+    target, gateway : str
+    sent_at, answered_at : float
+        Unix time in seconds.
+    content : bytes
+    """
+
+    target: str
+    gateway: str
+    sent_at: float
+    answered_at: float
+    content: bytes
+
+
 @attrs.define
 class Observations:
     """What callers and trainers received.
@@ -30,8 +51,10 @@
     ----------
     violations : list of str
         Answers that violate a guarantee.
-    refused : set of str
-        Ids of requests that were refused, thus must not have run.
+    refused : dict
+        `Refusal` by id of requests whose last attempt was refused.
+    uncertain : set of str
+        Ids of requests with an attempt that was not refused, so that they may have run.
     unrepeatable : set of str
         Ids of requests that must not run more than once.
     jobs : dict
@@ -42,12 +65,21 @@
     """
 
     violations: list[str] = attrs.field(factory=list)
-    refused: set[str] = attrs.field(factory=set)
+    refused: dict[str, Refusal] = attrs.field(factory=dict)
+    uncertain: set[str] = attrs.field(factory=set)
     unrepeatable: set[str] = attrs.field(factory=set)
     jobs: dict[str, set[str]] = attrs.field(factory=dict)
     positions: dict[str, PositionChecker] = attrs.field(factory=dict)
     served_count: int = 0
 
+    def record_attempt(self, request: str, answer, refusal: Refusal) -> None:
+        """Record the answer to an attempt, a refusal if its status says so."""
+        if answer is not None and answer[0] in REFUSAL_STATUSES:
+            self.refused[request] = refusal
+        else:
+            self.refused.pop(request, None)
+            self.uncertain.add(request)
+
 
 class Workload:
     """Callers, trainers and readers that use the gateways.
@@ -81,6 +113,16 @@
         used; without a key, the permanent one.
         """
         gateway = gateway or self.rng.choice(self.deployment.of_kind("gateway"))
+        sent_at = time.time()
+        request = (method, target, request_id, body, key)
+        answer = await self.attempt(gateway, *request)
+        content = answer[1] if answer is not None else b""
+        refusal = Refusal(target, gateway.name, sent_at, time.time(), content)
+        self.seen.record_attempt(request_id, answer, refusal)
+        return answer
+
+    async def attempt(self, gateway, method, target, request_id, body, key):
+        """Send a request to a gateway; return status and body, None if incomplete."""
         fields = [("request-id", request_id), ("deadline-ms", "2500")]
         fields.append(("wait-ms", "500"))
         fields.append(("key", key or self.keys.permanent.text))
@@ -118,9 +160,7 @@
         violation = self.keys.check_answer(request_id, status)
         if violation:
             self.seen.violations.append(violation)
-        if status in (429, 503):
-            self.seen.refused.add(request_id)
-        elif status == 200 and content != plain_answer(request_id):
+        if status == 200 and content != plain_answer(request_id):
             self.seen.violations.append(
                 f"{request_id}: received the answer to another request"
             )
