--- a/soak/regression.py
+++ b/soak/regression.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from soak.conditions import PLAIN, Conditions, choose_conditions
+
 __all__ = ["SEEDS", "RegressionSeed"]
 
 DOUBLE_RUN_CAUSE = (
@@ -16,6 +18,11 @@
     "adopted and completed ran again when the answers to their claims arrived, and "
     "items were listed at two positions"
 )
+LOST_SEND_CAUSE = (
+    "a gateway that learned late of a server's restart closed reused connections to "
+    "the new process, sent their requests again, and reported the refusal of the "
+    "second send as not run, although the first had run"
+)
 
 
 @attrs.frozen
@@ -32,6 +39,8 @@
     cause : str
     in_tests : bool
         Whether the tests run it.
+    conditions : Conditions
+        Conditions in which it violated the guarantee.
     """
 
     seed: int
@@ -39,7 +48,11 @@
     nodes: int
     cause: str
     in_tests: bool = False
+    conditions: Conditions = PLAIN
+
 
+# Seeds with the conditions that they choose.
+LOST_SEND_SEEDS = (2004, 2005, 2007, 2009)
 
 SEEDS = (
     RegressionSeed(11, 6, 2, DOUBLE_RUN_CAUSE, in_tests=True),
@@ -50,4 +63,8 @@
     RegressionSeed(203, 12, 3, LATE_ANSWER_CAUSE),
     RegressionSeed(208, 12, 3, LATE_ANSWER_CAUSE),
     RegressionSeed(210, 12, 3, LATE_ANSWER_CAUSE),
+    *(
+        RegressionSeed(seed, 15, 3, LOST_SEND_CAUSE, conditions=choose_conditions(seed))
+        for seed in LOST_SEND_SEEDS
+    ),
 )
