Split the needs of a step from its sizes; define the time of a step once

EngineDivider.step_need counted units and derived the need from them, and note_division logged and returned. StepSizes and step_sizes now hold the counting, log_change only logs. The default time of a step (7.5 s) stood in unitmigrator.py as well; it is imported from stepneeds.py. No change of behaviour.

Tests: test_stepneeds, test_engineshares, test_stepplanner, test_assignment and test_pace passed.

--- a/gypsumshift/jobs/stepneeds.py
+++ b/gypsumshift/jobs/stepneeds.py
@@ -28,7 +28,7 @@
 from gypsumshift.jobs.schedule import spare_groups
 from gypsumshift.jobs.servicerecord import ServiceRecord
 
-__all__ = ["EngineCapacity", "EngineDivider"]
+__all__ = ["STEP_TIME_S", "EngineCapacity", "EngineDivider"]
 
 # Time in which a step is to be complete, for routes without a completion objective:
 # trainers request a step every 4 s and have at most two in progress.
@@ -68,6 +68,34 @@
     token_s: float = 0.0
 
 
+@attrs.define
+class StepSizes:
+    """Sizes of a step's units in estimated output tokens, by their progress.
+
+    Attributes
+    ----------
+    total, waiting, running : float
+        Of all units, of those that no agent holds, and of those that run.
+    longest_waiting : float
+        Of the longest item that waits.
+    """
+
+    total: float = 0.0
+    waiting: float = 0.0
+    running: float = 0.0
+    longest_waiting: float = 0.0
+
+    @property
+    def begun_share(self) -> float:
+        """Share of the tokens in units that have started."""
+        return 1 - self.waiting / self.total if self.total else 1.0
+
+    @property
+    def remaining(self) -> float:
+        """Tokens that are still to be generated; 0 if no unit waits."""
+        return self.waiting + RUNNING_SHARE * self.running if self.waiting else 0.0
+
+
 class EngineDivider:
     """Divides the engines between workspaces if the open steps need more than there is.
 
@@ -83,6 +111,10 @@
     ----------
     division : Division
         Division that is in force.
+    divided_at : float
+        When the division was made, by the monotonic clock, in seconds.
+    exceeded_at : float
+        When the need was last above the limit, by the same clock.
     service : ServiceRecord
     """
 
@@ -118,29 +150,32 @@
             if open_job.job.model
         ]
         capacity = self.capacity()
-        if not any(j.job.workspace for j in open_jobs) or not capacity.tokens_per_s:
-            return self.note_division(NO_DIVISION, 0.0, capacity)
-        steps = [self.step_need(open_job, capacity) for open_job in open_jobs]
-        self.service.record(steps, self.division)
-        need = sum(step.usual_rate for step in steps)
-        if not self.is_division_needed(need / capacity.tokens_per_s):
-            return self.note_division(NO_DIVISION, need, capacity)
-        division = divide_engines(
-            steps, capacity.tokens_per_s, self.service.tokens, self.division
-        )
-        return self.note_division(division, need, capacity)
+        division, need = NO_DIVISION, 0.0
+        if any(j.job.workspace for j in open_jobs) and capacity.tokens_per_s:
+            steps = [self.step_need(open_job, capacity) for open_job in open_jobs]
+            self.service.record(steps, self.division)
+            need = sum(step.usual_rate for step in steps)
+            if self.is_division_needed(need / capacity.tokens_per_s):
+                division = divide_engines(
+                    steps, capacity.tokens_per_s, self.service.tokens, self.division
+                )
+        self.log_change(division, need, capacity)
+        return division
 
     def is_division_needed(self, ratio: float) -> bool:
-        """Return whether the engines are divided, by the ratio of need to capacity."""
+        """Record the ratio of need to capacity; return whether to divide the engines.
+
+        They are divided until the ratio has been below the limit for `END_DELAY_S`.
+        """
         now = self.clock.monotonic()
         if ratio > (END_RATIO if self.division.rates else BEGIN_RATIO):
             self.exceeded_at = now
         return now - self.exceeded_at < END_DELAY_S
 
-    def note_division(
+    def log_change(
         self, division: Division, need: float, capacity: EngineCapacity
-    ) -> Division:
-        """Log the begin and the end of a division; return the new division."""
+    ) -> None:
+        """Log the begin and the end of a division, before it is in force."""
         if bool(division.rates) != bool(self.division.rates):
             begun = bool(division.rates)
             logs.event(
@@ -154,44 +189,49 @@
                 models={m: round(rate, 1) for m, rate in division.rates.items()},
                 late=sum(rank is StepRank.LATE for rank in division.ranks.values()),
             )
-        return division
 
     def step_need(self, open_job: OpenJob, capacity: EngineCapacity) -> StepNeed:
         """Return what an open step still needs."""
         job = open_job.job
-        spare = spare_groups(list(job.units), job.groups_needed)
-        total = running = waiting = longest = 0.0
+        sizes = self.step_sizes(open_job)
+        step_time = self.step_time_s(job)
+        age = self.store_time().total_seconds() - job.submitted
         usual = statistics.median(unit.hint for unit in job.units) if job.units else 0
+        # The last items take their time, and the first ones may wait for weights.
+        has_begun = sizes.begun_share >= BEGUN_SHARE
+        tail = usual * capacity.token_s / 2 + (0.0 if has_begun else LOAD_TIME_S)
+        return StepNeed(
+            job=job.id,
+            model=job.model,
+            workspace=job.workspace,
+            submitted=job.submitted,
+            tokens=sizes.remaining,
+            total_tokens=sizes.total,
+            step_time_s=step_time,
+            begun_share=sizes.begun_share,
+            longest_s=sizes.longest_waiting * capacity.token_s,
+            left_s=step_time - age - tail,
+            served_at=self.service.last_step_of(job.workspace, job.model),
+        )
+
+    def step_sizes(self, open_job: OpenJob) -> StepSizes:
+        """Return the sizes of a step, without the groups that its trainer can spare."""
+        job = open_job.job
+        spare = spare_groups(list(job.units), job.groups_needed)
+        sizes = StepSizes()
         for unit in job.units:
             if unit.group in spare:
                 continue
             stored = open_job.claims.get(unit.key)
             # A unit without an estimate counts as a small one.
             size = float(max(unit.hint, 1) * len(unit.items))
-            total += size
+            sizes.total += size
             if self.tracker.is_free(stored):
-                waiting += size
-                longest = max(longest, unit.hint)
+                sizes.waiting += size
+                sizes.longest_waiting = max(sizes.longest_waiting, unit.hint)
             elif not stored.claim.done:
-                running += size
-        step_time = self.step_time_s(job)
-        age = self.store_time().total_seconds() - job.submitted
-        begun = 1 - waiting / total if total else 1.0
-        # The last items take their time, and the first ones may wait for weights.
-        tail = usual * capacity.token_s / 2 + LOAD_TIME_S * (begun < BEGUN_SHARE)
-        return StepNeed(
-            job.id,
-            job.model,
-            job.workspace,
-            job.submitted,
-            waiting + RUNNING_SHARE * running if waiting else 0.0,
-            total,
-            step_time,
-            begun,
-            longest * capacity.token_s,
-            step_time - age - tail,
-            self.service.last_step_of(job.workspace, job.model),
-        )
+                sizes.running += size
+        return sizes
 
     def step_time_s(self, job: Job) -> float:
         """Return the seconds from a step's submission until it is late."""
--- a/gypsumshift/jobs/unitmigrator.py
+++ b/gypsumshift/jobs/unitmigrator.py
@@ -21,6 +21,7 @@
 from gypsumshift.jobs.itemrun import ItemRun
 from gypsumshift.jobs.lengthestimates import LengthEstimates
 from gypsumshift.jobs.schedule import long_units
+from gypsumshift.jobs.stepneeds import STEP_TIME_S
 from gypsumshift.jobs.unitrun import UnitRun
 from gypsumshift.jobs.unitrunner import UnitRunner
 from gypsumshift.jobs.weights import WeightManager
@@ -36,8 +37,6 @@
 # Seconds after its claim within which a unit is migrated: an engine's pace is known
 # after half a second of its first step, and later there is less to gain.
 MIGRATE_WITHIN = 3.0
-# Seconds after its submission at which a step is due.
-STEP_TIME = 7.5
 # Seconds that a migration takes: saving the output, two writes of the claim, and
 # reading the prompt again.
 MIGRATION_TIME = 0.3
@@ -177,7 +176,10 @@
             self.runner.hand_over_unit(unit, "a faster engine has room")
 
     def migratable_units(self, model: str) -> list[UnitRun]:
-        """Return the units of a model that a faster engine would complete sooner."""
+        """Return the units of a model that a faster engine would complete sooner.
+
+        Units whose items are still being read are excluded, as are migrated ones.
+        """
         return [
             unit
             for unit in self.runner.units.values()
@@ -209,7 +211,7 @@
         """Return in how many seconds the step of a unit is due."""
         open_job = self.tracker.open_jobs.get(unit.job.id)
         begin = open_job.first_seen_at if open_job else unit.claimed_at
-        return begin + STEP_TIME - self.clock.monotonic()
+        return begin + STEP_TIME_S - self.clock.monotonic()
 
     def log_expected_ends(self, unit: UnitRun) -> None:
         """Log why a unit is migrated, where expected ends decided it."""
