--- a/gypsumshift/bytebudget.py
+++ b/gypsumshift/bytebudget.py
@@ -31,6 +31,7 @@
 # A request or an answer up to this size is small. It covers the usual calls and keeps
 # them going while large bodies take the rest.
 SMALL_BYTES = 8 * 1024
+# Share of the budget that only small requests and answers may take.
 SMALL_SHARE = 1 / 12
 # A refused caller waits a third of its time limit of 1.5 s at most. The range keeps
 # retries from arriving together.
@@ -107,7 +108,7 @@
     ----------
     held : dict of ByteKind to float
         Bytes held now.
-    exceeded_at : float
+    exceeded_bytes : float
         Bytes that were held when the budget was exceeded; 0 while it is not.
     waiters : list of Waiter
         Reservations that wait, in order.
@@ -126,7 +127,7 @@
         self.metrics = metrics
         self.held = dict.fromkeys(ByteKind, 0)
         self.total = 0
-        self.exceeded_at = 0.0
+        self.exceeded_bytes = 0.0
         self.waiters: list[Waiter] = []
         self.refusal_events = logs.RateLimitedEvents(log, LOG_INTERVAL_S)
         self.stall_events = logs.RateLimitedEvents(log, LOG_INTERVAL_S)
@@ -170,7 +171,7 @@
         return True
 
     def add(self, kind: ByteKind, size: float) -> None:
-        """Count bytes that are held already, whether they fit or not."""
+        """Count bytes as held, without a check whether they fit."""
         self.held[kind] += size
         self.total += size
 
@@ -180,8 +181,8 @@
         self.total -= size
         if not self.is_limited:
             return
-        if self.exceeded_at and self.total <= FREE_SHARE * self.exceeded_at:
-            self.exceeded_at = 0.0
+        if self.exceeded_bytes and self.total <= FREE_SHARE * self.exceeded_bytes:
+            self.exceeded_bytes = 0.0
             logs.event(log, "The memory budget is free again.", **self.figures())
         self.grant_waiting()
 
@@ -237,9 +238,9 @@
         A reservation that does not fit into an empty budget says nothing about the
         bytes held.
         """
-        if self.exceeded_at or size > self.capacity(kind):
+        if self.exceeded_bytes or size > self.capacity(kind):
             return
-        self.exceeded_at = self.total
+        self.exceeded_bytes = self.total
         logs.event(
             log,
             "The memory budget is exceeded; large bodies are refused or wait.",
--- a/gypsumshift/gossip.py
+++ b/gypsumshift/gossip.py
@@ -37,8 +37,8 @@
 # Share of exchanges that may go to a process of another zone, to which traffic is
 # expensive.
 OTHER_ZONE_SHARE = 0.1
-# The same while calls compete for a service. The zones share it, and would otherwise
-# learn of each other's demand 2 s later.
+# The same while calls compete for a service. The availability zones share its capacity,
+# and would otherwise learn of each other's demand 2 s later.
 URGENT_OTHER_ZONE_SHARE = 0.35
 
 log = logs.logger("gossip")
--- a/gypsumshift/httpserver.py
+++ b/gypsumshift/httpserver.py
@@ -156,6 +156,15 @@
     server : HttpServer
     reader : asyncio.StreamReader
     writer : asyncio.StreamWriter
+
+    Attributes
+    ----------
+    pending_read : asyncio.Task or None
+        Read of the caller's next bytes that was started and not used yet.
+    busy : bool
+        Whether a request is being served.
+    max_pipelined_bytes : int
+        What is read of further requests while one is being served.
     """
 
     def __init__(self, server, reader, writer):
--- a/gypsumshift/jobs/assignment.py
+++ b/gypsumshift/jobs/assignment.py
@@ -164,7 +164,7 @@
     for free in slots:
         heapq.heapify(free)
     own_class = class_of(own, classes)
-    plan = StepPlan(competitors(engines, classes, own_class))
+    plan = StepPlan(count_competitors(engines, classes, own_class))
     longest = 0.0
     for unit in units:
         if not slots[own_class] or slots[own_class][0] > 0:
@@ -183,7 +183,7 @@
     return plan
 
 
-def competitors(
+def count_competitors(
     engines: Sequence[EngineLoad], classes: Sequence[float], own_class: int
 ) -> int:
     """Return how many engines of a class have a free slot."""
--- a/gypsumshift/jobs/enginemonitor.py
+++ b/gypsumshift/jobs/enginemonitor.py
@@ -72,7 +72,7 @@
         self.slow_at = float("-inf")
 
     def reset(self) -> None:
-        """Discard the state, once another engine has replaced this one."""
+        """Discard the state, once the engine has started again."""
         self.state_tracker.reset()
         self.slow_at = float("-inf")
 
--- a/gypsumshift/jobs/enginestate.py
+++ b/gypsumshift/jobs/enginestate.py
@@ -260,7 +260,7 @@
         self.held_since: dict[str, float] = {}
 
     def reset(self) -> None:
-        """Discard the state, once another engine has replaced this one."""
+        """Discard the state, once the engine has started again."""
         self.state = EngineState.NORMAL
         self.held_since.clear()
 
@@ -307,7 +307,7 @@
             slow = seen.ratio > SLOW_FACTOR
             return "far behind engines of its build" if slow else ""
         ratio = seen.reference_ratio
-        unexplained = bool(seen.unexplained) and ratio * seen.unexplained_share
+        unexplained = ratio * seen.unexplained_share if seen.unexplained else 0.0
         longest = (
             LONGEST_REPORTED_INTERFERENCE if seen.is_explained else LONGEST_INTERFERENCE
         )
--- a/gypsumshift/jobs/pace.py
+++ b/gypsumshift/jobs/pace.py
@@ -58,7 +58,7 @@
         self.gaps.clear()
 
     def reset(self) -> None:
-        """Discard all measurements, once another engine has replaced this one."""
+        """Discard all measurements, once the engine has started again."""
         self.gaps.clear()
         self.medians.clear()
         self.best = 0.0
--- a/gypsumshift/jobs/reportedslowdown.py
+++ b/gypsumshift/jobs/reportedslowdown.py
@@ -50,7 +50,7 @@
         self.reports: collections.deque[tuple[float, float]] = collections.deque()
 
     def reset(self) -> None:
-        """Discard all reports, once another engine has replaced this one."""
+        """Discard all reports, once the engine has started again."""
         self.reports.clear()
 
     def note_header(self, text: str) -> None:
--- a/gypsumshift/jobs/rewardlimiter.py
+++ b/gypsumshift/jobs/rewardlimiter.py
@@ -3,9 +3,8 @@
 An application may serve callers and score samples with the same slots. Whatever the
 number of agents, their reward calls together leave about half of the slots to callers,
 also while the application is slow and each call occupies a slot for longer, or while
-some of its servers are lost. With a
-fixed limit of three calls per agent, 19 agents had 57 calls in flight on 36 slots, and
-callers' requests queued behind them.
+some of its servers are lost. With a fixed limit of three calls per agent, 19 agents had
+57 calls in flight on 36 slots, and callers' requests queued behind them.
 """
 
 import asyncio
--- a/gypsumshift/jobs/servicerecord.py
+++ b/gypsumshift/jobs/servicerecord.py
@@ -29,7 +29,7 @@
         Time of submission of the last step whose items have all started, by workspace
         and model.
     steps : dict of str to StepNeed
-        Open steps at the last update, by job.
+        Steps that were open at the last update, by job.
     """
 
     def __init__(self):
@@ -42,7 +42,7 @@
         return self.last_steps.get((workspace, model), -math.inf)
 
     def record(self, steps: Iterable[StepNeed], division: Division) -> None:
-        """Update the record.
+        """Add the tokens and note the steps that were started since the last update.
 
         Parameters
         ----------
--- a/gypsumshift/jobs/usualpace.py
+++ b/gypsumshift/jobs/usualpace.py
@@ -129,7 +129,7 @@
         return self.reported.mean(since)
 
     def reset(self) -> None:
-        """Discard all measurements, once another engine has replaced this one."""
+        """Discard all measurements, once the engine has started again."""
         super().reset()
         self.unexplained_gaps.clear()
         if self.reported:
--- a/gypsumshift/leases.py
+++ b/gypsumshift/leases.py
@@ -50,7 +50,7 @@
     former: tuple[str, ...] = ()
 
 
-# Record of a new row.
+# Record in the row of a lease that no process has held yet.
 UNUSED = LeaseRecord("", 0)
 
 
--- a/gypsumshift/serving/bytelimits.py
+++ b/gypsumshift/serving/bytelimits.py
@@ -33,7 +33,14 @@
 
 @attrs.define
 class Outstanding:
-    """Calls open at one server start, and the bytes of their bodies."""
+    """Calls open at one server start.
+
+    Attributes
+    ----------
+    calls : int
+    size : int
+        Bytes of their bodies.
+    """
 
     calls: int = 0
     size: int = 0
@@ -46,7 +53,7 @@
     Attributes
     ----------
     start : ServerStart
-        The start that crashed; each start lowers the limit once.
+        The start that crashed; one start does not lower the limit again.
     size : float
         Bytes, right after the crash.
     crashed_size : int
--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -42,12 +42,12 @@
 # The same if servers report a slowdown, whose changes would otherwise move requests to
 # servers without an idle connection. In a simulation of 23 processes with 64 requests
 # per second together over three such servers, it reduced new connections from 4.8 to
-# 1.8 % of the requests. A usual answer takes a quarter of an objective, and with the
-# detour of 1.6 service times still less than the whole.
+# 1.8 % of the requests. A usual answer takes a quarter of the objective, so one that
+# takes 1.6 service times more is still in time.
 REPORTED_CONNECTION_PENALTY = 1.6
-# Expected times of servers that report a slowdown differ in earnest only if by more
-# than this, in usual service times. Otherwise all processes would choose the server
-# that is better by a trace. Less than the penalties above.
+# Maximum of the random time that is added to the expected time of a server that reports
+# a slowdown, in usual service times. Otherwise all processes would choose the same
+# slightly better server. It is less than the penalties above.
 INSIGNIFICANT_TIME = 0.1
 # A reported load counts half after this time, which is about ten service times.
 LOAD_HALF_LIFE_SECONDS = 0.3
@@ -170,10 +170,10 @@
         if not healthy:
             return min(candidates, key=lambda server: self.stats(server).avoided_until)
         usual = self.median_latency(servers)
-        cost = self.reported_cost if self.know_slowdown(servers) else self.cost
+        cost = self.reported_cost if self.is_slowdown_reported(servers) else self.cost
         return min(healthy, key=lambda s: (cost(s, usual), self.chance.random()))
 
-    def know_slowdown(self, servers: list[BackendServer]) -> bool:
+    def is_slowdown_reported(self, servers: list[BackendServer]) -> bool:
         """Return whether any of the servers recently reported a slowdown."""
         return any(self.load_reports.get(server.start) for server in servers)
 
@@ -269,7 +269,7 @@
             )
 
     def service_capacity(self, servers: list[BackendServer]) -> float:
-        """Return how many requests servers can run at once, in usual service times.
+        """Return how many requests servers complete in a usual service time.
 
         Each counts its slots over its slowness. A lost or ejected server counts 0, one
         without recent reports or answers its listed slots.
@@ -283,26 +283,27 @@
         return sum(self.server_capacity(server, usual) for server in servers)
 
     def usable_slots(self, servers: list[BackendServer]) -> float:
-        """Return the capacity if it may be reduced, else the listed slots.
+        """Return the capacity of servers in slots, for the limit of reward calls.
 
-        It may be reduced if a server reports a slowdown, is ejected or is lost.
+        It is `service_capacity` if a server reports a slowdown, is ejected or is lost,
+        and otherwise the sum of the listed slots.
         """
         now = self.clock.monotonic()
         avoided = any(self.stats(server).avoided_until > now for server in servers)
         lost = any(self.stats(server).lost_until > now for server in servers)
-        if avoided or lost or self.know_slowdown(servers):
+        if avoided or lost or self.is_slowdown_reported(servers):
             return self.service_capacity(servers)
         return sum(server.slots for server in servers)
 
     def server_capacity(self, server: BackendServer, usual: float) -> float:
-        """Return how many requests one server can run at once, in service times."""
+        """Return a server's slots over its slowness; 0 if it is ejected or lost."""
         stats, now = self.stats(server), self.clock.monotonic()
         if max(stats.avoided_until, stats.lost_until) > now:
             return 0.0
         observed = self.observation(server, usual)
-        current = now - observed.observed_at < MAX_AGE_SECONDS
+        recent = now - observed.observed_at < MAX_AGE_SECONDS
         slowness = self.expected_slowdown(server)
-        if current and observed.slowness > CAPACITY_MIN_SLOWNESS:
+        if recent and observed.slowness > CAPACITY_MIN_SLOWNESS:
             slowness *= min(observed.slowness, MAX_SLOWNESS_FACTOR)
         report = self.load_reports.get(server.start)
         slots = report.slots if report else server.slots
--- a/gypsumshift/serving/loadreports.py
+++ b/gypsumshift/serving/loadreports.py
@@ -160,7 +160,7 @@
 
 
 def decode_row(row: object, now: float) -> LoadReport:
-    """Return one report, its figures limited; raise ValueError if it is invalid."""
+    """Return one report, in plausible ranges; raise ValueError if it is invalid."""
     if not isinstance(row, list) or len(row) != 6:
         raise ValueError(
             "invalid load: not a list of server id, start time and 4 numbers"
@@ -182,7 +182,7 @@
 def limited_report(
     start: ServerStart, busy: float, slots: float, slowdown: float, reported_at: float
 ) -> LoadReport:
-    """Return a report with its figures limited."""
+    """Return a report whose figures are limited to the range of plausible values."""
     return LoadReport(
         start,
         min(max(busy, 0.0), MAX_BUSY),
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -170,7 +170,10 @@
         state.server = None
 
     def count_at(self, state: RelayState, server: BackendServer | None) -> None:
-        """Count the bytes of a stream's call at a server, and not at the last one."""
+        """Count the bytes of a call as outstanding at a server instead of the last one.
+
+        With None, they are not counted any more.
+        """
         limits, size = self.balancer.byte_limits, len(state.call.body)
         if state.counted_at is not None:
             limits.end(state.counted_at, size)
--- a/tests/test_bytebudget.py
+++ b/tests/test_bytebudget.py
@@ -189,7 +189,7 @@
     budget = new_budget()
     with logbook.TestHandler() as handler:
         assert not budget.hold().add(ByteKind.REQUEST, LIMIT_BYTES)
-    assert not handler.records and not budget.exceeded_at
+    assert not handler.records and not budget.exceeded_bytes
 
 
 def test_refusals_are_logged_ten_times_a_second_with_the_number_left_out():
