--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,8 @@
 import typer
 
 from soak.checks import check_backends, check_results
+from soak.conditions import Conditions, choose_conditions
+from soak.crowding import Crowding
 from soak.deployment import Deployment
 from soak.fatal import check_fatal_requests, send_fatal_requests, wait_all_ready
 from soak.faults import FaultInjector
@@ -29,13 +31,20 @@
 SETTLE_TIMEOUT_S = 60.0
 
 
-async def soak(folder: pathlib.Path, seed: int, seconds: float, nodes: int):
+async def soak(
+    folder: pathlib.Path,
+    seed: int,
+    seconds: float,
+    nodes: int,
+    conditions: Conditions,
+):
     """Run one seed; return the violations, a summary line and the injected faults."""
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
-    deployment = Deployment(folder, seed, nodes)
+    deployment = Deployment(folder, seed, nodes, conditions)
     workload = Workload(deployment, seed)
     faults = FaultInjector(deployment, seed)
+    crowding = Crowding(deployment, workload, seed, faults.record_fault)
     try:
         await deployment.start(workload.keys.make_config())
         await workload.keys.write_config()
@@ -45,9 +54,10 @@
         callers.append(asyncio.create_task(send_fatal_requests(workload, seed)))
         restarting = asyncio.create_task(deployment.keep_workers())
         key_rotation = asyncio.create_task(workload.keys.run_rotation())
-        await faults.run(seconds)
+        await asyncio.gather(faults.run(seconds), crowding.run(seconds))
         key_rotation.cancel()
         await wait_all_ready(deployment)
+        await crowding.run_alone()
         calm_from = time.time()
         await asyncio.sleep(CALM_S)
         workload.stopping = True
@@ -103,19 +113,25 @@
     ] = False,
 ) -> None:
     """Run the real programs under random faults and check the guarantees."""
-    planned = [(number, seconds, nodes) for number in range(seed, seed + runs)]
+    planned = [
+        (number, seconds, nodes, choose_conditions(number))
+        for number in range(seed, seed + runs)
+    ]
     if regression:
-        planned = [(known.seed, known.seconds, known.nodes) for known in SEEDS]
+        planned = [(k.seed, k.seconds, k.nodes, k.conditions) for k in SEEDS]
     failed = [one for one in planned if not play(*one, keep)]
     sys.exit(1 if failed else 0)
 
 
-def play(number: int, seconds: float, nodes: int, keep: str) -> bool:
+def play(
+    number: int, seconds: float, nodes: int, conditions: Conditions, keep: str
+) -> bool:
     """Run one seed and print the result; return whether all guarantees held."""
     with KeptFolder(keep, number) if keep else tempfile.TemporaryDirectory() as name:
-        run = soak(pathlib.Path(name), number, seconds, nodes)
+        run = soak(pathlib.Path(name), number, seconds, nodes, conditions)
         violations, summary, faults = asyncio.run(run)
-    print(f"seed {number}: {summary}; {len(violations)} broken promises", flush=True)
+    result = f"{summary}; {len(violations)} broken promises"
+    print(f"seed {number} ({conditions}): {result}", flush=True)
     for line in violations[:20]:
         print(f"  {line}")
     if violations:
