Stand-ins: report the pace of a host that is not shared

Cause: the contention experiment needs servers with four load figures whose pace changes only when it says so, gateways with a mechanism switched off, and no engines. A worker reported its pace only as a shared host, whose pace changes at random.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -124,6 +124,11 @@
     nodes : int
         Number of gateways, of engines with an agent each, and of plain workers.
     conditions : Conditions
+
+    Attributes
+    ----------
+    environment : dict
+        Further environment variables of the system's own programs.
     """
 
     def __init__(
@@ -139,6 +144,7 @@
         self.nodes = nodes
         self.block, self.claim = claim_block(seed)
         self.fetcher = Fetcher()
+        self.environment: dict[str, str] = {}
         self.ip_count = 0
         self.processes: list[Process] = []
         self.restart_tasks: list[asyncio.Task] = []
@@ -164,12 +170,7 @@
 
     async def start(self, first: dict) -> None:
         """Start all processes with a first configuration; wait for the gateways."""
-        store = self.add("store", "standins.users_store", "--port", str(STORE_PORT))
-        await store.start()
-        await self.until_answered(self.store_address, "GET", "/none", 404)
-        cloud = self.add("cloud", "standins.users_cloud", "--port", str(CLOUD_PORT))
-        await cloud.start()
-        await self.write("op", "config", first)
+        await self.start_platform(first)
         for number in range(self.nodes):
             await self.add_app_server(number)
             engine = await self.add_engine(number)
@@ -180,6 +181,15 @@
         for gateway in self.of_kind("gateway"):
             await self.until_ready(gateway)
 
+    async def start_platform(self, first: dict) -> None:
+        """Start the store with a first configuration, and the cloud API."""
+        store = self.add("store", "standins.users_store", "--port", str(STORE_PORT))
+        await store.start()
+        await self.until_answered(self.store_address, "GET", "/none", 404)
+        cloud = self.add("cloud", "standins.users_cloud", "--port", str(CLOUD_PORT))
+        await cloud.start()
+        await self.write("op", "config", first)
+
     async def until_ready(self, gateway: Process) -> None:
         """Wait until the readiness check of a gateway succeeds."""
         address = (gateway.ip, READY_PORT)
@@ -259,7 +269,7 @@
         fields["bounds.revoke_ms"] = REVOKED_WITHIN_S * 1000
         settings = self.folder / f"{name}.conf"
         settings.write_text(settings_text(name, ip, proxy.address, **fields))
-        environment = {"GYPSUMSHIFT_NODE_FILE": str(settings)}
+        environment = {"GYPSUMSHIFT_NODE_FILE": str(settings)} | self.environment
         command = [sys.executable, str(ROOT / "platform" / "main.py")]
         log = self.folder / f"{name}.log"
         process = Process(name, ip, command, environment, log, proxy)
--- a/standins/users_worker.py
+++ b/standins/users_worker.py
@@ -349,21 +349,24 @@
     work_ms: float = 20,
     queue_length: int = 0,
     shared_host: bool = False,
+    reports_pace: bool = False,
 ) -> None:
     """Run a stand-in for a backend server; ``models`` are separated by commas.
 
     ``name`` is its id at each start; without it the id is random. ``runs`` is a file to
     which its runs are appended. A request whose body contains ``fatal`` crashes it.
     ``work_ms`` is the time of a plain request or of an event. With ``shared_host`` its
-    pace changes like that of a shared host, and is reported with its load.
+    pace changes like that of a shared host, and is reported with its load; with
+    ``reports_pace`` it is reported without such changes.
     """
     names = tuple(models.split(",")) if models else ()
     worker = FakeWorker(service, names, slots, pause=work_ms / 1000)
     worker.id = name or worker.id
     worker.fatal = fatal.encode()
     worker.queue_length = queue_length
+    worker.reports_pace = reports_pace or shared_host
     if shared_host:
-        worker.host_pace, worker.reports_pace = SharedHostPace(f"{ip}:{port}"), True
+        worker.host_pace = SharedHostPace(f"{ip}:{port}")
     if runs:
         worker.run_log = open(runs, "a")
         worker.log_line({"started": worker.id, "at": time.time(), "slots": slots})
