--- a/soak/keys.py
+++ b/soak/keys.py
@@ -15,8 +15,8 @@
 __all__ = ["CROWD_WORKSPACES", "FLOODER", "KeyRotator", "SentRequest", "check_keys"]
 
 WORKSPACES = ("red", "blue")
-# Workspaces with priorities that only send requests in crowded runs. The priority of the
-# flooder is between those of the others.
+# Workspaces with priorities that only send requests in crowded runs. The priority of
+# the flooder is between those of the others.
 FLOODER = "flood"
 CROWD_WORKSPACES = {"first": 0, FLOODER: 1, "equal": 1, "last": 2}
 # Range of the time between two configurations, each of which replaces a key.
--- a/tests/test_completion_objective.py
+++ b/tests/test_completion_objective.py
@@ -1,8 +1,8 @@
 """Objective for the completion of batch jobs in the configuration document.
 
 Guards against steps that are all taken to be late: the objective of the submission,
-half a second, was used as the time for a whole step, so the engines of a deployment with
-room for all were divided between workspaces.
+half a second, was used as the time for a whole step, so the engines of a deployment
+with room for all were divided between workspaces.
 """
 
 import datetime
