Bench: a surge on a service with slow servers

Cause: admission and the memory budget were measured in virtual time and with small fakes, not with the real programs together. Change: python -m bench contention. Three gateways, four application servers that report four load figures, and five workspaces with keys and priorities as processes; one workspace floods while half of the servers take four times as long. Arms: all mechanisms, without service_admission, without byte_budget, in another order in each round. Callers honour Retry-After through another gateway. The table and the plot have the outcomes and times by workspace and arm; the callers' own lag is measured.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,7 +12,16 @@
 
 import typer
 
-from bench import capacity, change, overhead, report, rollout, routing, trainersteps
+from bench import (
+    capacity,
+    change,
+    contention,
+    overhead,
+    report,
+    rollout,
+    routing,
+    trainersteps,
+)
 
 EXPERIMENTS = {
     "routing": routing.routing,
@@ -24,6 +33,7 @@
     "overhead": overhead.overhead,
     "change": change.change,
     "cost": change.cost,
+    "contention": contention.contention,
 }
 
 app = typer.Typer(add_completion=False)
@@ -61,6 +71,8 @@
         print(f"== {name} ({time.monotonic() - began:.0f} s)")
         for row in rows:
             print(row.format(), flush=True)
+        for line in details.get("table", []):
+            print(line, flush=True)
 
 
 if __name__ == "__main__":
