Do not report a refusal as not run after a request was lost

Cause: when a reused connection breaks, the request is sent again on a new one. If a full server refused that, the refusal was the outcome, although the first exchange may have run the request; the caller got 503. Change: after a lost exchange a refusal counts as a failure whose request may have run. A key that is withdrawn, or an answer that is too large, in the second exchange is handled as in the first one.

--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -179,19 +179,41 @@
         except RequestWithheld:
             return Refused(KEY_NOT_CONFIRMED)
         except AnswerTooLarge as error:
-            call.holding.budget.record_refusal(
-                ByteKind.ANSWER, error.size, request=call.id
-            )
-            return Failed(str(error), True, local=True)
+            return self.reject_answer(call, error)
         except FetchError as error:
             first = error
         if not first.reused:
             return Failed(str(first), first.sent, await self.is_gone(first, server))
+        return await self.exchange_again(call, server, first, progress)
+
+    async def exchange_again(
+        self,
+        call: Call,
+        server: BackendServer,
+        first: FetchError,
+        progress: AttemptProgress,
+    ) -> AttemptOutcome:
+        """Repeat an exchange on a new connection after a reused one broke.
+
+        The server may have run the request that the reused connection delivered, so a
+        refusal of the second one does not mean that the request has not run.
+        """
         try:
-            return await self.exchange_once(call, server, True, progress)
+            outcome = await self.exchange_once(call, server, True, progress)
+        except RequestWithheld:
+            outcome = Refused(KEY_NOT_CONFIRMED)
+        except AnswerTooLarge as error:
+            return self.reject_answer(call, error)
         except FetchError as error:
-            # The first connection may have delivered it, so it counts as sent.
             return Failed(str(error), True, await self.is_gone(error, server))
+        if isinstance(outcome, Refused) and first.sent:
+            return Failed(f"{first}; then refused: {outcome.reason}", True)
+        return outcome
+
+    def reject_answer(self, call: Call, error: AnswerTooLarge) -> Failed:
+        """Return the outcome of an answer that does not fit into the memory budget."""
+        call.holding.budget.record_refusal(ByteKind.ANSWER, error.size, request=call.id)
+        return Failed(str(error), True, local=True)
 
     async def is_gone(
         self, error: FetchError | StreamBroken, server: BackendServer
--- a/tests/test_refusal_after_reuse.py
+++ b/tests/test_refusal_after_reuse.py
@@ -1,4 +1,8 @@
-"""A refusal that follows a request lost on a reused connection."""
+"""A refusal that follows a request lost on a reused connection.
+
+Guards against a caller that is told "not run" for a request that a server ran: the
+outcome of the first exchange was forgotten once the second one was refused.
+"""
 
 from tests.test_broken_connections import ANSWER, Peer, attempt, run_scenario
 
