Test the number of divisions instead of the processor time of a decision

The test bounded a decision's processor time by 0.1 ms. On a machine that runs other work it measures that work too: 110 to 132 microseconds in 12 runs at a load average of 19, and about 90 on the same code before. What keeps a decision cheap is that the capacity is divided once for several calls; that is counted now, with an injected clock, and gives the same verdict everywhere.

--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -5,14 +5,19 @@
 
 import functools
 import random
-import time
 
 import pytest
 
+from gypsumshift.serving import serviceadmission
 from gypsumshift.serving.demand import DemandTable
-from gypsumshift.serving.fairshares import ShareKey
+from gypsumshift.serving.fairshares import ShareKey, divide_capacity
 from gypsumshift.serving.retryschedule import RetrySchedule
-from gypsumshift.serving.serviceadmission import ServiceAdmission, Verdict
+from gypsumshift.serving.serviceadmission import (
+    SHARES_MAX_AGE_SECONDS,
+    SHARES_MAX_CALLS,
+    ServiceAdmission,
+    Verdict,
+)
 from tests import contention_scenarios as scenarios
 from tests.admission_builders import (
     SERVICE,
@@ -26,8 +31,6 @@
 from tests.contention_world import shares_by_demand
 
 SEED = 1
-# Average time of a decision in a process that is not interrupted.
-MAX_DECISION_SECONDS = 0.0001
 
 
 @functools.cache
@@ -163,11 +166,18 @@
     assert rule.offer(retry).verdict == Verdict.SENT
 
 
-def decision_seconds():
-    """Return the mean time of 300 decisions at 100 calls a second.
+def test_the_capacity_is_divided_once_for_several_calls(monkeypatch):
+    """A division for each call would take a small gateway's processor in a surge.
 
-    There are 75 workspaces and 30 other processes.
+    There are 75 workspaces, 30 other processes and 100 calls a second.
     """
+    divisions = []
+
+    def count_division(places, demands):
+        divisions.append(len(demands))
+        return divide_capacity(places, demands)
+
+    monkeypatch.setattr(serviceadmission, "divide_capacity", count_division)
     clock = ManualClock()
     demand = DemandTable("own", clock)
     now = clock.monotonic()
@@ -176,15 +186,9 @@
         demand.merge([process_demand(f"g{process}", now, places)])
     loads = FixedLoads(service_state(busy=40.0))
     rule = ServiceAdmission(loads, demand, clock, random.Random(SEED))
-    calls = [ticket(clock, f"w{n % 75}", request=f"r{n}") for n in range(300)]
-    started = time.process_time()
-    for call in calls:
+    for number in range(300):
         clock.advance(0.01)
-        rule.offer(call)
+        rule.offer(ticket(clock, f"w{number % 75}", request=f"r{number}"))
     assert ShareKey(1, "w0") in rule.control(SERVICE).shares
-    return (time.process_time() - started) / len(calls)
-
-
-def test_a_decision_takes_no_more_than_a_tenth_of_a_millisecond():
-    """A gateway has down to 0.3 cores for all of its work."""
-    assert min(decision_seconds() for _ in range(5)) < MAX_DECISION_SECONDS
+    most = 300 / SHARES_MAX_CALLS + 300 * 0.01 / SHARES_MAX_AGE_SECONDS + 1
+    assert 1 < len(divisions) <= most
