Reword comments on pace, slowdown reports and random times

'Engines of unlike pace' and 'spells of a neighbour's work' had to be read twice, and INSIGNIFICANT_TIME is the maximum of a random time (now MAX_RANDOM_TIME). Wording and one name only.

--- a/gypsumshift/digests.py
+++ b/gypsumshift/digests.py
@@ -42,7 +42,7 @@
     Raises
     ------
     ValueError
-        The body is not a JSON object, nor a list in the older form.
+        The body is neither a JSON object nor a list in the older form.
     """
     try:
         value = json.loads(body)
--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -98,7 +98,7 @@
     wake_events : list of asyncio.Event
         One for each claim loop; set when there may be work or capacity.
     monitor : EngineMonitor
-        Checks whether the engine is faulty or slow.
+        Hands the units over if the engine is faulty or far behind its peers.
     draining : bool
         Whether this agent gives its work back and claims none.
     """
--- a/gypsumshift/jobs/assignment.py
+++ b/gypsumshift/jobs/assignment.py
@@ -1,4 +1,4 @@
-"""Assignment of a step's waiting units to engines of unlike pace, by expected end.
+"""Assignment of a step's waiting units to engines of different pace, by expected end.
 
 An engine's agent claims what its engine has capacity for. Where engines differ, the
 first free one is not always the one that completes an item first: the longest items
--- a/gypsumshift/jobs/lengthestimates.py
+++ b/gypsumshift/jobs/lengthestimates.py
@@ -11,7 +11,8 @@
 
 __all__ = ["LengthEstimates"]
 
-# Items of a model from which ratio and error are computed: one step of an agent.
+# Number of last items of a model from which ratio and error are computed: about as many
+# as an agent runs in one step.
 KEPT_ITEMS = 64
 # Items required: the ratio of the first one may be off by half.
 MIN_ITEMS = 4
--- a/gypsumshift/jobs/modelcapacity.py
+++ b/gypsumshift/jobs/modelcapacity.py
@@ -1,4 +1,4 @@
-"""Division of engines of unlike pace between models, by work against capacity.
+"""Division of engines of different pace between models, by work against capacity.
 
 Counted in engines, a model of short items that gets the slow builds has less than half
 of the capacity that its work needs, while another has twice as much.
--- a/gypsumshift/jobs/placement.py
+++ b/gypsumshift/jobs/placement.py
@@ -120,7 +120,7 @@
     lengths : dict
         Estimate of the longest item by model, as far as known.
     by_capacity : bool
-        Whether engines of unlike pace are divided by their capacity, not their number.
+        Whether engines of different pace are divided by capacity, not by number.
 
     Returns
     -------
--- a/gypsumshift/jobs/reportedslowdown.py
+++ b/gypsumshift/jobs/reportedslowdown.py
@@ -1,8 +1,8 @@
 """Slowdown that an engine's host reports with the engine's answers, over time.
 
-Hosts that engines share with others are slow for spells of a neighbour's work. A report
-says at once what the times between events show only after a second, and tells such a
-spell from a fault of the engine.
+Hosts that engines share with other work are slow while that work runs. A report shows
+this at once, the times between events only after a second. It also distinguishes such a
+phase from a fault of the engine.
 """
 
 import collections
@@ -16,7 +16,7 @@
 
 __all__ = ["ReportedSlowdown"]
 
-# Seconds for which a report applies. Spells of a neighbour last for 0.6 s, so an older
+# Seconds for which a report applies. A neighbour's phases last for 0.6 s, so an older
 # report is most often about another one.
 MAX_REPORT_AGE = 0.6
 # Seconds for which reports are kept: longer than the gaps that determine a pace.
--- a/gypsumshift/policy.py
+++ b/gypsumshift/policy.py
@@ -50,7 +50,7 @@
         neighbours are no faults (`jobs/enginestate.py`). Without it, the median of
         all engines decides.
     expected_end : bool
-        Assign and migrate items by their expected end at engines of unlike pace
+        Assign and migrate items by their expected end at engines of different pace
         (`jobs/assignment.py`, `jobs/unitmigrator.py`).
     saved_runs : bool
         Save the partial results of long runs each second (`jobs/partials.py`).
--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -48,7 +48,7 @@
 # Maximum of the random time that is added to the expected time of a server that reports
 # a slowdown, in usual service times. Otherwise all processes would choose the same
 # slightly better server. It is less than the penalties above.
-INSIGNIFICANT_TIME = 0.1
+MAX_RANDOM_TIME = 0.1
 # A reported load counts half after this time, which is about ten service times.
 LOAD_HALF_LIFE_SECONDS = 0.3
 # Weight of the newest answer in the moving averages, which cover about ten answers.
@@ -203,7 +203,7 @@
     def reported_cost(self, server: BackendServer, usual: float) -> float:
         """Return the cost of a server, if servers of the service report a slowdown."""
         time = self.expected_load(server, usual).draw_time(self.chance)
-        time += self.chance.uniform(0.0, INSIGNIFICANT_TIME)
+        time += self.chance.uniform(0.0, MAX_RANDOM_TIME)
         return time + self.penalty(server, REPORTED_CONNECTION_PENALTY)
 
     def expected_load(self, server: BackendServer, usual: float) -> ExpectedLoad:
--- a/tests/assignment_builders.py
+++ b/tests/assignment_builders.py
@@ -1,4 +1,4 @@
-"""A step on simulated engines of unlike pace, with different assignments of its units.
+"""A step on simulated engines of different pace, with several ways to assign its units.
 
 Agents see the claims of others with a delay, and the free places of heartbeats that are
 up to 0.4 s old. Estimates of lengths may be wrong.
--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -1,4 +1,4 @@
-"""Assignment of a step's units to engines of unlike pace, and migration of items.
+"""Assignment of a step's units to engines of different pace, and migration of items.
 
 Guards against steps that wait for a long item at a slow engine while fast ones have
 room, which happens where the first free engine takes the longest unit.
