Stop counting a stream's bytes at a server that refused it

Found by reading: after a refusal the bytes of a stream's call stayed counted at the refusing server until the next attempt or the end of the call. tests/test_slow_readers.py, test_fatal_parallel.py and test_agent.py pass.

--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -167,6 +167,7 @@
     def end_run(self, state: RelayState) -> None:
         """Record that a stream no longer runs at its server."""
         self.guard.end_run(state.permit, state.server.start)
+        self.count_at(state, None)
         state.server = None
 
     def count_at(self, state: RelayState, server: BackendServer | None) -> None:
