Visit the claims once for a plan, not once for each agent

Found by reading the change again: a plan walked all units of all open jobs once for each other agent, so with 21 agents 21 times, whenever a slot was free. The claims are now grouped by session in one visit; the plan is the same. Result: 27 tests of planner, agent and policy pass in 31 s; ruff is clean.

--- a/gypsumshift/jobs/stepplanner.py
+++ b/gypsumshift/jobs/stepplanner.py
@@ -1,5 +1,6 @@
 """Plans a step for one agent, from the claims and heartbeats that all agents have."""
 
+import collections
 from collections.abc import Iterable, Iterator
 
 from gypsumshift.clock import Clock
@@ -23,6 +24,8 @@
 
 __all__ = ["StepPlanner"]
 
+# Time at which a claim was seen, by the monotonic clock in seconds, model, and unit.
+HeldUnit = tuple[float, str, UnitSummary]
 # Seconds for which a unit is left to engines of another class that have a free slot.
 # Agents claim within 0.1 s; a host may be lost, or cut off from the store, and the
 # items of a step have 7.5 s.
@@ -91,8 +94,10 @@
         units = [self.waiting_unit(model, unit) for unit in claimable]
         if not units:
             return None
-        loads = [self.peer_load(peer) for peer in peers]
-        loads.append(EngineLoad(own, self.own_free_times(free, own)))
+        claims = self.claims_by_session()
+        loads = [self.peer_load(peer, claims[peer.session]) for peer in peers]
+        ends = self.expected_ends(claims[self.tracker.session], own)
+        loads.append(EngineLoad(own, free_times(self.slots, free, ends)))
         plan = plan_step(units, loads, own)
         self.take_units_left(open_job.job.id, plan)
         return plan
@@ -137,38 +142,39 @@
         """Return the pace at which an engine is expected to run further items."""
         return peer.heartbeat.usual * EXPECTED_BATCH_FACTOR
 
-    def peer_load(self, peer: PeerState) -> EngineLoad:
+    def peer_load(self, peer: PeerState, claims: list[HeldUnit]) -> EngineLoad:
         """Return when the slots of another engine become free.
 
         Claims that are newer than its heartbeat have taken some of its places.
         """
-        claims = list(self.claims_of(peer.session))
         newer = sum(len(unit.items) for at, _, unit in claims if at > peer.seen_at)
         pace = self.pace_of(peer)
         places = peer.heartbeat.places - newer
         ends = self.expected_ends(claims, pace)
         return EngineLoad(pace, free_times(self.slots, places, ends))
 
-    def own_free_times(self, free: int, pace: float) -> tuple[float, ...]:
-        """Return in how many seconds each slot of the own engine is free."""
-        claims = self.claims_of(self.tracker.session)
-        return free_times(self.slots, free, self.expected_ends(claims, pace))
-
     @property
     def slots(self) -> int:
         """Number of slots of each engine of the service."""
         limits = self.weights.local_engine.limits
         return limits.slots if limits else 0
 
-    def claims_of(self, session: str) -> Iterator[tuple[float, str, UnitSummary]]:
-        """Yield time, model and unit of each unfinished claim of an agent."""
+    def claims_by_session(self) -> dict[str, list[HeldUnit]]:
+        """Return the units that each agent has claimed and not completed.
+
+        All claims are visited once: a visit for each agent grows with the square of the
+        fleet, and a plan is made whenever a slot is free.
+        """
+        held: dict[str, list[HeldUnit]] = collections.defaultdict(list)
         for open_job in self.tracker.open_jobs.values():
             for unit in open_job.order:
                 stored = open_job.claims.get(unit.key)
-                if stored and stored.claim.session == session and not stored.claim.done:
-                    yield stored.seen_at, open_job.job.model, unit
+                if stored and not stored.claim.done:
+                    found = (stored.seen_at, open_job.job.model, unit)
+                    held[stored.claim.session].append(found)
+        return held
 
-    def expected_ends(self, claims, pace: float) -> list[float]:
+    def expected_ends(self, claims: list[HeldUnit], pace: float) -> list[float]:
         """Return in how many seconds the items of some claims are expected to end."""
         now = self.clock.monotonic()
         return [
