One token bucket for the lines of a process and of the admission control

Found by reading the change again: AdmissionReport had the token bucket of RateLimitedStream once more. Both use tokenbucket.TokenBucket now; rates, bursts and the fields of the lines are unchanged.

--- a/gypsumshift/logs.py
+++ b/gypsumshift/logs.py
@@ -8,6 +8,8 @@
 
 import logbook
 
+from gypsumshift.tokenbucket import TokenBucket
+
 __all__ = ["RateLimitedEvents", "RateLimitedStream", "configure", "event", "logger"]
 
 # Maximum rate of log lines of one process. At 300 bytes a line this is 60 kB/s, which a
@@ -75,8 +77,8 @@
 
     Attributes
     ----------
-    tokens : float
-        Number of lines that may be written now (token bucket).
+    lines : TokenBucket
+        Lines that may be written now.
     dropped : int
         Number of lines dropped since the last one that was written.
     unwritten : bytes
@@ -86,22 +88,16 @@
     def __init__(self, descriptor: int, monotonic: Callable[[], float]):
         self.descriptor = descriptor
         self.monotonic = monotonic
-        self.tokens = BURST_LINES
-        self.filled_at = monotonic()
+        self.lines = TokenBucket(LINES_PER_SECOND, BURST_LINES, monotonic())
         self.dropped = 0
         self.unwritten = b""
         os.set_blocking(descriptor, False)
 
     def write(self, text: str) -> None:
         """Write a line, or drop and count it if the rate limit is exceeded."""
-        now = self.monotonic()
-        earned = (now - self.filled_at) * LINES_PER_SECOND
-        self.tokens = min(BURST_LINES, self.tokens + earned)
-        self.filled_at = now
-        if self.tokens < 1:
+        if not self.lines.take(self.monotonic()):
             self.dropped += 1
             return
-        self.tokens -= 1
         if self.dropped:
             text = f"{self.dropped} lines dropped\n{text}"
         self.write_bytes(text.encode())
--- a/gypsumshift/serving/admissionreport.py
+++ b/gypsumshift/serving/admissionreport.py
@@ -7,6 +7,7 @@
 from gypsumshift.metrics import Metrics
 from gypsumshift.serving.fairqueue import Ticket
 from gypsumshift.serving.serviceadmission import Decision
+from gypsumshift.tokenbucket import TokenBucket
 
 __all__ = ["AdmissionReport"]
 
@@ -35,6 +36,8 @@
 
     Attributes
     ----------
+    lines : TokenBucket
+        Lines that may be written now.
     suppressed : int
         Lines left out since the last one.
     """
@@ -42,8 +45,7 @@
     def __init__(self, clock: Clock, metrics: Metrics):
         self.clock = clock
         self.metrics = metrics
-        self.lines = BURST_LINES
-        self.filled_at = clock.monotonic()
+        self.lines = TokenBucket(LINES_PER_SECOND, BURST_LINES, clock.monotonic())
         self.suppressed = 0
         self.counts: dict[str, int] = {}
         self.labels: set[str] = set()
@@ -88,14 +90,9 @@
 
     def write(self, message: str, ticket: Ticket, decision: Decision) -> None:
         """Write a log line unless there were too many."""
-        now = self.clock.monotonic()
-        earned = (now - self.filled_at) * LINES_PER_SECOND
-        self.lines = min(BURST_LINES, self.lines + earned)
-        self.filled_at = now
-        if self.lines < 1:
+        if not self.lines.take(self.clock.monotonic()):
             self.suppressed += 1
             return
-        self.lines -= 1
         fields = figure_fields(decision)
         logs.event(
             log,
