--- a/tests/admission_builders.py
+++ b/tests/admission_builders.py
@@ -1,7 +1,9 @@
 """Builders for the tests of admission control."""
 
 from gypsumshift.serving.capacitycorrection import ServiceState
-from gypsumshift.serving.demand import DemandTable, ProcessDemand, Rates, retry_mark
+from gypsumshift.serving.demand import DemandTable, retry_mark
+from gypsumshift.serving.demandrates import Rates
+from gypsumshift.serving.demandrecords import ProcessDemand
 from gypsumshift.serving.fairqueue import Ticket
 from gypsumshift.serving.fairshares import ShareKey
 from gypsumshift.serving.serviceadmission import LoadSource
--- a/tests/contention_world.py
+++ b/tests/contention_world.py
@@ -15,7 +15,8 @@
 import attrs
 
 from gypsumshift.serving.capacitycorrection import ServiceState
-from gypsumshift.serving.demand import DemandSection, DemandTable, retry_mark
+from gypsumshift.serving.demand import DemandTable, retry_mark
+from gypsumshift.serving.demandsection import DemandSection
 from gypsumshift.serving.fairqueue import Ticket
 from gypsumshift.serving.fairshares import ShareKey
 from gypsumshift.serving.serviceadmission import (
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -9,16 +9,15 @@
 from gypsumshift.serving.demand import (
     MAX_DIGEST_PROCESSES,
     MAX_DIGEST_RETRIES,
-    MAX_OWN_KEYS,
-    MAX_OWN_ROWS,
-    MAX_PLACES,
     MAX_PROCESSES,
     MAX_RETRIES,
-    DemandSection,
     DemandTable,
     retry_mark,
     share_name,
 )
+from gypsumshift.serving.demandrates import MAX_OWN_ROWS
+from gypsumshift.serving.demandrecords import MAX_OWN_KEYS
+from gypsumshift.serving.demandsection import MAX_PLACES, DemandSection
 from gypsumshift.serving.fairshares import OTHERS, ShareKey
 from tests.admission_builders import SERVICE, demand_table, process_demand
 from tests.builders import ManualClock
