--- a/gypsumshift/serving/admissiongate.py
+++ b/gypsumshift/serving/admissiongate.py
@@ -12,6 +12,7 @@
 from gypsumshift.outcomes import NotRun
 from gypsumshift.policy import Policy
 from gypsumshift.serving.admissionreport import AdmissionReport
+from gypsumshift.serving.admissionrule import AdmissionRule, Decision, Verdict
 from gypsumshift.serving.calls import Call
 from gypsumshift.serving.demand import DemandTable, retry_mark, share_name
 from gypsumshift.serving.directory import BackendServer, Directory
@@ -19,12 +20,7 @@
 from gypsumshift.serving.fairshares import REWARD_RANK, ShareKey
 from gypsumshift.serving.loadbalancer import LoadBalancer
 from gypsumshift.serving.sender import Sender
-from gypsumshift.serving.serviceadmission import (
-    AdmissionRule,
-    Decision,
-    ServiceAdmission,
-    Verdict,
-)
+from gypsumshift.serving.serviceadmission import ServiceAdmission
 from gypsumshift.serving.serviceloads import BalancerLoads
 
 __all__ = ["AdmissionGate", "new_admission_gate"]
--- a/gypsumshift/serving/admissionreport.py
+++ b/gypsumshift/serving/admissionreport.py
@@ -5,8 +5,8 @@
 from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.metrics import Metrics
+from gypsumshift.serving.admissionrule import Decision
 from gypsumshift.serving.fairqueue import Ticket
-from gypsumshift.serving.serviceadmission import Decision
 from gypsumshift.tokenbucket import TokenBucket
 
 __all__ = ["AdmissionReport"]
--- a/gypsumshift/serving/serviceloads.py
+++ b/gypsumshift/serving/serviceloads.py
@@ -1,9 +1,9 @@
 """Load of services by the reports that the load balancer holds."""
 
+from gypsumshift.serving.admissionrule import LoadSource
 from gypsumshift.serving.capacitycorrection import ServiceState
 from gypsumshift.serving.directory import Directory
 from gypsumshift.serving.loadbalancer import LoadBalancer
-from gypsumshift.serving.serviceadmission import LoadSource
 
 __all__ = ["BalancerLoads"]
 
--- a/tests/admission_builders.py
+++ b/tests/admission_builders.py
@@ -1,12 +1,12 @@
 """Builders for the tests of admission control."""
 
+from gypsumshift.serving.admissionrule import LoadSource
 from gypsumshift.serving.capacitycorrection import ServiceState
 from gypsumshift.serving.demand import DemandTable, retry_mark
 from gypsumshift.serving.demandrates import Rates
 from gypsumshift.serving.demandrecords import ProcessDemand
 from gypsumshift.serving.fairqueue import Ticket
 from gypsumshift.serving.fairshares import ShareKey
-from gypsumshift.serving.serviceadmission import LoadSource
 
 SERVICE = "app"
 
--- a/tests/contention_world.py
+++ b/tests/contention_world.py
@@ -14,16 +14,13 @@
 
 import attrs
 
+from gypsumshift.serving.admissionrule import LoadSource, Verdict
 from gypsumshift.serving.capacitycorrection import ServiceState
 from gypsumshift.serving.demand import DemandTable, retry_mark
 from gypsumshift.serving.demandsection import DemandSection
 from gypsumshift.serving.fairqueue import Ticket
 from gypsumshift.serving.fairshares import ShareKey
-from gypsumshift.serving.serviceadmission import (
-    LoadSource,
-    ServiceAdmission,
-    Verdict,
-)
+from gypsumshift.serving.serviceadmission import ServiceAdmission
 from tests.builders import ManualClock
 
 SERVICE = "app"
--- a/tests/predicted_wait.py
+++ b/tests/predicted_wait.py
@@ -5,13 +5,9 @@
 other processes.
 """
 
+from gypsumshift.serving.admissionrule import AdmissionRule, Decision, Verdict
 from gypsumshift.serving.retryschedule import RetrySchedule
-from gypsumshift.serving.serviceadmission import (
-    NEAR_FULL_UTILIZATION,
-    AdmissionRule,
-    Decision,
-    Verdict,
-)
+from gypsumshift.serving.serviceadmission import NEAR_FULL_UTILIZATION
 from gypsumshift.serving.servicetimes import ServiceTimes
 
 
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -8,16 +8,13 @@
 
 import pytest
 
-from gypsumshift.serving import serviceadmission
+from gypsumshift.serving import servicecontrol
+from gypsumshift.serving.admissionrule import Verdict
 from gypsumshift.serving.demand import DemandTable
 from gypsumshift.serving.fairshares import ShareKey, divide_capacity
 from gypsumshift.serving.retryschedule import RetrySchedule
-from gypsumshift.serving.serviceadmission import (
-    SHARES_MAX_AGE_SECONDS,
-    SHARES_MAX_CALLS,
-    ServiceAdmission,
-    Verdict,
-)
+from gypsumshift.serving.serviceadmission import ServiceAdmission
+from gypsumshift.serving.servicecontrol import SHARES_MAX_AGE_SECONDS, SHARES_MAX_CALLS
 from tests import contention_scenarios as scenarios
 from tests.admission_builders import (
     SERVICE,
@@ -177,7 +174,7 @@
         divisions.append(len(demands))
         return divide_capacity(places, demands)
 
-    monkeypatch.setattr(serviceadmission, "divide_capacity", count_division)
+    monkeypatch.setattr(servicecontrol, "divide_capacity", count_division)
     clock = ManualClock()
     demand = DemandTable("own", clock)
     now = clock.monotonic()
