--- a/gypsumshift/agentnode.py
+++ b/gypsumshift/agentnode.py
@@ -9,6 +9,7 @@
 from gypsumshift.jobs.liveness import NO_PROBE, LivenessProbe
 from gypsumshift.jobs.localengine import AgentIdentity
 from gypsumshift.lifecycle import Node
+from gypsumshift.places import ONE_REGION, Layout
 from gypsumshift.policy import DEFAULT_POLICY, Policy
 from gypsumshift.serving.admissiongate import new_admission_gate
 from gypsumshift.serving.crashguard import CrashGuard
@@ -43,6 +44,8 @@
     liveness : LivenessProbe
     store_writes : float
         Maximum number of writes a second that the store accepts from all processes.
+    layout : Layout
+        Regions of the zones.
     """
 
     def __init__(
@@ -61,11 +64,15 @@
         policy: Policy = DEFAULT_POLICY,
         liveness: LivenessProbe = NO_PROBE,
         store_writes: float = STORE_WRITES,
+        layout: Layout = ONE_REGION,
     ):
         self.guard = CrashGuard(store, clock, chance, metrics)
         watches = [*watches, self.guard.table.watch]
         super().__init__(
-            directory, watches, LoadBalancer(zone, clock, chance, policy), clock
+            directory,
+            watches,
+            LoadBalancer(zone, clock, chance, policy, layout),
+            clock,
         )
         directory.on_restart.append(lambda old: fetcher.close_connections(old.address))
         self.balancer.has_idle_connection = fetcher.has_idle_connection
--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -7,6 +7,7 @@
 from gypsumshift.accounting import Accounting
 from gypsumshift.jobs.jobmanager import JobManager
 from gypsumshift.lifecycle import Node
+from gypsumshift.places import ONE_REGION, Layout
 from gypsumshift.platforms import RowStore
 from gypsumshift.policy import DEFAULT_POLICY, Policy
 from gypsumshift.serving.admissiongate import new_admission_gate
@@ -53,6 +54,8 @@
     policy : Policy
     name : str
         Name of the process, under which it reports the demand of its callers.
+    layout : Layout
+        Regions of the zones.
     """
 
     max_body_bytes = DEFAULT_MAX_BODY_BYTES
@@ -72,6 +75,7 @@
         metrics,
         policy: Policy = DEFAULT_POLICY,
         name: str = "",
+        layout: Layout = ONE_REGION,
     ):
         self.store: RowStore = store
         self.authorizer: Authorizer = authorizer
@@ -86,7 +90,10 @@
             self.guard.table.watch,
         ]
         super().__init__(
-            directory, watches, LoadBalancer(zone, clock, chance, policy), clock
+            directory,
+            watches,
+            LoadBalancer(zone, clock, chance, policy, layout),
+            clock,
         )
         directory.on_restart.append(lambda old: fetcher.close_connections(old.address))
         self.balancer.has_idle_connection = fetcher.has_idle_connection
--- a/gypsumshift/neighbours.py
+++ b/gypsumshift/neighbours.py
@@ -18,6 +18,7 @@
 from gypsumshift.httpclient import FetchedResponse, Fetcher, FetchError
 from gypsumshift.httpserver import Handler, Request, Response
 from gypsumshift.outcomes import Committed
+from gypsumshift.places import ONE_REGION, Layout
 from gypsumshift.platforms import Row, RowStore, Write
 from gypsumshift.policy import DEFAULT_POLICY, Policy
 from gypsumshift.watch import StaleRowDetector, Watch
@@ -102,6 +103,8 @@
     seeds : list of Neighbour
         Neighbours from the settings, used until the store has been read.
     policy : Policy
+    layout : Layout
+        Regions of the zones.
 
     Attributes
     ----------
@@ -128,8 +131,10 @@
         zone: str,
         seeds: list[Neighbour],
         policy: Policy = DEFAULT_POLICY,
+        layout: Layout = ONE_REGION,
     ):
         self.policy = policy
+        self.layout = layout
         self.store = store
         self.fetcher = fetcher
         self.clock = clock
--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -13,6 +13,7 @@
 
 from gypsumshift.clock import Clock
 from gypsumshift.ejection import EjectionPolicy
+from gypsumshift.places import ONE_REGION, Layout
 from gypsumshift.policy import DEFAULT_POLICY, Policy
 from gypsumshift.serving.bytelimits import ServerByteLimits
 from gypsumshift.serving.directory import BackendServer, ServerStart
@@ -97,6 +98,8 @@
     chance : random.Random
         Breaks ties, so that processes do not all choose the same server.
     policy : Policy
+    layout : Layout
+        Regions of the zones.
 
     Attributes
     ----------
@@ -116,8 +119,10 @@
         clock: Clock,
         chance: random.Random,
         policy: Policy = DEFAULT_POLICY,
+        layout: Layout = ONE_REGION,
     ):
         self.policy = policy
+        self.layout = layout
         self.zone = zone
         self.clock = clock
         self.chance = chance
