Keep the bodies of requests inside the home regions of their routes and workspaces

Cause: a route or workspace may have home regions (home_regions), but servers and relays were chosen among all regions. Change: Residency and ResidencyRules (residency.py) decide by the newest configuration. Calls, hedges, retries, resumed streams and reward calls choose among the servers in the homes, and ask again right before the send. Items ask before each send to their engine; agents outside the homes claim no units of the job, give held ones back and read no bodies. Store calls that carry bodies take a relay in the homes, or the direct path. Conclusion: configurations without homes decide as before.

--- a/gypsumshift/agentnode.py
+++ b/gypsumshift/agentnode.py
@@ -81,6 +81,7 @@
         gate = new_admission_gate(sender, self.demand, chance, policy)
         forwarder = Forwarder(sender, self.guard, policy, gate)
         engine = EngineClient(fetcher, names, protocol)
+        engine.may_run = sender.residency.may_run
         self.agent = Agent(
             identity,
             store,
@@ -95,6 +96,13 @@
             liveness,
             store_writes,
         )
+        residency = sender.residency
+        self.agent.tracker.may_hold = residency.may_hold
+        self.agent.planner.may_run = residency.may_run
+        # The faster engine may be outside the homes.
+        self.agent.unit_migrator.may_migrate = lambda job: (
+            not residency.of_job(job).is_restricted
+        )
         limiter = self.agent.runner.item_runner.reward_limiter
         limiter.usable_slots = self.balancer.usable_slots
 
--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -99,6 +99,10 @@
         self.balancer.has_idle_connection = fetcher.has_idle_connection
         usage = accounting.counter if accounting else None
         sender = Sender(directory, self.balancer, fetcher, names, clock, metrics, usage)
+        manager = self.job_manager
+        manager.may_read = lambda job_id: sender.residency.may_read(
+            manager.find_known(job_id)
+        )
         self.demand = DemandTable(name, clock)
         gate = new_admission_gate(sender, self.demand, chance, policy)
         self.forwarder = Forwarder(sender, self.guard, policy, gate)
--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -294,6 +294,7 @@
             self.runner.hand_over_all("the engine does not serve")
             return
         self.monitor.check()
+        self.runner.hand_over_outside_homes()
         if self.policy.long_items_to_faster:
             self.unit_migrator.migrate_long_units()
         if report is not None and not self.draining:
--- a/gypsumshift/jobs/claimtracker.py
+++ b/gypsumshift/jobs/claimtracker.py
@@ -73,6 +73,8 @@
         Groups of each job that the store has.
     pending_claims : dict
         `Candidate` by job and unit, of the claims that were sent and not answered yet.
+    may_hold : callable
+        Returns whether this process may read the bodies of a job; see `residency`.
     """
 
     def __init__(self, session: str, clock: Clock, chance: random.Random, peers: Peers):
@@ -85,6 +87,7 @@
         self.early_claims: dict[str, dict[str, StoredClaim]] = {}
         self.groups_by_job: dict[str, set[str]] = {}
         self.pending_claims: dict[tuple[str, str], Candidate] = {}
+        self.may_hold: Callable[[Job], bool] = lambda job: True
 
     def apply_job_rows(self, rows: list[Row]) -> list[Job]:
         """Apply rows of the table of jobs; return the jobs that are new."""
@@ -293,6 +296,8 @@
         engines for `STEAL_AFTER`.
         """
         job = open_job.job
+        if not self.may_hold(job):
+            return False
         if job.model and versions.get(job.model, 0) < job.oldest_version:
             return False
         if not job.model or job.model in models:
--- a/gypsumshift/jobs/engine.py
+++ b/gypsumshift/jobs/engine.py
@@ -12,9 +12,10 @@
 import attrs
 
 from gypsumshift.eventstream import StreamBroken, iter_events
-from gypsumshift.httpclient import Exchange, Fetcher, FetchError
+from gypsumshift.httpclient import Exchange, Fetcher, FetchError, RequestWithheld
 from gypsumshift.jobs.records import Item, Job
 from gypsumshift.outcomes import Answered, NotRun, Unknown
+from gypsumshift.residency import OUTSIDE_HOMES
 from gypsumshift.serving.directory import BackendServer
 from gypsumshift.serving.headers import HeaderNames
 from gypsumshift.serving.responses import MISDIRECTED, mismatched_request_id
@@ -156,6 +157,8 @@
     on_load : callable
         Called with the load header of each answer; with an empty text where it has
         none.
+    may_run : callable
+        Returns whether items of a job may be sent to a server now; see `residency`.
     """
 
     def __init__(self, fetcher: Fetcher, names: HeaderNames, protocol: EngineProtocol):
@@ -163,6 +166,7 @@
         self.names = names
         self.protocol = protocol
         self.on_load: Callable[[str], None] = ignore_load
+        self.may_run: Callable[[Job, BackendServer], bool] = lambda job, server: True
 
     async def stream(
         self, server: BackendServer, item: Item, job: Job, after: int, urgency: int
@@ -197,7 +201,10 @@
                     item.body,
                     host=job.host,
                     connect_timeout=CONNECT_TIMEOUT,
+                    allowed=lambda: self.may_run(job, server),
                 )
+        except RequestWithheld as error:
+            raise StreamBroken(OUTSIDE_HOMES, sent=False) from error
         except FetchError as error:
             raise StreamBroken.from_fetch_error(error) from error
         except TimeoutError as error:
--- a/gypsumshift/jobs/jobmanager.py
+++ b/gypsumshift/jobs/jobmanager.py
@@ -9,6 +9,7 @@
 import contextlib
 import datetime
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -114,6 +115,11 @@
     removal_count : int
         Number of job removals seen. A read of a job that was in flight during any
         removal is repeated, so that ids of removed jobs need not be kept.
+    submitting : dict
+        `Job` by id, of the jobs that are being stored.
+    may_read : callable
+        Returns whether this process may read the bodies of a job, given the id; see
+        `residency`.
     watches : list of Watch
         Watches of the store's tables, to be run by the owner.
     """
@@ -125,6 +131,8 @@
         self.jobs: dict[str, Job] = {}
         self.ended_at: dict[str, float] = {}
         self.removal_count = 0
+        self.submitting: dict[str, Job] = {}
+        self.may_read: Callable[[str], bool] = lambda job_id: True
         self.result_logs: dict[str, ResultLog] = {}
         self.text_read_limit = asyncio.Semaphore(MAX_CONCURRENT_TEXT_READS)
         self.job_watch = Watch(
@@ -178,7 +186,8 @@
         """
         horizon = self.clock.monotonic() - ENDED_JOB_RETENTION_SECONDS
         for job_id in [j for j, at in self.ended_at.items() if at < horizon]:
-            if chance.random() < REMOVAL_PROBABILITY:
+            # A removal reads all rows of the job, with the bodies of its items.
+            if chance.random() < REMOVAL_PROBABILITY and self.may_read(job_id):
                 await self.remove_job(job_id)
 
     async def remove_job(self, job_id: str) -> None:
@@ -218,6 +227,16 @@
         """
         if job.id in self.jobs:
             return Committed()
+        self.submitting[job.id] = job
+        try:
+            return await self.store_job(job, units, deadline)
+        finally:
+            self.submitting.pop(job.id, None)
+
+    async def store_job(
+        self, job: Job, units: list[Unit], deadline: float
+    ) -> Committed | NotRun | Unknown:
+        """Write the rows of a new batch job; see `submit_job`."""
         uncertain = False
         for batch in self.job_transactions(job, units):
             outcome = await self.write_until_certain(batch, deadline)
@@ -242,6 +261,10 @@
         self.jobs[job.id] = job
         return outcome
 
+    def find_known(self, job_id: str) -> Job | None:
+        """Return a job that is in the cache or being stored; None otherwise."""
+        return self.jobs.get(job_id) or self.submitting.get(job_id)
+
     def report_not_accepted(self, job, outcome, uncertain: bool) -> NotRun | Unknown:
         """Log a failed submission; return `Unknown` if the job may be stored."""
         self.metrics.count("jobs", outcome="unknown" if uncertain else "refused")
--- a/gypsumshift/jobs/stepplanner.py
+++ b/gypsumshift/jobs/stepplanner.py
@@ -1,7 +1,7 @@
 """Plans a step for one agent, from the claims and heartbeats that all agents have."""
 
 import collections
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from gypsumshift.clock import Clock
 from gypsumshift.jobs.assignment import (
@@ -18,9 +18,10 @@
 from gypsumshift.jobs.openjob import OpenJob
 from gypsumshift.jobs.pace import is_slower
 from gypsumshift.jobs.peers import PeerState
-from gypsumshift.jobs.records import UnitSummary
+from gypsumshift.jobs.records import Job, UnitSummary
 from gypsumshift.jobs.usualpace import BATCH_SLOWDOWN
 from gypsumshift.jobs.weights import WeightManager
+from gypsumshift.serving.directory import BackendServer
 
 __all__ = ["StepPlanner"]
 
@@ -51,6 +52,8 @@
     left_since : dict
         Since when a unit is left to other engines that have a free slot, by job and
         unit, by the monotonic clock, in seconds.
+    may_run : callable
+        Returns whether items of a job may be sent to an engine; see `residency`.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         self.lengths = lengths
         self.clock = clock
         self.left_since: dict[tuple[str, str], float] = {}
+        self.may_run: Callable[[Job, BackendServer], bool] = lambda job, server: True
 
     def plan(
         self, open_job: OpenJob, free: int, claimable: Iterable[UnitSummary]
@@ -133,6 +137,8 @@
                 continue
             if not beat.usual or beat.state == EngineState.FAULTY.value:
                 continue
+            if not self.may_run(open_job.job, servers[beat.engine]):
+                continue
             version = servers[beat.engine].models.get(open_job.job.model, 0)
             usable = version >= open_job.job.oldest_version
             if usable and peers.is_recent(state.seen_at):
--- a/gypsumshift/jobs/unitmigrator.py
+++ b/gypsumshift/jobs/unitmigrator.py
@@ -10,7 +10,7 @@
 engine would end it earlier by more than the error of the estimate.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -20,6 +20,7 @@
 from gypsumshift.jobs.heartbeatwriter import HeartbeatWriter
 from gypsumshift.jobs.itemrun import ItemRun
 from gypsumshift.jobs.lengthestimates import LengthEstimates
+from gypsumshift.jobs.records import Job
 from gypsumshift.jobs.schedule import long_units
 from gypsumshift.jobs.stepneeds import STEP_TIME_S
 from gypsumshift.jobs.unitrun import UnitRun
@@ -113,6 +114,8 @@
         Usual pace of the fastest engine with free slots, by model.
     migrated : set of (str, str)
         Job and unit of the migrated units whose jobs are open.
+    may_migrate : callable
+        Returns whether units of a job may be migrated; see `residency`.
     """
 
     def __init__(
@@ -135,6 +138,7 @@
         self.fastest_paces: dict[str, float] = {}
         self.faster_free_slots: dict[str, int] = {}
         self.migrated: set[tuple[str, str]] = set()
+        self.may_migrate: Callable[[Job], bool] = lambda job: True
 
     def migrate_long_units(self) -> None:
         """Hand over units with long items of models that faster engines serve too."""
@@ -185,6 +189,7 @@
             for unit in self.runner.units.values()
             if unit.job.model == model
             and "" not in unit.tasks
+            and self.may_migrate(unit.job)
             and (unit.job.id, unit.key) not in self.migrated
             and self.is_migratable(unit)
         ]
--- a/gypsumshift/jobs/unitrunner.py
+++ b/gypsumshift/jobs/unitrunner.py
@@ -23,6 +23,7 @@
     UNITS,
     Claim,
     Item,
+    Job,
     Partial,
     Result,
     Unit,
@@ -36,6 +37,7 @@
 from gypsumshift.jobs.weights import WeightManager
 from gypsumshift.metrics import Metrics
 from gypsumshift.platforms import Row, RowStore, Write
+from gypsumshift.residency import OUTSIDE_HOMES
 from gypsumshift.serving.forwarder import Forwarder
 from gypsumshift.serving.headers import HeaderNames
 
@@ -170,6 +172,9 @@
             self.clock.monotonic(),
             taken_over=candidate.taken_over,
         )
+        if not self.tracker.may_hold(job):
+            self.hand_over_unit(unit, OUTSIDE_HOMES)
+            return
         self.units[job.id, summary.key] = unit
         logs.event(
             log,
@@ -219,9 +224,11 @@
     async def read_unit(self, unit: UnitRun) -> Row:
         """Read the row of a unit, retrying until the store returns it."""
         while True:
-            row = await self.store.read(UNITS, unit.key, unit.job.id)
-            if isinstance(row, Row):
-                return row
+            # The homes may change while the store does not answer.
+            if self.tracker.may_hold(unit.job):
+                row = await self.store.read(UNITS, unit.key, unit.job.id)
+                if isinstance(row, Row):
+                    return row
             await self.clock.sleep(RETRY_PAUSE)
 
     def start_item(self, unit: UnitRun, item: Item, partial: Partial | None) -> None:
@@ -326,6 +333,20 @@
         """Give all units back, each with the output generated so far."""
         return [self.hand_over_unit(unit, reason) for unit in list(self.units.values())]
 
+    def find_job(self, job_id: str) -> Job | None:
+        """Return a job that is open or has units here; None for any other."""
+        open_job = self.tracker.open_jobs.get(job_id)
+        if open_job is not None:
+            return open_job.job
+        jobs = (unit.job for unit in self.units.values())
+        return next((job for job in jobs if job.id == job_id), None)
+
+    def hand_over_outside_homes(self) -> None:
+        """Give back the units of jobs whose homes no longer include this region."""
+        for unit in list(self.units.values()):
+            if not self.tracker.may_hold(unit.job):
+                self.hand_over_unit(unit, OUTSIDE_HOMES)
+
     def hand_over_unit(self, unit: UnitRun, reason: str) -> asyncio.Task:
         """Give a unit back with the output generated so far."""
         self.drop_unit(unit)
--- a/gypsumshift/neighbours.py
+++ b/gypsumshift/neighbours.py
@@ -21,6 +21,7 @@
 from gypsumshift.places import ONE_REGION, Layout
 from gypsumshift.platforms import Row, RowStore, Write
 from gypsumshift.policy import DEFAULT_POLICY, Policy
+from gypsumshift.residency import ANYWHERE, Residency
 from gypsumshift.watch import StaleRowDetector, Watch
 
 __all__ = ["Neighbour", "NeighbourRegistry", "Relay", "StorePath"]
@@ -110,6 +111,8 @@
     ----------
     via : Neighbour or None
         Neighbour that relays the calls; None for the direct path.
+    able : list of Neighbour
+        Neighbours that reached the store at the last search, the one in use first.
     neighbours : dict
         `Neighbour` by name.
     reached_at : float
@@ -143,6 +146,7 @@
         self.seeds = seeds
         self.neighbours: dict[str, Neighbour] = {}
         self.via: Neighbour | None = None
+        self.able: list[Neighbour] = []
         self.reached_at = float("-inf")
         self.failures = 0
         self.search_task: asyncio.Task | None = None
@@ -159,18 +163,47 @@
         return self.via is not None or self.reaches_store
 
     async def fetch(
-        self, method: str, target: str, headers, body: bytes, timeout: float
+        self,
+        method: str,
+        target: str,
+        headers,
+        body: bytes,
+        timeout: float,
+        residency: Residency = ANYWHERE,
     ) -> FetchedResponse:
         """Call the store on the path in use, direct or through a neighbour.
 
+        Parameters
+        ----------
+        method, target : str
+        headers : list of (name, value)
+        body : bytes
+        timeout : float
+            Seconds.
+        residency : Residency
+            Regions through which the call may be relayed. It takes the direct path if
+            no known relay is in them.
+
         Raises
         ------
         FetchError
             ``sent`` tells whether the store may have received the call.
         """
-        if self.via is None:
+        via = self.permitted_relay(residency)
+        if via is None:
             return await self.fetch_direct(method, target, headers, body, timeout)
-        return await self.fetch_via(self.via, method, target, headers, body, timeout)
+        return await self.fetch_via(via, method, target, headers, body, timeout)
+
+    def permitted_relay(self, residency: Residency) -> Neighbour | None:
+        """Return the neighbour to relay a call; None for the direct path."""
+        if self.via is None or not residency.is_restricted:
+            return self.via
+        allowed = (
+            neighbour
+            for neighbour in (self.via, *self.able)
+            if residency.allows(self.layout.region_of(neighbour.zone))
+        )
+        return next(allowed, None)
 
     async def fetch_direct(
         self, method, target, headers, body, timeout
@@ -211,6 +244,7 @@
 
     def stop_using_neighbour(self, via: Neighbour, reason: str) -> None:
         """Return to the direct path unless another neighbour is in use by now."""
+        self.able = [neighbour for neighbour in self.able if neighbour != via]
         if self.via == via:
             self.via = None
             logs.event(
@@ -256,7 +290,7 @@
         if not able or self.reaches_store:
             await self.clock.sleep(SEARCH_PAUSE_S)
             return
-        self.via = able[0]
+        self.via, self.able = able[0], able
         logs.event(
             log,
             "The store does not answer directly; calls go through a neighbour.",
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -15,6 +15,7 @@
 from gypsumshift import logs
 from gypsumshift.outcomes import Answered, HeldBack, NotRun, Unknown
 from gypsumshift.policy import DEFAULT_POLICY, Policy
+from gypsumshift.residency import NO_HOME_SERVER
 from gypsumshift.serving.admissiongate import AdmissionGate
 from gypsumshift.serving.authorization import KEY_NOT_CONFIRMED
 from gypsumshift.serving.calls import (
@@ -182,6 +183,8 @@
 
     async def enter(self, state: ForwardState) -> NotRun | None:
         """Return None once the first attempt may start, or the call's refusal."""
+        if self.sender.residency.lacks_home_server(state.call):
+            return self.refuse_without_home(state)
         if self.gate is None:
             return None
         service = state.call.route.service_for(state.call.id)
@@ -192,6 +195,11 @@
             state.servers = self.directory.ready_servers(service)
         return refusal
 
+    def refuse_without_home(self, state: ForwardState) -> NotRun:
+        """Return the refusal of a call none of whose homes has a ready server."""
+        self.metrics.count("residency_refusals", route=state.call.route.name)
+        return self.final_outcome(state, NO_HOME_SERVER)
+
     async def run_attempts(self, state: ForwardState) -> Answered | NotRun | Unknown:
         """Start attempts until one settles the call or no more may be made."""
         hedge = self.hedge_delay(state.call)
@@ -235,6 +243,8 @@
         """Return why no more attempts may be made; empty if they may."""
         if not state.call.grant.is_valid:
             return KEY_NOT_CONFIRMED
+        if self.sender.residency.lacks_home_server(state.call):
+            return NO_HOME_SERVER
         allowed = self.guard.may_send(state.permit, bool(state.ran_on))
         return "" if allowed else HELD_BACK_REASON
 
@@ -263,7 +273,8 @@
             # An answer has arrived and waits for memory; a second one would do so, too.
             return None
         size = len(state.call.body)
-        server = self.balancer.choose(state.servers, state.excluded, size)
+        servers = self.sender.residency.permitted(state.call, state.servers)
+        server = self.balancer.choose(servers, state.excluded, size)
         if server is None:
             return None
         self.guard.begin_run(state.permit, server.start)
--- a/gypsumshift/serving/routes.py
+++ b/gypsumshift/serving/routes.py
@@ -67,6 +67,8 @@
     priority : int
         Priority of its requests when the service is too small for all; 0 is the
         highest. A workspace's own priority takes precedence.
+    home_regions : frozenset of str
+        Regions in which its requests may be served; empty for any.
     """
 
     name: str
@@ -83,6 +85,7 @@
     retention: datetime.timedelta | None = None
     public: bool = False
     priority: int = 0
+    home_regions: frozenset[str] = frozenset()
 
     def service_for(self, request_id: str) -> str:
         """Return the service for a request id; the same one on each retry."""
@@ -145,6 +148,11 @@
     body_limit : int
         Maximum size of a request's body in bytes.
     workspaces : Workspaces
+
+    Attributes
+    ----------
+    has_homes : bool
+        Whether any route or workspace has home regions.
     """
 
     def __init__(
@@ -160,7 +168,9 @@
         self.body_limit = body_limit
         self.services = {service.name: service for service in services}
         self.routes_by_host: dict[str, dict[str, Route]] = {}
+        self.has_homes = any(w.home_regions for w in workspaces.by_name.values())
         for route in routes:
+            self.has_homes = self.has_homes or bool(route.home_regions)
             self.routes_by_host.setdefault(route.host, {})[route.prefix] = route
 
     def find(self, host: str, path: str) -> Route | None:
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -16,6 +16,7 @@
 )
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered
+from gypsumshift.residency import OUTSIDE_HOMES, ResidencyRules
 from gypsumshift.serving.authorization import KEY_NOT_CONFIRMED
 from gypsumshift.serving.calls import (
     AttemptOutcome,
@@ -63,6 +64,11 @@
     metrics : Metrics
     usage : UsageCounter or None
         Counts the requests that servers began to run.
+
+    Attributes
+    ----------
+    residency : ResidencyRules
+        Decides to which servers a call may be sent.
     """
 
     def __init__(self, directory, balancer, fetcher, names, clock, metrics, usage=None):
@@ -73,6 +79,7 @@
         self.clock: Clock = clock
         self.metrics: Metrics = metrics
         self.usage: UsageCounter | None = usage
+        self.residency = ResidencyRules(directory, balancer.layout)
 
     async def attempt(
         self,
@@ -177,7 +184,7 @@
         try:
             return await self.exchange_once(call, server, fresh, progress)
         except RequestWithheld:
-            return Refused(KEY_NOT_CONFIRMED)
+            return self.withheld_outcome(call)
         except AnswerTooLarge as error:
             return self.reject_answer(call, error)
         except FetchError as error:
@@ -201,7 +208,7 @@
         try:
             outcome = await self.exchange_once(call, server, True, progress)
         except RequestWithheld:
-            outcome = Refused(KEY_NOT_CONFIRMED)
+            outcome = self.withheld_outcome(call)
         except AnswerTooLarge as error:
             return self.reject_answer(call, error)
         except FetchError as error:
@@ -210,6 +217,10 @@
             return Failed(f"{first}; then refused: {outcome.reason}", True)
         return outcome
 
+    def withheld_outcome(self, call: Call) -> Refused:
+        """Return the outcome of a call that `open` did not permit to be sent."""
+        return Refused(OUTSIDE_HOMES if call.grant.is_valid else KEY_NOT_CONFIRMED)
+
     def reject_answer(self, call: Call, error: AnswerTooLarge) -> Failed:
         """Return the outcome of an answer that does not fit into the memory budget."""
         call.holding.budget.record_refusal(ByteKind.ANSWER, error.size, request=call.id)
@@ -260,6 +271,8 @@
         """Send a call with the given header fields; return once the head arrived."""
 
         def may_send() -> bool:
+            if not self.residency.may_send(call, server):
+                return False
             if progress is not None:
                 progress.connected = True
             return call.grant.is_valid
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -19,6 +19,7 @@
 from gypsumshift.httpclient import Exchange, FetchError, RequestWithheld
 from gypsumshift.httpserver import ResponseAborted
 from gypsumshift.outcomes import HeldBack, NotRun, Unknown
+from gypsumshift.residency import NO_HOME_SERVER
 from gypsumshift.serving.authorization import KEY_NOT_CONFIRMED
 from gypsumshift.serving.calls import Call
 from gypsumshift.serving.crashguard import HELD_BACK_REASON, Permit
@@ -287,12 +288,15 @@
         """Return the server to try next; None if none is left or allowed."""
         if state.exhausted or self.blocked_reason(state):
             return None
+        servers = self.sender.residency.permitted(state.call, servers)
         return self.balancer.choose(servers, state.tried, len(state.call.body))
 
     def blocked_reason(self, state: RelayState) -> str:
         """Return why no further server may be tried; empty if one may."""
         if not state.call.grant.is_valid:
             return KEY_NOT_CONFIRMED
+        if self.sender.residency.lacks_home_server(state.call):
+            return NO_HOME_SERVER
         allowed = self.guard.may_send(state.permit, state.runs > 0)
         return "" if allowed else HELD_BACK_REASON
 
