Log batch jobs whose home regions have no engine, and store their region

Cause: items of such a job wait, and nothing said why. Change: the gateways of the region that accepted a job log when it begins and ceases to wait; the job's row names that region where the deployment has several. Conclusion: rows of a deployment of one region are unchanged.

--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -5,6 +5,7 @@
 import random
 
 from gypsumshift.accounting import Accounting
+from gypsumshift.jobs.homewait import HomeWaitLog
 from gypsumshift.jobs.jobmanager import JobManager
 from gypsumshift.lifecycle import Node
 from gypsumshift.places import ONE_REGION, Layout
@@ -103,6 +104,7 @@
         manager.may_read = lambda job_id: sender.residency.may_read(
             manager.find_known(job_id)
         )
+        self.home_wait_log = HomeWaitLog(sender.residency, manager, metrics)
         self.demand = DemandTable(name, clock)
         gate = new_admission_gate(sender, self.demand, chance, policy)
         self.forwarder = Forwarder(sender, self.guard, policy, gate)
@@ -127,6 +129,7 @@
                 self.directory.routes.body_limit or DEFAULT_MAX_BODY_BYTES
             )
         self.guard.sweep()
+        self.home_wait_log.update()
         self.demand.prune()
         await self.job_manager.remove_expired_jobs(self.chance)
 
--- a/gypsumshift/jobs/records.py
+++ b/gypsumshift/jobs/records.py
@@ -190,6 +190,8 @@
         Number of complete groups that the trainer waits for; 0 for all.
     workspace : str
         Workspace on whose behalf the items run; empty for none.
+    region : str
+        Region of the gateway that accepted it; empty in a deployment of one region.
     """
 
     id: str
@@ -202,6 +204,7 @@
     units: tuple[UnitSummary, ...]
     groups_needed: int = 0
     workspace: str = ""
+    region: str = ""
 
     @property
     def item_count(self) -> int:
--- a/gypsumshift/places.py
+++ b/gypsumshift/places.py
@@ -86,6 +86,11 @@
         """Whether the deployment has more than one region."""
         return len(set(self.regions.values())) > 1
 
+    @property
+    def job_region(self) -> str:
+        """Region in which jobs accepted here run first; empty if there is only one."""
+        return self.own.region if self.has_regions else ""
+
     def region_of(self, zone: str) -> str:
         """Return the region of a zone; `UNKNOWN_REGION` if no setting names it."""
         return self.regions.get(zone, UNKNOWN_REGION)
