--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -5,8 +5,10 @@
 import random
 
 from gypsumshift.accounting import Accounting
+from gypsumshift.jobs.homewait import HomeWaitLog
 from gypsumshift.jobs.jobmanager import JobManager
 from gypsumshift.lifecycle import Node
+from gypsumshift.places import ONE_REGION, Layout
 from gypsumshift.platforms import RowStore
 from gypsumshift.policy import DEFAULT_POLICY, Policy
 from gypsumshift.serving.admissiongate import new_admission_gate
@@ -53,6 +55,8 @@
     policy : Policy
     name : str
         Name of the process, under which it reports the demand of its callers.
+    layout : Layout
+        Regions of the zones.
     """
 
     max_body_bytes = DEFAULT_MAX_BODY_BYTES
@@ -72,6 +76,7 @@
         metrics,
         policy: Policy = DEFAULT_POLICY,
         name: str = "",
+        layout: Layout = ONE_REGION,
     ):
         self.store: RowStore = store
         self.authorizer: Authorizer = authorizer
@@ -86,12 +91,20 @@
             self.guard.table.watch,
         ]
         super().__init__(
-            directory, watches, LoadBalancer(zone, clock, chance, policy), clock
+            directory,
+            watches,
+            LoadBalancer(zone, clock, chance, policy, layout),
+            clock,
         )
         directory.on_restart.append(lambda old: fetcher.close_connections(old.address))
         self.balancer.has_idle_connection = fetcher.has_idle_connection
         usage = accounting.counter if accounting else None
         sender = Sender(directory, self.balancer, fetcher, names, clock, metrics, usage)
+        manager = self.job_manager
+        manager.may_read = lambda job_id: sender.residency.may_read(
+            manager.find_known(job_id)
+        )
+        self.home_wait_log = HomeWaitLog(sender.residency, manager, metrics)
         self.demand = DemandTable(name, clock)
         gate = new_admission_gate(sender, self.demand, chance, policy)
         self.forwarder = Forwarder(sender, self.guard, policy, gate)
@@ -116,6 +129,7 @@
                 self.directory.routes.body_limit or DEFAULT_MAX_BODY_BYTES
             )
         self.guard.sweep()
+        self.home_wait_log.update()
         self.demand.prune()
         await self.job_manager.remove_expired_jobs(self.chance)
 
