Send nothing to servers of availability zones that the operator evacuated

Cause: the row op/evacuate/ZONE was ignored, and removals of operator rows were skipped. Change: Evacuations holds the newest order by zone, from the operator's table and from digests; the newest version wins. Directory leaves servers of evacuated zones out, and each send asks again right before its first byte. Agents in the zone claim nothing, release what has not begun, and let running items end, unless their step is due before. Engines keep their models for 5 s after the end of an evacuation.

--- a/gypsumshift/agentnode.py
+++ b/gypsumshift/agentnode.py
@@ -74,6 +74,7 @@
         gate = new_admission_gate(sender, self.demand, chance, policy)
         forwarder = Forwarder(sender, self.guard, policy, gate)
         engine = EngineClient(fetcher, names, protocol)
+        engine.may_send = directory.begin_send
         self.agent = Agent(
             identity,
             store,
--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -16,6 +16,7 @@
 from gypsumshift.jobs.claimer import Claimer
 from gypsumshift.jobs.claimtracker import ClaimTracker
 from gypsumshift.jobs.engine import EngineClient
+from gypsumshift.jobs.engineevacuation import EngineEvacuation
 from gypsumshift.jobs.enginemonitor import EngineMonitor
 from gypsumshift.jobs.heartbeatwriter import STORE_WRITES, HeartbeatWriter
 from gypsumshift.jobs.liveness import NO_PROBE, LivenessProbe
@@ -99,6 +100,8 @@
         One for each claim loop; set when there may be work or capacity.
     monitor : EngineMonitor
         Hands the units over if the engine is faulty or far behind its peers.
+    evacuation : EngineEvacuation
+        Releases the units while the engine's zone is evacuated.
     draining : bool
         Whether this agent gives its work back and claims none.
     """
@@ -198,6 +201,14 @@
             self.runner.lengths,
             clock,
         )
+        self.evacuation = EngineEvacuation(
+            self.local_engine,
+            self.claimer,
+            self.runner,
+            self.unit_migrator,
+            clock,
+            metrics,
+        )
         directory.on_restart.append(self.note_restart)
         self.draining = False
         peers = self.peers
@@ -280,6 +291,9 @@
 
     async def update_engine(self) -> None:
         """Fetch the engine's report, then hand over units or order a load if needed."""
+        if self.evacuation.in_force:
+            self.evacuation.release_units()
+            return
         was_healthy = self.local_engine.healthy
         versions = self.weights.ready_versions()
         report = await self.local_engine.fetch_report()
@@ -288,6 +302,8 @@
             if not was_healthy or versions != self.weights.ready_versions():
                 self.wake()
         if not self.local_engine.healthy:
+            if self.evacuation.in_force or self.evacuation.awaits_report:
+                return
             # Claims that were stored though their answers were lost have to be given
             # back as well, so their units are started first.
             self.claimer.start_held_units()
@@ -391,7 +407,7 @@
             return False
         unit = candidate.unit
         fits = self.free_capacity(limits).fits(len(unit.items), unit.memory)
-        return fits and not self.draining
+        return fits and not self.draining and not self.evacuation.in_force
 
     async def drain(self) -> None:
         """Give all units back, and wait until results are stored.
--- a/gypsumshift/jobs/engine.py
+++ b/gypsumshift/jobs/engine.py
@@ -156,6 +156,9 @@
     on_load : callable
         Called with the load header of each answer; with an empty text where it has
         none.
+    may_send : callable
+        Returns whether a request may be sent to a server; asked immediately before
+        each request of any kind. By default always.
     """
 
     def __init__(self, fetcher: Fetcher, names: HeaderNames, protocol: EngineProtocol):
@@ -163,6 +166,7 @@
         self.names = names
         self.protocol = protocol
         self.on_load: Callable[[str], None] = ignore_load
+        self.may_send: Callable[[BackendServer], bool] = lambda server: True
 
     async def stream(
         self, server: BackendServer, item: Item, job: Job, after: int, urgency: int
@@ -197,6 +201,7 @@
                     item.body,
                     host=job.host,
                     connect_timeout=CONNECT_TIMEOUT,
+                    allowed=lambda: self.may_send(server),
                 )
         except FetchError as error:
             raise StreamBroken.from_fetch_error(error) from error
@@ -274,6 +279,7 @@
                 "GET",
                 self.protocol.report_target,
                 timeout=REPORT_TIMEOUT,
+                allowed=lambda: self.may_send(server),
             )
             self.on_load(find_header(answer.headers, self.names.load))
             if answer.status != 200:
@@ -298,6 +304,7 @@
                 headers,
                 self.protocol.order_body(order),
                 ORDER_TIMEOUT,
+                lambda: self.may_send(server),
             )
         except FetchError as error:
             return Unknown(str(error)) if error.sent else NotRun(str(error))
--- a/gypsumshift/jobs/itemrun.py
+++ b/gypsumshift/jobs/itemrun.py
@@ -70,6 +70,8 @@
         When this process received the item's first event, in the same way.
     longest_gap : float
         Longest time between two events of one stream, in seconds.
+    is_streaming : bool
+        Whether the engine is generating it: an event of the current stream has arrived.
     saved_events : int
         Number of events in the store, for an agent that takes the item over.
     generated : bool
@@ -93,6 +95,7 @@
     last_event_at: float = 0.0
     first_event_at: float = 0.0
     longest_gap: float = 0.0
+    is_streaming: bool = False
     saved_events: int = 0
     generated: bool = False
     held_back: bool = False
@@ -164,6 +167,8 @@
                 self.append_event(event)
         except StreamRefused as refusal:
             return self.handle_refusal(refusal)
+        finally:
+            self.is_streaming = False
         if not self.events:
             raise StreamBroken(f"stream of item {self.item.id} ended without an event")
         return None
@@ -237,6 +242,7 @@
             self.pace.record_gap(gap)
             self.longest_gap = max(self.longest_gap, gap)
         self.last_event_at = now
+        self.is_streaming = True
         self.first_event_at = self.first_event_at or now
 
     def discard_output(self) -> None:
--- a/gypsumshift/jobs/itemrunner.py
+++ b/gypsumshift/jobs/itemrunner.py
@@ -119,6 +119,8 @@
         server = self.local_engine.server
         if server is None or self.weights.loading_model == run.job.model:
             return None
+        if self.local_engine.is_evacuated:
+            return None
         if self.guard.quarantine.must_run_apart(
             run.fingerprint, self.running_fingerprints
         ):
--- a/gypsumshift/jobs/localengine.py
+++ b/gypsumshift/jobs/localengine.py
@@ -85,11 +85,18 @@
                 return server
         return None
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the engine is listed, and its availability zone is evacuated."""
+        zones, server = self.directory.evacuations.zones, self.server
+        return bool(zones) and server is not None and server.zone in zones
+
     @property
     def healthy(self) -> bool:
-        """Whether the engine is listed and has reported recently."""
+        """Whether the engine is listed, gets requests and has reported recently."""
         silent = self.clock.monotonic() - self.reported_at
-        return self.server is not None and silent < REPORT_SILENCE
+        listed = self.server is not None and not self.is_evacuated
+        return listed and silent < REPORT_SILENCE
 
     @property
     def limits(self) -> EngineLimits | None:
@@ -129,7 +136,9 @@
     async def fetch_report(self) -> EngineReport | None:
         """Request a report from the engine; None where it sends none."""
         server = self.server
-        report = await self.client.fetch_report(server) if server else None
+        if server is None or self.is_evacuated:
+            return None
+        report = await self.client.fetch_report(server)
         if report is None or not self.is_current(report, self.server):
             return None
         self.reported_start = self.server.start
--- a/gypsumshift/jobs/weights.py
+++ b/gypsumshift/jobs/weights.py
@@ -12,6 +12,7 @@
 from gypsumshift.jobs.records import Job
 from gypsumshift.jobs.stepneeds import EngineDivider
 from gypsumshift.jobs.weightloads import LoadConditions, choose_load
+from gypsumshift.jobs.zonereturn import MODEL_HOLD_SECONDS, keep_models
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered
 from gypsumshift.policy import DEFAULT_POLICY, Policy
@@ -62,6 +63,8 @@
         model.
     newest_jobs : dict
         `Job` of the newest step, by model.
+    last_assignment : dict
+        Models by engine, as last assigned.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         self.max_lags: dict[str, int] = {}
         self.newest_jobs: dict[str, Job] = {}
         self.assignment_cache = placement.AssignmentCache()
+        self.last_assignment: dict[str, tuple[str, ...]] = {}
 
     def note_job(self, job: Job) -> None:
         """Update the demand and the accepted versions of a new batch job's model."""
@@ -111,12 +115,17 @@
             for peer in self.local_engine.service_engines
         ]
         shares = self.demand.shares(limits.models, self.division())
-        return self.assignment_cache.assign(
+        evacuations = self.local_engine.directory.evacuations
+        kept = None
+        if evacuations.returned_within(MODEL_HOLD_SECONDS):
+            kept = keep_models(engines, self.last_assignment, shares)
+        self.last_assignment = kept or self.assignment_cache.assign(
             engines,
             shares,
             self.demand.longest_estimates(),
             self.policy.expected_end,
         )
+        return self.last_assignment
 
     def division(self) -> Division:
         """Return the division of the engines between workspaces, if one is needed."""
--- a/gypsumshift/serving/directory.py
+++ b/gypsumshift/serving/directory.py
@@ -10,6 +10,8 @@
 import attrs
 
 from gypsumshift import logs
+from gypsumshift.clock import Clock
+from gypsumshift.serving.evacuations import Evacuations
 from gypsumshift.serving.routes import RouteTable
 
 __all__ = ["BackendServer", "Directory", "ServerStart"]
@@ -83,6 +85,11 @@
 class Directory:
     """State of the deployment as one process has received it.
 
+    Parameters
+    ----------
+    clock : Clock or None
+        The system's clock by default.
+
     Attributes
     ----------
     routes : RouteTable
@@ -101,9 +108,13 @@
         server id.
     changed : asyncio.Event
         Set, and replaced by a new one, at each change.
+    evacuations : Evacuations
+        Availability zones whose servers get no requests.
+    on_zone_return : list of callable
+        Called with the name of a zone whose evacuation ended.
     """
 
-    def __init__(self):
+    def __init__(self, clock: Clock | None = None):
         self.routes = RouteTable()
         self.config_unreadable = False
         self.servers: dict[str, BackendServer] = {}
@@ -112,6 +123,9 @@
         self.on_restart: list[Callable[[BackendServer], None]] = []
         self.missing: dict[str, float] = {}
         self.changed = asyncio.Event()
+        self.evacuations = Evacuations(clock)
+        self.evacuations.on_change.append(self.notify_changed)
+        self.on_zone_return = self.evacuations.on_return
 
     def notify_changed(self) -> None:
         """Wake the tasks that wait for a change."""
@@ -222,12 +236,45 @@
             self.notify_changed()
 
     def ready_servers(self, name: str) -> list[BackendServer]:
-        """Return the ready backend servers of a service, sorted by id."""
+        """Return the ready backend servers of a service, sorted by id.
+
+        Servers in evacuated zones are left out, here and in `ready_engines`.
+        """
         found = [s for s in self.servers.values() if s.service == name and s.ready]
-        return sorted(found, key=lambda server: server.id)
+        return sorted(self.outside_evacuated_zones(found), key=lambda s: s.id)
 
     def ready_engines(self) -> list[BackendServer]:
         """Return the ready model engines of all services."""
         services = self.routes.services
         engine = {name for name, service in services.items() if service.engine}
-        return [s for s in self.servers.values() if s.ready and s.service in engine]
+        found = [s for s in self.servers.values() if s.ready and s.service in engine]
+        return self.outside_evacuated_zones(found)
+
+    def outside_evacuated_zones(
+        self, servers: list[BackendServer]
+    ) -> list[BackendServer]:
+        """Return the servers whose zone is not evacuated."""
+        zones = self.evacuations.zones
+        return [s for s in servers if s.zone not in zones] if zones else servers
+
+    def accepts_requests(self, server: BackendServer) -> bool:
+        """Return whether requests may be sent to a server, as its zone is in use.
+
+        To be asked immediately before each send: an evacuation may have begun since the
+        server was chosen.
+        """
+        return self.evacuations.accepts(server.zone)
+
+    def begin_send(self, server: BackendServer) -> bool:
+        """Return `accepts_requests`, and if so record that a request is sent now."""
+        if not self.accepts_requests(server):
+            return False
+        self.evacuations.record_send(server.zone)
+        return True
+
+    def is_service_evacuated(self, name: str) -> bool:
+        """Return whether all ready servers of a service are in evacuated zones."""
+        if not self.evacuations.zones:
+            return False
+        ready = [s for s in self.servers.values() if s.service == name and s.ready]
+        return bool(ready) and not self.outside_evacuated_zones(ready)
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -29,7 +29,7 @@
 from gypsumshift.serving.latecrashes import LateCrashDetector
 from gypsumshift.serving.sender import CONNECT_HEDGE_SECONDS, Sender
 
-__all__ = ["Forwarder"]
+__all__ = ["ALL_EVACUATED", "EVACUATED_RETRY_SECONDS", "Forwarder"]
 
 # Share of a route's objective after which a request is also sent to a second server. A
 # usual answer takes a quarter of the objective, so half of it leaves enough time.
@@ -42,6 +42,10 @@
 MAX_FULL_ROUNDS = 3
 # Delay after which a caller may retry: a few service times.
 RETRY_AFTER_SECONDS = 0.25
+# The same while all servers of a service are in evacuated zones: operators remove an
+# evacuation after seconds to minutes.
+EVACUATED_RETRY_SECONDS = 1.0
+ALL_EVACUATED = "all servers of the service are in evacuated availability zones"
 # Part of the time before the deadline that is left for the outcome to reach the caller.
 OUTCOME_MARGIN_SECONDS = 0.02
 
@@ -182,9 +186,12 @@
 
     async def enter(self, state: ForwardState) -> NotRun | None:
         """Return None once the first attempt may start, or the call's refusal."""
+        service = state.call.route.service_for(state.call.id)
+        if self.directory.is_service_evacuated(service):
+            pause = datetime.timedelta(seconds=EVACUATED_RETRY_SECONDS)
+            return NotRun(ALL_EVACUATED, pause)
         if self.gate is None:
             return None
-        service = state.call.route.service_for(state.call.id)
         refusal = await self.gate.enter(state.call, service)
         state.refused_at_gate = refusal is not None
         if refusal is None:
@@ -316,12 +323,14 @@
 
     async def next_round(self, state: ForwardState, left: float) -> bool:
         """Wait before the next round; return False if no further round is allowed."""
+        service = state.call.route.service_for(state.call.id)
         if state.exhausted or state.rounds >= MAX_FULL_ROUNDS:
             return False
+        if self.directory.is_service_evacuated(service):
+            return False
         state.rounds += 1
         state.refused_by.clear()
         await asyncio.sleep(min(FULL_PAUSE_SECONDS * state.rounds, left))
-        service = state.call.route.service_for(state.call.id)
         state.servers = self.directory.ready_servers(service)
         return True
 
--- a/gypsumshift/serving/liveness.py
+++ b/gypsumshift/serving/liveness.py
@@ -16,12 +16,14 @@
     """Return whether a server start is not listed, or refuses connections.
 
     A listed server that does not answer may only be cut off from this host, so it does
-    not count as gone.
+    not count as gone. Neither does one in an evacuated zone, which is not contacted.
     """
     listed = directory.servers.get(server.id)
     if listed is None or listed.start != server.start:
         # A new start of the server may already listen at the address.
         return True
+    if not directory.accepts_requests(server):
+        return False
     return await fetcher.is_connection_refused(
         server.address, CONNECT_CHECK_TIMEOUT_SECONDS
     )
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -35,7 +35,10 @@
 )
 from gypsumshift.usage import UsageCounter
 
-__all__ = ["CONNECT_HEDGE_SECONDS", "Sender"]
+__all__ = ["CONNECT_HEDGE_SECONDS", "ZONE_EVACUATED", "Sender"]
+
+# Reason of a request that was not sent because of an evacuation.
+ZONE_EVACUATED = "the server's availability zone is evacuated"
 
 # Timeout to open a connection inside a region, where a round trip takes 3 ms. It is
 # long enough for a host whose link is saturated, and a server that does not answer
@@ -177,7 +180,7 @@
         try:
             return await self.exchange_once(call, server, fresh, progress)
         except RequestWithheld:
-            return Refused(KEY_NOT_CONFIRMED)
+            return self.withheld_outcome(server)
         except AnswerTooLarge as error:
             return self.reject_answer(call, error)
         except FetchError as error:
@@ -201,7 +204,7 @@
         try:
             outcome = await self.exchange_once(call, server, True, progress)
         except RequestWithheld:
-            outcome = Refused(KEY_NOT_CONFIRMED)
+            outcome = self.withheld_outcome(server)
         except AnswerTooLarge as error:
             return self.reject_answer(call, error)
         except FetchError as error:
@@ -210,6 +213,13 @@
             return Failed(f"{first}; then refused: {outcome.reason}", True)
         return outcome
 
+    def withheld_outcome(self, server: BackendServer) -> Refused:
+        """Return the outcome of a request that was not allowed to be sent."""
+        if self.directory.accepts_requests(server):
+            return Refused(KEY_NOT_CONFIRMED)
+        self.metrics.count("evacuated_sends", service=server.service)
+        return Refused(ZONE_EVACUATED)
+
     def reject_answer(self, call: Call, error: AnswerTooLarge) -> Failed:
         """Return the outcome of an answer that does not fit into the memory budget."""
         call.holding.budget.record_refusal(ByteKind.ANSWER, error.size, request=call.id)
@@ -262,8 +272,10 @@
         def may_send() -> bool:
             if progress is not None:
                 progress.connected = True
-            return call.grant.is_valid
+            return call.grant.is_valid and self.directory.begin_send(server)
 
+        if not self.directory.accepts_requests(server):
+            raise RequestWithheld
         return await self.fetcher.open(
             server.address,
             call.method,
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -23,7 +23,12 @@
 from gypsumshift.serving.calls import Call
 from gypsumshift.serving.crashguard import HELD_BACK_REASON, Permit
 from gypsumshift.serving.directory import BackendServer, ServerStart
-from gypsumshift.serving.forwarder import RETRY_AFTER_SECONDS, Forwarder
+from gypsumshift.serving.forwarder import (
+    ALL_EVACUATED,
+    EVACUATED_RETRY_SECONDS,
+    RETRY_AFTER_SECONDS,
+    Forwarder,
+)
 from gypsumshift.serving.responses import end_to_end_headers, parse_refusal
 
 __all__ = ["STREAM_WINDOW_BYTES", "Stream", "StreamRelay"]
@@ -300,11 +305,16 @@
         """Return the outcome of a stream that is not opened at another server."""
         blocked = self.blocked_reason(state)
         reason = blocked or "no backend server accepted the stream"
+        service = state.call.route.service_for(state.call.id)
+        evacuated = self.sender.directory.is_service_evacuated(service)
+        if evacuated and not blocked:
+            reason = ALL_EVACUATED
         if state.runs:
             return Unknown(reason)
         if blocked == HELD_BACK_REASON:
             return self.guard.held_back_outcome(state.permit.fingerprint)
-        return NotRun(reason, datetime.timedelta(seconds=RETRY_AFTER_SECONDS))
+        pause = EVACUATED_RETRY_SECONDS if evacuated else RETRY_AFTER_SECONDS
+        return NotRun(reason, datetime.timedelta(seconds=pause))
 
     async def open_at(
         self, call: Call, server: BackendServer, after: str | None
