--- a/gypsumshift/agentnode.py
+++ b/gypsumshift/agentnode.py
@@ -82,6 +82,7 @@
         forwarder = Forwarder(sender, self.guard, policy, gate)
         engine = EngineClient(fetcher, names, protocol)
         engine.may_run = sender.residency.may_run
+        engine.may_send = directory.begin_send
         self.agent = Agent(
             identity,
             store,
--- a/gypsumshift/jobs/engine.py
+++ b/gypsumshift/jobs/engine.py
@@ -159,6 +159,9 @@
         none.
     may_run : callable
         Returns whether items of a job may be sent to a server now; see `residency`.
+    may_send : callable
+        Returns whether a request may be sent to a server; asked immediately before
+        each request of any kind. By default always.
     """
 
     def __init__(self, fetcher: Fetcher, names: HeaderNames, protocol: EngineProtocol):
@@ -167,6 +170,7 @@
         self.protocol = protocol
         self.on_load: Callable[[str], None] = ignore_load
         self.may_run: Callable[[Job, BackendServer], bool] = lambda job, server: True
+        self.may_send: Callable[[BackendServer], bool] = lambda server: True
 
     async def stream(
         self, server: BackendServer, item: Item, job: Job, after: int, urgency: int
@@ -201,7 +205,7 @@
                     item.body,
                     host=job.host,
                     connect_timeout=CONNECT_TIMEOUT,
-                    allowed=lambda: self.may_run(job, server),
+                    allowed=lambda: self.may_run(job, server) and self.may_send(server),
                 )
         except RequestWithheld as error:
             raise StreamBroken(OUTSIDE_HOMES, sent=False) from error
@@ -281,6 +285,7 @@
                 "GET",
                 self.protocol.report_target,
                 timeout=REPORT_TIMEOUT,
+                allowed=lambda: self.may_send(server),
             )
             self.on_load(find_header(answer.headers, self.names.load))
             if answer.status != 200:
@@ -305,6 +310,7 @@
                 headers,
                 self.protocol.order_body(order),
                 ORDER_TIMEOUT,
+                lambda: self.may_send(server),
             )
         except FetchError as error:
             return Unknown(str(error)) if error.sent else NotRun(str(error))
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -36,7 +36,10 @@
 )
 from gypsumshift.usage import UsageCounter
 
-__all__ = ["CONNECT_HEDGE_SECONDS", "Sender"]
+__all__ = ["CONNECT_HEDGE_SECONDS", "ZONE_EVACUATED", "Sender"]
+
+# Reason of a request that was not sent because of an evacuation.
+ZONE_EVACUATED = "the server's availability zone is evacuated"
 
 # Timeout to open a connection inside a region, where a round trip takes 3 ms. It is
 # long enough for a host whose link is saturated, and a server that does not answer
@@ -184,7 +187,7 @@
         try:
             return await self.exchange_once(call, server, fresh, progress)
         except RequestWithheld:
-            return self.withheld_outcome(call)
+            return self.withheld_outcome(call, server)
         except AnswerTooLarge as error:
             return self.reject_answer(call, error)
         except FetchError as error:
@@ -208,7 +211,7 @@
         try:
             outcome = await self.exchange_once(call, server, True, progress)
         except RequestWithheld:
-            outcome = self.withheld_outcome(call)
+            outcome = self.withheld_outcome(call, server)
         except AnswerTooLarge as error:
             return self.reject_answer(call, error)
         except FetchError as error:
@@ -217,8 +220,11 @@
             return Failed(f"{first}; then refused: {outcome.reason}", True)
         return outcome
 
-    def withheld_outcome(self, call: Call) -> Refused:
+    def withheld_outcome(self, call: Call, server: BackendServer) -> Refused:
         """Return the outcome of a call that `open` did not permit to be sent."""
+        if not self.directory.accepts_requests(server):
+            self.metrics.count("evacuated_sends", service=server.service)
+            return Refused(ZONE_EVACUATED)
         return Refused(OUTSIDE_HOMES if call.grant.is_valid else KEY_NOT_CONFIRMED)
 
     def reject_answer(self, call: Call, error: AnswerTooLarge) -> Failed:
@@ -275,8 +281,10 @@
                 return False
             if progress is not None:
                 progress.connected = True
-            return call.grant.is_valid
+            return call.grant.is_valid and self.directory.begin_send(server)
 
+        if not self.directory.accepts_requests(server):
+            raise RequestWithheld
         return await self.fetcher.open(
             server.address,
             call.method,
