Judge servers of other regions by the expected round trip, and prefer the own region

Cause: a connection to another region takes 0.04 s. It was hedged after 0.03 s, its server seemed slow by the round trip, and calls went to any region with free slots. Change: RoundTrips learns the round trip from connection times (median over hosts of their shortest times). Connect hedge, time-out and check, and the hedge delay grow by it; answer times are measured without it. The load balancer chooses the own region unless another one is earlier by more than the error of the estimates, or two servers of the own one accept no connection.

--- a/gypsumshift/agentnode.py
+++ b/gypsumshift/agentnode.py
@@ -76,6 +76,8 @@
         )
         directory.on_restart.append(lambda old: fetcher.close_connections(old.address))
         self.balancer.has_idle_connection = fetcher.has_idle_connection
+        if layout.has_regions:
+            fetcher.on_connect = self.balancer.round_trips.record_connection
         sender = Sender(directory, self.balancer, fetcher, names, clock, metrics)
         self.demand = DemandTable(identity.name, clock)
         gate = new_admission_gate(sender, self.demand, chance, policy)
--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -98,6 +98,8 @@
         )
         directory.on_restart.append(lambda old: fetcher.close_connections(old.address))
         self.balancer.has_idle_connection = fetcher.has_idle_connection
+        if layout.has_regions:
+            fetcher.on_connect = self.balancer.round_trips.record_connection
         usage = accounting.counter if accounting else None
         sender = Sender(directory, self.balancer, fetcher, names, clock, metrics, usage)
         manager = self.job_manager
--- a/gypsumshift/httpclient.py
+++ b/gypsumshift/httpclient.py
@@ -73,6 +73,8 @@
         Connections without an exchange, by address.
     in_use : dict
         Connections with an exchange in progress, by address.
+    on_connect : callable or None
+        Called with the address and the seconds that a new connection took to open.
     """
 
     def __init__(
@@ -82,18 +84,24 @@
         self.receive_window_bytes = receive_window_bytes
         self.idle: dict[tuple[str, int], list[ClientConnection]] = {}
         self.in_use: dict[tuple[str, int], set[ClientConnection]] = {}
+        self.on_connect: Callable[[tuple[str, int], float], None] | None = None
 
     async def connect(
         self, address: tuple[str, int], timeout: float = CONNECT_TIMEOUT_S
     ) -> ClientConnection:
         """Open a connection; a `FetchError` means that nothing was sent."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
         try:
             async with asyncio.timeout(timeout):
-                return await self.open_connection(address)
+                connection = await self.open_connection(address)
         except (OSError, TimeoutError) as error:
             reason = f"connection to {address[0]}:{address[1]} failed: {error}"
             refused = isinstance(error, ConnectionRefusedError)
             raise FetchError(reason, False, refused=refused) from error
+        if self.on_connect is not None:
+            self.on_connect(address, loop.time() - started)
+        return connection
 
     async def open_connection(self, address: tuple[str, int]) -> ClientConnection:
         """Open a connection whose buffers have the configured limits."""
--- a/gypsumshift/places.py
+++ b/gypsumshift/places.py
@@ -76,14 +76,17 @@
         Place of this process.
     regions : mapping
         Region by zone.
+    has_regions : bool
+        Whether the deployment has more than one region.
     """
 
     own: Place = Place()
     regions: Mapping[str, str] = attrs.field(factory=dict, hash=False)
+    has_regions: bool = attrs.field(init=False)
 
-    @property
-    def has_regions(self) -> bool:
-        """Whether the deployment has more than one region."""
+    @has_regions.default
+    def count_regions(self) -> bool:
+        """Return whether the deployment has more than one region."""
         return len(set(self.regions.values())) > 1
 
     @property
--- a/gypsumshift/serving/calls.py
+++ b/gypsumshift/serving/calls.py
@@ -79,9 +79,15 @@
     connected : bool
         Whether there was a connection to the server, so that the request may have been
         sent.
+    connected_after_s : float
+        Seconds from the start of the attempt until there was one.
+    round_trip_s : float
+        Expected round trip to a server of another region; 0 inside the own one.
     """
 
     connected: bool = False
+    connected_after_s: float = 0.0
+    round_trip_s: float = 0.0
 
 
 @attrs.frozen
--- a/gypsumshift/serving/expectedload.py
+++ b/gypsumshift/serving/expectedload.py
@@ -27,6 +27,12 @@
     slots: float
     slowness: float
 
+    @property
+    def mean_time(self) -> float:
+        """Expected time of a request, in usual service times."""
+        ahead = max(self.ahead, self.outstanding)
+        return (1.0 + ahead / max(self.slots, 1.0)) * self.slowness
+
     def draw_time(self, chance: random.Random) -> float:
         """Return a random time of a request, in usual service times.
 
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -16,6 +16,7 @@
 from gypsumshift.outcomes import Answered, HeldBack, NotRun, Unknown
 from gypsumshift.policy import DEFAULT_POLICY, Policy
 from gypsumshift.residency import NO_HOME_SERVER
+from gypsumshift.roundtrips import EXCHANGE_ROUND_TRIPS
 from gypsumshift.serving.admissiongate import AdmissionGate
 from gypsumshift.serving.authorization import KEY_NOT_CONFIRMED
 from gypsumshift.serving.calls import (
@@ -28,7 +29,7 @@
 from gypsumshift.serving.crashguard import HELD_BACK_REASON, CrashGuard, Permit
 from gypsumshift.serving.directory import BackendServer, ServerStart
 from gypsumshift.serving.latecrashes import LateCrashDetector
-from gypsumshift.serving.sender import CONNECT_HEDGE_SECONDS, Sender
+from gypsumshift.serving.sender import Sender, connect_hedge_s
 
 __all__ = ["Forwarder"]
 
@@ -222,7 +223,8 @@
             if started is None:
                 done = await self.wait_for_attempts(state, left)
             else:
-                done = await self.wait_for_hedge(state, started, min(left, hedge))
+                delay = hedge + EXCHANGE_ROUND_TRIPS * started.round_trip_s
+                done = await self.wait_for_hedge(state, started, min(left, delay))
             for task in done:
                 server = state.running.pop(task)
                 answer = self.handle_outcome(state, server, task.result())
@@ -278,7 +280,7 @@
         if server is None:
             return None
         self.guard.begin_run(state.permit, server.start)
-        progress = AttemptProgress()
+        progress = self.sender.new_progress(server)
         task = asyncio.create_task(self.attempt(state.call, server, progress))
         state.running[task] = server
         return progress
@@ -293,11 +295,11 @@
         state : ForwardState
         newest : AttemptProgress
             Of the attempt that was started last. If it has no connection, the next one
-            is due after `CONNECT_HEDGE_SECONDS`.
+            is due after `connect_hedge_s`.
         delay : float
             Seconds after which the next attempt is due in any case.
         """
-        first = min(delay, CONNECT_HEDGE_SECONDS)
+        first = min(delay, connect_hedge_s(newest))
         done = await self.wait_for_attempts(state, first)
         unconnected = self.policy.second_server and not newest.connected
         if done or unconnected:
@@ -321,7 +323,7 @@
         outcome = await self.sender.attempt(call, server, progress)
         answered = isinstance(outcome, Answered) and outcome.status < 500
         if self.gate is not None and answered:
-            took = self.clock.monotonic() - started
+            took = self.sender.service_time(progress, started)
             self.gate.record_answer(call, server, took)
         return outcome
 
--- a/gypsumshift/serving/latecrashes.py
+++ b/gypsumshift/serving/latecrashes.py
@@ -12,6 +12,7 @@
 from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.httpclient import Fetcher
+from gypsumshift.roundtrips import CONNECT_ROUND_TRIPS
 from gypsumshift.serving.crashguard import CrashGuard, Permit
 from gypsumshift.serving.directory import BackendServer, Directory
 from gypsumshift.serving.liveness import is_gone
@@ -83,7 +84,8 @@
         """Return whether a server crashed; an idle connection proves the opposite."""
         if self.fetcher.has_idle_connection(server.address):
             return False
-        return await is_gone(self.directory, self.fetcher, server)
+        extra_s = self.balancer.round_trips.extra_s(server.zone, CONNECT_ROUND_TRIPS)
+        return await is_gone(self.directory, self.fetcher, server, extra_s)
 
     def record_crash(self, permit: Permit, server: BackendServer) -> None:
         """Record the crash of a server at which a request was aborted."""
--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -15,6 +15,7 @@
 from gypsumshift.ejection import EjectionPolicy
 from gypsumshift.places import ONE_REGION, Layout
 from gypsumshift.policy import DEFAULT_POLICY, Policy
+from gypsumshift.roundtrips import RoundTrips
 from gypsumshift.serving.bytelimits import ServerByteLimits
 from gypsumshift.serving.directory import BackendServer, ServerStart
 from gypsumshift.serving.expectedload import ExpectedLoad
@@ -25,6 +26,7 @@
     Observation,
     Observations,
 )
+from gypsumshift.serving.regionchoice import ERROR_SHARE, RegionChoice
 from gypsumshift.serving.serverload import ServerLoad
 from gypsumshift.serving.serverstats import ServerStats
 
@@ -107,6 +109,10 @@
         Observations of this and other processes, as exchanged between them.
     load_reports : LoadReports
         Loads that servers with a slowdown reported to this and other processes.
+    round_trips : RoundTrips
+        Expected round trips to the servers of other regions.
+    regions : RegionChoice
+        Chooses between the own region and others.
     byte_limits : ServerByteLimits
         Limits on the bytes outstanding at servers that crashed under load.
     has_idle_connection : callable
@@ -123,6 +129,8 @@
     ):
         self.policy = policy
         self.layout = layout
+        self.round_trips = RoundTrips(layout)
+        self.regions = RegionChoice(layout, self.round_trips)
         self.zone = zone
         self.clock = clock
         self.chance = chance
@@ -175,7 +183,17 @@
         if not healthy:
             return min(candidates, key=lambda server: self.stats(server).avoided_until)
         usual = self.median_latency(servers)
-        cost = self.reported_cost if self.is_slowdown_reported(servers) else self.cost
+        is_reported = self.is_slowdown_reported(servers)
+        cost = self.reported_cost if is_reported else self.cost
+        if self.layout.has_regions:
+            mean_cost = self.mean_cost if is_reported else self.cost
+            healthy = self.regions.narrow(
+                healthy,
+                lambda s: mean_cost(s, usual),
+                usual,
+                self.has_idle_connection,
+                now,
+            )
         return min(healthy, key=lambda s: (cost(s, usual), self.chance.random()))
 
     def is_slowdown_reported(self, servers: list[BackendServer]) -> bool:
@@ -211,6 +229,16 @@
         time += self.chance.uniform(0.0, MAX_RANDOM_TIME)
         return time + self.penalty(server, REPORTED_CONNECTION_PENALTY)
 
+    def mean_cost(self, server: BackendServer, usual: float) -> float:
+        """Return the mean of `reported_cost`, varied by the error of the estimate.
+
+        The processes of a region see the same reports, and would otherwise all change
+        to another region at the same time, and back.
+        """
+        time = self.expected_load(server, usual).mean_time
+        time *= self.chance.uniform(1.0 - ERROR_SHARE, 1.0 + ERROR_SHARE)
+        return time + self.penalty(server, REPORTED_CONNECTION_PENALTY)
+
     def expected_load(self, server: BackendServer, usual: float) -> ExpectedLoad:
         """Return the load to expect at a server, by its newest report if there is one.
 
@@ -340,6 +368,7 @@
 
     def record_success(self, server: BackendServer, took: float) -> None:
         """Record a successful answer that took ``took`` seconds."""
+        self.regions.record_answer(server)
         stats = self.stats(server)
         stats.last_outcome_at = self.clock.monotonic()
         stats.lost_until = 0.0
@@ -359,6 +388,10 @@
         if took > stats.latency:
             stats.latency += AVERAGE_WEIGHT * (took - stats.latency)
 
+    def record_unconnected(self, server: BackendServer) -> None:
+        """Record that no connection to a server opened in time."""
+        self.regions.record_unconnected(server, self.clock.monotonic())
+
     def record_replaced(self, server: BackendServer) -> None:
         """Avoid a server whose address another server uses now."""
         self.stats(server).avoided_until = (
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -17,6 +17,7 @@
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered
 from gypsumshift.residency import OUTSIDE_HOMES, ResidencyRules
+from gypsumshift.roundtrips import CONNECT_ROUND_TRIPS, EXCHANGE_ROUND_TRIPS
 from gypsumshift.serving.authorization import KEY_NOT_CONFIRMED
 from gypsumshift.serving.calls import (
     AttemptOutcome,
@@ -36,7 +37,7 @@
 )
 from gypsumshift.usage import UsageCounter
 
-__all__ = ["CONNECT_HEDGE_SECONDS", "Sender"]
+__all__ = ["Sender", "connect_hedge_s"]
 
 # Timeout to open a connection inside a region, where a round trip takes 3 ms. It is
 # long enough for a host whose link is saturated, and a server that does not answer
@@ -80,6 +81,7 @@
         self.metrics: Metrics = metrics
         self.usage: UsageCounter | None = usage
         self.residency = ResidencyRules(directory, balancer.layout)
+        self.round_trips = balancer.round_trips
 
     async def attempt(
         self,
@@ -88,7 +90,7 @@
         progress: AttemptProgress | None = None,
     ) -> AttemptOutcome:
         """Send a call to one server and return the outcome of the attempt."""
-        progress = progress or AttemptProgress()
+        progress = progress or self.new_progress(server)
         self.balancer.record_sent(server)
         self.balancer.byte_limits.begin(server, len(call.body))
         started = self.clock.monotonic()
@@ -98,30 +100,47 @@
             if isinstance(outcome, Failed) and outcome.ended:
                 self.balancer.byte_limits.record_crash(server)
         except asyncio.CancelledError:
-            took = self.clock.monotonic() - started
+            took = self.service_time(progress, started)
             self.record_cancelled(call, server, progress, sent_at, took)
             raise
         finally:
             self.balancer.record_finished(server)
             self.balancer.byte_limits.end(server, len(call.body))
+        if isinstance(outcome, Failed) and not progress.connected:
+            self.balancer.record_unconnected(server)
         if isinstance(outcome, Answered) or getattr(outcome, "sent", False):
             self.count_run(call, sent_at)
-        self.record_outcome(call, server, outcome, self.clock.monotonic() - started)
+        self.record_outcome(call, server, outcome, self.service_time(progress, started))
         return outcome
 
+    def new_progress(self, server: BackendServer) -> AttemptProgress:
+        """Return the progress of an attempt that begins at a server."""
+        return AttemptProgress(round_trip_s=self.round_trips.extra_s(server.zone))
+
+    def service_time(self, progress: AttemptProgress, started: float) -> float:
+        """Return the seconds that an attempt has taken, without the way to its region.
+
+        Otherwise a server of another region would count as slow by the round trip.
+        """
+        took = self.clock.monotonic() - started
+        if not progress.round_trip_s or not progress.connected:
+            return took
+        return max(took - progress.connected_after_s - progress.round_trip_s, 0.0)
+
     def record_cancelled(
         self, call, server, progress: AttemptProgress, sent_at: float, took: float
     ) -> None:
         """Record an attempt that was cancelled before its outcome was known.
 
-        A server that did not accept a connection for `CONNECT_HEDGE_SECONDS` counts as
-        failing. Otherwise a server that is silent would be chosen again and again,
-        since the answer of a second server always comes before the connection times
-        out.
+        A server that did not accept a connection for the time of `connect_hedge_s`
+        counts as failing. Otherwise a server that is silent would be chosen again and
+        again, since the answer of a second server always comes before the connection
+        times out.
         """
         if progress.connected:
             self.count_run(call, sent_at)
-        elif took >= CONNECT_HEDGE_SECONDS:
+        elif took >= connect_hedge_s(progress):
+            self.balancer.record_unconnected(server)
             servers = self.directory.ready_servers(server.service)
             self.balancer.record_failure(server, servers)
         self.balancer.record_wait(server, took)
@@ -232,7 +251,8 @@
         """Return whether a server that refused or closed a connection is gone."""
         if error.refused or not error.closed:
             return error.refused
-        return await is_gone(self.directory, self.fetcher, server)
+        extra_s = self.round_trips.extra_s(server.zone, CONNECT_ROUND_TRIPS)
+        return await is_gone(self.directory, self.fetcher, server, extra_s)
 
     async def exchange_once(
         self, call, server, fresh: bool, progress: AttemptProgress
@@ -270,11 +290,15 @@
     ) -> Exchange:
         """Send a call with the given header fields; return once the head arrived."""
 
+        started = self.clock.monotonic()
+        self.round_trips.note_address(server.address, server.zone)
+
         def may_send() -> bool:
             if not self.residency.may_send(call, server):
                 return False
             if progress is not None:
                 progress.connected = True
+                progress.connected_after_s = self.clock.monotonic() - started
             return call.grant.is_valid
 
         return await self.fetcher.open(
@@ -285,7 +309,8 @@
             call.body,
             fresh=fresh,
             host=call.host,
-            connect_timeout=CONNECT_TIMEOUT_SECONDS,
+            connect_timeout=CONNECT_TIMEOUT_SECONDS
+            + self.round_trips.extra_s(server.zone, EXCHANGE_ROUND_TRIPS),
             allowed=may_send,
         )
 
@@ -333,3 +358,8 @@
         if exchange.header(b"content-encoding"):
             return Failed("answer has a content encoding", True)
         return Answered(exchange.status, end_to_end_headers(exchange), body)
+
+
+def connect_hedge_s(progress: AttemptProgress) -> float:
+    """Return the seconds without a connection after which a second server is tried."""
+    return CONNECT_HEDGE_SECONDS + CONNECT_ROUND_TRIPS * progress.round_trip_s
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -347,6 +347,8 @@
         state.runs += sent
         if not connection_failed:
             self.late_crashes.check_servers(state.permit, [server])
+        if not sent:
+            self.balancer.record_unconnected(server)
         gone = connection_failed and await self.sender.is_gone(error, server)
         if not gone:
             self.balancer.record_failure(
