Report requests that were counted before the usage duty was first acquired

Cause: the first holder of the duty recorded the window of its acquisition as the oldest one to report. Processes serve before that: if a window ended between the first request and the acquisition, or the first store calls of the duty failed under load, the requests of that window were in no report. test_reports_reach_the_platform_despite_its_faults then waits 10 s in vain.

Change: reports start up to 10 s before the first acquisition. Windows of that time without any request are passed over, as no process may have run.

The run in which the test failed left no log, so that this was its cause is an inference; a count written more than 3.5 s after its window would look the same.

--- a/gypsumshift/usagereports.py
+++ b/gypsumshift/usagereports.py
@@ -27,6 +27,9 @@
 # Delay from the end of a window to its report. By then the requests that began in the
 # window have ended and their counts are written.
 REPORT_DELAY_S = 3.5
+# How long before the duty is first acquired requests may have been counted. Processes
+# serve as soon as they are ready, and the first holder needs a few store calls more.
+FIRST_START_S = 10.0
 # Time after the end of a window from which it is no longer reported, since a report
 # that late is of no use.
 REPORT_DEADLINE_S = 40.0
@@ -70,9 +73,9 @@
     return None
 
 
-def parse_oldest_window(row: Row) -> int:
-    """Return the window stored in a row; 0 if the row holds anything else."""
-    window = row.value.get("window")
+def parse_window(row: Row, field: str) -> int:
+    """Return a window stored in a row; 0 if the row holds anything else."""
+    window = row.value.get(field, 0)
     if type(window) is int:
         return window
     log.error("Row {}/{} holds no window number; assuming 0.", row.table, row.key)
@@ -110,6 +113,9 @@
     oldest_window : int
         Oldest window that may still have rows. Windows before the first value ever
         stored are not reported.
+    first_held : int
+        Window in which the duty was first acquired. Earlier ones are reported only if
+        requests were counted in them.
     """
 
     def __init__(
@@ -125,11 +131,16 @@
         self.metrics = metrics
         self.reported: dict[int, bool] = {}
         self.oldest_window = 0
+        self.first_held = 0
 
     async def load_state(self) -> bool:
         """Load which windows were decided and reported before."""
-        current = self.counter.window_at(self.counter.now())
-        first = Write(REPORTS_TABLE, OLDEST_WINDOW_KEY, {"window": current}, ABSENT)
+        now = self.counter.now()
+        value = {
+            "window": self.counter.window_at(now - FIRST_START_S),
+            "first": self.counter.window_at(now),
+        }
+        first = Write(REPORTS_TABLE, OLDEST_WINDOW_KEY, value, ABSENT)
         outcome = await self.store.commit([first])
         if not isinstance(outcome, (Committed, Conflict)):
             return False
@@ -139,7 +150,8 @@
         self.reported = {}
         for row in rows:
             if row.key == OLDEST_WINDOW_KEY:
-                self.oldest_window = parse_oldest_window(row)
+                self.oldest_window = parse_window(row, "window")
+                self.first_held = parse_window(row, "first")
             elif row.key.isdigit():
                 self.reported[int(row.key)] = row.value.get("told", False)
         return True
@@ -154,13 +166,31 @@
 
     async def run_step(self, lease):
         """Report the oldest window that is due, and remove old rows."""
-        for window in self.due_windows()[:1]:
+        window = await self.next_window()
+        if window is not None:
             report = await self.decide_report(window)
             # The lease is checked last, since the store calls above may take long.
             if report is not None and lease.is_held_for(CALL_TIMEOUT_S):
                 await self.send_report(report, lease)
         await self.remove_old_windows()
 
+    async def next_window(self) -> int | None:
+        """Return the oldest window to report now; None if there is none.
+
+        Windows from before the duty was first acquired are passed over if nothing was
+        counted in them: no process may have run then.
+        """
+        for window in self.due_windows():
+            if window >= self.first_held:
+                return window
+            counts = await self.sum_counts(window)
+            if counts is None:
+                return None
+            if counts:
+                return window
+            self.reported[window] = True
+        return None
+
     async def decide_report(self, window: int) -> Report | None:
         """Return the report of a window as first decided, by any process.
 
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -119,6 +119,32 @@
     run_scenario(scenario)
 
 
+def test_requests_from_before_the_duty_was_first_acquired_are_reported():
+    """Guards against requests that no report contains.
+
+    Processes serve before the duty has its first holder. If a window ended in between,
+    its requests were never reported; windows without any are not reported.
+    """
+
+    async def scenario(world):
+        writer = world.new_writer()
+        writer.counter.count_request("w", world.counter.now())
+        await writer.flush()
+        world.clock.advance(5.5)
+        reporter, lease = world.new_reporter(), world.new_lease()
+        await lease.renew_or_acquire()
+        await reporter.load_state()
+        for _ in range(20):
+            await world.run_step(reporter, lease)
+            world.clock.advance(0.5)
+        assert world.receiver.reports == [
+            (world.window, {"w": 1}, lease.fence),
+            (world.window + 1, {}, lease.fence),
+        ]
+
+    run_scenario(scenario)
+
+
 def test_later_holder_sends_the_report_that_its_predecessor_decided():
     """Guards against two different reports of one window.
 
