--- a/gypsumshift/metrics.py
+++ b/gypsumshift/metrics.py
@@ -1,17 +1,37 @@
-"""Metrics: counters, histograms and gauges, exported with OpenTelemetry."""
+"""Metrics: counters, durations and gauges, exported with OpenTelemetry.
 
-import functools
+`metricsexport.py` holds the export, which is loaded by the first scrape.
+"""
+
+import collections
+import importlib
+import weakref
 from collections.abc import Callable
 
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.resources import Resource
-from prometheus_client import REGISTRY, generate_latest
+import attrs
+
+__all__ = ["Duration", "Metrics", "load_exporter", "scrape"]
+
+# Durations kept until the next scrape: those of ten seconds at 1,000 requests a second.
+# Older ones are dropped, so that a process that nobody scrapes stays small.
+MAX_DURATIONS = 10_000
+
+
+@attrs.frozen
+class Duration:
+    """A duration to be recorded in a histogram.
 
-__all__ = ["Metrics", "scrape"]
+    Attributes
+    ----------
+    name : str
+        Name of the histogram.
+    seconds : float
+    labels : dict
+    """
 
-PREFIX = "gypsumshift"
+    name: str
+    seconds: float
+    labels: dict[str, str]
 
 
 class Metrics:
@@ -23,38 +43,29 @@
         Name of the process.
     read_gauges : callable
         Returns the current values of the process's gauges by name.
+
+    Attributes
+    ----------
+    counters : dict
+        Values by labels, by name.
+    durations : collections.deque of Duration
+        Durations that no scrape has exported yet, the newest `MAX_DURATIONS`.
     """
 
     def __init__(self, process: str, read_gauges: Callable[[], dict[str, float]]):
-        self.reader = PrometheusMetricReader()
-        resource = Resource({"service.name": PREFIX, "service.instance.id": process})
-        self.provider = MeterProvider([self.reader], resource, shutdown_on_exit=False)
-        self.meter = self.provider.get_meter(PREFIX)
-        self.counters: dict[str, dict[tuple, float]] = {}
-        self.histograms = {}
+        self.process = process
         self.read_gauges = read_gauges
-        self.meter.create_observable_gauge(f"{PREFIX}.figure", [self.observe_gauges])
-
-    def observe_gauges(self, options: CallbackOptions):
-        """Yield the gauges for the scrape page."""
-        for name, value in self.read_gauges().items():
-            yield Observation(value, {"figure": name})
+        self.counters: dict[str, dict[tuple, float]] = {}
+        self.durations = collections.deque(maxlen=MAX_DURATIONS)
+        self.exporter = None
+        scraped.add(self)
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add to a counter, which is exported when the scrape page is requested."""
-        if name not in self.counters:
-            self.counters[name] = {}
-            observe = functools.partial(self.observe_counter, name)
-            self.meter.create_observable_counter(f"{PREFIX}.{name}", [observe])
+        counts = self.counters.setdefault(name, {})
         key = tuple(labels.items())
-        counts = self.counters[name]
         counts[key] = counts.get(key, 0) + amount
 
-    def observe_counter(self, name: str, options: CallbackOptions):
-        """Yield the values of a counter for the scrape page."""
-        for labels, value in self.counters[name].items():
-            yield Observation(value, dict(labels))
-
     @property
     def totals(self) -> dict[str, float]:
         """Values of all counters, by name and label values joined with dots."""
@@ -65,17 +76,34 @@
         }
 
     def record_duration(self, name: str, seconds: float, **labels: str) -> None:
-        """Record a duration in a histogram."""
-        if name not in self.histograms:
-            instrument = self.meter.create_histogram(f"{PREFIX}.{name}", unit="s")
-            self.histograms[name] = instrument
-        self.histograms[name].record(seconds, labels)
+        """Record a duration, which goes into a histogram at the next scrape."""
+        self.durations.append(Duration(name, seconds, labels))
 
     def close(self) -> None:
         """Shut down, which removes this process's metrics from the scrape page."""
-        self.provider.shutdown()
+        scraped.discard(self)
+        if self.exporter is not None:
+            self.exporter.close()
+
+
+# Metrics on the scrape page.
+scraped: weakref.WeakSet[Metrics] = weakref.WeakSet()
+
+
+def load_exporter():
+    """Load the export and return its module; call it in a thread before a scrape.
+
+    Otherwise the first scrape blocks the event loop for as long as the SDK loads, which
+    is 0.4 s on a host with a third of a core.
+    """
+    return importlib.import_module("gypsumshift.metricsexport")
 
 
 def scrape() -> bytes:
     """Return the scrape page of this process in the Prometheus text format."""
-    return generate_latest(REGISTRY)
+    metricsexport = load_exporter()
+    for metrics in list(scraped):
+        if metrics.exporter is None:
+            metrics.exporter = metricsexport.MetricsExporter(metrics)
+        metrics.exporter.update()
+    return metricsexport.generate_page()
