Test evacuated zones from end to end, each with and without its mechanism

Change: a cluster with several gateways and zones on the stand-ins; the stand-in of a server records its last arrival. Of an order and a table of the same version that does not contain it, the table is in force.

--- a/gypsumshift/serving/evacuations.py
+++ b/gypsumshift/serving/evacuations.py
@@ -46,6 +46,15 @@
     evacuated: bool
     known_at: float
 
+    @property
+    def rank(self) -> tuple[int, bool]:
+        """Sort key: of two orders, the higher one is in force.
+
+        A table that does not contain a row of its own version was read after the row
+        had been removed.
+        """
+        return (self.version, not self.evacuated)
+
 
 class Evacuations:
     """Orders to evacuate availability zones, as this process knows them.
@@ -143,7 +152,7 @@
             Where the order comes from, for the log.
         """
         known = self.orders.get(zone)
-        if known is not None and version <= known.version:
+        if known is not None and (version, not evacuated) <= known.rank:
             return
         if known is None and len(self.orders) >= MAX_ZONES and not self.make_room():
             log.error("Evacuation of zone {} ignored: too many are known.", zone)
@@ -247,7 +256,8 @@
         return {
             zone: order
             for zone, order in self.orders.items()
-            if order.evacuated or zone in self.reported_until
+            if len(zone) <= MAX_ZONE_LENGTH
+            and (order.evacuated or zone in self.reported_until)
         }
 
     def gauges(self) -> dict[str, float]:
--- a/standins/users_worker.py
+++ b/standins/users_worker.py
@@ -8,6 +8,7 @@
 import base64
 import hashlib
 import json
+import math
 import os
 import random
 import time
@@ -106,6 +107,11 @@
         Further slowdown, which ``PUT /slowdown`` sets.
     reports_pace : bool
         Whether its load has the pace as a fourth figure.
+    zone : str
+        Availability zone in its entry.
+    last_arrival : float
+        Monotonic time of the last request that it did not answer with 421, reports
+        included; minus infinity before the first.
     """
 
     def __init__(self, service, models=(), slots=6, events=4, pause=0.02):
@@ -133,6 +139,8 @@
         self.host_pace: HostPace = SteadyPace()
         self.slowdown = 1.0
         self.reports_pace = False
+        self.zone = "here"
+        self.last_arrival = -math.inf
         self.slot_freed = asyncio.Condition()
         self.server = HttpServer(self.serve)
 
@@ -154,9 +162,11 @@
         if request.path == "/slowdown":
             self.slowdown = float(request.body)
             return Response(200)
+        expected_id = request.header("expect-instance")
+        if not expected_id or expected_id == self.id:
+            self.last_arrival = time.monotonic()
         if request.path == "/gypsumshift/report":
             return json_response(200, self.report())
-        expected_id = request.header("expect-instance")
         if expected_id and expected_id != self.id:
             return Response(421, [("instance-id", self.id)])
         if request.path == "/gypsumshift/order":
@@ -297,7 +307,7 @@
             "cold_left_ms": 0,
             "service": self.service,
             "addr": address,
-            "zone": "here",
+            "zone": self.zone,
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
