--- a/gypsumshift/serving/evacuations.py
+++ b/gypsumshift/serving/evacuations.py
@@ -81,6 +81,10 @@
         Monotonic time of the last request that this process sent, by zone.
     count_running : callable or None
         Returns how many items run in the zone of this process's engine.
+    reported_until : dict
+        Monotonic time until which digests contain the end of an evacuation, by zone.
+    last_return_at : float
+        Monotonic time at which the end of an evacuation was last received.
     on_begin, on_return : list of callable
         Called with the name of a zone when its evacuation begins or ends.
     on_change : list of callable
@@ -99,6 +103,7 @@
         self.on_return: list[Callable[[str], None]] = []
         self.on_change: list[Callable[[], None]] = []
         self.reported_until: dict[str, float] = {}
+        self.last_return_at = -math.inf
 
     def accepts(self, zone: str) -> bool:
         """Return whether requests may be sent to the servers of a zone."""
@@ -195,6 +200,7 @@
     def end(self, zone: str, order: ZoneOrder, known: ZoneOrder, source: str) -> None:
         """End an evacuation."""
         self.zones.discard(zone)
+        self.last_return_at = self.clock.monotonic()
         self.reported_until[zone] = self.clock.monotonic() + END_REPORT_SECONDS
         logs.event(
             log,
@@ -220,11 +226,7 @@
 
     def returned_within(self, seconds: float) -> bool:
         """Return whether an evacuation ended within the last seconds."""
-        horizon = self.clock.monotonic() - seconds
-        return any(
-            order.known_at > horizon and not order.evacuated
-            for order in self.orders.values()
-        )
+        return self.clock.monotonic() - self.last_return_at < seconds
 
     def merge_report(
         self, zone: str, version: int, evacuated: bool, age: float
