Leave the items of a job to the region that accepted it as long as it has room

Cause: any idle engine claimed any unit, so that prompts and outputs crossed regions. Plans count on the engines of the region only. Homes that exclude the region end the preference. Conclusion: rows without a region, and deployments of one region, are claimed as before.

--- a/gypsumshift/agentnode.py
+++ b/gypsumshift/agentnode.py
@@ -6,11 +6,13 @@
 from gypsumshift.jobs.agent import Agent
 from gypsumshift.jobs.engine import EngineClient
 from gypsumshift.jobs.heartbeatwriter import STORE_WRITES
+from gypsumshift.jobs.jobregions import JobRegions
 from gypsumshift.jobs.liveness import NO_PROBE, LivenessProbe
 from gypsumshift.jobs.localengine import AgentIdentity
 from gypsumshift.lifecycle import Node
 from gypsumshift.places import ONE_REGION, Layout
 from gypsumshift.policy import DEFAULT_POLICY, Policy
+from gypsumshift.residency import ResidencyRules
 from gypsumshift.serving.admissiongate import new_admission_gate
 from gypsumshift.serving.crashguard import CrashGuard
 from gypsumshift.serving.demand import DemandTable
@@ -101,6 +103,8 @@
         residency = sender.residency
         self.agent.tracker.may_hold = residency.may_hold
         self.agent.planner.may_run = residency.may_run
+        if layout.has_regions:
+            self.prefer_job_regions(residency)
         # The faster engine may be outside the homes.
         self.agent.unit_migrator.may_migrate = lambda job: (
             not residency.of_job(job).is_restricted
@@ -108,6 +112,15 @@
         limiter = self.agent.runner.item_runner.reward_limiter
         limiter.usable_slots = self.balancer.usable_slots
 
+    def prefer_job_regions(self, residency: ResidencyRules) -> None:
+        """Let the agent leave units to the regions of their jobs."""
+        agent = self.agent
+        regions = JobRegions(residency, agent.peers, self.clock)
+        agent.tracker.regions = regions
+        agent.planner.may_run = lambda job, engine: (
+            residency.may_run(job, engine) and regions.may_be_planned(job, engine)
+        )
+
     def background_tasks(self):
         """Return the coroutines of the agent and of the crash guard."""
         return [self.agent.run(), self.guard.run()]
--- a/gypsumshift/jobs/claimtracker.py
+++ b/gypsumshift/jobs/claimtracker.py
@@ -13,6 +13,7 @@
 from gypsumshift.clock import Clock
 from gypsumshift.jobs.assignment import StepPlan
 from gypsumshift.jobs.capacity import FreeCapacity
+from gypsumshift.jobs.jobregions import JobRegions
 from gypsumshift.jobs.openjob import Candidate, OpenJob, StoredClaim
 from gypsumshift.jobs.peers import HolderState, Peers
 from gypsumshift.jobs.records import (
@@ -75,6 +76,8 @@
         `Candidate` by job and unit, of the claims that were sent and not answered yet.
     may_hold : callable
         Returns whether this process may read the bodies of a job; see `residency`.
+    regions : JobRegions or None
+        Leaves units to the region of their job; None in a deployment of one region.
     """
 
     def __init__(self, session: str, clock: Clock, chance: random.Random, peers: Peers):
@@ -88,6 +91,7 @@
         self.groups_by_job: dict[str, set[str]] = {}
         self.pending_claims: dict[tuple[str, str], Candidate] = {}
         self.may_hold: Callable[[Job], bool] = lambda job: True
+        self.regions: JobRegions | None = None
 
     def apply_job_rows(self, rows: list[Row]) -> list[Job]:
         """Apply rows of the table of jobs; return the jobs that are new."""
@@ -275,6 +279,8 @@
             found_class = claim_class(open_job)
             if not self.may_run(open_job, models, versions):
                 continue
+            if self.is_left_to_region(open_job):
+                continue
             silent: list[Candidate] = []
             plan = self.make_plan(open_job, capacity, plan_job)
             limit = plan.choices if plan else MAX_CANDIDATES
@@ -304,18 +310,30 @@
             return True
         return self.clock.monotonic() - open_job.first_seen_at >= STEAL_AFTER
 
+    def is_left_to_region(self, open_job: OpenJob) -> bool:
+        """Return whether the engines of a job's region have room for all its items."""
+        if self.regions is None or not self.regions.is_foreign(open_job.job):
+            return False
+        waiting = sum(
+            len(unit.items)
+            for unit in open_job.order
+            if self.is_free(open_job.claims.get(unit.key))
+        )
+        return self.regions.leaves_to_region(open_job, waiting)
+
     def claim_class(
         self,
         models: Collection[str],
         step_ranks: Mapping[str, int],
         open_job: OpenJob,
-    ) -> tuple[int, bool]:
+    ) -> tuple[int, bool, bool]:
         """Return the class of a job; units of a lower class are claimed first."""
-        if not step_ranks:
-            return (0, False)
         job = open_job.job
+        foreign = self.regions is not None and self.regions.is_foreign(job)
+        if not step_ranks:
+            return (0, False, foreign)
         other_model = bool(job.model) and job.model not in models
-        return (step_ranks.get(job.id, 0), other_model)
+        return (step_ranks.get(job.id, 0), other_model, foreign)
 
     def make_plan(
         self, open_job: OpenJob, capacity: FreeCapacity, plan_job: PlanJob
