--- a/gypsumshift/jobs/unitrunner.py
+++ b/gypsumshift/jobs/unitrunner.py
@@ -187,12 +187,27 @@
             claim_version=version,
             weights=self.local_engine.versions.get(job.model, 0),
         )
+        self.log_foreign_job(job)
         self.metrics.count("claims", taken_over=str(candidate.taken_over).lower())
         work = self.load_unit(unit, candidate.taken_over)
         task = asyncio.create_task(work)
         task.add_done_callback(lambda ended: self.check_task(unit, ended))
         unit.tasks[""] = task
 
+    def log_foreign_job(self, job: Job) -> None:
+        """Log that a unit is claimed whose job was accepted in another region."""
+        regions = self.tracker.regions
+        if regions is None or not regions.is_foreign(job):
+            return
+        self.metrics.count("claims_across_regions")
+        logs.event(
+            log,
+            "Items of a batch job run in another region, since its own has no room.",
+            job=job.id,
+            source=job.region,
+            destination=regions.layout.own.region,
+        )
+
     async def load_unit(self, unit: UnitRun, taken_over: bool) -> None:
         """Read the items of a unit and start those without a result."""
         row = await self.read_unit(unit)
--- a/gypsumshift/serving/regionchoice.py
+++ b/gypsumshift/serving/regionchoice.py
@@ -4,8 +4,10 @@
 than the error of the estimates, or if the own one seems to be lost.
 """
 
+import math
 from collections.abc import Callable
 
+from gypsumshift import logs
 from gypsumshift.places import Layout
 from gypsumshift.roundtrips import RoundTrips
 from gypsumshift.serving.directory import BackendServer, ServerStart
@@ -30,6 +32,56 @@
 ServerCost = Callable[[BackendServer], float]
 
 
+# Reasons for which calls leave the region.
+EARLIER = "another region is earlier by more than the error of the estimate"
+LOST = "servers of the own region accept no connections"
+NONE_LEFT = "no server of the own region is left, or may serve the call"
+# Seconds between two log lines of one reason.
+LOG_PERIOD_S = 1.0
+
+log = logs.logger("regions")
+
+
+class CrossingLog:
+    """Logs that calls are sent to other regions, once a second for each reason.
+
+    Parameters
+    ----------
+    layout : Layout
+
+    Attributes
+    ----------
+    logged_at : dict
+        Monotonic time of the last line by service, region and reason.
+    counts : dict
+        Calls since that line.
+    """
+
+    def __init__(self, layout: Layout):
+        self.layout = layout
+        self.logged_at: dict[tuple[str, str, str], float] = {}
+        self.counts: dict[tuple[str, str, str], int] = {}
+
+    def record(self, server: BackendServer, reason: str, now: float) -> None:
+        """Record that a server of another region was chosen."""
+        region = self.layout.region_of(server.zone)
+        key = (server.service, region, reason)
+        count = self.counts[key] = self.counts.get(key, 0) + 1
+        if now - self.logged_at.get(key, -math.inf) < LOG_PERIOD_S:
+            return
+        self.logged_at[key] = now
+        self.counts[key] = 0
+        logs.event(
+            log,
+            "Calls are sent to another region.",
+            service=server.service,
+            source=self.layout.own.region,
+            destination=region,
+            reason=reason,
+            calls=count,
+        )
+
+
 class RegionChoice:
     """Chooses between regions for one process.
 
@@ -43,17 +95,25 @@
     unconnected : dict
         Monotonic time by server of the own region, of failures to connect since a
         server of the region answered.
+    log : CrossingLog
     """
 
     def __init__(self, layout: Layout, round_trips: RoundTrips):
         self.layout = layout
         self.round_trips = round_trips
         self.unconnected: dict[ServerStart, float] = {}
+        self.log = CrossingLog(layout)
 
     def record_unconnected(self, server: BackendServer, now: float) -> None:
         """Record that no connection to a server opened in time."""
-        if self.layout.has_regions and not self.layout.is_other_region(server.zone):
-            self.unconnected[server.start] = now
+        if not self.layout.has_regions or self.layout.is_other_region(server.zone):
+            return
+        self.unconnected = {
+            start: at
+            for start, at in self.unconnected.items()
+            if now - at < LOST_PAUSE_S
+        }
+        self.unconnected[server.start] = now
 
     def record_answer(self, server: BackendServer) -> None:
         """Record that a server answered."""
@@ -62,6 +122,8 @@
 
     def is_lost(self, near: list[BackendServer], now: float) -> bool:
         """Return whether the own region seems to be lost, given its servers."""
+        if not near:
+            return True
         recent = [at for at in self.unconnected.values() if now - at < LOST_PAUSE_S]
         return len(recent) >= min(LOST_SERVERS, len(near))
 
@@ -91,21 +153,20 @@
         """
         near = [s for s in servers if not self.layout.is_other_region(s.zone)]
         far = [s for s in servers if self.layout.is_other_region(s.zone)]
-        if not near or not far:
-            return near or self.nearest(far, cost, usual, has_idle)
-        if self.is_lost(near, now):
-            return self.nearest(far, cost, usual, has_idle)
-        time_near = min(map(cost, near))
+        if not far:
+            return near
+        time_near = min(map(cost, near), default=math.inf)
+        is_lost = self.is_lost(near, now)
         # A server of another region takes one service time and the round trip at least.
-        if not is_earlier(1.0, time_near):
+        if not is_lost and not is_earlier(1.0, time_near):
             return near
-        best = self.nearest(far, cost, usual, has_idle)
-        time_far = self.far_time(best[0], cost, usual, has_idle)
-        return best if is_earlier(time_far, time_near) else near
-
-    def nearest(self, far, cost: ServerCost, usual: float, has_idle):
-        """Return the server of other regions with the shortest expected time."""
-        return [min(far, key=lambda s: self.far_time(s, cost, usual, has_idle))]
+        best = min(far, key=lambda s: self.far_time(s, cost, usual, has_idle))
+        time_far = self.far_time(best, cost, usual, has_idle)
+        if not is_lost and not is_earlier(time_far, time_near):
+            return near
+        reason = EARLIER if near and not is_lost else LOST if near else NONE_LEFT
+        self.log.record(best, reason, now)
+        return [best]
 
     def far_time(
         self, server: BackendServer, cost: ServerCost, usual: float, has_idle
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -292,6 +292,11 @@
 
         started = self.clock.monotonic()
         self.round_trips.note_address(server.address, server.zone)
+        if self.balancer.layout.has_regions:
+            distance = self.balancer.layout.distance_to(server.zone).label
+            self.metrics.count(
+                "sends_by_distance", service=server.service, distance=distance
+            )
 
         def may_send() -> bool:
             if not self.residency.may_send(call, server):
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -303,6 +303,9 @@
     def not_opened_outcome(self, state: RelayState) -> NotRun | Unknown:
         """Return the outcome of a stream that is not opened at another server."""
         blocked = self.blocked_reason(state)
+        if blocked == NO_HOME_SERVER:
+            route = state.call.route.name
+            self.sender.metrics.count("residency_refusals", route=route)
         reason = blocked or "no backend server accepted the stream"
         if state.runs:
             return Unknown(reason)
--- a/tests/test_region_choice.py
+++ b/tests/test_region_choice.py
@@ -9,11 +9,12 @@
 
 from gypsumshift.places import ONE_REGION, new_layout
 from gypsumshift.roundtrips import MAX_ROUND_TRIP_S, RoundTrips
-from gypsumshift.serving import BackendServer, ServerLoad
+from gypsumshift.serving import BackendServer, ServerLoad, regionchoice
 from gypsumshift.serving.loadbalancer import LoadBalancer
 from gypsumshift.serving.regionchoice import LOST_PAUSE_S, RegionChoice
 from gypsumshift.serving.sender import CONNECT_HEDGE_SECONDS, connect_hedge_s
 from tests.builders import ManualClock
+from tests.job_builders import METRICS
 from tests.load_builders import make_load
 from tests.region_builders import ZONES, make_layout
 from tests.region_fleet import RegionFleet, far_share, percentile
@@ -297,3 +298,40 @@
     plain, plain_clock = make_balancer(seed=seed, kind=BalancerWithoutRegions)
     assert decisions(balancer, clock, events) == decisions(plain, plain_clock, events)
     assert not balancer.regions.unconnected
+
+
+def test_calls_to_another_region_are_logged_once_a_second_with_their_reason(
+    monkeypatch,
+):
+    lines = []
+    monkeypatch.setattr(
+        regionchoice.logs, "event", lambda log, text, **fields: lines.append(fields)
+    )
+    balancer, clock = make_balancer()
+    far = servers()[1]
+    for _ in range(5):
+        balancer.choose([far], set())
+    clock.advance(1.0)
+    balancer.choose([far], set())
+    assert [line["calls"] for line in lines] == [1, 5]
+    assert {line["reason"] for line in lines} == {regionchoice.NONE_LEFT}
+    assert (lines[0]["source"], lines[0]["destination"]) == ("north", "south")
+
+
+def test_sends_are_counted_by_distance_class():
+    async def scenario():
+        world = RegionWorld()
+        counted = {}
+        before = dict(METRICS.totals)
+        await world.call("near", "/safe/")
+        world.directory.set_routes(make_routes(2, {"/safe/": ("south",)}))
+        await world.call("far", "/safe/")
+        world.directory.set_routes(make_routes(3, {"/safe/": ("nowhere",)}))
+        await world.call("refused", "/safe/")
+        for name, value in METRICS.totals.items():
+            counted[name] = value - before.get(name, 0)
+        assert counted["sends_by_distance.app.same_zone"] == 1
+        assert counted["sends_by_distance.app.other_region"] == 1
+        assert counted["residency_refusals./safe/"] == 1
+
+    run_in_virtual_time(scenario)
