Make look-ups in the directory once for each change of it

Cause: each call, claim look and engine check scanned and sorted all listed servers, and each renewal of an entry (one per server every 0.6 s) counted as a change of the directory. In samples of an agent's stacks LocalEngine.server, ready_servers and ServerStart took about 6 % of its Python time.

Change: ready_servers, ready_engines and the entries of the agent's own engine are made once for each revision of the directory. An entry equal to the known one is no change. The identity of a server's start is made once.

Conclusion: look-ups cost nothing between changes; a filter belongs into ready_servers and ready_engines, with a call of notify_changed when its state changes.

--- a/gypsumshift/jobs/localengine.py
+++ b/gypsumshift/jobs/localengine.py
@@ -55,6 +55,8 @@
         Start of the engine that sent it.
     replaced_starts : set of ServerStart
         Starts of the engine that no longer run at its address.
+    entries : list of BackendServer
+        Result of `find_entries` at the directory's revision `entries_revision`.
     """
 
     def __init__(
@@ -72,19 +74,33 @@
         self.reported_at = float("-inf")
         self.reported_start: ServerStart | None = None
         self.replaced_starts: set[ServerStart] = set()
+        self.entries: list[BackendServer] = []
+        self.entries_revision = -1
 
     @property
     def server(self) -> BackendServer | None:
         """Directory entry of the engine; None while it is not listed or not ready."""
-        # Newest entry first: a restarted engine has a second entry until its first
-        # one expires.
-        for server in reversed(self.directory.servers.values()):
-            here = server.address == self.identity.address
-            own = here and server.service == self.identity.service
-            if own and server.ready and server.start not in self.replaced_starts:
+        if self.directory.revision != self.entries_revision:
+            self.entries = self.find_entries()
+            self.entries_revision = self.directory.revision
+        for server in self.entries:
+            if server.start not in self.replaced_starts:
                 return server
         return None
 
+    def find_entries(self) -> list[BackendServer]:
+        """Return the ready entries at the engine's address, the newest first.
+
+        A restarted engine has a second entry until its first one expires.
+        """
+        return [
+            server
+            for server in reversed(self.directory.servers.values())
+            if server.address == self.identity.address
+            and server.service == self.identity.service
+            and server.ready
+        ]
+
     @property
     def healthy(self) -> bool:
         """Whether the engine is listed and has reported recently."""
--- a/gypsumshift/serving/directory.py
+++ b/gypsumshift/serving/directory.py
@@ -24,7 +24,8 @@
 log = logs.logger("directory")
 
 
-@attrs.frozen(order=True)
+# The hash is cached, since starts are the keys of all state about servers.
+@attrs.frozen(order=True, cache_hash=True)
 class ServerStart:
     """Identity of one start of a backend server.
 
@@ -63,6 +64,8 @@
         Weight version by model, as last reported to the platform.
     born : int
         See `ServerStart`.
+    listed_start : ServerStart
+        The value of `start`, made once.
     """
 
     id: str
@@ -73,11 +76,19 @@
     ready: bool = True
     models: dict[str, int] = attrs.field(factory=dict, hash=False)
     born: int = 0
+    listed_start: ServerStart = attrs.field(
+        init=False,
+        eq=False,
+        repr=False,
+        default=attrs.Factory(
+            lambda server: ServerStart(server.id, server.born), takes_self=True
+        ),
+    )
 
     @property
     def start(self) -> ServerStart:
         """Identity of this start of the server."""
-        return ServerStart(self.id, self.born)
+        return self.listed_start
 
 
 class Directory:
@@ -101,6 +112,11 @@
         server id.
     changed : asyncio.Event
         Set, and replaced by a new one, at each change.
+    revision : int
+        Number of changes so far; results derived from the directory stay valid while it
+        is the same.
+    ready_by_service : dict
+        Results of `ready_servers` at this revision, by service.
     """
 
     def __init__(self):
@@ -112,9 +128,15 @@
         self.on_restart: list[Callable[[BackendServer], None]] = []
         self.missing: dict[str, float] = {}
         self.changed = asyncio.Event()
+        self.revision = 0
+        self.ready_by_service: dict[str, list[BackendServer]] = {}
+        self.all_ready_engines: list[BackendServer] | None = None
 
     def notify_changed(self) -> None:
-        """Wake the tasks that wait for a change."""
+        """Wake the tasks that wait for a change, and discard results derived before."""
+        self.revision += 1
+        self.ready_by_service = {}
+        self.all_ready_engines = None
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -148,6 +170,9 @@
         self.remember_start(server)
         self.servers[server.id] = server
         self.missing.pop(server.id, None)
+        # Servers renew their entries every 0.6 s, almost always without a change.
+        if old != server:
+            self.notify_changed()
         if restarted:
             self.replace_start(old, server)
         if old is None or restarted or old.ready != server.ready:
@@ -159,7 +184,6 @@
                 address=server.address,
                 ready=server.ready,
             )
-        self.notify_changed()
 
     def remember_start(self, server: BackendServer) -> None:
         """Remember the newest start of a server id, evicting the oldest records."""
@@ -181,6 +205,7 @@
         # Keep the newest entry last in the table.
         self.servers.pop(new.id)
         self.servers[new.id] = new
+        self.notify_changed()
         for callback in self.on_restart:
             callback(old)
 
@@ -222,12 +247,24 @@
             self.notify_changed()
 
     def ready_servers(self, name: str) -> list[BackendServer]:
-        """Return the ready backend servers of a service, sorted by id."""
-        found = [s for s in self.servers.values() if s.service == name and s.ready]
-        return sorted(found, key=lambda server: server.id)
+        """Return the ready backend servers of a service, sorted by id.
+
+        The list is shared between callers until the directory changes. Calls and checks
+        of work ask for it many times a second.
+        """
+        found = self.ready_by_service.get(name)
+        if found is None:
+            found = [s for s in self.servers.values() if s.service == name and s.ready]
+            found.sort(key=lambda server: server.id)
+            self.ready_by_service[name] = found
+        return found
 
     def ready_engines(self) -> list[BackendServer]:
-        """Return the ready model engines of all services."""
-        services = self.routes.services
-        engine = {name for name, service in services.items() if service.engine}
-        return [s for s in self.servers.values() if s.ready and s.service in engine]
+        """Return the ready model engines of all services, in a shared list."""
+        if self.all_ready_engines is None:
+            services = self.routes.services
+            engine = {name for name, service in services.items() if service.engine}
+            self.all_ready_engines = [
+                s for s in self.servers.values() if s.ready and s.service in engine
+            ]
+        return self.all_ready_engines
