--- a/gypsumshift/memory.py
+++ b/gypsumshift/memory.py
@@ -99,19 +99,22 @@
 
     async def changes(self, table, after, wait):
         """Return the changes after a version, waiting up to ``wait`` for the first."""
-        rows = self.changed_rows(table, after)
-        if not rows and after >= self.dropped_through:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(wait.total_seconds()):
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait.total_seconds()):
+                # Changes of other tables wake the feed but do not end its wait.
+                while after >= self.dropped_through:
+                    if self.changed_rows(table, after):
+                        break
                     await self.changed.wait()
-            rows = self.changed_rows(table, after)
+        rows = self.changed_rows(table, after)
         if after < self.dropped_through:
             return HistoryLost()
         return Changes(rows, self.version)
 
     def changed_rows(self, table: str, after: int) -> list[Row]:
         """Return the changes of a table after a version."""
-        return [r for r in self.history if r.table == table and r.version > after]
+        first = bisect.bisect_right(self.history, after, key=lambda row: row.version)
+        return [r for r in self.history[first:] if r.table == table]
 
     async def snapshot(self, table, after=0):
         """Return the rows of all parts and the version at which changes continue."""
