--- a/gypsumshift/serving/evacuations.py
+++ b/gypsumshift/serving/evacuations.py
@@ -88,7 +88,7 @@
     on_begin, on_return : list of callable
         Called with the name of a zone when its evacuation begins or ends.
     on_change : list of callable
-        Called after either.
+        Called without arguments before either.
     """
 
     def __init__(self, clock: Clock | None = None):
@@ -214,11 +214,11 @@
         self.notify(self.on_return, zone)
 
     def notify(self, callbacks: list[Callable[[str], None]], zone: str) -> None:
-        """Call the callbacks of a change."""
-        for callback in callbacks:
-            callback(zone)
+        """Call the callbacks of a change, first those that discard derived data."""
         for changed in self.on_change:
             changed()
+        for callback in callbacks:
+            callback(zone)
 
     def seconds_since(self, at: float) -> float | None:
         """Return the seconds since a monotonic time; None if it is unknown."""
