--- a/gypsumshift/agentnode.py
+++ b/gypsumshift/agentnode.py
@@ -14,6 +14,7 @@
 from gypsumshift.policy import DEFAULT_POLICY, Policy
 from gypsumshift.residency import ResidencyRules
 from gypsumshift.serving.admissiongate import new_admission_gate
+from gypsumshift.serving.coldrates import ColdRates
 from gypsumshift.serving.crashguard import CrashGuard
 from gypsumshift.serving.demand import DemandTable
 from gypsumshift.serving.forwarder import Forwarder
@@ -81,6 +82,7 @@
         if layout.has_regions:
             fetcher.on_connect = self.balancer.round_trips.record_connection
         sender = Sender(directory, self.balancer, fetcher, names, clock, metrics)
+        self.sender = sender
         self.demand = DemandTable(identity.name, clock)
         gate = new_admission_gate(sender, self.demand, chance, policy)
         forwarder = Forwarder(sender, self.guard, policy, gate)
@@ -122,6 +124,13 @@
             residency.may_run(job, engine) and regions.may_be_planned(job, engine)
         )
 
+    def limit_cold_rates(self, cold_rates: ColdRates) -> None:
+        """Limit the items, orders and reward calls to servers that just started."""
+        self.cold_rates = self.sender.cold_rates = cold_rates
+        self.balancer.permitted = cold_rates.permitted
+        local_engine = self.agent.local_engine
+        local_engine.cold_rates = local_engine.client.cold_rates = cold_rates
+
     def background_tasks(self):
         """Return the coroutines of the agent and of the crash guard."""
         return [self.agent.run(), self.guard.run()]
--- a/gypsumshift/jobs/localengine.py
+++ b/gypsumshift/jobs/localengine.py
@@ -5,6 +5,7 @@
 from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.jobs.engine import EngineClient, EngineReport
+from gypsumshift.serving.coldrates import ColdRates
 from gypsumshift.serving.directory import BackendServer, Directory, ServerStart
 from gypsumshift.serving.routes import EngineLimits
 
@@ -57,6 +58,8 @@
         Starts of the engine that no longer run at its address.
     entries : list of BackendServer
         Result of `find_entries` at the directory's revision `entries_revision`.
+    cold_rates : ColdRates or None
+        Limits the requests to the engine while it is cold.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         self.replaced_starts: set[ServerStart] = set()
         self.entries: list[BackendServer] = []
         self.entries_revision = -1
+        self.cold_rates: ColdRates | None = None
 
     @property
     def server(self) -> BackendServer | None:
@@ -154,7 +158,13 @@
         server = self.server
         if server is None or self.is_evacuated:
             return None
+        asked_at = self.clock.monotonic()
         report = await self.client.fetch_report(server)
+        if self.cold_rates is not None:
+            if report is None:
+                self.cold_rates.note_broken(server)
+            else:
+                self.cold_rates.note_report(server, report.born, asked_at)
         if report is None or not self.is_current(report, self.server):
             return None
         self.reported_start = self.server.start
--- a/gypsumshift/serving/directory.py
+++ b/gypsumshift/serving/directory.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import datetime
 from collections.abc import Callable
 
 import attrs
@@ -68,6 +69,8 @@
         See `ServerStart`.
     listed_start : ServerStart
         The value of `start`, made once.
+    cold_left : timedelta
+        Time for which the server was still cold when it wrote its entry.
     """
 
     id: str
@@ -86,6 +89,9 @@
             lambda server: ServerStart(server.id, server.born), takes_self=True
         ),
     )
+    cold_left: datetime.timedelta = attrs.field(
+        default=datetime.timedelta(), eq=False, repr=False
+    )
 
     @property
     def start(self) -> ServerStart:
@@ -114,6 +120,8 @@
         Newest reported start time (`ServerStart.born`) by server id.
     on_restart : list of callable
         Called with the old start of a backend server that started again.
+    on_entry : list of callable
+        Called with each entry of a backend server that is added or updated.
     missing : dict
         Monotonic time at which to remove a backend server whose entry may come back, by
         server id.
@@ -137,6 +145,7 @@
         self.newest_versions: dict[str, int] = {}
         self.newest_starts: dict[str, int] = {}
         self.on_restart: list[Callable[[BackendServer], None]] = []
+        self.on_entry: list[Callable[[BackendServer], None]] = []
         self.missing: dict[str, float] = {}
         self.changed = asyncio.Event()
         self.evacuations = Evacuations(clock)
@@ -184,6 +193,8 @@
         self.remember_start(server)
         self.servers[server.id] = server
         self.missing.pop(server.id, None)
+        for callback in self.on_entry:
+            callback(server)
         # Servers renew their entries every 0.6 s, almost always without a change.
         if old != server:
             self.notify_changed()
--- a/gypsumshift/serving/evacuations.py
+++ b/gypsumshift/serving/evacuations.py
@@ -14,7 +14,10 @@
 from gypsumshift.clock import Clock, SystemClock
 from gypsumshift.digests import DigestSection
 
-__all__ = ["EvacuationSection", "Evacuations", "ZoneOrder"]
+__all__ = ["ZONE_EVACUATED", "EvacuationSection", "Evacuations", "ZoneOrder"]
+
+# Reason of a request that was not sent because of an evacuation.
+ZONE_EVACUATED = "the server's availability zone is evacuated"
 
 # Time for which digests contain the end of an evacuation. Exchanges with processes of
 # another zone take place every 10 s on average.
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -26,21 +26,21 @@
     Failed,
     Refused,
 )
+from gypsumshift.serving.coldrates import SERVER_COLD, ColdRates, SendCheck
 from gypsumshift.serving.directory import BackendServer, Directory
+from gypsumshift.serving.evacuations import ZONE_EVACUATED
 from gypsumshift.serving.headers import HOP_BY_HOP, HeaderNames
 from gypsumshift.serving.liveness import is_gone
 from gypsumshift.serving.loadbalancer import LoadBalancer
 from gypsumshift.serving.responses import (
+    MISDIRECTED,
     end_to_end_headers,
     mismatched_request_id,
     parse_refusal,
 )
 from gypsumshift.usage import UsageCounter
 
-__all__ = ["ZONE_EVACUATED", "Sender", "connect_hedge_s"]
-
-# Reason of a request that was not sent because of an evacuation.
-ZONE_EVACUATED = "the server's availability zone is evacuated"
+__all__ = ["Sender", "connect_hedge_s"]
 
 # Timeout to open a connection inside a region, where a round trip takes 3 ms. It is
 # long enough for a host whose link is saturated, and a server that does not answer
@@ -51,7 +51,6 @@
 # of the request was sent, so the second server costs no work.
 CONNECT_HEDGE_SECONDS = 0.03
 
-
 log = logs.logger("sender")
 
 
@@ -73,6 +72,8 @@
     ----------
     residency : ResidencyRules
         Decides to which servers a call may be sent.
+    cold_rates : ColdRates or None
+        Limits the requests to servers that have just started.
     """
 
     def __init__(self, directory, balancer, fetcher, names, clock, metrics, usage=None):
@@ -85,6 +86,7 @@
         self.usage: UsageCounter | None = usage
         self.residency = ResidencyRules(directory, balancer.layout)
         self.round_trips = balancer.round_trips
+        self.cold_rates: ColdRates | None = None
 
     async def attempt(
         self,
@@ -183,7 +185,7 @@
             call.failed_before = call.failed_before or isinstance(outcome, Answered)
             servers = self.directory.ready_servers(server.service)
             if gone:
-                self.balancer.record_gone(server)
+                self.record_gone(server)
             ejected = gone or self.balancer.record_failure(server, servers)
             reason = getattr(outcome, "reason", "") or f"status {outcome.status}"
             logs.event(
@@ -244,7 +246,10 @@
         if not self.directory.accepts_requests(server):
             self.metrics.count("evacuated_sends", service=server.service)
             return Refused(ZONE_EVACUATED)
-        return Refused(OUTSIDE_HOMES if call.grant.is_valid else KEY_NOT_CONFIRMED)
+        if not call.grant.is_valid:
+            return Refused(KEY_NOT_CONFIRMED)
+        in_homes = self.residency.may_send(call, server)
+        return Refused(SERVER_COLD if in_homes else OUTSIDE_HOMES)
 
     def reject_answer(self, call: Call, error: AnswerTooLarge) -> Failed:
         """Return the outcome of an answer that does not fit into the memory budget."""
@@ -303,6 +308,7 @@
             self.metrics.count(
                 "sends_by_distance", service=server.service, distance=distance
             )
+        check = self.send_check(server, call)
 
         def may_send() -> bool:
             if not self.residency.may_send(call, server):
@@ -310,22 +316,45 @@
             if progress is not None:
                 progress.connected = True
                 progress.connected_after_s = self.clock.monotonic() - started
-            return call.grant.is_valid and self.directory.begin_send(server)
+            if not call.grant.is_valid or not self.directory.begin_send(server):
+                return False
+            return check is None or check()
 
         if not self.directory.accepts_requests(server):
             raise RequestWithheld
-        return await self.fetcher.open(
-            server.address,
-            call.method,
-            call.target,
-            fields,
-            call.body,
-            fresh=fresh,
-            host=call.host,
-            connect_timeout=CONNECT_TIMEOUT_SECONDS
-            + self.round_trips.extra_s(server.zone, EXCHANGE_ROUND_TRIPS),
-            allowed=may_send,
-        )
+
+        try:
+            exchange = await self.fetcher.open(
+                server.address,
+                call.method,
+                call.target,
+                fields,
+                call.body,
+                fresh=fresh,
+                host=call.host,
+                connect_timeout=CONNECT_TIMEOUT_SECONDS
+                + self.round_trips.extra_s(server.zone, EXCHANGE_ROUND_TRIPS),
+                allowed=may_send,
+            )
+        finally:
+            if check is not None:
+                check.settle()
+        if check is not None:
+            cold_left = exchange.header(self.names.cold_left.encode())
+            check.note_answer(exchange.status == MISDIRECTED, cold_left)
+        return exchange
+
+    def send_check(self, server: BackendServer, call: Call) -> SendCheck | None:
+        """Return the check of the limit of a cold server; None without a limit."""
+        if self.cold_rates is None:
+            return None
+        return self.cold_rates.check(server, call.id)
+
+    def record_gone(self, server: BackendServer) -> None:
+        """Record that a server is gone; when it is back, it is cold."""
+        self.balancer.record_gone(server)
+        if self.cold_rates is not None:
+            self.cold_rates.note_broken(server)
 
     def request_headers(
         self, call: Call, server: BackendServer
--- a/tests/test_evacuated_zones.py
+++ b/tests/test_evacuated_zones.py
@@ -16,8 +16,7 @@
 from gypsumshift.policy import ENVIRONMENT_VARIABLE
 from gypsumshift.serving import Directory
 from gypsumshift.serving.calls import Refused
-from gypsumshift.serving.evacuations import Evacuations
-from gypsumshift.serving.sender import ZONE_EVACUATED
+from gypsumshift.serving.evacuations import ZONE_EVACUATED, Evacuations
 from gypsumshift.watch import MAX_FEED_WAIT
 from standins.users_store import Faults
 from tests.system import wait_until
