--- a/gypsumshift/jobs/weights.py
+++ b/gypsumshift/jobs/weights.py
@@ -229,7 +229,9 @@
             needed=self.tracker.version_for_waiting_units(model),
             max_lag=max_lag,
             versions=tuple(servers[e].models.get(model, 0) for e in engines),
-            position=engines.index(self.local_engine.server.id),
+            # The assignment may have changed since the model was looked up, so that
+            # the engine is no longer in the list.
+            position=sum(engine < self.local_engine.server.id for engine in engines),
             newest_age=now - seen_at,
             step_arrived=job is not None and job.oldest_version >= newest - max_lag,
             restarts_items=not self.policy.loads_behind_steps or one_version,
