Assign models to the engines of each region separately while jobs have homes

Cause: a model could be assigned to engines outside of its jobs' homes only; its items then waited for weights that no engine in the homes loaded. Change: RegionAssignment (jobs/regionassignment.py) divides the engines of each region between the models that may run there. The limit of reward calls counts the slots of the homes. Conclusion: without homes, the assignment is the one of all engines, as before.

--- a/gypsumshift/agentnode.py
+++ b/gypsumshift/agentnode.py
@@ -9,6 +9,7 @@
 from gypsumshift.jobs.jobregions import JobRegions
 from gypsumshift.jobs.liveness import NO_PROBE, LivenessProbe
 from gypsumshift.jobs.localengine import AgentIdentity
+from gypsumshift.jobs.regionassignment import RegionAssignment
 from gypsumshift.lifecycle import Node
 from gypsumshift.places import ONE_REGION, Layout
 from gypsumshift.policy import DEFAULT_POLICY, Policy
@@ -111,12 +112,14 @@
         )
         limiter = self.agent.runner.item_runner.reward_limiter
         limiter.usable_slots = self.balancer.usable_slots
+        limiter.permitted = residency.permitted_for
 
     def prefer_job_regions(self, residency: ResidencyRules) -> None:
         """Let the agent leave units to the regions of their jobs."""
         agent = self.agent
         regions = JobRegions(residency, agent.peers, self.clock)
         agent.tracker.regions = regions
+        agent.weights.region_assignment = RegionAssignment(residency)
         agent.planner.may_run = lambda job, engine: (
             residency.may_run(job, engine) and regions.may_be_planned(job, engine)
         )
--- a/gypsumshift/jobs/itemrunner.py
+++ b/gypsumshift/jobs/itemrunner.py
@@ -86,7 +86,7 @@
         """Score an item that has left its slot; return its result."""
         self.on_capacity_change()
         while True:
-            self.reward_limiter.update_limit(run.item.reward)
+            self.reward_limiter.update_limit(run.item.reward, run.job.workspace)
             async with self.reward_limiter.enter(score_rank(run)):
                 outcome = await run.make_result()
             if isinstance(outcome, HeldBack):
--- a/gypsumshift/jobs/rewardlimiter.py
+++ b/gypsumshift/jobs/rewardlimiter.py
@@ -16,6 +16,7 @@
 from gypsumshift.jobs.prioritysemaphore import PrioritySemaphore
 from gypsumshift.jobs.records import RewardCall
 from gypsumshift.serving.directory import BackendServer, Directory
+from gypsumshift.serving.routes import Route
 
 __all__ = ["RewardLimiter", "calls_per_agent"]
 
@@ -74,6 +75,9 @@
     usable_slots : callable
         Returns the slots of given servers that are usable now; by default the listed
         ones.
+    permitted : callable
+        Returns those of some servers that may receive the calls of a route and a
+        workspace; by default all. See `residency`.
     call_limit : float
         Limit in force; see `calls_per_agent`.
     pause_tasks : set of Task
@@ -84,20 +88,30 @@
         self.clock = clock
         self.directory = directory
         self.usable_slots: Callable[[list[BackendServer]], float] = listed_slots
+        self.permitted: Callable[
+            [Route, str, list[BackendServer]], list[BackendServer]
+        ] = lambda route, workspace, servers: servers
         self.semaphore = PrioritySemaphore(1)
         self.call_limit = DEFAULT_CALLS
         self.pause_tasks: set[asyncio.Task] = set()
 
-    def update_limit(self, reward: RewardCall | None) -> None:
+    def update_limit(self, reward: RewardCall | None, workspace: str = "") -> None:
         """Set the limit by the slots of the application that a reward call goes to.
 
         The limit stays as it is where the call has no route.
+
+        Parameters
+        ----------
+        reward : RewardCall or None
+        workspace : str
+            Workspace of the job.
         """
         routes = self.directory.routes
         route = routes.find(reward.host, reward.path) if reward else None
         if route is None:
             return
         servers = self.directory.ready_servers(route.service_for(reward.id))
+        servers = self.permitted(route, workspace, servers)
         slots = max(self.usable_slots(servers), MIN_SLOTS) if servers else 0
         self.set_call_limit(calls_per_agent(slots, len(self.directory.ready_engines())))
 
--- a/gypsumshift/jobs/weights.py
+++ b/gypsumshift/jobs/weights.py
@@ -10,6 +10,7 @@
 from gypsumshift.jobs.engineshares import NO_DIVISION, Division
 from gypsumshift.jobs.localengine import LocalEngine
 from gypsumshift.jobs.records import Job
+from gypsumshift.jobs.regionassignment import RegionAssignment
 from gypsumshift.jobs.stepneeds import EngineDivider
 from gypsumshift.jobs.weightloads import LoadConditions, choose_load
 from gypsumshift.metrics import Metrics
@@ -62,6 +63,9 @@
         model.
     newest_jobs : dict
         `Job` of the newest step, by model.
+    region_assignment : RegionAssignment or None
+        Assigns models by region where jobs have homes; None in a deployment of one
+        region.
     """
 
     def __init__(
@@ -87,6 +91,7 @@
         self.max_lags: dict[str, int] = {}
         self.newest_jobs: dict[str, Job] = {}
         self.assignment_cache = placement.AssignmentCache()
+        self.region_assignment: RegionAssignment | None = None
 
     def note_job(self, job: Job) -> None:
         """Update the demand and the accepted versions of a new batch job's model."""
@@ -111,12 +116,15 @@
             for peer in self.local_engine.service_engines
         ]
         shares = self.demand.shares(limits.models, self.division())
-        return self.assignment_cache.assign(
+        arguments = (
             engines,
             shares,
             self.demand.longest_estimates(),
             self.policy.expected_end,
         )
+        if self.region_assignment is not None:
+            return self.region_assignment.assign(*arguments, self.newest_jobs)
+        return self.assignment_cache.assign(*arguments)
 
     def division(self) -> Division:
         """Return the division of the engines between workspaces, if one is needed."""
--- a/gypsumshift/residency.py
+++ b/gypsumshift/residency.py
@@ -151,6 +151,15 @@
             return servers
         return [server for server in servers if self.permits(residency, server)]
 
+    def permitted_for(
+        self, route: "Route", workspace: str, servers: "list[BackendServer]"
+    ) -> "list[BackendServer]":
+        """Return those of some servers that may receive calls of a workspace."""
+        if not self.in_force:
+            return servers
+        residency = self.combine(route, (workspace,))
+        return [server for server in servers if self.permits(residency, server)]
+
     def lacks_home_server(self, call: "Call") -> bool:
         """Return whether a call has homes and none of them has a ready server."""
         residency = self.of_call(call)
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -7,6 +7,7 @@
 import pytest
 
 from gypsumshift.eventstream import StreamBroken
+from gypsumshift.jobs.rewardlimiter import RewardLimiter
 from gypsumshift.outcomes import Answered, NotRun
 from gypsumshift.platforms import Row
 from gypsumshift.residency import ANYWHERE, NO_HOME_SERVER, Residency, ResidencyRules
@@ -210,3 +211,31 @@
     del gone.routes_by_host[TRAINERS]["/safe/"]
     directory.set_routes(gone)
     assert not ResidencyRules(directory, make_layout()).of_call(call).allows("north")
+
+
+def test_the_limit_of_reward_calls_counts_the_slots_in_the_homes_only():
+    """Agents would otherwise take more than their half of the slots there."""
+
+    async def scenario():
+        world = RegionWorld()
+        limiter = RewardLimiter(world.clock, world.directory)
+        limiter.permitted = world.sender.residency.permitted_for
+        world.directory.set_routes(make_routes(2, workspace_homes=SOUTH))
+        counted = []
+        limiter.usable_slots = lambda servers: counted.append(len(servers)) or 1
+        reward = world.item_run("s").item.reward
+        limiter.update_limit(reward, WORKSPACE)
+        limiter.update_limit(reward, "")
+        assert counted == [2, 6]
+
+    run_in_virtual_time(scenario)
+
+
+def test_reward_calls_go_to_the_region_of_the_engine_first():
+    async def scenario():
+        world = RegionWorld()
+        for number in range(6):
+            await world.item_run(f"s{number}").request_score()
+        assert {arrival.region for arrival in world.arrivals} == {"north"}
+
+    run_in_virtual_time(scenario)
