Leave a silent region for longer, and recognize it at the connect hedge

Cause: a process with one call in 2 s tried the silent region again with each of them. Change: a failure to connect is recorded when the hedge becomes due, counts for 4 s and for that start of the server only. Conclusion: a region that restarts is used at once, one that was cut off after 4 s.

--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -302,6 +302,9 @@
         first = min(delay, connect_hedge_s(newest))
         done = await self.wait_for_attempts(state, first)
         unconnected = self.policy.second_server and not newest.connected
+        if unconnected and not done:
+            *_, server = state.running.values()
+            self.balancer.record_unconnected(server)
         if done or unconnected:
             return done
         return await self.wait_for_attempts(state, delay - first)
--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -189,6 +189,7 @@
             mean_cost = self.mean_cost if is_reported else self.cost
             healthy = self.regions.narrow(
                 healthy,
+                servers,
                 lambda s: mean_cost(s, usual),
                 usual,
                 self.has_idle_connection,
--- a/gypsumshift/serving/regionchoice.py
+++ b/gypsumshift/serving/regionchoice.py
@@ -24,9 +24,10 @@
 # Servers of the own region to which no connection opened, without an answer of another
 # one since, after which the region counts as lost. A single one is usual.
 LOST_SERVERS = 2
-# Seconds after the last such failure until the own region is tried again. A call that
-# finds it still lost goes elsewhere after the connect hedge delay.
-LOST_PAUSE_S = 1.0
+# Seconds for which such a failure counts. Directory entries of lost servers expire
+# after 4 s, and servers that start again count anew. A call that finds the region still
+# lost takes 0.4 s, and 0.7 s if it may not be repeated.
+LOST_PAUSE_S = 4.0
 
 # Returns the expected time of a request at a server, in usual service times.
 ServerCost = Callable[[BackendServer], float]
@@ -120,16 +121,19 @@
         if self.unconnected and not self.layout.is_other_region(server.zone):
             self.unconnected.clear()
 
-    def is_lost(self, near: list[BackendServer], now: float) -> bool:
-        """Return whether the own region seems to be lost, given its servers."""
-        if not near:
-            return True
-        recent = [at for at in self.unconnected.values() if now - at < LOST_PAUSE_S]
-        return len(recent) >= min(LOST_SERVERS, len(near))
+    def is_lost(self, listed: list[BackendServer], now: float) -> bool:
+        """Return whether the own region seems to be lost, given all listed servers."""
+        if not self.unconnected:
+            return False
+        near = [s for s in listed if not self.layout.is_other_region(s.zone)]
+        times = (self.unconnected.get(server.start, -math.inf) for server in near)
+        recent = sum(now - at < LOST_PAUSE_S for at in times)
+        return recent >= min(LOST_SERVERS, len(near))
 
     def narrow(
         self,
         servers: list[BackendServer],
+        listed: list[BackendServer],
         cost: ServerCost,
         usual: float,
         has_idle: Callable[[tuple[str, int]], bool],
@@ -143,6 +147,8 @@
         ----------
         servers : list of BackendServer
             Servers that may be chosen; at least one.
+        listed : list of BackendServer
+            All ready servers of the service, those already tried included.
         cost : callable
         usual : float
             Usual service time in seconds; 0 if unknown.
@@ -156,7 +162,7 @@
         if not far:
             return near
         time_near = min(map(cost, near), default=math.inf)
-        is_lost = self.is_lost(near, now)
+        is_lost = not near or self.is_lost(listed, now)
         # A server of another region takes one service time and the round trip at least.
         if not is_lost and not is_earlier(1.0, time_near):
             return near
