--- a/gypsumshift/jobs/weights.py
+++ b/gypsumshift/jobs/weights.py
@@ -10,6 +10,7 @@
 from gypsumshift.jobs.engineshares import NO_DIVISION, Division
 from gypsumshift.jobs.localengine import LocalEngine
 from gypsumshift.jobs.records import Job
+from gypsumshift.jobs.regionassignment import RegionAssignment
 from gypsumshift.jobs.stepneeds import EngineDivider
 from gypsumshift.jobs.weightloads import LoadConditions, choose_load
 from gypsumshift.jobs.zonereturn import MODEL_HOLD_SECONDS, keep_models
@@ -65,6 +66,9 @@
         `Job` of the newest step, by model.
     last_assignment : dict
         Models by engine, as last assigned.
+    region_assignment : RegionAssignment or None
+        Assigns models by region where jobs have homes; None in a deployment of one
+        region.
     """
 
     def __init__(
@@ -91,6 +95,7 @@
         self.newest_jobs: dict[str, Job] = {}
         self.assignment_cache = placement.AssignmentCache()
         self.last_assignment: dict[str, tuple[str, ...]] = {}
+        self.region_assignment: RegionAssignment | None = None
 
     def note_job(self, job: Job) -> None:
         """Update the demand and the accepted versions of a new batch job's model."""
@@ -119,13 +124,21 @@
         kept = None
         if evacuations.returned_within(MODEL_HOLD_SECONDS):
             kept = keep_models(engines, self.last_assignment, shares)
-        self.last_assignment = kept or self.assignment_cache.assign(
+        arguments = (
             engines,
             shares,
             self.demand.longest_estimates(),
             self.policy.expected_end,
         )
-        return self.last_assignment
+        assignment = kept or self.new_assignment(arguments)
+        self.last_assignment = assignment
+        return assignment
+
+    def new_assignment(self, arguments: tuple) -> dict[str, tuple[str, ...]]:
+        """Assign models to engines anew; see `placement.AssignmentCache.assign`."""
+        if self.region_assignment is not None:
+            return self.region_assignment.assign(*arguments, self.newest_jobs)
+        return self.assignment_cache.assign(*arguments)
 
     def division(self) -> Division:
         """Return the division of the engines between workspaces, if one is needed."""
