Refuse calls at once while no server of their service can be reached

Cause: a call tried the servers of a service in turn, 0.3 s for each pair, and three rounds of them, although every connection had failed a moment before. At its deadline, an attempt without a connection counted as one that may have run, so the call got 504 though it had reached no server.

Change: Reachability decides by failed connections of calls and of probes. A failure that another process reports in its observations starts probes here and refuses nothing by itself. The outcome of a call is unknown only if an attempt had a connection.

An observation with a failed share of exactly 1 means unreachable; averages are capped at 0.99. The format of digests is unchanged.

--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -10,8 +10,6 @@
 import datetime
 import math
 
-import attrs
-
 from gypsumshift import logs
 from gypsumshift.outcomes import Answered, HeldBack, NotRun, Unknown
 from gypsumshift.policy import DEFAULT_POLICY, Policy
@@ -25,8 +23,10 @@
     Refused,
 )
 from gypsumshift.serving.crashguard import HELD_BACK_REASON, CrashGuard, Permit
-from gypsumshift.serving.directory import BackendServer, ServerStart
+from gypsumshift.serving.directory import BackendServer
+from gypsumshift.serving.forwardstate import ForwardState
 from gypsumshift.serving.latecrashes import LateCrashDetector
+from gypsumshift.serving.reachprobes import new_prober
 from gypsumshift.serving.sender import CONNECT_HEDGE_SECONDS, Sender
 
 __all__ = ["Forwarder"]
@@ -42,60 +42,16 @@
 MAX_FULL_ROUNDS = 3
 # Delay after which a caller may retry: a few service times.
 RETRY_AFTER_SECONDS = 0.25
+# Time after which a call without a connection is checked again, while a server of its
+# service cannot be reached.
+RECHECK_SECONDS = 0.05
+UNREACHABLE_REASON = "no server of the service can be reached"
 # Part of the time before the deadline that is left for the outcome to reach the caller.
 OUTCOME_MARGIN_SECONDS = 0.02
 
 log = logs.logger("forwarder")
 
 
-@attrs.define
-class ForwardState:
-    """State of the attempts of one call.
-
-    Attributes
-    ----------
-    call : Call
-    servers : list of BackendServer
-        Ready servers of the service when the call began.
-    permit : Permit
-    running : dict
-        Server by the task of its attempt.
-    ran_on : set of ServerStart
-        Servers on which the call may have run.
-    refused_by : set of ServerStart
-        Servers that refused the call in this round.
-    rounds : int
-        Number of rounds in which every server refused.
-    error_answer : Answered or None
-        Error response of a server, returned if no attempt succeeds.
-    refused_at_gate : bool
-        Whether the call was refused before its first attempt; the gate reports that.
-    """
-
-    call: Call
-    servers: list[BackendServer]
-    permit: Permit
-    running: dict[asyncio.Task, BackendServer] = attrs.field(factory=dict)
-    ran_on: set[ServerStart] = attrs.field(factory=set)
-    refused_by: set[ServerStart] = attrs.field(factory=set)
-    rounds: int = 0
-    error_answer: Answered | None = None
-    refused_at_gate: bool = False
-
-    @property
-    def excluded(self) -> set[ServerStart]:
-        """Servers that must not be tried in this round."""
-        return self.ran_on | self.refused_by | {s.start for s in self.running.values()}
-
-    @property
-    def exhausted(self) -> bool:
-        """Whether no further server may run the call."""
-        begun = len(self.ran_on) + len(self.running)
-        # A call that may not be repeated ends at the first server that may have run it.
-        max_attempts = self.call.route.attempts if self.call.repeatable else 1
-        return begun >= max_attempts
-
-
 class Forwarder:
     """Forwards calls to the backend servers of their services.
 
@@ -125,6 +81,13 @@
         self.clock = sender.clock
         self.metrics = sender.metrics
         self.trial_tasks: set[asyncio.Task] = set()
+        self.prober = new_prober(
+            sender.fetcher,
+            sender.reachability,
+            self.directory,
+            self.clock,
+            self.balancer.chance,
+        )
         self.late_crashes = LateCrashDetector(
             guard, self.balancer, self.directory, sender.fetcher, self.clock
         )
@@ -182,9 +145,12 @@
 
     async def enter(self, state: ForwardState) -> NotRun | None:
         """Return None once the first attempt may start, or the call's refusal."""
+        service = state.call.route.service_for(state.call.id)
+        if self.prober.is_down(service, state.servers):
+            state.refused_at_gate = True
+            return self.refuse_unreachable(state)
         if self.gate is None:
             return None
-        service = state.call.route.service_for(state.call.id)
         refusal = await self.gate.enter(state.call, service)
         state.refused_at_gate = refusal is not None
         if refusal is None:
@@ -199,6 +165,8 @@
             left = state.call.deadline - OUTCOME_MARGIN_SECONDS - self.clock.monotonic()
             if left <= 0:
                 return self.final_outcome(state, "the deadline passed")
+            if self.is_hopeless(state):
+                return self.refuse_unreachable(state)
             started = self.start_attempt(state)
             if not state.running:
                 blocked = self.blocked_reason(state)
@@ -212,16 +180,40 @@
                     return self.final_outcome(state, self.not_accepted_reason(state))
                 continue
             if started is None:
-                done = await self.wait_for_attempts(state, left)
+                done = await self.wait_for_attempts(
+                    state, self.longest_wait(state, left)
+                )
             else:
                 done = await self.wait_for_hedge(state, started, min(left, hedge))
             for task in done:
                 server = state.running.pop(task)
+                state.progress.pop(task)
                 answer = self.handle_outcome(state, server, task.result())
                 self.guard.end_run(state.permit, server.start)
                 if answer is not None:
                     return answer
 
+    def is_hopeless(self, state: ForwardState) -> bool:
+        """Return whether nothing was sent and no server can be reached any more."""
+        if state.error_answer is not None or state.may_have_run:
+            return False
+        service = state.call.route.service_for(state.call.id)
+        return self.prober.is_down(service, state.servers)
+
+    def refuse_unreachable(self, state: ForwardState) -> NotRun:
+        """Return the refusal of a call whose service cannot be reached."""
+        service = state.call.route.service_for(state.call.id)
+        left = state.call.deadline - self.clock.monotonic()
+        seconds = self.sender.reachability.refuse(service, left)
+        self.metrics.count("refused_unreachable", service=service)
+        return NotRun(UNREACHABLE_REASON, datetime.timedelta(seconds=seconds))
+
+    def longest_wait(self, state: ForwardState, left: float) -> float:
+        """Return the seconds for which a call may wait for its attempts."""
+        if state.may_have_run or not self.sender.reachability.unreached:
+            return left
+        return min(left, RECHECK_SECONDS)
+
     def hedge_delay(self, call: Call) -> float:
         """Return the seconds after which a call is also sent to a second server."""
         if not self.policy.second_server:
@@ -270,6 +262,7 @@
         progress = AttemptProgress()
         task = asyncio.create_task(self.attempt(state.call, server, progress))
         state.running[task] = server
+        state.progress[task] = progress
         return progress
 
     async def wait_for_hedge(
@@ -353,7 +346,7 @@
         """Return the outcome of a call that no server answered successfully."""
         if state.error_answer is not None:
             return state.error_answer
-        if state.ran_on or state.running:
+        if state.may_have_run:
             return Unknown(reason)
         if reason == HELD_BACK_REASON:
             return self.guard.held_back_outcome(state.permit.fingerprint)
--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -21,6 +21,7 @@
 from gypsumshift.serving.observations import (
     MAX_AGE_SECONDS,
     MAX_BUSY,
+    MAX_FAILED_AVERAGE,
     Observation,
     Observations,
 )
@@ -252,9 +253,8 @@
         slowness = stats.latency / usual if usual else 0.0
         observed_at = max(stats.busy_reported_at, stats.last_outcome_at)
         busy = decayed_load(stats.busy, observed_at - stats.busy_reported_at)
-        return Observation(
-            server.start, slowness, busy, stats.failed_share, observed_at
-        )
+        failed = min(stats.failed_share, MAX_FAILED_AVERAGE)
+        return Observation(server.start, slowness, busy, failed, observed_at)
 
     def share_own_observations(self, servers: list[BackendServer]) -> None:
         """Merge own observations into those that are sent to other processes."""
--- a/gypsumshift/serving/observations.py
+++ b/gypsumshift/serving/observations.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -16,7 +16,15 @@
 from gypsumshift.digests import DigestSection
 from gypsumshift.serving.directory import ServerStart
 
-__all__ = ["Observation", "ObservationSection", "Observations", "decode", "encode"]
+__all__ = [
+    "MAX_FAILED_AVERAGE",
+    "UNREACHABLE_SHARE",
+    "Observation",
+    "ObservationSection",
+    "Observations",
+    "decode",
+    "encode",
+]
 
 # Age after which an observation is ignored. Slow phases of servers last 5 to 8 s.
 MAX_AGE_SECONDS = 4.0
@@ -28,6 +36,9 @@
 # wait.
 NOTABLE_SLOWNESS = 2.0
 NOTABLE_FAILED_SHARE = 0.2
+# Share of failed requests that means that no connection can be opened, and the largest
+# share of a server that is reached.
+UNREACHABLE_SHARE, MAX_FAILED_AVERAGE = 1.0, 0.99
 # Upper limits of values received from other processes.
 MAX_SLOWNESS = 100.0
 MAX_BUSY = 10_000.0
@@ -71,11 +82,17 @@
     Parameters
     ----------
     clock : Clock
+
+    Attributes
+    ----------
+    on_unreachable : callable
+        Called with the start of a server that an observation says is unreachable.
     """
 
     def __init__(self, clock: Clock):
         self.clock = clock
         self.newest: dict[ServerStart, Observation] = {}
+        self.on_unreachable: Callable[[ServerStart], None] = lambda start: None
 
     def merge(self, observations: Iterable[Observation]) -> None:
         """Store observations, except those older than the stored ones."""
@@ -83,6 +100,8 @@
             known = self.newest.get(observation.start)
             if known is None or known.observed_at < observation.observed_at:
                 self.newest[observation.start] = observation
+                if observation.failed_share >= UNREACHABLE_SHARE:
+                    self.on_unreachable(observation.start)
 
     def get(self, start: ServerStart) -> Observation | None:
         """Return the observation of a server start, unless it has expired."""
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -28,6 +28,7 @@
 from gypsumshift.serving.headers import HOP_BY_HOP, HeaderNames
 from gypsumshift.serving.liveness import is_gone
 from gypsumshift.serving.loadbalancer import LoadBalancer
+from gypsumshift.serving.reachability import Reachability
 from gypsumshift.serving.responses import (
     end_to_end_headers,
     mismatched_request_id,
@@ -73,6 +74,9 @@
         self.clock: Clock = clock
         self.metrics: Metrics = metrics
         self.usage: UsageCounter | None = usage
+        self.reachability = Reachability(
+            clock, balancer.chance, balancer.shared_observations
+        )
 
     async def attempt(
         self,
@@ -138,6 +142,7 @@
         self, call, server, outcome: AttemptOutcome, took: float
     ) -> None:
         """Record the outcome of an attempt in metrics, load balancer and log."""
+        self.reachability.record_outcome(server, outcome)
         outcome_name = type(outcome).__name__
         self.metrics.count("attempts", service=server.service, outcome=outcome_name)
         succeeded = isinstance(outcome, Answered) and outcome.status < 500
