--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -32,6 +32,7 @@
 from gypsumshift.serving.headers import HOP_BY_HOP, HeaderNames
 from gypsumshift.serving.liveness import is_gone
 from gypsumshift.serving.loadbalancer import LoadBalancer
+from gypsumshift.serving.reachability import Reachability
 from gypsumshift.serving.responses import (
     MISDIRECTED,
     end_to_end_headers,
@@ -87,6 +88,9 @@
         self.residency = ResidencyRules(directory, balancer.layout)
         self.round_trips = balancer.round_trips
         self.cold_rates: ColdRates | None = None
+        self.reachability = Reachability(
+            clock, balancer.chance, balancer.shared_observations
+        )
 
     async def attempt(
         self,
@@ -169,6 +173,7 @@
         self, call, server, outcome: AttemptOutcome, took: float
     ) -> None:
         """Record the outcome of an attempt in metrics, load balancer and log."""
+        self.reachability.record_outcome(server, outcome)
         outcome_name = type(outcome).__name__
         self.metrics.count("attempts", service=server.service, outcome=outcome_name)
         succeeded = isinstance(outcome, Answered) and outcome.status < 500
