Look for work once for each event, and only at units that are not done

Cause: each event woke three claim loops, each of which looked through all units of all open steps, also while the engine had no free slot; at rest they made 12 looks a second.

Change: a look that finds nothing holds for all idle loops, which share one poll of 0.25 s; no step is planned without a free slot; the units that are not done and the agent's own units are kept until a claim changes them.

--- a/gypsumshift/jobs/agent.py
+++ b/gypsumshift/jobs/agent.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 import random
 from collections.abc import Iterator
 
@@ -14,6 +13,7 @@
 from gypsumshift.jobs.assignment import StepPlan
 from gypsumshift.jobs.capacity import NO_CAPACITY, FreeCapacity
 from gypsumshift.jobs.claimer import Claimer
+from gypsumshift.jobs.claimloops import ClaimLoops
 from gypsumshift.jobs.claimtracker import ClaimTracker
 from gypsumshift.jobs.engine import EngineClient
 from gypsumshift.jobs.enginemonitor import EngineMonitor
@@ -50,7 +50,7 @@
 
 # Seconds between two reports of the engine, which cost little on its own host.
 REPORT_PERIOD = 0.2
-# Seconds after which the agent tries to claim work again without being woken.
+# Seconds after which the agent looks for work again without being woken.
 CLAIM_PERIOD = 0.25
 # Claims that an agent makes concurrently. With a single sequence, each claim waited for
 # the one before: while half of the store's answers were lost, items were claimed up to
@@ -95,8 +95,7 @@
 
     Attributes
     ----------
-    wake_events : list of asyncio.Event
-        One for each claim loop; set when there may be work or capacity.
+    claim_loops : ClaimLoops
     monitor : EngineMonitor
         Hands the units over if the engine is faulty or far behind its peers.
     draining : bool
@@ -135,7 +134,7 @@
             policy,
             EngineDivider(self.tracker, self.local_engine, store.now, clock),
         )
-        self.wake_events = [asyncio.Event() for _ in range(CONCURRENT_CLAIMS)]
+        self.claim_loops = ClaimLoops(self.claim_units, CONCURRENT_CLAIMS, CLAIM_PERIOD)
         reported = ReportedSlowdown(clock, names.parse_load, metrics)
         engine.on_load = reported.note_header
         self.runner = UnitRunner(
@@ -228,8 +227,7 @@
 
     def wake(self) -> None:
         """Wake all claim loops, as units or capacity may have become available."""
-        for event in self.wake_events:
-            event.set()
+        self.claim_loops.wake()
 
     def apply_job_rows(self, rows: list[Row]) -> None:
         """Apply rows of the table of jobs."""
@@ -268,8 +266,7 @@
             group.create_task(run_watches(self.watches))
             group.create_task(self.heartbeat_writer.run())
             group.create_task(self.run_engine_loop())
-            for event in self.wake_events:
-                group.create_task(self.run_claim_loop(event))
+            group.create_task(self.claim_loops.run())
             group.create_task(self.run_save_loop())
 
     async def run_engine_loop(self) -> None:
@@ -331,38 +328,34 @@
             limits.slots - load, limits.memory, (*self.runner.memory_estimates, *sizes)
         )
 
-    async def run_claim_loop(self, wake_event: asyncio.Event) -> None:
-        """Claim units when woken, and every `CLAIM_PERIOD`."""
-        while True:
-            wake_event.clear()
-            await self.claim_units()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(CLAIM_PERIOD):
-                    await wake_event.wait()
-
     async def claim_units(self) -> None:
         """Claim one unit after another while the engine has capacity."""
-        while not self.draining and self.local_engine.healthy:
-            limits = self.local_engine.limits
-            if limits is None:
-                return
-            self.runner.item_runner.set_slot_count(limits.slots)
-            self.claimer.start_held_units()
-            candidate = self.tracker.choose_candidate(
-                self.weights.assigned_models(),
-                self.weights.ready_versions(),
-                self.free_capacity(limits),
-                self.unit_migrator.faster_free_slots,
-                self.claimer.may_probe,
-                self.weights.division().ranks,
-                self.plan_job,
-            )
-            if candidate is None:
-                return
-            if candidate.silent_claim and not await self.may_claim(candidate, limits):
+        while (candidate := self.choose_candidate()) is not None:
+            if candidate.silent_claim and not await self.may_claim(candidate):
                 continue
             if not await self.claimer.claim(candidate):
                 return
+        self.claim_loops.note_nothing_found()
+
+    def choose_candidate(self) -> Candidate | None:
+        """Return the unit to claim next; None where there is none, or no capacity."""
+        limits = self.local_engine.limits
+        if self.draining or not self.local_engine.healthy or limits is None:
+            return None
+        self.runner.item_runner.set_slot_count(limits.slots)
+        self.claimer.start_held_units()
+        capacity = self.free_capacity(limits)
+        if capacity.free_slots <= 0:
+            return None
+        return self.tracker.choose_candidate(
+            self.weights.assigned_models(),
+            self.weights.ready_versions(),
+            capacity,
+            self.unit_migrator.faster_free_slots,
+            self.claimer.may_probe,
+            self.weights.division().ranks,
+            self.plan_job,
+        )
 
     def plan_job(
         self, open_job: OpenJob, free: int, claimable: Iterator[UnitSummary]
@@ -381,13 +374,14 @@
             return None
         return self.planner.plan(open_job, free, claimable)
 
-    async def may_claim(self, candidate: Candidate, limits: EngineLimits) -> bool:
+    async def may_claim(self, candidate: Candidate) -> bool:
         """Probe an agent without heartbeats; return whether its unit may be claimed.
 
         During the probe, other claims may have used up the capacity, or this process
         may have begun to stop.
         """
-        if not await self.claimer.may_claim(candidate):
+        limits = self.local_engine.limits
+        if limits is None or not await self.claimer.may_claim(candidate):
             return False
         unit = candidate.unit
         fits = self.free_capacity(limits).fits(len(unit.items), unit.memory)
--- a/gypsumshift/jobs/claimtracker.py
+++ b/gypsumshift/jobs/claimtracker.py
@@ -73,6 +73,8 @@
         Groups of each job that the store has.
     pending_claims : dict
         `Candidate` by job and unit, of the claims that were sent and not answered yet.
+    found_own_units : list or None
+        Result of `own_units`; None after a change of own claims or open jobs.
     """
 
     def __init__(self, session: str, clock: Clock, chance: random.Random, peers: Peers):
@@ -85,6 +87,7 @@
         self.early_claims: dict[str, dict[str, StoredClaim]] = {}
         self.groups_by_job: dict[str, set[str]] = {}
         self.pending_claims: dict[tuple[str, str], Candidate] = {}
+        self.found_own_units: list[tuple[Job, UnitSummary]] | None = None
 
     def apply_job_rows(self, rows: list[Row]) -> list[Job]:
         """Apply rows of the table of jobs; return the jobs that are new."""
@@ -107,6 +110,7 @@
     def close_job(self, job_id: str) -> None:
         """Record the end of a job."""
         self.ended_jobs.add(job_id)
+        self.found_own_units = None
         self.open_jobs.pop(job_id, None)
         self.early_claims.pop(job_id, None)
 
@@ -127,6 +131,7 @@
         groups = self.known_groups()
         self.groups_by_job[job.id] = {unit.group for unit in job.units}
         claims = self.early_claims.pop(job.id, {})
+        self.found_own_units = None
         self.open_jobs[job.id] = OpenJob(
             job,
             self.clock.monotonic(),
@@ -154,7 +159,13 @@
                 else self.early_claims.setdefault(row.part, {})
             )
             known = claims.get(row.key)
-            if known is None or known.version < stored.version or claim.done:
+            if known is not None and known.version >= stored.version and not claim.done:
+                continue
+            if self.is_own(known) or self.is_own(stored):
+                self.found_own_units = None
+            if open_job:
+                open_job.set_claim(row.key, stored)
+            else:
                 claims[row.key] = stored
 
     def is_free(self, stored: StoredClaim | None) -> bool:
@@ -189,8 +200,7 @@
     def find_unit(self, job_id: str, key: str) -> UnitSummary | None:
         """Return a unit of an open job; None where there is none of this key."""
         open_job = self.open_jobs.get(job_id)
-        units = open_job.order if open_job else ()
-        return next((unit for unit in units if unit.key == key), None)
+        return open_job.units.get(key) if open_job else None
 
     def find_claim(self, job_id: str, key: str) -> StoredClaim | None:
         """Return the claim of a unit of an open job; None where none is known."""
@@ -204,13 +214,18 @@
         return stored.claim.session == self.session and not stored.claim.done
 
     def own_units(self) -> list[tuple[Job, UnitSummary]]:
-        """Return the unfinished units that the store assigns to this agent."""
-        return [
-            (open_job.job, unit)
-            for open_job in self.open_jobs.values()
-            for unit in open_job.order
-            if self.is_own(open_job.claims.get(unit.key))
-        ]
+        """Return the unfinished units that the store assigns to this agent.
+
+        The list is shared until one of the agent's claims or an open job changes.
+        """
+        if self.found_own_units is None:
+            self.found_own_units = [
+                (open_job.job, unit)
+                for open_job in self.open_jobs.values()
+                for unit in open_job.unfinished()
+                if self.is_own(open_job.claims.get(unit.key))
+            ]
+        return self.found_own_units
 
     def version_for_waiting_units(self, model: str) -> int:
         """Return the oldest version that all waiting units of a model accept.
@@ -221,7 +236,9 @@
             open_job.job.oldest_version
             for open_job in self.open_jobs.values()
             if open_job.job.model == model
-            and any(self.is_free(open_job.claims.get(u.key)) for u in open_job.order)
+            and any(
+                self.is_free(open_job.claims.get(u.key)) for u in open_job.unfinished()
+            )
         ]
         return max(versions, default=-1)
 
@@ -261,6 +278,8 @@
             Returns the `StepPlan` of an open job, given the free slots and the units
             that may be claimed; None for the usual order.
         """
+        if capacity.free_slots <= 0:
+            return None
         found: list[Candidate] = []
         claim_class = functools.partial(self.claim_class, models, step_ranks)
         found_class = None
@@ -316,9 +335,7 @@
         self, open_job: OpenJob, capacity: FreeCapacity, plan_job: PlanJob
     ) -> StepPlan | None:
         """Return the plan for the units of a job; None for the usual order."""
-        if capacity.free_slots <= 0:
-            return None
-        claimable = (u for u in open_job.order if self.may_start(open_job, u))
+        claimable = (u for u in open_job.unfinished() if self.may_start(open_job, u))
         return plan_job(open_job, capacity.free_slots, claimable)
 
     def may_start(self, open_job: OpenJob, unit: UnitSummary) -> bool:
@@ -356,13 +373,13 @@
     ) -> Iterator[UnitSummary]:
         """Yield the units that the plan gives to this engine, or the usual order."""
         if plan is not None:
-            yield from (unit for unit in open_job.order if unit.key in plan.own)
+            yield from (u for u in open_job.unfinished() if u.key in plan.own)
         elif slower:
             for unit in open_job.short_order:
                 if not self.is_left_to_faster(open_job, unit):
                     yield unit
         else:
-            yield from open_job.order
+            yield from open_job.unfinished()
 
     def is_left_to_faster(self, open_job: OpenJob, unit: UnitSummary) -> bool:
         """Return whether a slower engine must not claim a long unit yet."""
--- a/gypsumshift/jobs/openjob.py
+++ b/gypsumshift/jobs/openjob.py
@@ -65,7 +65,11 @@
     long_units : frozenset of str
         Keys of the units of long items.
     claims : dict
-        `StoredClaim` by unit.
+        `StoredClaim` by unit; changed by `set_claim` only.
+    units : dict
+        Units by key.
+    unfinished_order : list of UnitSummary or None
+        Result of `unfinished`; None after a change.
     """
 
     job: Job
@@ -74,3 +78,33 @@
     short_order: list[UnitSummary]
     long_units: frozenset[str]
     claims: dict[str, StoredClaim] = attrs.field(factory=dict)
+    units: dict[str, UnitSummary] = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda open_job: {unit.key: unit for unit in open_job.order},
+            takes_self=True,
+        ),
+    )
+    unfinished_order: list[UnitSummary] | None = attrs.field(init=False, default=None)
+
+    def set_claim(self, key: str, stored: StoredClaim) -> None:
+        """Set the claim of a unit."""
+        known = self.claims.get(key)
+        if stored.claim.done or (known is not None and known.claim.done):
+            self.unfinished_order = None
+        self.claims[key] = stored
+
+    def unfinished(self) -> list[UnitSummary]:
+        """Return the units that are not done, in the order in which they are claimed.
+
+        The list is shared until a unit is done. Most units of an open step are, and
+        each look for work visits the others.
+        """
+        if self.unfinished_order is None:
+            claims = self.claims
+            self.unfinished_order = [
+                unit
+                for unit in self.order
+                if unit.key not in claims or not claims[unit.key].claim.done
+            ]
+        return self.unfinished_order
--- a/gypsumshift/jobs/stepplanner.py
+++ b/gypsumshift/jobs/stepplanner.py
@@ -167,9 +167,9 @@
         """
         held: dict[str, list[HeldUnit]] = collections.defaultdict(list)
         for open_job in self.tracker.open_jobs.values():
-            for unit in open_job.order:
+            for unit in open_job.unfinished():
                 stored = open_job.claims.get(unit.key)
-                if stored and not stored.claim.done:
+                if stored:
                     found = (stored.seen_at, open_job.job.model, unit)
                     held[stored.claim.session].append(found)
         return held
