Compute the capacity of a service only while calls compete for it

Cause: each call and each answer asked for the state of its service, which is kept for 20 ms, and each state included the capacity of all servers, though only a contended service needs it. In samples of two gateways with 12 calls a second each it was 4.4 of 44 % outside of select; the whole state was 6.4 %.

Change: the utilization, which decides whether a service is contended, is computed without the capacity; the capacity is added when it is asked for.

Conclusion: decisions use the same figures as before.

--- a/gypsumshift/serving/admissionrule.py
+++ b/gypsumshift/serving/admissionrule.py
@@ -125,3 +125,8 @@
     @abc.abstractmethod
     def state(self, service: str) -> ServiceState | None:
         """Return the present state; None if no server has reported its load lately."""
+
+    def utilization(self, service: str) -> float | None:
+        """Return the utilization in the present state; None if there is no state."""
+        state = self.state(service)
+        return state.utilization if state is not None else None
--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -9,8 +9,6 @@
 import random
 from collections.abc import Callable
 
-import attrs
-
 from gypsumshift.clock import Clock
 from gypsumshift.ejection import EjectionPolicy
 from gypsumshift.policy import DEFAULT_POLICY, Policy
@@ -244,7 +242,10 @@
         slowness = max(other.slowness, 1.0) * (
             1.0 + FAILED_SHARE_COST * other.failed_share
         )
-        return attrs.evolve(other, slowness=slowness)
+        # Made directly, since attrs.evolve takes five times as long.
+        return Observation(
+            other.start, slowness, other.busy, other.failed_share, other.observed_at
+        )
 
     def own_observation(self, server: BackendServer, usual: float) -> Observation:
         """Return the observation of a server from this process's statistics."""
--- a/gypsumshift/serving/serviceadmission.py
+++ b/gypsumshift/serving/serviceadmission.py
@@ -109,14 +109,14 @@
 
         It is not where no server reports its load: then the servers' refusals decide.
         """
-        state = self.loads.state(service)
-        if state is None:
+        utilization = self.loads.utilization(service)
+        if utilization is None:
             return None
-        if state.utilization >= NEAR_FULL_UTILIZATION:
+        if utilization >= NEAR_FULL_UTILIZATION:
             self.demand.record_full(service)
-        if state.utilization < FREE_UTILIZATION:
+        if utilization < FREE_UTILIZATION or not self.demand.is_contended(service):
             return None
-        return state if self.demand.is_contended(service) else None
+        return self.loads.state(service)
 
     def defer(self, control: ServiceControl, ticket: Ticket) -> Decision:
         """Let a call wait for free places, or refuse it if its turn comes too late."""
@@ -176,7 +176,7 @@
 
     def knows_load(self, service: str) -> bool:
         """Return whether servers have lately reported the load of a service."""
-        return self.loads.state(service) is not None
+        return self.loads.utilization(service) is not None
 
     def refuse(self, ticket: Ticket) -> float:
         """Register a refusal; return the seconds until a retry."""
@@ -194,7 +194,7 @@
 
         Waiting at a server is no work, and would be counted as such.
         """
-        state = self.loads.state(service)
-        if state is None or state.utilization < NEAR_FULL_UTILIZATION:
+        utilization = self.loads.utilization(service)
+        if utilization is None or utilization < NEAR_FULL_UTILIZATION:
             times = self.control(service).times
             times.record(key.rank == REWARD_RANK, seconds, slowdown)
--- a/gypsumshift/serving/serviceloads.py
+++ b/gypsumshift/serving/serviceloads.py
@@ -1,5 +1,7 @@
 """Load of services by the reports that the load balancer holds."""
 
+import attrs
+
 from gypsumshift.serving.admissionrule import LoadSource
 from gypsumshift.serving.capacitycorrection import ServiceState
 from gypsumshift.serving.directory import Directory
@@ -18,24 +20,53 @@
     ----------
     balancer : LoadBalancer
     directory : Directory
+
+    Attributes
+    ----------
+    states : dict
+        When the state was last computed, and the state, by service. Its places, which
+        only a contended service needs, are computed once they are asked for.
+    complete : set of str
+        Services whose state has its places.
     """
 
     def __init__(self, balancer: LoadBalancer, directory: Directory):
         self.balancer = balancer
         self.directory = directory
         self.states: dict[str, tuple[float, ServiceState | None]] = {}
+        self.complete: set[str] = set()
 
     def state(self, service: str) -> ServiceState | None:
         """Return the present state; None if no server has reported its load lately."""
+        state = self.state_without_places(service)
+        if state is not None and service not in self.complete:
+            servers = self.directory.ready_servers(service)
+            places = self.balancer.service_capacity(servers)
+            state = attrs.evolve(state, places=places)
+            self.states[service] = self.states[service][0], state
+            self.complete.add(service)
+        return state
+
+    def utilization(self, service: str) -> float | None:
+        """Return the utilization in the present state; None if there is no state.
+
+        Each call and each answer asks for it, and few services are contended.
+        """
+        state = self.state_without_places(service)
+        return state.utilization if state is not None else None
+
+    def state_without_places(self, service: str) -> ServiceState | None:
+        """Return the present state, whose places may not be computed yet."""
         now = self.balancer.clock.monotonic()
         computed_at, state = self.states.get(service, (float("-inf"), None))
         if now - computed_at > STATE_MAX_AGE_SECONDS:
             state = self.compute(service, now)
             self.states[service] = now, state
+            self.complete.discard(service)
         return state
 
     def compute(self, service: str, now: float) -> ServiceState | None:
-        """Return the state by the reports of servers that are not avoided."""
+        """Return the state without places, by reports of servers not avoided."""
         balancer = self.balancer
         servers = self.directory.ready_servers(service)
         slots = busy = waiting = free = age = 0.0
@@ -54,5 +85,4 @@
             age += now - report.reported_at
         if not count:
             return None
-        places = balancer.service_capacity(servers)
-        return ServiceState(places, slots, busy, waiting, free, age / count)
+        return ServiceState(0.0, slots, busy, waiting, free, age / count)
