--- a/tests/cold_world.py
+++ b/tests/cold_world.py
@@ -178,9 +178,11 @@
             raise FetchError("closed", True, closed=True)
         return EngineExchange(engine, status, dict(headers))
 
-    async def fetch(self, address, method, target, headers=(), body=b"", timeout=1.0):
+    async def fetch(self, address, method, target, *arguments, **options):
         await self.connect()
-        engine = self.engine
+        engine, allowed = self.engine, options.get("allowed")
+        if allowed is not None and not allowed():
+            raise RequestWithheld
         return FetchedResponse(200, [], json.dumps({"born": engine.starts}).encode())
 
     async def is_connection_refused(self, address, timeout):
--- a/tests/test_evacuated_engine.py
+++ b/tests/test_evacuated_engine.py
@@ -21,7 +21,7 @@
 from gypsumshift.jobs.itemrunner import ItemRunner
 from gypsumshift.jobs.localengine import AgentIdentity, LocalEngine
 from gypsumshift.jobs.placement import EngineView
-from gypsumshift.jobs.records import AGENTS, CLAIMS
+from gypsumshift.jobs.records import AGENTS, CLAIMS, Job
 from gypsumshift.jobs.unitreleaser import UnitReleaser
 from gypsumshift.jobs.weights import WeightManager
 from gypsumshift.jobs.zonereturn import MODEL_HOLD_SECONDS, keep_models
@@ -344,7 +344,7 @@
         assert await client.fetch_report(backend) is None
         order = WeightLoadOrder(MODEL, 2, "a", 1, 0)
         assert isinstance(await client.send_order(backend, order), NotRun)
-        job = attrs.make_class("Job", ["workspace", "host"])("", "h")
+        job = Job("job", "h", "/run/", MODEL, 0, 1, 0.0, ())
         with pytest.raises(StreamBroken) as broken:
             async for _ in client.stream(backend, unit.items[0], job, 0, 5):
                 pass
--- a/tests/test_residency_architecture.py
+++ b/tests/test_residency_architecture.py
@@ -42,7 +42,7 @@
     asking = {(s.module, s.function) for s in find_sends() if s.asks}
     assert asking >= {
         ("gypsumshift/serving/sender.py", "open"),
-        ("gypsumshift/jobs/engine.py", "stream"),
+        ("gypsumshift/jobs/engine.py", "open_stream"),
         ("gypsumshift/neighbours.py", "fetch"),
         ("platform/row_store.py", "send_call"),
     }
