--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,6 +16,7 @@
     capacity,
     change,
     contention,
+    cost,
     overhead,
     report,
     rollout,
@@ -32,7 +33,8 @@
     "rollout": rollout.rollout,
     "overhead": overhead.overhead,
     "change": change.change,
-    "cost": change.cost,
+    "idle": change.idle_cost,
+    "cost": cost.cost,
     "contention": contention.contention,
 }
 
--- a/bench/change.py
+++ b/bench/change.py
@@ -12,7 +12,7 @@
 from gypsumshift import declarations
 from standins.deployment import HOST, Deployment, ManagedProcess, free_port
 
-__all__ = ["change", "cost"]
+__all__ = ["change", "idle_cost"]
 
 ENTRY_SHARE = 0.2
 INSTANCES_PER_PROCESS = 20
@@ -147,7 +147,7 @@
     return 0.0
 
 
-async def cost(quick: bool) -> tuple[list[Row], dict]:
+async def idle_cost(quick: bool) -> tuple[list[Row], dict]:
     """Measure memory, processor time and traffic of idle processes at several sizes."""
     sizes = (10, 25) if quick else (25, 50, 100)
     measurements = []
--- a/gypsumshift/jobs/assignment.py
+++ b/gypsumshift/jobs/assignment.py
@@ -195,13 +195,24 @@
 
 def unit_end(unit: WaitingUnit, free: list[float], pace: float) -> float:
     """Return in how many seconds the last item of a unit would end."""
-    starts = heapq.nsmallest(len(unit.lengths), free)
+    starts = smallest(free, len(unit.lengths))
     lengths = sorted(unit.lengths, reverse=True)
     starts += [starts[-1]] * (len(lengths) - len(starts))
     ends = (start + n * pace for start, n in zip(starts, lengths, strict=True))
     return max(ends, default=0.0)
 
 
+def smallest(heap: list[float], count: int) -> list[float]:
+    """Return the smallest elements of a heap, sorted.
+
+    The second smallest is one of the next two elements. A unit has two items at most,
+    and a search of the whole heap for each of them made plans cost units times engines.
+    """
+    if count == 2 and len(heap) > 1:
+        return [heap[0], min(heap[1:3])]
+    return heapq.nsmallest(count, heap)
+
+
 def occupy(free: list[float], unit: WaitingUnit, pace: float) -> None:
     """Occupy the slots of a class that are free first, the longest items first."""
     for length in sorted(unit.lengths, reverse=True):
--- a/gypsumshift/serving/demand.py
+++ b/gypsumshift/serving/demand.py
@@ -170,7 +170,7 @@
         """Return whether any process has lately seen a service near its limit."""
         if self.saw_full(service):
             return True
-        return any(r.saw_full for r in self.elsewhere(service).records.values())
+        return self.elsewhere(service).full_count > 0
 
     def saw_full(self, service: str) -> bool:
         """Return whether this process has lately seen a service near its limit."""
--- a/gypsumshift/serving/demandrecords.py
+++ b/gypsumshift/serving/demandrecords.py
@@ -98,16 +98,24 @@
     sums : dict
         Sums over the records by `ShareKey`: long and short average, and how many
         records include the key.
+    full_count : int
+        Number of records of processes that have seen the service near its limit.
+    oldest : float
+        Time before which no record was reported.
     """
 
     def __init__(self):
         self.records: dict[str, ProcessDemand] = {}
         self.sums: dict[ShareKey, list] = {}
+        self.full_count = 0
+        self.oldest = math.inf
 
     def store(self, record: ProcessDemand) -> None:
         """Store a record in place of an older one of its process."""
         self.remove(record.process)
         self.records[record.process] = record
+        self.full_count += record.saw_full
+        self.oldest = min(self.oldest, record.reported_at)
         for key, rates in record.rates.items():
             sums = self.sums.setdefault(key, [0.0, 0.0, 0])
             sums[0] += rates.long
@@ -117,6 +125,7 @@
     def remove(self, process: str) -> None:
         """Remove the record of a process, if there is one."""
         record = self.records.pop(process, None)
+        self.full_count -= bool(record and record.saw_full)
         for key, rates in record.rates.items() if record else ():
             sums = self.sums[key]
             sums[0] -= rates.long
@@ -127,9 +136,13 @@
 
     def expire(self, horizon: float) -> None:
         """Remove records that were reported before a time."""
+        if horizon <= self.oldest:
+            return
         late = [p for p, each in self.records.items() if each.reported_at < horizon]
         for process in late:
             self.remove(process)
+        reported = (each.reported_at for each in self.records.values())
+        self.oldest = min(reported, default=math.inf)
 
     def weight(self, key: ShareKey) -> float:
         """Return the number of workspaces that a key for the rest stands for."""
--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -129,7 +129,10 @@
 
     def stats(self, server: BackendServer) -> ServerStats:
         """Return the statistics of a server start, created if missing."""
-        return self.stats_by_start.setdefault(server.start, ServerStats())
+        stats = self.stats_by_start.get(server.start)
+        if stats is None:
+            stats = self.stats_by_start[server.start] = ServerStats()
+        return stats
 
     def prune(self, known: set[ServerStart]) -> None:
         """Remove statistics of server starts that are not listed any more.
