--- a/tests/cold_world.py
+++ b/tests/cold_world.py
@@ -92,13 +92,19 @@
     Attributes
     ----------
     arrivals : list of Arrival
+    cold_seconds : float
+        Time for which it is cold after a start.
+    slow_connections : float
+        Share of the connections that take long to open.
     breaks_until : float
         Requests that arrive earlier are cut off.
     refuses_until : float
         Requests that arrive earlier are refused as not run.
     """
 
-    def __init__(self, chance, length=20, gap=0.05):
+    def __init__(self, chance, length=20, gap=0.05, slow_connections=0.2):
+        self.cold_seconds = LIMIT.duration.total_seconds()
+        self.slow_connections = slow_connections
         self.chance = chance
         self.length = length
         self.gap = gap
@@ -120,7 +126,7 @@
         self.starts += 1
         self.up = True
         self.running = 0
-        self.cold_until = self.now + LIMIT.duration.total_seconds() * cold
+        self.cold_until = self.now + self.cold_seconds * cold
         self.breaks_until = self.now + broken
         self.refuses_until = self.now + refusing
         self.write_entry()
@@ -158,7 +164,7 @@
     async def connect(self):
         engine = self.engine
         # Some connections take long; their requests were permitted long before.
-        slow = engine.chance.random() < 0.2
+        slow = engine.chance.random() < engine.slow_connections
         await asyncio.sleep(engine.chance.uniform(0.1, 0.45) if slow else self.latency)
         if not engine.up:
             raise FetchError("refused", False, refused=True)
@@ -235,14 +241,28 @@
     seed : int
     limited : bool
         Whether the agent limits the rate; False shows that a test needs the limit.
+    bound : ColdBound
+    limit : ColdLimit
+    lateness : (float, float)
+        Seconds by which entries are late, at least and at most.
     """
 
-    def __init__(self, seed, limited=True, bound=BOUND, limit=LIMIT, **engine_options):
+    def __init__(
+        self,
+        seed,
+        limited=True,
+        bound=BOUND,
+        limit=LIMIT,
+        lateness=(0.1, 1.9),
+        **engine_options,
+    ):
         self.chance = random.Random(seed)
         self.engine = ColdEngine(self.chance, **engine_options)
+        self.engine.cold_seconds = limit.duration.total_seconds()
         self.limited = limited
         self.bound = bound
         self.limit = limit
+        self.lateness = lateness
         self.cluster = JobCluster()
         self.agent = None
         self.agent_tasks = []
@@ -256,7 +276,7 @@
             if self.engine.up:
                 self.engine.write_entry()
                 loop = asyncio.get_running_loop()
-                late = loop.time() + self.chance.uniform(0.1, 1.9)
+                late = loop.time() + self.chance.uniform(*self.lateness)
                 delivered_at = max(delivered_at, late)
                 loop.call_at(delivered_at, self.deliver, self.engine.entry)
             await asyncio.sleep(ENTRY_PERIOD)
--- a/tests/test_cold_engine.py
+++ b/tests/test_cold_engine.py
@@ -7,9 +7,12 @@
 """
 
 import asyncio
+import datetime
 
+import attrs
 import pytest
 
+from gypsumshift.serving.cold import ColdBound
 from tests.cold_world import BOUND, LIMIT, EngineWorld, most_in_a_second
 from tests.virtual_time import run_in_virtual_time
 
@@ -94,3 +97,40 @@
 def test_without_the_limit_a_cold_engine_gets_too_many_requests(name):
     runs = (run_faults(seed, FAULTS[name], limited=False) for seed in SEEDS)
     assert any(most_in_a_second(cold_arrivals(world)) > ALLOWED for world in runs)
+
+
+@pytest.mark.parametrize("bound", [BOUND, ColdBound()])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_cold_engine_with_waiting_work_is_used_at_the_steady_rate(seed, bound):
+    """Guards against a limit that wastes the little that a cold engine can do."""
+    long_limit = attrs.evolve(LIMIT, duration=datetime.timedelta(seconds=10))
+
+    async def scenario():
+        options = {"length": 3, "gap": 0.02, "slow_connections": 0.0}
+        world = EngineWorld(
+            seed, bound=bound, limit=long_limit, lateness=(0.1, 0.3), **options
+        )
+        try:
+            world.engine.start(cold=False)
+            world.start_agent()
+            await world.submit("job", groups=300)
+            await asyncio.sleep(3)
+            world.engine.stop()
+            await asyncio.sleep(0.01)
+            world.engine.start()
+            world.deliver(world.engine.entry)
+            # The requests to the old start count for a second.
+            since, warm_at = world.engine.now + 1.0, world.engine.cold_until
+            await asyncio.sleep(13.0)
+            return world.engine.arrivals, since, warm_at
+        finally:
+            await world.close()
+
+    arrivals, since, warm_at = run_in_virtual_time(scenario)
+    cold = [a for a in arrivals if a.cold]
+    assert most_in_a_second(cold) <= LIMIT.per_second * bound.excess + bound.slack
+    steady = sum(since <= a.sent_at < warm_at for a in arrivals) / (warm_at - since)
+    assert steady >= 0.9 * LIMIT.per_second
+    # Full use is about 27 requests per second.
+    warm = sum(warm_at + 1 <= a.sent_at < warm_at + 2 for a in arrivals)
+    assert warm >= 2 * LIMIT.per_second
