Let the residency schedules change homes while a connection opens

Cause: a sender that used the route of the call's begin was found by single tests only. Change: an event that changes the homes of a call 1 ms after it began.

--- a/tests/test_residency_schedules.py
+++ b/tests/test_residency_schedules.py
@@ -30,9 +30,11 @@
 pauses = st.tuples(
     st.just("pause"), st.sampled_from([0.001, 0.01, 0.03, 0.1, 0.5]), st.none()
 )
+# A call whose route gets other homes while its connection opens.
+races = st.tuples(st.just("race"), st.sampled_from(CALL_PREFIXES), homes)
 # Changes are as frequent as requests, so that most requests meet one.
 schedules = st.lists(
-    st.one_of(calls, calls, runs, changes, changes, faults, pauses, pauses),
+    st.one_of(calls, races, runs, changes, changes, faults, pauses, pauses),
     min_size=5,
     max_size=40,
 )
@@ -61,9 +63,14 @@
     version = 1
     tasks = []
     for number, (kind, first, second) in enumerate(schedule):
-        if kind == "call":
-            work = run_call(world, f"r{number}", first, second)
+        if kind in ("call", "race"):
+            workspace = second if kind == "call" else ""
+            work = run_call(world, f"r{number}", first, workspace)
             tasks.append(asyncio.create_task(work))
+        if kind == "race":
+            await asyncio.sleep(0.001)
+            version += 1
+            world.directory.set_routes(make_routes(version, {first: second}))
         elif kind == "item":
             work = run_item(world, f"s{number}", first, second)
             tasks.append(asyncio.create_task(work))
@@ -72,7 +79,7 @@
             world.directory.set_routes(make_routes(version, first, second))
         elif kind == "fate":
             world.fates[first] = second
-        else:
+        elif kind == "pause":
             await asyncio.sleep(first)
     for outcome in await asyncio.gather(*tasks, return_exceptions=True):
         if isinstance(outcome, BaseException) and not isinstance(outcome, TimeoutError):
