Decide in constant time that nothing speaks against a service

Cause: each call looked up the observations of all servers of its service, three times, to learn that none is reported as unreachable.

Change: Observations keeps the set of starts reported as unreachable, and a service that is reachable has no state of its own.

--- a/gypsumshift/serving/observations.py
+++ b/gypsumshift/serving/observations.py
@@ -87,12 +87,15 @@
     ----------
     on_unreachable : callable
         Called with the start of a server that an observation says is unreachable.
+    unreachable : set of ServerStart
+        Servers of which the newest observation says so, expired or not.
     """
 
     def __init__(self, clock: Clock):
         self.clock = clock
         self.newest: dict[ServerStart, Observation] = {}
         self.on_unreachable: Callable[[ServerStart], None] = lambda start: None
+        self.unreachable: set[ServerStart] = set()
 
     def merge(self, observations: Iterable[Observation]) -> None:
         """Store observations, except those older than the stored ones."""
@@ -101,7 +104,10 @@
             if known is None or known.observed_at < observation.observed_at:
                 self.newest[observation.start] = observation
                 if observation.failed_share >= UNREACHABLE_SHARE:
+                    self.unreachable.add(observation.start)
                     self.on_unreachable(observation.start)
+                else:
+                    self.unreachable.discard(observation.start)
 
     def get(self, start: ServerStart) -> Observation | None:
         """Return the observation of a server start, unless it has expired."""
@@ -118,6 +124,7 @@
         for start in list(self.newest):
             if start not in known or self.get(start) is None:
                 del self.newest[start]
+                self.unreachable.discard(start)
 
     def digest(self) -> list[Observation]:
         """Return the observations to send: notable servers first, then the newest.
--- a/gypsumshift/serving/reachability.py
+++ b/gypsumshift/serving/reachability.py
@@ -155,8 +155,16 @@
 
     def is_reported(self, start: ServerStart) -> bool:
         """Return whether the newest observation is that a server is unreachable."""
-        observation = self.shared.get(start)
-        return observation is not None and observation.failed_share >= UNREACHABLE_SHARE
+        return start in self.shared.unreachable and self.shared.get(start) is not None
+
+    def is_clear(self, service: str) -> bool:
+        """Return whether nothing at all speaks against the servers of a service.
+
+        Asked for each call, in any deployment, so it must cost next to nothing.
+        """
+        return not (
+            self.unreached or self.shared.unreachable or service in self.services
+        )
 
     def failures(self, start: ServerStart) -> int:
         """Return the failed connections to a server since the last good one."""
@@ -184,8 +192,6 @@
         servers : list of BackendServer
             Its ready servers.
         """
-        if servers and not self.unreached and service not in self.services:
-            return False
         state = self.services.setdefault(service, ServiceReach())
         if servers:
             failures = [self.failures(server.start) for server in servers]
@@ -194,6 +200,8 @@
         else:
             down = self.is_empty_for_long(state)
         self.note_change(service, state, down, len(servers))
+        if servers and not down:
+            del self.services[service]
         return down
 
     def is_empty_for_long(self, state: ServiceReach) -> bool:
--- a/gypsumshift/serving/reachprobes.py
+++ b/gypsumshift/serving/reachprobes.py
@@ -71,6 +71,8 @@
     def is_down(self, service: str, servers: list[BackendServer]) -> bool:
         """Return whether a call to a service is to be refused at once."""
         self.called_at[service] = self.clock.monotonic()
+        if servers and self.reachability.is_clear(service):
+            return False
         down = self.reachability.is_down(service, servers)
         if down or not servers or self.reachability.needs_probe(service, servers):
             self.start(service)
