Bench: measure decisions with a clock that stands still

Cause: heartbeats expired while decisions were measured, so that later ones took the path for silent agents. The results of the experiment on idle processes still had the name cost.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -29,7 +29,7 @@
 def read_measurements() -> dict:
     """Read the latest results, or else those committed to the repository."""
     results = {}
-    for name in ("cost", "overhead"):
+    for name in ("idle", "overhead"):
         path = REPORTS / f"{name}.json"
         path = path if path.exists() else COMMITTED_REPORTS / f"{name}.json"
         if path.exists():
@@ -47,12 +47,12 @@
 def format_page() -> str:
     """Format all figures, one per line."""
     results = read_measurements()
-    if "cost" not in results or "overhead" not in results:
+    if "idle" not in results or "overhead" not in results:
         return (
-            "bench: no results of cost and overhead;"
-            " run `python -m bench cost overhead` first"
+            "bench: no results of idle and overhead;"
+            " run `python -m bench idle overhead` first"
         )
-    cost_rows = results["cost"]["details"]["measured"]
+    cost_rows = results["idle"]["details"]["measured"]
     requests_per_cpu_s = results["overhead"]["rows"][0]["candidate"]
     lines = [f"{'':52} {'figure':>10} {'budget':>10}"]
     lines += format_platform_lines()
--- a/bench/cost.py
+++ b/bench/cost.py
@@ -8,7 +8,7 @@
 import time
 from collections.abc import Callable, Iterator
 
-from bench.decisionworld import AgentWorld, GatewayWorld
+from bench.decisionworld import AgentWorld, GatewayWorld, StoppedClock
 from bench.operations import count_operations
 from bench.report import Row
 from gypsumshift.jobs.assignment import EngineLoad, WaitingUnit, plan_step
@@ -67,8 +67,8 @@
 
 def agent_decisions(hosts: int, units: int) -> Iterator[tuple[str, Callable]]:
     """Yield the decisions of an agent."""
-    world = AgentWorld(hosts, units)
-    full = AgentWorld(hosts, units, 0.5, 0.5)
+    world = AgentWorld(hosts, units, clock=StoppedClock())
+    full = AgentWorld(hosts, units, 0.5, 0.5, StoppedClock())
     yield "claims: look, a tenth of the units free", world.look
     yield "claims: look, all units held", full.look
     yield "claims: look without a free slot", lambda: world.look(0)
@@ -90,7 +90,7 @@
 
 def gateway_decisions(hosts: int) -> Iterator[tuple[str, Callable]]:
     """Yield the decisions of a gateway, before a server for every host."""
-    world = GatewayWorld(hosts, hosts)
+    world = GatewayWorld(hosts, hosts, StoppedClock())
     yield "load balancing: choose a server", world.choose
     yield "admission: state of a service", lambda: world.loads.compute("app", 0.0)
     yield "admission: is a service contended", lambda: world.demand.is_contended("app")
--- a/bench/decisionworld.py
+++ b/bench/decisionworld.py
@@ -36,7 +36,7 @@
 from gypsumshift.serving.serviceadmission import ServiceAdmission
 from gypsumshift.serving.serviceloads import BalancerLoads
 
-__all__ = ["AgentWorld", "GatewayWorld"]
+__all__ = ["AgentWorld", "GatewayWorld", "StoppedClock"]
 
 SLOTS, UNIT_ITEMS, UNITS_IN_JOB = 4, 2, 100
 MODELS = ("m", "n")
@@ -44,6 +44,14 @@
 DONE_SHARE, HELD_SHARE = 0.5, 0.4
 
 
+class StoppedClock(SystemClock):
+    """Clock that stands still, so that nothing expires during a measurement."""
+
+    def monotonic(self) -> float:
+        """Return always the same time."""
+        return 1000.0
+
+
 class AgentWorld:
     """What one agent knows: engines with heartbeats, open jobs and their claims.
 
