--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,8 +15,10 @@
 from soak.conditions import Conditions, choose_conditions
 from soak.crowding import Crowding
 from soak.deployment import Deployment
+from soak.evacuations import FAULT_GAP_S as EVACUATION_FAULT_GAP_S
+from soak.evacuations import Evacuator, check_evacuations
 from soak.fatal import check_fatal_requests, send_fatal_requests, wait_all_ready
-from soak.faults import FaultInjector
+from soak.faults import FAULT_GAP_S, FaultInjector
 from soak.keys import check_keys
 from soak.places import PlaceHistory
 from soak.regression import SEEDS
@@ -39,14 +41,21 @@
     seconds: float,
     nodes: int,
     conditions: Conditions,
+    evacuations: bool = False,
 ):
-    """Run one seed; return the violations, a summary line and the injected faults."""
+    """Run one seed; return the violations, a summary line and the injected faults.
+
+    With ``evacuations``, each number of gateway, agent and workers is a zone, and zones
+    are evacuated from time to time.
+    """
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
-    deployment = Deployment(folder, seed, nodes, conditions)
+    deployment = Deployment(folder, seed, nodes, conditions, evacuations)
     workload = Workload(deployment, seed)
-    faults = FaultInjector(deployment, seed)
+    gap = EVACUATION_FAULT_GAP_S if evacuations else FAULT_GAP_S
+    faults = FaultInjector(deployment, seed, gap)
     crowding = Crowding(deployment, workload, seed, faults.record_fault)
+    evacuator = Evacuator(deployment, seed, faults.record_fault)
     try:
         await deployment.start(workload.keys.make_config())
         await workload.keys.write_config()
@@ -57,7 +66,8 @@
         restarting = asyncio.create_task(deployment.keep_workers())
         key_rotation = asyncio.create_task(workload.keys.run_rotation())
         watching = asyncio.create_task(faults.disturbances.watch_store(deployment))
-        await asyncio.gather(faults.run(seconds), crowding.run(seconds))
+        evacuating = evacuator.run(seconds) if evacuations else asyncio.sleep(0)
+        await asyncio.gather(faults.run(seconds), crowding.run(seconds), evacuating)
         key_rotation.cancel()
         await wait_all_ready(deployment)
         await crowding.run_alone()
@@ -74,20 +84,22 @@
     violations += check_backends(folder, workload.seen)
     violations += check_fatal_requests(folder, calm_from)
     violations += check_keys(folder, workload.keys)
+    excuses = evacuator.with_faults(faults.disturbances)
     violations += check_needless_refusals(
-        workload.seen,
-        workload.keys,
-        PlaceHistory(folder),
-        faults.disturbances,
-        crowding.periods,
+        workload.seen, workload.keys, PlaceHistory(folder), excuses, crowding.periods
     )
     gateways = [process.name for process in deployment.of_kind("gateway")]
     for period in crowding.periods:
-        violations += check_crowding(period, gateways, faults.disturbances)
+        violations += check_crowding(period, gateways, excuses)
+    arrivals, checked = check_evacuations(
+        folder, evacuator.evacuations, faults.disturbances
+    )
+    violations += arrivals
     seen = workload.seen
     summary = (
         f"{seen.served_count} requests served, {len(seen.refused)} refused, "
-        f"{len(seen.jobs)} jobs, {len(faults.injected)} faults"
+        f"{len(seen.jobs)} jobs, {len(faults.injected)} faults, "
+        f"{len(evacuator.evacuations)} evacuations ({checked:.0f} s checked)"
     )
     return violations, summary, faults.injected
 
@@ -125,6 +137,9 @@
     regression: Annotated[
         bool, typer.Option(help="Run the seeds that once failed instead.")
     ] = False,
+    evacuations: Annotated[
+        bool, typer.Option(help="Evacuate zones from time to time as well.")
+    ] = False,
 ) -> None:
     """Run the real programs under random faults and check the guarantees."""
     planned = [
@@ -133,16 +148,22 @@
     ]
     if regression:
         planned = [(k.seed, k.seconds, k.nodes, k.conditions) for k in SEEDS]
-    failed = [one for one in planned if not play(*one, keep)]
+    failed = [one for one in planned if not play(*one, keep, evacuations)]
     sys.exit(1 if failed else 0)
 
 
 def play(
-    number: int, seconds: float, nodes: int, conditions: Conditions, keep: str
+    number: int,
+    seconds: float,
+    nodes: int,
+    conditions: Conditions,
+    keep: str,
+    evacuations: bool = False,
 ) -> bool:
     """Run one seed and print the result; return whether all guarantees held."""
     with KeptFolder(keep, number) if keep else tempfile.TemporaryDirectory() as name:
-        run = soak(pathlib.Path(name), number, seconds, nodes, conditions)
+        folder = pathlib.Path(name)
+        run = soak(folder, number, seconds, nodes, conditions, evacuations)
         violations, summary, faults = asyncio.run(run)
     result = f"{summary}; {len(violations)} broken promises"
     print(f"seed {number} ({conditions}): {result}", flush=True)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -117,6 +117,11 @@
     )
 
 
+def zone_of(name: str) -> str:
+    """Return the zone of a process by the number in its name."""
+    return f"zone-{name.rpartition('-')[2]}"
+
+
 class Deployment:
     """All processes of one run.
 
@@ -129,6 +134,9 @@
     nodes : int
         Number of gateways, of engines with an agent each, and of plain workers.
     conditions : Conditions
+    has_zones : bool
+        Whether the processes of each number are in a zone of their own, and the workers
+        log each arrival.
 
     Attributes
     ----------
@@ -142,8 +150,10 @@
         seed: int,
         nodes: int,
         conditions: Conditions = PLAIN,
+        has_zones: bool = False,
     ):
         self.conditions = conditions
+        self.has_zones = has_zones
         self.folder = folder
         self.seed = seed
         self.nodes = nodes
@@ -254,6 +264,8 @@
         arguments += [str(part) for field in fields.items() for part in field]
         if self.conditions.shared_hosts:
             arguments.append("--shared-host")
+        if self.has_zones:
+            arguments += ["--zone", zone_of(name), "--logs-arrivals"]
         process = self.add(name, "standins.users_worker", *arguments)
         await process.start()
         return process
@@ -272,6 +284,8 @@
         fields["bounds.report_window_s"] = REPORT_WINDOW_S
         fields["bounds.strict_revoke"] = "true"
         fields["bounds.revoke_ms"] = REVOKED_WITHIN_S * 1000
+        if self.has_zones:
+            fields["zone"] = zone_of(name)
         settings = self.folder / f"{name}.conf"
         settings.write_text(settings_text(name, ip, proxy.address, **fields))
         environment = {"GYPSUMSHIFT_NODE_FILE": str(settings)} | self.environment
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,7 @@
 from soak.disturbances import Disturbances
 from soak.proxy import Mode
 
-__all__ = ["FaultInjector"]
+__all__ = ["FAULT_GAP_S", "FaultInjector"]
 
 # Half of the longest time between the starts of two faults, and the longest duration of
 # a fault.
@@ -37,9 +37,14 @@
     deployment : Deployment
     seed : int
         Determines the faults, their targets and their times.
+    fault_gap : float
+        Half of the longest time between the starts of two faults, in seconds.
     """
 
-    def __init__(self, deployment: Deployment, seed: int):
+    def __init__(
+        self, deployment: Deployment, seed: int, fault_gap: float = FAULT_GAP_S
+    ):
+        self.fault_gap = fault_gap
         self.deployment = deployment
         self.rng = random.Random(seed)
         self.running: set[asyncio.Task] = set()
@@ -75,7 +80,7 @@
             task = asyncio.create_task(method(span))
             self.running.add(task)
             task.add_done_callback(self.running.discard)
-            await asyncio.sleep(self.rng.uniform(0.1, 2 * FAULT_GAP_S))
+            await asyncio.sleep(self.rng.uniform(0.1, 2 * self.fault_gap))
         if self.running:
             await asyncio.wait(set(self.running))
         await asyncio.gather(delaying, disturbing)
--- a/standins/users_worker.py
+++ b/standins/users_worker.py
@@ -109,6 +109,8 @@
         Whether its load has the pace as a fourth figure.
     zone : str
         Availability zone in its entry.
+    logs_arrivals : bool
+        Whether the log of its runs has a line for each such request.
     last_arrival : float
         Monotonic time of the last request that it did not answer with 421, reports
         included; minus infinity before the first.
@@ -140,6 +142,7 @@
         self.slowdown = 1.0
         self.reports_pace = False
         self.zone = "here"
+        self.logs_arrivals = False
         self.last_arrival = -math.inf
         self.slot_freed = asyncio.Condition()
         self.server = HttpServer(self.serve)
@@ -163,8 +166,8 @@
             self.slowdown = float(request.body)
             return Response(200)
         expected_id = request.header("expect-instance")
-        if not expected_id or expected_id == self.id:
-            self.last_arrival = time.monotonic()
+        if expected_id in ("", self.id):
+            self.record_arrival(request)
         if request.path == "/gypsumshift/report":
             return json_response(200, self.report())
         if expected_id and expected_id != self.id:
@@ -175,6 +178,12 @@
             return Response(503, [*NOT_RUN_HEADERS, self.load_header()])
         return await self.run_request(request)
 
+    def record_arrival(self, request: Request) -> None:
+        """Record that a request for this server arrived."""
+        self.last_arrival = time.monotonic()
+        if self.logs_arrivals:
+            self.log_line({"arrived": request.path, "at": time.time()})
+
     def current_slowdown(self) -> float:
         """Return how long work takes now, in units of the usual time."""
         return self.host_pace.slowdown() * self.slowdown
@@ -360,6 +369,8 @@
     queue_length: int = 0,
     shared_host: bool = False,
     reports_pace: bool = False,
+    zone: str = "here",
+    logs_arrivals: bool = False,
 ) -> None:
     """Run a stand-in for a backend server; ``models`` are separated by commas.
 
@@ -367,11 +378,13 @@
     which its runs are appended. A request whose body contains ``fatal`` crashes it.
     ``work_ms`` is the time of a plain request or of an event. With ``shared_host`` its
     pace changes like that of a shared host, and is reported with its load; with
-    ``reports_pace`` it is reported without such changes.
+    ``reports_pace`` it is reported without such changes. With ``logs_arrivals``, the
+    file of ``runs`` also has a line for each request that arrives.
     """
     names = tuple(models.split(",")) if models else ()
     worker = FakeWorker(service, names, slots, pause=work_ms / 1000)
     worker.id = name or worker.id
+    worker.zone, worker.logs_arrivals = zone, logs_arrivals
     worker.fatal = fatal.encode()
     worker.queue_length = queue_length
     worker.reports_pace = reports_pace or shared_host
