Leave silent regions out, and spread calls over the servers of the chosen one

Cause: calls that spill over to a region that is cut off lost the connect hedge delay each, and all of them went to the first server of equal expected time. Change: any region counts as lost after two servers that accept no connection; ties between regions are broken at random, and the load balancer chooses within the region. Conclusion: one region decides as before.

--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -130,7 +130,7 @@
         self.policy = policy
         self.layout = layout
         self.round_trips = RoundTrips(layout)
-        self.regions = RegionChoice(layout, self.round_trips)
+        self.regions = RegionChoice(layout, self.round_trips, chance)
         self.zone = zone
         self.clock = clock
         self.chance = chance
--- a/gypsumshift/serving/regionchoice.py
+++ b/gypsumshift/serving/regionchoice.py
@@ -1,29 +1,31 @@
 """Choice between the servers of the own region and those of others.
 
 The own region comes first. Another one is used if it is expected to be earlier by more
-than the error of the estimates, or if the own one seems to be lost.
+than the error of the estimates, or if the own one seems to be lost. Regions that seem
+to be lost are left out.
 """
 
 import math
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Iterable
 
 from gypsumshift import logs
 from gypsumshift.places import Layout
 from gypsumshift.roundtrips import RoundTrips
-from gypsumshift.serving.directory import BackendServer, ServerStart
+from gypsumshift.serving.directory import BackendServer
 
 __all__ = ["ERROR_SHARE", "RegionChoice"]
 
 # Error of an expected time: a share of it, and some usual service times. With these
 # values, no call left a region at 0.6 of its capacity in a simulation
-# (`tests/region_fleet.py`), and one of sixteen at the full capacity.
+# (`tests/region_fleet.py`), and 0.04 of them at the full capacity.
 ERROR_SHARE = 0.25
 ERROR_SERVICE_TIMES = 0.5
 # Service time in seconds that is assumed before any answer was measured; short, so that
 # a round trip to another region seems long and the own region is used.
 ASSUMED_SERVICE_TIME_S = 0.03
-# Servers of the own region to which no connection opened, without an answer of another
-# one since, after which the region counts as lost. A single one is usual.
+# Servers of a region to which no connection opened, without an answer of another one
+# since, after which the region counts as lost. A single one is usual.
 LOST_SERVERS = 2
 # Seconds for which such a failure counts. Directory entries of lost servers expire
 # after 4 s, and servers that start again count anew. A call that finds the region still
@@ -91,45 +93,60 @@
     ----------
     layout : Layout
     round_trips : RoundTrips
+    chance : random.Random
+        Chooses among regions of the same expected time.
 
     Attributes
     ----------
     unconnected : dict
-        Monotonic time by server of the own region, of failures to connect since a
-        server of the region answered.
+        Monotonic time by server, of failures to connect since a server of its region
+        answered.
     log : CrossingLog
     """
 
-    def __init__(self, layout: Layout, round_trips: RoundTrips):
+    def __init__(self, layout: Layout, round_trips: RoundTrips, chance: random.Random):
         self.layout = layout
         self.round_trips = round_trips
-        self.unconnected: dict[ServerStart, float] = {}
+        self.chance = chance
+        self.unconnected: dict[BackendServer, float] = {}
         self.log = CrossingLog(layout)
 
     def record_unconnected(self, server: BackendServer, now: float) -> None:
         """Record that no connection to a server opened in time."""
-        if not self.layout.has_regions or self.layout.is_other_region(server.zone):
+        if not self.layout.has_regions:
             return
-        self.unconnected = {
-            start: at
-            for start, at in self.unconnected.items()
-            if now - at < LOST_PAUSE_S
-        }
-        self.unconnected[server.start] = now
+        recent = {s: t for s, t in self.unconnected.items() if now - t < LOST_PAUSE_S}
+        self.unconnected = recent | {server: now}
 
     def record_answer(self, server: BackendServer) -> None:
         """Record that a server answered."""
-        if self.unconnected and not self.layout.is_other_region(server.zone):
-            self.unconnected.clear()
+        if self.unconnected:
+            region = self.layout.region_of(server.zone)
+            for other in self.in_region(region, list(self.unconnected)):
+                del self.unconnected[other]
+
+    def in_region(
+        self, region: str, servers: Iterable[BackendServer]
+    ) -> list[BackendServer]:
+        """Return those of some servers that are in a region."""
+        return [s for s in servers if self.layout.region_of(s.zone) == region]
 
-    def is_lost(self, listed: list[BackendServer], now: float) -> bool:
-        """Return whether the own region seems to be lost, given all listed servers."""
+    def lost_regions(self, listed: list[BackendServer], now: float) -> set[str]:
+        """Return the regions that seem to be lost, given all listed servers."""
         if not self.unconnected:
-            return False
-        near = [s for s in listed if not self.layout.is_other_region(s.zone)]
-        times = (self.unconnected.get(server.start, -math.inf) for server in near)
-        recent = sum(now - at < LOST_PAUSE_S for at in times)
-        return recent >= min(LOST_SERVERS, len(near))
+            return set()
+        times = {s.start: at for s, at in self.unconnected.items()}
+        failed = [
+            self.layout.region_of(server.zone)
+            for server in listed
+            if now - times.get(server.start, -math.inf) < LOST_PAUSE_S
+        ]
+        return {
+            region
+            for region in set(failed)
+            if failed.count(region)
+            >= min(LOST_SERVERS, len(self.in_region(region, listed)))
+        }
 
     def narrow(
         self,
@@ -158,22 +175,30 @@
         now : float
             Monotonic time in seconds.
         """
-        near = [s for s in servers if not self.layout.is_other_region(s.zone)]
-        far = [s for s in servers if self.layout.is_other_region(s.zone)]
+        lost = self.lost_regions(listed, now)
+        region_of = self.layout.region_of
+        alive = [s for s in servers if region_of(s.zone) not in lost] or servers
+        near = [s for s in alive if not self.layout.is_other_region(s.zone)]
+        far = [s for s in alive if self.layout.is_other_region(s.zone)]
         if not far:
             return near
         time_near = min(map(cost, near), default=math.inf)
-        is_lost = not near or self.is_lost(listed, now)
         # A server of another region takes one service time and the round trip at least.
-        if not is_lost and not is_earlier(1.0, time_near):
+        if not is_earlier(1.0, time_near):
             return near
-        best = min(far, key=lambda s: self.far_time(s, cost, usual, has_idle))
-        time_far = self.far_time(best, cost, usual, has_idle)
-        if not is_lost and not is_earlier(time_far, time_near):
+        times = [self.far_time(server, cost, usual, has_idle) for server in far]
+        time_far, _, best = min(
+            (time, self.chance.random(), number) for number, time in enumerate(times)
+        )
+        if not is_earlier(time_far, time_near):
             return near
-        reason = EARLIER if near and not is_lost else LOST if near else NONE_LEFT
-        self.log.record(best, reason, now)
-        return [best]
+        reason = EARLIER if near else LOST if self.own_region_in(lost) else NONE_LEFT
+        self.log.record(far[best], reason, now)
+        return self.in_region(region_of(far[best].zone), far)
+
+    def own_region_in(self, lost: set[str]) -> bool:
+        """Return whether the region of this process is lost."""
+        return self.layout.own.region in lost
 
     def far_time(
         self, server: BackendServer, cost: ServerCost, usual: float, has_idle
--- a/tests/test_region_choice.py
+++ b/tests/test_region_choice.py
@@ -93,7 +93,8 @@
 
 
 def test_a_new_connection_to_another_region_costs_a_second_round_trip():
-    choice = RegionChoice(make_layout(), RoundTrips(make_layout()))
+    balancer, _ = make_balancer()
+    choice = RegionChoice(make_layout(), balancer.round_trips, balancer.chance)
     far = servers()[1]
     idle = choice.far_time(far, lambda s: 1.0, 0.04, lambda address: True)
     new = choice.far_time(far, lambda s: 1.0, 0.04, lambda address: False)
@@ -166,6 +167,27 @@
     run_in_virtual_time(scenario)
 
 
+def test_a_region_that_is_cut_off_gets_no_calls_of_an_overloaded_one():
+    """Each call that spilled over would lose the connect hedge delay."""
+    balancer, _ = make_balancer()
+    listed = servers(("north-a", "south-a", "south-b", "west-a", "west-b"))
+    for server in listed:
+        balancer.stats(server).latency = 0.05
+    balancer.record_load(listed[0], ServerLoad(60, 0, 6))
+    chosen = {balancer.choose(listed, set()).zone for _ in range(30)}
+    assert chosen == {"south-a", "south-b", "west-a", "west-b"}
+    balancer.record_unconnected(listed[1])
+    balancer.record_unconnected(listed[2])
+    chosen = {balancer.choose(listed, set()).zone for _ in range(30)}
+    assert chosen == {"west-a", "west-b"}
+    balancer.record_unconnected(listed[3])
+    balancer.record_unconnected(listed[4])
+    assert balancer.choose(listed, set()).zone == "north-a"
+    balancer.record_success(listed[1], 0.05)
+    chosen = {balancer.choose(listed, set()).zone for _ in range(30)}
+    assert chosen == {"south-a", "south-b"}
+
+
 def test_a_silent_server_of_another_region_does_not_count():
     balancer, _ = make_balancer()
     listed = servers(("north-a", "south-a", "south-b"))
