--- a/gypsumshift/jobs/claimtracker.py
+++ b/gypsumshift/jobs/claimtracker.py
@@ -312,14 +312,8 @@
 
     def is_left_to_region(self, open_job: OpenJob) -> bool:
         """Return whether the engines of a job's region have room for all its items."""
-        if self.regions is None or not self.regions.is_foreign(open_job.job):
-            return False
-        waiting = sum(
-            len(unit.items)
-            for unit in open_job.order
-            if self.is_free(open_job.claims.get(unit.key))
-        )
-        return self.regions.leaves_to_region(open_job, waiting)
+        regions = self.regions
+        return regions is not None and regions.leaves_to_region(open_job, self.is_free)
 
     def claim_class(
         self,
--- a/gypsumshift/jobs/jobregions.py
+++ b/gypsumshift/jobs/jobregions.py
@@ -4,8 +4,10 @@
 prompts and outputs cross regions as rarely as possible and steps do not wait.
 """
 
+from collections.abc import Callable
+
 from gypsumshift.clock import Clock
-from gypsumshift.jobs.openjob import OpenJob
+from gypsumshift.jobs.openjob import OpenJob, StoredClaim
 from gypsumshift.jobs.peers import Peers
 from gypsumshift.jobs.records import Job
 from gypsumshift.residency import ResidencyRules
@@ -44,20 +46,27 @@
             return False
         return self.residency.of_job(job).allows(job.region)
 
-    def leaves_to_region(self, open_job: OpenJob, waiting: int) -> bool:
+    def leaves_to_region(
+        self, open_job: OpenJob, is_free: Callable[[StoredClaim | None], bool]
+    ) -> bool:
         """Return whether the engines of a job's region have room for its items.
 
         Parameters
         ----------
         open_job : OpenJob
-        waiting : int
-            Number of its items that no agent has claimed.
+        is_free : callable
+            Returns whether the unit of a claim may be claimed.
         """
         job = open_job.job
         if not self.is_foreign(job):
             return False
         if self.clock.monotonic() - open_job.first_seen_at >= LEAVE_TO_REGION:
             return False
+        waiting = sum(
+            len(unit.items)
+            for unit in open_job.order
+            if is_free(open_job.claims.get(unit.key))
+        )
         return self.free_slots(job) >= waiting
 
     def may_be_planned(self, job: Job, engine: BackendServer) -> bool:
