Keep the sizes of a step that its claims do not change

Cause: the division of the engines visited all units of all open steps each 0.5 s, and found the spare groups, the total and the median of each step anew.

Change: these are kept with the open job; waiting and running tokens are summed over the units that are not done.

Conclusion: the same needs; the rest is the liveness of holders and the paces of the engines, which change.

--- a/gypsumshift/jobs/openjob.py
+++ b/gypsumshift/jobs/openjob.py
@@ -1,10 +1,19 @@
 """Open batch jobs, the claims of their units, and the candidates for further claims."""
 
+import functools
+import statistics
+
 import attrs
 
 from gypsumshift.jobs.records import Claim, Job, UnitSummary
+from gypsumshift.jobs.schedule import spare_groups
+
+__all__ = ["Candidate", "OpenJob", "StoredClaim", "estimated_tokens"]
 
-__all__ = ["Candidate", "OpenJob", "StoredClaim"]
+
+def estimated_tokens(unit: UnitSummary) -> float:
+    """Return the size of a unit; one without an estimate counts as a small one."""
+    return float(max(unit.hint, 1) * len(unit.items))
 
 
 @attrs.frozen
@@ -87,6 +96,24 @@
     )
     unfinished_order: list[UnitSummary] | None = attrs.field(init=False, default=None)
 
+    @functools.cached_property
+    def spare_groups(self) -> set[str]:
+        """Groups that the trainer does not wait for."""
+        return spare_groups(list(self.job.units), self.job.groups_needed)
+
+    @functools.cached_property
+    def needed_tokens(self) -> float:
+        """Estimated output tokens of the groups that the trainer waits for."""
+        spare = self.spare_groups
+        needed = [unit for unit in self.job.units if unit.group not in spare]
+        return sum(map(estimated_tokens, needed), 0.0)
+
+    @functools.cached_property
+    def usual_hint(self) -> float:
+        """Median estimate of the units, in output tokens; 0 without units."""
+        hints = [unit.hint for unit in self.job.units]
+        return statistics.median(hints) if hints else 0
+
     def set_claim(self, key: str, stored: StoredClaim) -> None:
         """Set the claim of a unit."""
         known = self.claims.get(key)
--- a/gypsumshift/jobs/stepneeds.py
+++ b/gypsumshift/jobs/stepneeds.py
@@ -23,9 +23,8 @@
     divide_engines,
 )
 from gypsumshift.jobs.localengine import LocalEngine
-from gypsumshift.jobs.openjob import OpenJob
+from gypsumshift.jobs.openjob import OpenJob, estimated_tokens
 from gypsumshift.jobs.records import Job
-from gypsumshift.jobs.schedule import spare_groups
 from gypsumshift.jobs.servicerecord import ServiceRecord
 
 __all__ = ["STEP_TIME_S", "EngineCapacity", "EngineDivider"]
@@ -196,10 +195,11 @@
         sizes = self.step_sizes(open_job)
         step_time = self.step_time_s(job)
         age = self.store_time().total_seconds() - job.submitted
-        usual = statistics.median(unit.hint for unit in job.units) if job.units else 0
         # The last items take their time, and the first ones may wait for weights.
         has_begun = sizes.begun_share >= BEGUN_SHARE
-        tail = usual * capacity.token_s / 2 + (0.0 if has_begun else LOAD_TIME_S)
+        tail = open_job.usual_hint * capacity.token_s / 2 + (
+            0.0 if has_begun else LOAD_TIME_S
+        )
         return StepNeed(
             job=job.id,
             model=job.model,
@@ -216,21 +216,15 @@
 
     def step_sizes(self, open_job: OpenJob) -> StepSizes:
         """Return the sizes of a step, without the groups that its trainer can spare."""
-        job = open_job.job
-        spare = spare_groups(list(job.units), job.groups_needed)
-        sizes = StepSizes()
-        for unit in job.units:
-            if unit.group in spare:
+        sizes = StepSizes(total=open_job.needed_tokens)
+        for unit in open_job.unfinished():
+            if unit.group in open_job.spare_groups:
                 continue
-            stored = open_job.claims.get(unit.key)
-            # A unit without an estimate counts as a small one.
-            size = float(max(unit.hint, 1) * len(unit.items))
-            sizes.total += size
-            if self.tracker.is_free(stored):
-                sizes.waiting += size
+            if self.tracker.is_free(open_job.claims.get(unit.key)):
+                sizes.waiting += estimated_tokens(unit)
                 sizes.longest_waiting = max(sizes.longest_waiting, unit.hint)
-            elif not stored.claim.done:
-                sizes.running += size
+            else:
+                sizes.running += estimated_tokens(unit)
         return sizes
 
     def step_time_s(self, job: Job) -> float:
