Test that digests alone carry an evacuation; log only the agent's own zone

Cause: the test of a gateway without the store had relayed calls as well; an agent in an evacuated zone logged another zone's evacuation as its own. Change: a test without relayed calls; the agent compares the zone.

--- a/gypsumshift/jobs/engineevacuation.py
+++ b/gypsumshift/jobs/engineevacuation.py
@@ -80,22 +80,27 @@
 
     def note_begin(self, zone: str) -> None:
         """Release units at once if the evacuated zone is that of the engine."""
-        if self.in_force:
-            released = self.release_units()
-            logs.event(
-                log,
-                "The zone of the engine is evacuated; its agent claims nothing.",
-                zone=zone,
-                released_units=released,
-                running_items=self.count_running(),
-            )
+        if not self.is_own_zone(zone):
+            return
+        released = self.release_units()
+        logs.event(
+            log,
+            "The zone of the engine is evacuated; its agent claims nothing.",
+            zone=zone,
+            released_units=released,
+            running_items=self.count_running(),
+        )
 
     def note_return(self, zone: str) -> None:
         """Record the end of an evacuation of the engine's zone."""
-        server = self.local_engine.server
-        if server is not None and server.zone == zone:
+        if self.is_own_zone(zone):
             self.returned_at = self.clock.monotonic()
 
+    def is_own_zone(self, zone: str) -> bool:
+        """Return whether the engine is listed in a zone."""
+        server = self.local_engine.server
+        return server is not None and server.zone == zone
+
     def count_running(self) -> int:
         """Return how many items the engine is generating."""
         units = self.runner.units.values()
--- a/tests/test_evacuated_zones.py
+++ b/tests/test_evacuated_zones.py
@@ -16,7 +16,7 @@
 from gypsumshift.policy import ENVIRONMENT_VARIABLE
 from gypsumshift.serving import Directory
 from gypsumshift.serving.calls import Refused
-from gypsumshift.serving.evacuations import Evacuations
+from gypsumshift.serving.evacuations import Evacuations, EvacuationSection
 from gypsumshift.serving.sender import ZONE_EVACUATED
 from gypsumshift.watch import MAX_FEED_WAIT
 from standins.users_store import Faults
@@ -195,6 +195,34 @@
     run_in_zones(scenario, tmp_path)
 
 
+@pytest.mark.parametrize("mechanism", [True, False], ids=["with", "without"])
+def test_an_order_reaches_a_gateway_without_the_store_in_digests(
+    tmp_path, monkeypatch, mechanism
+):
+    """No call of the store is relayed, as while the store is away for all."""
+    without = "store_through_neighbours,shared_rereads"
+    monkeypatch.setenv(ENVIRONMENT_VARIABLE, without)
+    if not mechanism:
+        monkeypatch.setattr(EvacuationSection, "encode", lambda self: None)
+
+    async def scenario(cluster):
+        own_store, port = await cluster.open_second_store_port()
+        cut_off = await cluster.add_gateway("third", tmp_path, port, waits=False)
+        await wait_until(lambda: cut_off.ready)
+        await cluster.wait_until_listed(cut_off, cluster.east)
+        async with cluster.traffic(cut_off):
+            await cluster.wait_for_arrival(cluster.east, time.monotonic())
+            await silence_for_all_feeds(own_store)
+            since = await cluster.evacuate("east")
+            if mechanism:
+                await check_silence(cluster.east, since, BOUND_S)
+                return
+            with pytest.raises(LateArrival):
+                await check_silence(cluster.east, since, BOUND_S)
+
+    run_in_zones(scenario, tmp_path)
+
+
 @with_and_without(ignore_whole_reads)
 def test_an_order_is_followed_though_the_store_lost_its_history(tmp_path):
     async def scenario(cluster):
