--- a/gypsumshift/membership.py
+++ b/gypsumshift/membership.py
@@ -4,13 +4,12 @@
 request that it must not run.
 """
 
-import hashlib
-
 import attrs
 
 from gypsumshift.clock import Clock
 from gypsumshift.generated.messages import Load, Member, Role
 from gypsumshift.platforms import Host
+from gypsumshift.rendezvous import rendezvous_weight
 
 __all__ = ["Peer", "Membership", "rendezvous_weight"]
 
@@ -21,12 +20,6 @@
 NEVER = float("-inf")
 
 
-def rendezvous_weight(key: str, name: str) -> int:
-    """Return the rendezvous hash of ``name`` for ``key``; the highest is chosen."""
-    digest = hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
-
-
 @attrs.define
 class Peer:
     """Another process of the system.
--- a/gypsumshift/neighbours.py
+++ b/gypsumshift/neighbours.py
@@ -30,6 +30,8 @@
 # was not written again is removed because its process is gone.
 ANNOUNCE_PERIOD_S = 15.0
 ENTRY_TIMEOUT_S = 60.0
+# Time for which a process may rely on its own entry being listed after it was written.
+CERTAIN_ENTRY_S = 45.0
 # Maximum number of entries removed in one transaction. A store accepts 100 rows, and an
 # entry that was written in the meantime makes the whole transaction fail. The entries
 # are chosen at random because many processes remove entries at the same time.
@@ -348,6 +350,12 @@
         Receives the other processes.
     store : RowStore
     clock : Clock
+
+    Attributes
+    ----------
+    announced_at : float
+        When the own entry was last written, by the clock that runs on while the host is
+        suspended.
     """
 
     def __init__(self, own: Neighbour, path: StorePath, store: RowStore, clock: Clock):
@@ -365,6 +373,21 @@
             batch_interval=NEIGHBOURS_BATCH_INTERVAL_S,
         )
         self.stale_rows = StaleRowDetector(self.watch)
+        self.announced_at = float("-inf")
+        self.announced_since = float("inf")
+
+    @property
+    def listed_since(self) -> float:
+        """Since when the own entry has been in the table; infinity if uncertain."""
+        age = self.clock.monotonic_with_suspend() - self.announced_at
+        return self.announced_since if age <= CERTAIN_ENTRY_S else float("inf")
+
+    def note_announced(self, asked_at: float) -> None:
+        """Record that the own entry was written by a call that began at a time."""
+        now = self.clock.monotonic_with_suspend()
+        if asked_at - self.announced_at > CERTAIN_ENTRY_S:
+            self.announced_since = now
+        self.announced_at = asked_at
 
     def replace_rows(self, rows: list[Row]) -> None:
         """Apply a read of the whole table; processes missing from it are removed."""
@@ -420,8 +443,10 @@
         """
         own = self.own
         value = {"address": list(own.address), "zone": own.zone, "link": own.link}
+        asked_at = self.clock.monotonic_with_suspend()
         outcome = await self.store.commit([Write(NEIGHBOURS_TABLE, own.name, value)])
         if isinstance(outcome, Committed):
+            self.note_announced(asked_at)
             await self.remove_stale_entries()
             return
         self.stale_rows.restart_timers()
