Count a cold server with its rate where capacity is computed, and report it

The load balancer's capacity of a service decides admission, Retry-After and the limit of reward calls.

--- a/gypsumshift/agentnode.py
+++ b/gypsumshift/agentnode.py
@@ -97,6 +97,7 @@
         """Limit the items, orders and reward calls to servers that just started."""
         self.cold_rates = self.sender.cold_rates = cold_rates
         self.balancer.permitted = cold_rates.permitted
+        self.balancer.cold_rate = cold_rates.cold_rate
         local_engine = self.agent.local_engine
         local_engine.cold_rates = local_engine.client.cold_rates = cold_rates
 
--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -104,6 +104,7 @@
         """Limit the calls and streams to servers that have just started."""
         self.cold_rates = self.sender.cold_rates = cold_rates
         self.balancer.permitted = cold_rates.permitted
+        self.balancer.cold_rate = cold_rates.cold_rate
 
     @property
     def ready(self) -> bool:
--- a/gypsumshift/serving/coldrates.py
+++ b/gypsumshift/serving/coldrates.py
@@ -6,18 +6,14 @@
 servers is shared by a few processes. Only services with a cold rate are limited.
 """
 
-import asyncio
 import datetime
-import itertools
 from collections.abc import Callable
 
-import attrs
-
-from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.metrics import Metrics
 from gypsumshift.serving.cold.knowledge import ColdKnowledge
-from gypsumshift.serving.cold.limiter import WINDOW_SECONDS, SendLimiter, SendRecord
+from gypsumshift.serving.cold.limiter import WINDOW_SECONDS, SendRecord
+from gypsumshift.serving.cold.reporter import ColdReporter
 from gypsumshift.serving.cold.shares import (
     BURST,
     NO_SHARE,
@@ -26,6 +22,7 @@
     divide_limit,
     target_share,
 )
+from gypsumshift.serving.cold.turns import AddressState, Turn
 from gypsumshift.serving.directory import BackendServer, Directory
 from gypsumshift.serving.routes import ColdLimit, RequestKind
 
@@ -36,57 +33,20 @@
 MAX_WAIT_SECONDS = 0.1
 # Shortest sleep; a rounding error of the time left must not lead to a busy loop.
 MIN_WAIT_SECONDS = 0.001
+# Longest remaining cold time that an answer can tell, in milliseconds: one day.
+MAX_LEFT_MS = 86_400_000
 # Time after the end of the cold time in which the rate is still limited, and by how
 # much more than before, so that the waiting requests do not arrive at once. Within half
 # of it, an engine's slots are full.
 RAMP_SECONDS = 0.5
 RAMP_FACTOR = 3.0
 
-log = logs.logger("coldrates")
-
 
 def no_part(server: BackendServer, share: LimitShare) -> LimitShare:
     """Return the part of a process in a shared limit, if it knows no other process."""
     return NO_SHARE
 
 
-@attrs.define(eq=False)
-class Turn:
-    """A request that waits for its turn at a cold server.
-
-    Attributes
-    ----------
-    rank : tuple
-        The lowest rank is sent first.
-    wake : Event
-        Set when it has become the first one.
-    """
-
-    rank: tuple
-    wake: asyncio.Event = attrs.field(factory=asyncio.Event)
-
-
-class AddressState:
-    """Limiter and waiting requests of one address.
-
-    Attributes
-    ----------
-    limiter : SendLimiter
-    turns : list of Turn
-        Requests that wait, in the order in which they will be sent.
-    reserved : dict
-        Reserved `SendRecord` by request id.
-    cold_at : float
-        When the server at the address last counted as cold, by the monotonic clock.
-    """
-
-    def __init__(self, blocked_until: float):
-        self.limiter = SendLimiter(blocked_until)
-        self.turns: list[Turn] = []
-        self.reserved: dict[str, SendRecord] = {}
-        self.cold_at = float("-inf")
-
-
 class ColdRates:
     """Knows which servers are cold, and limits what this process sends to them.
 
@@ -107,10 +67,6 @@
         and requests to the old start may reach the new one.
     own_part : callable
         Returns the part of this process in a limit that several processes share.
-    was_cold : dict
-        Last state that was logged, by server id.
-    delayed : int
-        Number of requests that were delayed and not logged yet.
     """
 
     def __init__(
@@ -123,16 +79,12 @@
     ):
         self.directory = directory
         self.clock = clock
-        self.metrics = metrics
+        self.reporter = ColdReporter(clock, metrics)
         self.bound = bound
         self.own_engine = own_engine
         self.knowledge = ColdKnowledge(clock, own_engine)
         self.addresses: dict[tuple[str, int], AddressState] = {}
         self.own_part: Callable[[BackendServer, LimitShare], LimitShare] = no_part
-        self.arrivals = itertools.count()
-        self.was_cold: dict[str, bool] = {}
-        self.delayed = 0
-        self.delayed_logged_at = float("-inf")
         directory.on_entry.append(self.note_entry)
 
     # What is limited, and by how much.
@@ -179,7 +131,7 @@
         """Return the seconds until a request may be sent to a server."""
         now, state = self.clock.monotonic(), self.state(server)
         limiter, cold = state.limiter, self.knowledge.is_cold(server)
-        self.log_change(server, cold)
+        self.reporter.record_state(server, cold, self.knowledge.get(server))
         if cold:
             state.cold_at = now
             share = self.share(server, limit)
@@ -200,6 +152,12 @@
             return limiter.reserve(now, self.share(server, limit).rate)
         return limiter.reserve(now, RAMP_FACTOR * limit.per_second)
 
+    def cold_rate(self, server: BackendServer) -> float | None:
+        """Return the requests per second that a cold server takes; None if warm."""
+        limit = self.limit(server)
+        cold = limit is not None and self.knowledge.is_cold(server)
+        return limit.per_second if cold else None
+
     # What senders ask.
 
     def permits(self, server: BackendServer) -> bool:
@@ -238,18 +196,11 @@
         if limit is None:
             return
         state = self.state(server)
-        turn = Turn((rank, next(self.arrivals)))
-        state.turns.append(turn)
-        state.turns.sort(key=lambda waiting: waiting.rank)
-        try:
+        with state.waiting(rank) as turn:
             record = await self.wait_first(server, state, turn)
-            if record is not None:
-                self.release_turn(server, request_id)
-                state.reserved[request_id] = record
-        finally:
-            state.turns.remove(turn)
-            if state.turns:
-                state.turns[0].wake.set()
+        if record is not None:
+            state.release(request_id)
+            state.reserved[request_id] = record
 
     async def wait_first(
         self, server: BackendServer, state: AddressState, turn: Turn
@@ -260,14 +211,14 @@
             limit = self.limit(server)
             if limit is None:
                 return None
-            if state.turns[0] is turn:
+            if state.is_first(turn):
                 record = self.reserve(server, limit)
                 if record is not None:
                     return record
             if not waited:
-                self.count_delayed(server)
+                self.reporter.count_delayed(server)
                 waited = True
-            if state.turns[0] is turn:
+            if state.is_first(turn):
                 pause = min(self.delay(server, limit), MAX_WAIT_SECONDS)
                 await self.clock.sleep(max(pause, MIN_WAIT_SECONDS))
             else:
@@ -277,9 +228,8 @@
     def release_turn(self, server: BackendServer, request_id: str) -> None:
         """Release a reservation that was not used."""
         state = self.addresses.get(server.address)
-        record = state.reserved.pop(request_id, None) if state else None
-        if record is not None:
-            state.limiter.cancel(record)
+        if state is not None:
+            state.release(request_id)
 
     def begin_send(
         self, server: BackendServer, request_id: str, limit: ColdLimit
@@ -314,8 +264,7 @@
         """Store the remaining cold time in the header of an answer, if there is one."""
         if self.limit(server) is None or not text.strip().isdecimal():
             return
-        left = min(int(text), 86_400_000)
-        left_time = datetime.timedelta(milliseconds=left)
+        left_time = datetime.timedelta(milliseconds=min(int(text), MAX_LEFT_MS))
         self.knowledge.note_answer(server, left_time, asked_at)
 
     def note_report(self, server: BackendServer, born: int, asked_at: float) -> None:
@@ -339,53 +288,26 @@
 
     def prune(self) -> None:
         """Remove the state of servers that are not listed any more."""
-        servers = self.directory.servers.values()
-        self.knowledge.prune({server.id for server in servers})
-        listed = {server.address for server in servers}
+        servers = self.directory.servers
+        self.knowledge.prune(set(servers))
+        self.reporter.prune(set(servers))
+        listed = {server.address for server in servers.values()}
         now = self.clock.monotonic()
         for address, state in list(self.addresses.items()):
-            idle = not state.turns and not state.limiter.used(now)
-            if idle and address not in listed:
+            if address not in listed and state.is_idle(now):
                 del self.addresses[address]
-        self.was_cold = {
-            s: c for s, c in self.was_cold.items() if s in self.directory.servers
-        }
-
-    # Logs and metrics.
 
-    def log_change(self, server: BackendServer, cold: bool) -> None:
-        """Log that a server has become cold or warm."""
-        if self.was_cold.get(server.id) is cold:
-            return
-        self.was_cold[server.id] = cold
-        record = self.knowledge.get(server)
-        age = self.clock.monotonic() - record.noted_at if record else 0.0
-        logs.event(
-            log,
-            "A backend server is cold; requests to it are limited."
-            if cold
-            else "A backend server is warm; requests to it are not limited.",
-            server=server.id,
-            born=server.born,
-            source=record.source.value if record else "unknown",
-            age_s=round(age, 3),
-        )
-
-    def count_delayed(self, server: BackendServer) -> None:
-        """Count a delayed request, and log at most one line a second for all."""
-        self.metrics.count("cold_delayed", service=server.service)
-        self.delayed += 1
+    def gauges(self) -> dict[str, float]:
+        """Return the largest used fraction of the rate of a cold server."""
+        if not self.directory.routes.limits_cold_servers:
+            return {}
         now = self.clock.monotonic()
-        if now - self.delayed_logged_at < 1.0:
-            return
-        logs.event(
-            log,
-            "Requests wait because their server is cold.",
-            server=server.id,
-            requests=self.delayed,
-        )
-        self.delayed = 0
-        self.delayed_logged_at = now
+        used = [
+            self.state(server).limiter.sent_count(now) / limit.per_second
+            for server in self.directory.servers.values()
+            if (limit := self.limit(server)) and self.knowledge.is_cold(server)
+        ]
+        return {"cold_rate_used": max(used, default=0.0)}
 
 
 class SendCheck:
@@ -421,7 +343,7 @@
         self.asked_at = rates.clock.monotonic()
         self.record = rates.begin_send(self.server, self.request_id, limit)
         if self.record is None:
-            rates.metrics.count("cold_withheld", service=self.server.service)
+            rates.reporter.count_withheld(self.server)
         return self.record is not None
 
     def settle(self) -> None:
--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -108,6 +108,8 @@
         Limits on the bytes outstanding at servers that crashed under load.
     has_idle_connection : callable
         Returns whether there is an idle connection to an address; by default False.
+    cold_rate : callable
+        Returns the requests per second of a server that is cold; None for a warm one.
     permitted : callable or None
         Returns those of given servers that may get a request now; None permits all.
     """
@@ -130,6 +132,7 @@
         self.permitted: Callable[[list[BackendServer]], list[BackendServer]] | None = (
             None
         )
+        self.cold_rate: Callable[[BackendServer], float | None] = lambda server: None
         self.has_idle_connection: Callable[[tuple[str, int]], bool] = lambda address: (
             False
         )
@@ -292,18 +295,22 @@
     def usable_slots(self, servers: list[BackendServer]) -> float:
         """Return the capacity of servers in slots, for the limit of reward calls.
 
-        It is `service_capacity` if a server reports a slowdown, is ejected or is lost,
-        and otherwise the sum of the listed slots.
+        It is `service_capacity` if a server reports a slowdown, is ejected, lost or
+        cold, and otherwise the sum of the listed slots.
         """
         now = self.clock.monotonic()
         avoided = any(self.stats(server).avoided_until > now for server in servers)
         lost = any(self.stats(server).lost_until > now for server in servers)
+        lost = lost or any(self.cold_rate(server) is not None for server in servers)
         if avoided or lost or self.is_slowdown_reported(servers):
             return self.service_capacity(servers)
         return sum(server.slots for server in servers)
 
     def server_capacity(self, server: BackendServer, usual: float) -> float:
-        """Return a server's slots over its slowness; 0 if it is ejected or lost."""
+        """Return a server's slots over its slowness; 0 if it is ejected or lost.
+
+        A cold server counts no more than what it takes in a usual service time.
+        """
         stats, now = self.stats(server), self.clock.monotonic()
         if max(stats.avoided_until, stats.lost_until) > now:
             return 0.0
@@ -314,7 +321,8 @@
             slowness *= min(observed.slowness, MAX_SLOWNESS_FACTOR)
         report = self.load_reports.get(server.start)
         slots = report.slots if report else server.slots
-        return slots / max(slowness, 1.0)
+        capacity, rate = slots / max(slowness, 1.0), self.cold_rate(server)
+        return min(capacity, rate * usual) if rate is not None and usual else capacity
 
     def record_sent(self, server: BackendServer) -> None:
         """Count a request as sent."""
