--- a/tests/test_cold_engine.py
+++ b/tests/test_cold_engine.py
@@ -11,6 +11,8 @@
 
 import attrs
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from gypsumshift.serving.cold import ColdBound
 from tests.cold_world import BOUND, LIMIT, EngineWorld, most_in_a_second
@@ -93,6 +95,20 @@
     assert most_in_a_second(found) <= ALLOWED
 
 
+@settings(max_examples=10)
+@given(
+    st.integers(1, 2**32),
+    st.lists(
+        st.sampled_from([lose_power, restart_agent, restart_engine]),
+        min_size=1,
+        max_size=4,
+    ),
+)
+def test_the_limit_holds_over_any_schedule_of_faults(seed, faults):
+    world = run_faults(seed, faults)
+    assert most_in_a_second(cold_arrivals(world)) <= ALLOWED
+
+
 @pytest.mark.parametrize("name", FAULTS)
 def test_without_the_limit_a_cold_engine_gets_too_many_requests(name):
     runs = (run_faults(seed, FAULTS[name], limited=False) for seed in SEEDS)
--- a/tests/test_coldrates.py
+++ b/tests/test_coldrates.py
@@ -14,15 +14,20 @@
 from hypothesis import strategies as st
 
 import tests.platform_cluster  # noqa: F401  (adds the adapter's folder to sys.path)
+from gypsumshift import memory
 from gypsumshift.httpclient import RequestWithheld
+from gypsumshift.outcomes import NotRun
 from gypsumshift.serving import Directory, RequestKind
 from gypsumshift.serving.calls import Call, Refused
 from gypsumshift.serving.cold import ColdBound, LimitShare, SendLimiter
 from gypsumshift.serving.cold.limiter import WINDOW_SECONDS
 from gypsumshift.serving.cold.shares import divide_limit, target_share
 from gypsumshift.serving.coldrates import ColdRates
+from gypsumshift.serving.crashguard import CrashGuard
+from gypsumshift.serving.forwarder import Forwarder
 from gypsumshift.serving.loadbalancer import LoadBalancer
 from gypsumshift.serving.sender import Sender
+from gypsumshift.serving.streams import StreamRelay
 from tests.builders import ManualClock
 from tests.cold_world import BOUND, LIMIT, cold_routes
 from tests.job_builders import ADDRESS, HOST, METRICS, NAMES, engine_table_entry, server
@@ -352,3 +357,47 @@
         file.write_text(text + line)
         with pytest.raises(node_settings.SettingsError):
             node_settings.load(file)
+
+
+class CountingFetcher:
+    """Fetcher that asks for permission and records the answers; nothing is sent."""
+
+    def __init__(self):
+        self.allowed = []
+
+    async def open(self, *args, allowed, **options):
+        self.allowed.append(allowed())
+        raise RequestWithheld
+
+
+@pytest.mark.parametrize("part", [0, 2])
+def test_streams_are_opened_at_a_cold_engine_only_within_the_part(part):
+    """A stream that no server may get is refused as not run, and nothing is sent."""
+
+    async def scenario():
+        clock = LoopClock()
+        routes = cold_routes(kinds=(RequestKind.STREAM,))
+        rates, _ = make_rates(routes, own_engine=None, clock=clock)
+        rates.own_part = lambda server, share: LimitShare(part, 2.0 * bool(part))
+        rates.directory.set_server(entry(left=60))
+        await asyncio.sleep(2)
+        balancer = LoadBalancer("here", clock, random.Random(1))
+        balancer.permitted = rates.permitted
+        fetcher = CountingFetcher()
+        sender = Sender(rates.directory, balancer, fetcher, NAMES, clock, METRICS)
+        sender.cold_rates = rates
+        tables = memory.MemoryTables()
+        guard = CrashGuard(tables, clock, random.Random(1), METRICS)
+        relay = StreamRelay(Forwarder(sender, guard))
+        route = rates.directory.routes.find(HOST, "/stream/")
+        outcomes = []
+        for number in range(6):
+            deadline = clock.monotonic() + 1
+            name = str(number)
+            call = Call(name, "POST", "/stream/", HOST, [], b"", route, deadline)
+            outcomes.append(await relay.start(call))
+        return fetcher.allowed, outcomes
+
+    allowed, outcomes = run_in_virtual_time(scenario)
+    assert allowed == [True] * part
+    assert all(isinstance(outcome, NotRun) for outcome in outcomes)
