Count agents of evacuated zones in the period of heartbeats

Cause: agents of evacuated zones go on writing heartbeats, but the period counted only the other engines: with half of 1,600 engines evacuated, all agents would write twice as often as the share of the store allows. The figure of running items counted them at agents of other zones as well. Conclusion: the load of the store does not depend on evacuations.

--- a/gypsumshift/jobs/engineevacuation.py
+++ b/gypsumshift/jobs/engineevacuation.py
@@ -61,7 +61,7 @@
         evacuations = local_engine.directory.evacuations
         evacuations.on_begin.append(self.note_begin)
         evacuations.on_return.append(self.note_return)
-        evacuations.count_running = self.count_running
+        evacuations.count_running = self.count_in_evacuated_zone
 
     @property
     def in_force(self) -> bool:
@@ -106,6 +106,10 @@
         units = self.runner.units.values()
         return sum(run.is_streaming for unit in units for run in unit.runs.values())
 
+    def count_in_evacuated_zone(self) -> int:
+        """Return how many items the engine is generating while it is evacuated."""
+        return self.count_running() if self.in_force else 0
+
     def release_units(self) -> int:
         """Release the units that the engine does not complete; return their number.
 
--- a/gypsumshift/jobs/heartbeatwriter.py
+++ b/gypsumshift/jobs/heartbeatwriter.py
@@ -115,7 +115,8 @@
         )
         while True:
             await self.write_heartbeat()
-            agents = len(self.local_engine.directory.ready_engines())
+            # Agents in evacuated zones write heartbeats as well.
+            agents = len(self.local_engine.directory.all_ready_engines())
             await self.clock.sleep(heartbeat_period(agents, self.store_writes))
 
     async def write_heartbeat(self) -> None:
--- a/gypsumshift/serving/directory.py
+++ b/gypsumshift/serving/directory.py
@@ -245,10 +245,13 @@
 
     def ready_engines(self) -> list[BackendServer]:
         """Return the ready model engines of all services."""
+        return self.outside_evacuated_zones(self.all_ready_engines())
+
+    def all_ready_engines(self) -> list[BackendServer]:
+        """Return the ready model engines, also those in evacuated zones."""
         services = self.routes.services
         engine = {name for name, service in services.items() if service.engine}
-        found = [s for s in self.servers.values() if s.ready and s.service in engine]
-        return self.outside_evacuated_zones(found)
+        return [s for s in self.servers.values() if s.ready and s.service in engine]
 
     def outside_evacuated_zones(
         self, servers: list[BackendServer]
--- a/gypsumshift/serving/evacuations.py
+++ b/gypsumshift/serving/evacuations.py
@@ -21,6 +21,8 @@
 END_REPORT_SECONDS = 60.0
 # The same after a process reported an evacuation that has ended.
 CORRECTION_SECONDS = 10.0
+# Largest age of an order in a digest; also stands for an unknown age.
+MAX_AGE_SECONDS = 86_400.0
 # Limits of what is accepted from other processes and kept.
 MAX_ZONES = 64
 MAX_ZONE_LENGTH = 200
@@ -80,7 +82,7 @@
     last_sends : dict
         Monotonic time of the last request that this process sent, by zone.
     count_running : callable or None
-        Returns how many items run in the zone of this process's engine.
+        Returns how many items this process's engine generates in an evacuated zone.
     reported_until : dict
         Monotonic time until which digests contain the end of an evacuation, by zone.
     last_return_at : float
@@ -299,7 +301,7 @@
             zone: [
                 order.version,
                 order.evacuated,
-                round(min(now - order.known_at, END_REPORT_SECONDS), 1),
+                round(min(now - order.known_at, MAX_AGE_SECONDS), 1),
             ]
             for zone, order in orders.items()
         }
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -83,6 +83,7 @@
     host.receive(2, zone_row("east", 2))
     assert host.directory.ready_servers("app") == [west]
     assert host.directory.ready_engines() == []
+    assert host.directory.all_ready_engines() == [engine], "its agent writes heartbeats"
     assert not host.directory.accepts_requests(east)
     assert host.directory.accepts_requests(west)
     assert host.directory.is_service_evacuated("pool")
