--- a/gypsumshift/serving/directory.py
+++ b/gypsumshift/serving/directory.py
@@ -153,13 +153,13 @@
         self.on_zone_return = self.evacuations.on_return
         self.revision = 0
         self.ready_by_service: dict[str, list[BackendServer]] = {}
-        self.all_ready_engines: list[BackendServer] | None = None
+        self.usable_engines: list[BackendServer] | None = None
 
     def notify_changed(self) -> None:
         """Wake the tasks that wait for a change, and discard results derived before."""
         self.revision += 1
         self.ready_by_service = {}
-        self.all_ready_engines = None
+        self.usable_engines = None
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -288,13 +288,15 @@
 
     def ready_engines(self) -> list[BackendServer]:
         """Return the ready model engines of all services, in a shared list."""
-        if self.all_ready_engines is None:
-            services = self.routes.services
-            engine = {name for name, service in services.items() if service.engine}
-            self.all_ready_engines = self.outside_evacuated_zones(
-                [s for s in self.servers.values() if s.ready and s.service in engine]
-            )
-        return self.all_ready_engines
+        if self.usable_engines is None:
+            self.usable_engines = self.outside_evacuated_zones(self.all_ready_engines())
+        return self.usable_engines
+
+    def all_ready_engines(self) -> list[BackendServer]:
+        """Return the ready model engines, also those in evacuated zones."""
+        services = self.routes.services
+        engine = {name for name, service in services.items() if service.engine}
+        return [s for s in self.servers.values() if s.ready and s.service in engine]
 
     def outside_evacuated_zones(
         self, servers: list[BackendServer]
