Rename the attribute home_regions of routes and workspaces to homes

Cause: home_regions is a field of the platform's wire format, and wire names belong under platform/ only, but the attribute of Route and Workspace had the same name.

Change: the attribute is homes, which residency.py and RouteTable.has_homes use already. platform/directory_feed.py still reads the field home_regions, and tests that write configuration documents still write it.

Figures: home_regions stood in 3 modules under gypsumshift/ (5 lines of code and 2 of docstrings), now in none. Tests of residency, regions and relayed calls pass.

Conclusion: behaviour and wire format are unchanged.

--- a/gypsumshift/residency.py
+++ b/gypsumshift/residency.py
@@ -108,7 +108,7 @@
         """Return the residency by the homes of a route and of workspaces."""
         by_name = self.directory.routes.workspaces.by_name
         owners = [route, *(by_name.get(name) for name in workspaces)]
-        homes = (owner.home_regions for owner in owners if owner is not None)
+        homes = (owner.homes for owner in owners if owner is not None)
         return Residency(tuple(home for home in homes if home))
 
     def of_own_region(self) -> Residency:
--- a/gypsumshift/serving/routes.py
+++ b/gypsumshift/serving/routes.py
@@ -75,7 +75,7 @@
     priority : int
         Priority of its requests when the service is too small for all; 0 is the
         highest. A workspace's own priority takes precedence.
-    home_regions : frozenset of str
+    homes : frozenset of str
         Regions in which its requests may be served; empty for any.
     """
 
@@ -93,7 +93,7 @@
     retention: datetime.timedelta | None = None
     public: bool = False
     priority: int = 0
-    home_regions: frozenset[str] = frozenset()
+    homes: frozenset[str] = frozenset()
 
     def service_for(self, request_id: str) -> str:
         """Return the service for a request id; the same one on each retry."""
@@ -198,9 +198,9 @@
         self.services = {service.name: service for service in services}
         self.limits_cold_servers = any(s.cold for s in self.services.values())
         self.routes_by_host: dict[str, dict[str, Route]] = {}
-        self.has_homes = any(w.home_regions for w in workspaces.by_name.values())
+        self.has_homes = any(w.homes for w in workspaces.by_name.values())
         for route in routes:
-            self.has_homes = self.has_homes or bool(route.home_regions)
+            self.has_homes = self.has_homes or bool(route.homes)
             self.routes_by_host.setdefault(route.host, {})[route.prefix] = route
 
     def find(self, host: str, path: str) -> Route | None:
--- a/gypsumshift/workspaces.py
+++ b/gypsumshift/workspaces.py
@@ -34,14 +34,14 @@
     priority : int or None
         Priority of its requests, which takes precedence over that of their routes; 0 is
         the highest. None if the workspace has none.
-    home_regions : frozenset of str
+    homes : frozenset of str
         Regions in which its requests may be served; empty for any.
     """
 
     name: str
     keys: frozenset[str] = frozenset()
     priority: int | None = None
-    home_regions: frozenset[str] = frozenset()
+    homes: frozenset[str] = frozenset()
 
 
 class Workspaces:
--- a/tests/region_world.py
+++ b/tests/region_world.py
@@ -66,11 +66,11 @@
             attempts=4,
             objective=datetime.timedelta(milliseconds=160),
             resumable=prefix == "/resumed/",
-            home_regions=frozenset(homes.get(prefix, ())),
+            homes=frozenset(homes.get(prefix, ())),
         )
         for prefix, kind in KINDS.items()
     ]
-    workspace = Workspace(WORKSPACE, home_regions=frozenset(workspace_homes))
+    workspace = Workspace(WORKSPACE, homes=frozenset(workspace_homes))
     limits = EngineLimits(slots=4, models=(MODEL,))
     services = [Service("app"), Service("engines", engine=limits)]
     return RouteTable(version, found, services, workspaces=Workspaces([workspace]))
@@ -206,7 +206,7 @@
         # An item belongs to the route of its job.
         owners = [routes.find(HOST, target)]
         owners += [routes.workspaces.by_name[n] for n in self.owners[request]]
-        return [owner.home_regions for owner in owners if owner.home_regions]
+        return [owner.homes for owner in owners if owner.homes]
 
     # The requests.
 
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -48,9 +48,9 @@
 
 def test_homes_of_routes_and_workspaces_are_decoded():
     routes = load(document(tenant_homes=["north"], home_regions=["south"])).routes
-    assert routes.find(HOST, "/kept/1").home_regions == {"south"}
-    assert routes.workspaces.by_name["w"].home_regions == {"north"}
-    assert routes.find(HOST, "/app/1").home_regions == frozenset()
+    assert routes.find(HOST, "/kept/1").homes == {"south"}
+    assert routes.workspaces.by_name["w"].homes == {"north"}
+    assert routes.find(HOST, "/app/1").homes == frozenset()
     assert routes.has_homes
 
 
