Split neighbours.py by job

Change: neighbourregistry.py has NeighbourRegistry, relay.py has Relay, storepath.py has StorePath, and neighbours.py keeps Neighbour, its table and the decoder of its rows. Code is only moved. peerchoice.py imports Neighbour directly, since the import is no longer circular. The list of sends in test_residency_architecture.py names the new modules.

The tests of neighbours, relays, probes, feeds, liveness and the platform pass (11 files).

Conclusion: behaviour is unchanged.

--- a/gypsumshift/bootstrap.py
+++ b/gypsumshift/bootstrap.py
@@ -15,8 +15,9 @@
 from gypsumshift.clock import Clock
 from gypsumshift.httpclient import FetchError
 from gypsumshift.httpserver import Request, Response, json_response
-from gypsumshift.neighbours import Neighbour, StorePath
+from gypsumshift.neighbours import Neighbour
 from gypsumshift.platforms import Changes, Row
+from gypsumshift.storepath import StorePath
 from gypsumshift.watch import Watch
 
 __all__ = ["KNOWN_TABLES_PATH", "Bootstrap"]
--- a/gypsumshift/crashgossip.py
+++ b/gypsumshift/crashgossip.py
@@ -16,11 +16,12 @@
 from gypsumshift.clock import Clock
 from gypsumshift.httpclient import FetchError
 from gypsumshift.httpserver import Request, Response, json_response
-from gypsumshift.neighbours import Neighbour, StorePath
+from gypsumshift.neighbours import Neighbour
 from gypsumshift.peerchoice import choose_receivers
 from gypsumshift.serving.crashtable import CrashTable
 from gypsumshift.serving.directory import ServerStart
 from gypsumshift.serving.quarantine import Crash
+from gypsumshift.storepath import StorePath
 
 __all__ = ["CRASHES_PATH", "CrashGossip", "decode", "encode"]
 
--- a/gypsumshift/gossip.py
+++ b/gypsumshift/gossip.py
@@ -16,12 +16,13 @@
 from gypsumshift.digests import DigestSection, decode_digest
 from gypsumshift.httpclient import FetchError
 from gypsumshift.httpserver import Request, Response, json_response
-from gypsumshift.neighbours import Neighbour, StorePath
+from gypsumshift.neighbours import Neighbour
 from gypsumshift.peerchoice import choose_exchange_peer
 from gypsumshift.serving.directory import Directory
 from gypsumshift.serving.loadbalancer import LoadBalancer
 from gypsumshift.serving.loadreports import LoadSection
 from gypsumshift.serving.observations import ObservationSection
+from gypsumshift.storepath import StorePath
 
 __all__ = ["OBSERVATIONS_PATH", "Gossip"]
 
--- a/gypsumshift/hedging.py
+++ b/gypsumshift/hedging.py
@@ -11,10 +11,10 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
-from gypsumshift.neighbours import StorePath
 from gypsumshift.outcomes import Committed, Conflict, Unavailable, Unknown, WriteOutcome
 from gypsumshift.platforms import RowStore, StoreWrapper, Write
 from gypsumshift.policy import DEFAULT_POLICY, Policy
+from gypsumshift.storepath import StorePath
 
 __all__ = ["AverageAnswerTime", "HedgedStore"]
 
--- a/gypsumshift/jobs/liveness.py
+++ b/gypsumshift/jobs/liveness.py
@@ -14,7 +14,8 @@
 from gypsumshift.httpclient import FetchError
 from gypsumshift.httpserver import Request, Response, json_response
 from gypsumshift.jobs.records import Claim
-from gypsumshift.neighbours import Neighbour, StorePath
+from gypsumshift.neighbours import Neighbour
+from gypsumshift.storepath import StorePath
 
 __all__ = [
     "LIVENESS_PATH",
--- a/gypsumshift/lifecycle.py
+++ b/gypsumshift/lifecycle.py
@@ -14,7 +14,7 @@
 from gypsumshift.bytebudget import NO_BUDGET, ByteBudget, ByteKind
 from gypsumshift.clock import Clock
 from gypsumshift.httpserver import MAX_BODY_BYTES, BodyClassifier, Handler, HttpServer
-from gypsumshift.neighbours import NeighbourRegistry
+from gypsumshift.neighbourregistry import NeighbourRegistry
 from gypsumshift.serving.coldrates import ColdRates
 from gypsumshift.serving.directory import Directory
 from gypsumshift.serving.loadbalancer import LoadBalancer
--- a/gypsumshift/peerchoice.py
+++ b/gypsumshift/peerchoice.py
@@ -6,13 +6,10 @@
 
 import random
 from collections.abc import Sequence
-from typing import TYPE_CHECKING
 
+from gypsumshift.neighbours import Neighbour
 from gypsumshift.places import Distance, Layout
 
-if TYPE_CHECKING:
-    from gypsumshift.neighbours import Neighbour
-
 __all__ = ["choose_exchange_peer", "choose_probed", "choose_receivers"]
 
 # Share of the exchanges that cross regions, relative to a choice among all processes:
@@ -21,8 +18,8 @@
 
 
 def by_distance(
-    known: "Sequence[Neighbour]", layout: Layout
-) -> "dict[Distance, list[Neighbour]]":
+    known: Sequence[Neighbour], layout: Layout
+) -> dict[Distance, list[Neighbour]]:
     """Return processes by their distance class, in the given order."""
     found = {distance: [] for distance in Distance}
     for neighbour in known:
@@ -31,8 +28,8 @@
 
 
 def choose_probed(
-    shuffled: "Sequence[Neighbour]", layout: Layout, count: int
-) -> "list[Neighbour]":
+    shuffled: Sequence[Neighbour], layout: Layout, count: int
+) -> list[Neighbour]:
     """Return the processes to probe for a path to the store, nearest first.
 
     There is one of each distance class, since a whole zone or region may be
@@ -54,7 +51,7 @@
 
 
 def choose_exchange_peer(
-    known: "Sequence[Neighbour]", layout: Layout, share: float, chance: random.Random
+    known: Sequence[Neighbour], layout: Layout, share: float, chance: random.Random
 ) -> "Neighbour | None":
     """Return a random process to exchange digests with, mostly one of the own zone.
 
@@ -82,8 +79,8 @@
 
 
 def choose_receivers(
-    known: "Sequence[Neighbour]", layout: Layout, count: int, chance: random.Random
-) -> "list[Neighbour]":
+    known: Sequence[Neighbour], layout: Layout, count: int, chance: random.Random
+) -> list[Neighbour]:
     """Return random receivers of a message, one of any region and the rest near.
 
     Each receiver forwards it, so one that crosses regions is enough.
--- a/gypsumshift/policy.py
+++ b/gypsumshift/policy.py
@@ -56,7 +56,7 @@
         Save the partial results of long runs each second (`jobs/partials.py`).
     store_through_neighbours : bool
         Call the store through another host if it does not answer directly
-        (`neighbours.py`).
+        (`storepath.py`).
     second_server : bool
         Send a request to a second server if the first does not answer
         (`serving/forwarder.py`).
--- a/gypsumshift/sharedreads.py
+++ b/gypsumshift/sharedreads.py
@@ -22,10 +22,11 @@
 from gypsumshift.clock import Clock
 from gypsumshift.httpclient import FetchError
 from gypsumshift.httpserver import Request, Response
-from gypsumshift.neighbours import Neighbour, StorePath
+from gypsumshift.neighbours import Neighbour
 from gypsumshift.outcomes import Unavailable
 from gypsumshift.platforms import Changes, Row, RowStore, StoreWrapper
 from gypsumshift.policy import DEFAULT_POLICY, Policy
+from gypsumshift.storepath import StorePath
 
 __all__ = [
     "TABLE_PATH",
--- a/tests/late_store.py
+++ b/tests/late_store.py
@@ -6,7 +6,7 @@
 
 from gypsumshift.clock import SystemClock
 from gypsumshift.httpclient import Fetcher
-from gypsumshift.neighbours import StorePath
+from gypsumshift.storepath import StorePath
 from standins.users_store import FakeMetadataStore, Faults
 from tests import platform_cluster  # noqa: F401  (adds the adapter's folder to sys.path)
 
--- a/tests/test_bootstrap.py
+++ b/tests/test_bootstrap.py
@@ -10,9 +10,11 @@
 from gypsumshift.httpclient import Fetcher
 from gypsumshift.httpserver import HttpServer, Response
 from gypsumshift.memory import MemoryTables
-from gypsumshift.neighbours import Neighbour, Relay, StorePath
+from gypsumshift.neighbours import Neighbour
 from gypsumshift.outcomes import Unavailable
 from gypsumshift.platforms import Changes, Row, Write
+from gypsumshift.relay import Relay
+from gypsumshift.storepath import StorePath
 from gypsumshift.watch import Watch
 from standins.deployment import free_port
 from standins.users_documents import settings_text
--- a/tests/test_neighbour_registry.py
+++ b/tests/test_neighbour_registry.py
@@ -8,16 +8,15 @@
 import attrs
 import pytest
 
-from gypsumshift.neighbours import (
+from gypsumshift.neighbourregistry import (
     ANNOUNCE_PERIOD_S,
     ENTRY_TIMEOUT_S,
-    NEIGHBOURS_TABLE,
-    Neighbour,
     NeighbourRegistry,
-    StorePath,
 )
+from gypsumshift.neighbours import NEIGHBOURS_TABLE, Neighbour
 from gypsumshift.outcomes import Unavailable
 from gypsumshift.platforms import Write
+from gypsumshift.storepath import StorePath
 from gypsumshift.watch import MAX_FEED_WAIT, Watch
 from tests.builders import FaultyTables, ManualClock
 
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -6,11 +6,9 @@
 from gypsumshift.clock import SystemClock
 from gypsumshift.httpclient import Fetcher, FetchError
 from gypsumshift.httpserver import HttpServer, Response, ResponseAborted
-from gypsumshift.neighbours import (
-    Neighbour,
-    Relay,
-    StorePath,
-)
+from gypsumshift.neighbours import Neighbour
+from gypsumshift.relay import Relay
+from gypsumshift.storepath import StorePath
 from tests.system import wait_until
 
 UNREACHABLE = ("127.0.0.1", 1)
--- a/tests/test_observations.py
+++ b/tests/test_observations.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 
 from gypsumshift.gossip import OBSERVATIONS_PATH, Gossip
-from gypsumshift.neighbours import Neighbour, Relay
+from gypsumshift.neighbours import Neighbour
+from gypsumshift.relay import Relay
 from gypsumshift.serving import Directory
 from gypsumshift.serving.loadbalancer import OWN_FRESH_SECONDS, LoadBalancer
 from gypsumshift.serving.observations import (
--- a/tests/test_peerchoice.py
+++ b/tests/test_peerchoice.py
@@ -9,13 +9,14 @@
 from gypsumshift.httpclient import FetchError
 from gypsumshift.jobs.liveness import FAR_SILENCE, HttpLivenessProbe
 from gypsumshift.jobs.records import Claim
-from gypsumshift.neighbours import PROBE_TIMEOUT_S, Neighbour, StorePath
+from gypsumshift.neighbours import Neighbour
 from gypsumshift.peerchoice import (
     choose_exchange_peer,
     choose_probed,
     choose_receivers,
 )
 from gypsumshift.places import ONE_REGION, Distance
+from gypsumshift.storepath import PROBE_TIMEOUT_S, StorePath
 from tests.builders import ManualClock
 from tests.region_builders import ZONES, make_layout
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,7 +6,7 @@
 import pytest
 
 from gypsumshift.httpclient import FetchError
-from gypsumshift.neighbours import StorePath
+from gypsumshift.storepath import StorePath
 from standins.users_documents import config, job_body, route, settings_text
 from standins.users_store import RAW_BYTES_FIELD, Faults
 from standins.users_worker import FakeWorker, event_text, plain_answer
--- a/tests/test_relay_residency.py
+++ b/tests/test_relay_residency.py
@@ -10,10 +10,11 @@
 from gypsumshift.jobs import split_into_units
 from gypsumshift.jobs.records import CLAIMS, PARTIALS, RESULTS, UNITS, to_row
 from gypsumshift.jobs.storeresidency import StoreResidency
-from gypsumshift.neighbours import Neighbour, StorePath
+from gypsumshift.neighbours import Neighbour
 from gypsumshift.platforms import Write
 from gypsumshift.residency import ResidencyRules
 from gypsumshift.serving import Directory
+from gypsumshift.storepath import StorePath
 from tests.builders import ManualClock
 from tests.job_builders import items, job
 from tests.platform_cluster import ADAPTER_FOLDER  # noqa: F401 - puts platform/ on the path
--- a/tests/test_residency_architecture.py
+++ b/tests/test_residency_architecture.py
@@ -8,9 +8,9 @@
     ("gypsumshift/crashgossip.py", "send_to"): "crashes hold fingerprints only",
     ("gypsumshift/jobs/engine.py", "send_order"): "weight loads belong to no request",
     ("platform/cloud_api.py", "send_report"): "usage reports hold counts",
-    ("gypsumshift/neighbours.py", "serve"): "a relay calls the store itself",
-    ("gypsumshift/neighbours.py", "fetch_direct"): "calls the store itself",
-    ("gypsumshift/neighbours.py", "fetch_via"): "its callers ask for the residency",
+    ("gypsumshift/relay.py", "serve"): "a relay calls the store itself",
+    ("gypsumshift/storepath.py", "fetch_direct"): "calls the store itself",
+    ("gypsumshift/storepath.py", "fetch_via"): "its callers ask for the residency",
     # Processes of the deployment with sidecars, whose configuration has no regions.
     ("gypsumshift/backend.py", "load_weights"): "weights for the own backend",
     ("gypsumshift/backendrequest.py", "send_to_backend"): "to the own backend",
@@ -43,7 +43,7 @@
     assert asking >= {
         ("gypsumshift/serving/sender.py", "open"),
         ("gypsumshift/jobs/engine.py", "open_stream"),
-        ("gypsumshift/neighbours.py", "fetch"),
+        ("gypsumshift/storepath.py", "fetch"),
         ("platform/row_store.py", "send_call"),
     }
 
--- a/tests/test_sharedreads.py
+++ b/tests/test_sharedreads.py
@@ -8,9 +8,10 @@
 
 from gypsumshift.httpserver import Response
 from gypsumshift.memory import MemoryTables
-from gypsumshift.neighbours import Neighbour, Relay
+from gypsumshift.neighbours import Neighbour
 from gypsumshift.outcomes import Unavailable
 from gypsumshift.platforms import Changes, HistoryLost, Row, Write
+from gypsumshift.relay import Relay
 from gypsumshift.sharedreads import (
     COPY_LIFETIME_S,
     TABLE_PATH,
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -7,7 +7,7 @@
 
 from gypsumshift.jobs.heartbeatwriter import HEARTBEAT_PERIOD
 from gypsumshift.memory import MemoryTables
-from gypsumshift.neighbours import NEIGHBOURS_BATCH_INTERVAL_S
+from gypsumshift.neighbourregistry import NEIGHBOURS_BATCH_INTERVAL_S
 from gypsumshift.platforms import Changes, Row, Write
 from gypsumshift.serving import Directory
 from gypsumshift.watch import BATCH_INTERVAL_S, MAX_FEED_WAIT, MAX_FOLLOWED_GAP_S, Watch
