Split the estimates of servers from loadbalancer.py

Change: serverestimates.py has ServerEstimates with the statistics, the observations and the expected load; LoadBalancer has it as its attribute estimates. LoadBalancer.stats stays and asks it, because the admission uses it. Tests reach the moved methods through the attribute; the test that fails if expected_load is called replaces the one of the estimates.

Conclusion: behaviour is unchanged.

--- a/gypsumshift/gossip.py
+++ b/gypsumshift/gossip.py
@@ -141,7 +141,9 @@
 
     def encoded_digest(self) -> dict[str, object]:
         """Return the current digest as JSON values."""
-        self.balancer.share_own_observations(list(self.directory.servers.values()))
+        self.balancer.estimates.share_own_observations(
+            list(self.directory.servers.values())
+        )
         encoded = {name: section.encode() for name, section in self.sections.items()}
         return {name: value for name, value in encoded.items() if value is not None}
 
--- a/gypsumshift/serving/loadbalancer.py
+++ b/gypsumshift/serving/loadbalancer.py
@@ -16,20 +16,27 @@
 from gypsumshift.roundtrips import RoundTrips
 from gypsumshift.serving.bytelimits import ServerByteLimits
 from gypsumshift.serving.directory import BackendServer, ServerStart
-from gypsumshift.serving.expectedload import ExpectedLoad
 from gypsumshift.serving.loadreports import LoadReports, make_report
 from gypsumshift.serving.observations import (
     MAX_AGE_SECONDS,
     MAX_BUSY,
-    MAX_FAILED_AVERAGE,
-    Observation,
     Observations,
 )
 from gypsumshift.serving.regionchoice import ERROR_SHARE, RegionChoice
+from gypsumshift.serving.serverestimates import (
+    MAX_SLOWNESS_FACTOR,
+    ServerEstimates,
+    decayed_load,
+)
 from gypsumshift.serving.serverload import ServerLoad
 from gypsumshift.serving.serverstats import ServerStats
 
-__all__ = ["LoadBalancer"]
+__all__ = [
+    "LOST_SECONDS",
+    "NEW_CONNECTION_PENALTY",
+    "REPORTED_CONNECTION_PENALTY",
+    "LoadBalancer",
+]
 
 # Added to the cost of a server in another zone, in usual service times. The round trip
 # between zones takes 3 ms, a tenth of a short service time of 30 ms, and traffic
@@ -51,8 +58,6 @@
 # a slowdown, in usual service times. Otherwise all processes would choose the same
 # slightly better server. It is less than the penalties above.
 MAX_RANDOM_TIME = 0.1
-# A reported load counts half after this time, which is about ten service times.
-LOAD_HALF_LIFE_SECONDS = 0.3
 # Weight of the newest answer in the moving averages, which cover about ten answers.
 AVERAGE_WEIGHT = 0.2
 # A server is ejected after this many consecutive failures, since healthy servers lose
@@ -64,16 +69,6 @@
 # The ejection time doubles from 1 s to 8 s, which is how long servers have been slow.
 # At least half of the servers stay in use, to carry the load.
 EJECTION = EjectionPolicy(first_pause_s=1.0, max_pause_s=8.0, max_share=0.5)
-# Upper limit of the slowness factor, so that a slow server still gets a request from
-# time to time and is measured again.
-MAX_SLOWNESS_FACTOR = 8.0
-# How long own observations take precedence over those of other processes. An entry host
-# with one request every ten seconds has not yet observed a server that turned slow.
-OWN_FRESH_SECONDS = 1.0
-# Slowness added for failures that other processes observed, per share of failures: a
-# server that fails four of ten requests costs as much as one that takes four times as
-# long.
-FAILED_SHARE_COST = 8.0
 # How long a server is avoided if nothing listens at its address. It may come back at
 # any time, and a failed attempt costs a caller only one round trip.
 GONE_PAUSE_SECONDS = 1.0
@@ -108,6 +103,8 @@
         Observations of this and other processes, as exchanged between them.
     load_reports : LoadReports
         Loads that servers with a slowdown reported to this and other processes.
+    estimates : ServerEstimates
+        Estimates of the load and speed of servers.
     round_trips : RoundTrips
         Expected round trips to the servers of other regions.
     regions : RegionChoice
@@ -135,9 +132,11 @@
         self.zone = zone
         self.clock = clock
         self.chance = chance
-        self.stats_by_start: dict[ServerStart, ServerStats] = {}
         self.shared_observations = Observations(clock)
         self.load_reports = LoadReports(clock)
+        self.estimates = ServerEstimates(
+            clock, self.shared_observations, self.load_reports
+        )
         self.byte_limits = ServerByteLimits(clock, policy.byte_budget)
         self.permitted: Callable[[list[BackendServer]], list[BackendServer]] | None = (
             None
@@ -148,19 +147,16 @@
 
     def stats(self, server: BackendServer) -> ServerStats:
         """Return the statistics of a server start, created if missing."""
-        stats = self.stats_by_start.get(server.start)
-        if stats is None:
-            stats = self.stats_by_start[server.start] = ServerStats()
-        return stats
+        return self.estimates.stats(server)
 
     def prune(self, known: set[ServerStart]) -> None:
         """Remove statistics of server starts that are not listed any more.
 
         Those with open requests are kept.
         """
-        for start in [s for s in self.stats_by_start if s not in known]:
-            if not self.stats_by_start[start].outstanding:
-                del self.stats_by_start[start]
+        for start in [s for s in self.estimates.stats_by_start if s not in known]:
+            if not self.estimates.stats_by_start[start].outstanding:
+                del self.estimates.stats_by_start[start]
         self.shared_observations.prune(known)
         self.load_reports.prune(known)
         self.byte_limits.prune()
@@ -188,11 +184,16 @@
         if not candidates:
             return None
         now = self.clock.monotonic()
-        healthy = [s for s in candidates if self.stats(s).avoided_until <= now]
+        healthy = [
+            s for s in candidates if self.estimates.stats(s).avoided_until <= now
+        ]
         if not healthy:
-            return min(candidates, key=lambda server: self.stats(server).avoided_until)
-        usual = self.median_latency(servers)
-        is_reported = self.is_slowdown_reported(servers)
+            return min(
+                candidates,
+                key=lambda server: self.estimates.stats(server).avoided_until,
+            )
+        usual = self.estimates.median_latency(servers)
+        is_reported = self.estimates.is_slowdown_reported(servers)
         cost = self.reported_cost if is_reported else self.cost
         if self.layout.has_regions:
             mean_cost = self.mean_cost if is_reported else self.cost
@@ -206,19 +207,10 @@
             )
         return min(healthy, key=lambda s: (cost(s, usual), self.chance.random()))
 
-    def is_slowdown_reported(self, servers: list[BackendServer]) -> bool:
-        """Return whether any of the servers recently reported a slowdown."""
-        return any(self.load_reports.get(server.start) for server in servers)
-
-    def median_latency(self, servers: list[BackendServer]) -> float:
-        """Return the median of the servers' average answer times, in seconds."""
-        known = sorted(r.latency for s in servers if (r := self.stats(s)).latency)
-        return known[(len(known) - 1) // 2] if known else 0.0
-
     def cost(self, server: BackendServer, usual: float) -> float:
         """Return a request's expected time at a server, in usual service times."""
-        stats = self.stats(server)
-        observed = self.observation(server, usual)
+        stats = self.estimates.stats(server)
+        observed = self.estimates.observation(server, usual)
         reported = decayed_load(
             observed.busy, self.clock.monotonic() - observed.observed_at
         )
@@ -235,7 +227,7 @@
 
     def reported_cost(self, server: BackendServer, usual: float) -> float:
         """Return the cost of a server, if servers of the service report a slowdown."""
-        time = self.expected_load(server, usual).draw_time(self.chance)
+        time = self.estimates.expected_load(server, usual).draw_time(self.chance)
         time += self.chance.uniform(0.0, MAX_RANDOM_TIME)
         return time + self.penalty(server, REPORTED_CONNECTION_PENALTY)
 
@@ -245,74 +237,10 @@
         The processes of a region see the same reports, and would otherwise all change
         to another region at the same time, and back.
         """
-        time = self.expected_load(server, usual).mean_time
+        time = self.estimates.expected_load(server, usual).mean_time
         time *= self.chance.uniform(1.0 - ERROR_SHARE, 1.0 + ERROR_SHARE)
         return time + self.penalty(server, REPORTED_CONNECTION_PENALTY)
 
-    def expected_load(self, server: BackendServer, usual: float) -> ExpectedLoad:
-        """Return the load to expect at a server, by its newest report if there is one.
-
-        The measured slowness is relative to the reported slowdowns, so that a wrong
-        slowdown is cancelled by the answer times.
-        """
-        now = self.clock.monotonic()
-        observed = self.observation(server, usual)
-        report = self.load_reports.get(server.start)
-        if report is None:
-            ahead = decayed_load(observed.busy, now - observed.observed_at)
-        else:
-            ahead = decayed_load(report.busy, now - report.reported_at)
-        slowness = (observed.slowness or 1.0) * self.expected_slowdown(server)
-        return ExpectedLoad(
-            ahead,
-            self.stats(server).outstanding,
-            report.slots if report else server.slots,
-            min(max(slowness, 1.0), MAX_SLOWNESS_FACTOR),
-        )
-
-    def observation(self, server: BackendServer, usual: float) -> Observation:
-        """Return the own observation while it is fresh, else the newest available.
-
-        Failures observed by other processes count as slowness; only own failures lead
-        to ejection.
-        """
-        own = self.own_observation(server, usual)
-        other = self.shared_observations.get(server.start)
-        fresh = (
-            self.clock.monotonic() - self.stats(server).last_outcome_at
-            < OWN_FRESH_SECONDS
-        )
-        if fresh or other is None or other.observed_at <= own.observed_at:
-            return own
-        slowness = max(other.slowness, 1.0) * (
-            1.0 + FAILED_SHARE_COST * other.failed_share
-        )
-        # Made directly, since attrs.evolve takes five times as long.
-        return Observation(
-            other.start, slowness, other.busy, other.failed_share, other.observed_at
-        )
-
-    def own_observation(self, server: BackendServer, usual: float) -> Observation:
-        """Return the observation of a server from this process's statistics."""
-        stats = self.stats(server)
-        slowness = stats.latency / usual if usual else 0.0
-        observed_at = max(stats.busy_reported_at, stats.last_outcome_at)
-        busy = decayed_load(stats.busy, observed_at - stats.busy_reported_at)
-        failed = min(stats.failed_share, MAX_FAILED_AVERAGE)
-        return Observation(server.start, slowness, busy, failed, observed_at)
-
-    def share_own_observations(self, servers: list[BackendServer]) -> None:
-        """Merge own observations into those that are sent to other processes."""
-        by_service: dict[str, list[BackendServer]] = {}
-        for server in servers:
-            if server.start in self.stats_by_start:
-                by_service.setdefault(server.service, []).append(server)
-        for listed in by_service.values():
-            usual = self.median_latency(listed)
-            self.shared_observations.merge(
-                self.own_observation(server, usual) for server in listed
-            )
-
     def service_capacity(self, servers: list[BackendServer]) -> float:
         """Return how many requests servers complete in a usual service time.
 
@@ -324,7 +252,7 @@
         servers : list of BackendServer
             Ready servers of one service.
         """
-        usual = self.median_latency(servers)
+        usual = self.estimates.median_latency(servers)
         return sum(self.server_capacity(server, usual) for server in servers)
 
     def usable_slots(self, servers: list[BackendServer]) -> float:
@@ -334,20 +262,22 @@
         and otherwise the sum of the listed slots.
         """
         now = self.clock.monotonic()
-        avoided = any(self.stats(server).avoided_until > now for server in servers)
-        lost = any(self.stats(server).lost_until > now for server in servers)
-        if avoided or lost or self.is_slowdown_reported(servers):
+        avoided = any(
+            self.estimates.stats(server).avoided_until > now for server in servers
+        )
+        lost = any(self.estimates.stats(server).lost_until > now for server in servers)
+        if avoided or lost or self.estimates.is_slowdown_reported(servers):
             return self.service_capacity(servers)
         return sum(server.slots for server in servers)
 
     def server_capacity(self, server: BackendServer, usual: float) -> float:
         """Return a server's slots over its slowness; 0 if it is ejected or lost."""
-        stats, now = self.stats(server), self.clock.monotonic()
+        stats, now = self.estimates.stats(server), self.clock.monotonic()
         if max(stats.avoided_until, stats.lost_until) > now:
             return 0.0
-        observed = self.observation(server, usual)
+        observed = self.estimates.observation(server, usual)
         recent = now - observed.observed_at < MAX_AGE_SECONDS
-        slowness = self.expected_slowdown(server)
+        slowness = self.estimates.expected_slowdown(server)
         if recent and observed.slowness > CAPACITY_MIN_SLOWNESS:
             slowness *= min(observed.slowness, MAX_SLOWNESS_FACTOR)
         report = self.load_reports.get(server.start)
@@ -356,16 +286,16 @@
 
     def record_sent(self, server: BackendServer) -> None:
         """Count a request as sent."""
-        self.stats(server).outstanding += 1
+        self.estimates.stats(server).outstanding += 1
 
     def record_finished(self, server: BackendServer) -> None:
         """Count a request as ended, whatever its outcome."""
-        stats = self.stats(server)
+        stats = self.estimates.stats(server)
         stats.outstanding = max(0, stats.outstanding - 1)
 
     def record_load(self, server: BackendServer, load: ServerLoad) -> None:
         """Store the load that a server reported with an answer."""
-        stats = self.stats(server)
+        stats = self.estimates.stats(server)
         now = self.clock.monotonic()
         stats.busy = min(load.busy, MAX_BUSY)
         stats.busy_reported_at = now
@@ -373,30 +303,25 @@
         if load.reports_slowdown:
             self.load_reports.merge([make_report(server.start, load, now)])
 
-    def expected_slowdown(self, server: BackendServer) -> float:
-        """Return the slowdown that a server's host is expected to have now."""
-        report = self.load_reports.get(server.start)
-        return report.expected_slowdown(self.clock.monotonic()) if report else 1.0
-
     def record_success(self, server: BackendServer, took: float) -> None:
         """Record a successful answer that took ``took`` seconds."""
         self.regions.record_answer(server)
-        stats = self.stats(server)
+        stats = self.estimates.stats(server)
         stats.last_outcome_at = self.clock.monotonic()
         stats.lost_until = 0.0
         stats.consecutive_failures = 0
         stats.consecutive_ejections = 0
         stats.failed_share *= 1 - AVERAGE_WEIGHT
-        took /= self.expected_slowdown(server)
+        took /= self.estimates.expected_slowdown(server)
         if not stats.latency:
             stats.latency = took
         stats.latency += AVERAGE_WEIGHT * (took - stats.latency)
 
     def record_wait(self, server: BackendServer, took: float) -> None:
         """Record a request that was still unanswered after ``took`` seconds."""
-        stats = self.stats(server)
+        stats = self.estimates.stats(server)
         stats.last_outcome_at = self.clock.monotonic()
-        took /= self.expected_slowdown(server)
+        took /= self.estimates.expected_slowdown(server)
         if took > stats.latency:
             stats.latency += AVERAGE_WEIGHT * (took - stats.latency)
 
@@ -406,7 +331,7 @@
 
     def record_replaced(self, server: BackendServer) -> None:
         """Avoid a server whose address another server uses now."""
-        self.stats(server).avoided_until = (
+        self.estimates.stats(server).avoided_until = (
             self.clock.monotonic() + REPLACED_PAUSE_SECONDS
         )
 
@@ -417,9 +342,9 @@
         it is back. A server that does not report its start time then has the same
         statistics entry.
         """
-        before = self.stats(server)
+        before = self.estimates.stats(server)
         now = self.clock.monotonic()
-        self.stats_by_start[server.start] = ServerStats(
+        self.estimates.stats_by_start[server.start] = ServerStats(
             outstanding=before.outstanding,
             avoided_until=now + GONE_PAUSE_SECONDS,
             last_outcome_at=now,
@@ -430,7 +355,7 @@
         self, server: BackendServer, servers: list[BackendServer]
     ) -> bool:
         """Record a failure; return whether the server is ejected by it."""
-        stats = self.stats(server)
+        stats = self.estimates.stats(server)
         stats.last_outcome_at = self.clock.monotonic()
         stats.consecutive_failures += 1
         stats.failed_share += AVERAGE_WEIGHT * (1 - stats.failed_share)
@@ -443,7 +368,9 @@
     def eject(self, stats: ServerStats, servers: list[BackendServer]) -> bool:
         """Eject a server for a while, unless too many are avoided already."""
         now = self.clock.monotonic()
-        avoided = sum(1 for server in servers if self.stats(server).avoided_until > now)
+        avoided = sum(
+            1 for server in servers if self.estimates.stats(server).avoided_until > now
+        )
         if not EJECTION.may_eject(avoided, len(servers)):
             return False
         stats.avoided_until = now + EJECTION.pause_seconds(
@@ -451,8 +378,3 @@
         )
         stats.consecutive_ejections += 1
         return True
-
-
-def decayed_load(busy: float, age: float) -> float:
-    """Return a reported load, reduced by its age in seconds."""
-    return busy * 0.5 ** (age / LOAD_HALF_LIFE_SECONDS)
--- a/tests/connection_choices.py
+++ b/tests/connection_choices.py
@@ -39,10 +39,12 @@
     def choose(fleet: Fleet, gateway: SimulatedGateway) -> BackendServer:
         balancer = gateway.balancer
         subset = own_subset(fleet, gateway, size)
-        usual = balancer.median_latency(fleet.listed)
+        usual = balancer.estimates.median_latency(fleet.listed)
 
         def cost(server):
-            time = balancer.expected_load(server, usual).draw_time(balancer.chance)
+            time = balancer.estimates.expected_load(server, usual).draw_time(
+                balancer.chance
+            )
             time += balancer.penalty(server, 0.15) + balancer.chance.uniform(0, 0.1)
             return time + (0.0 if server in subset else connection_cost)
 
--- a/tests/server_fleet.py
+++ b/tests/server_fleet.py
@@ -313,7 +313,7 @@
 
     def digest(self, gateway: SimulatedGateway) -> tuple:
         balancer = gateway.balancer
-        balancer.share_own_observations(self.listed)
+        balancer.estimates.share_own_observations(self.listed)
         return balancer.shared_observations.digest(), balancer.load_reports.digest()
 
     def take_snapshot(self) -> None:
--- a/tests/test_observations.py
+++ b/tests/test_observations.py
@@ -12,7 +12,7 @@
 from gypsumshift.neighbours import Neighbour
 from gypsumshift.relay import Relay
 from gypsumshift.serving import Directory
-from gypsumshift.serving.loadbalancer import OWN_FRESH_SECONDS, LoadBalancer
+from gypsumshift.serving.loadbalancer import LoadBalancer
 from gypsumshift.serving.observations import (
     MAX_AGE_SECONDS,
     MAX_DIGEST_SIZE,
@@ -21,6 +21,7 @@
     decode,
     encode,
 )
+from gypsumshift.serving.serverestimates import OWN_FRESH_SECONDS
 from tests.builders import ManualClock
 from tests.test_loadbalancer import make_balancer, servers
 from tests.test_neighbours import scenario
@@ -41,7 +42,7 @@
     listed, now = servers(4), clock.monotonic()
     for server in listed:
         informed.record_success(server, SLOW if server.id in ("s0", "s1") else USUAL)
-    informed.share_own_observations(listed)
+    informed.estimates.share_own_observations(listed)
     fresh = LoadBalancer("here", clock, random.Random(2))
     fresh.shared_observations.merge(
         decode(encode(informed.shared_observations.digest(), now), now)
@@ -57,7 +58,7 @@
     rewards = LoadBalancer("here", clock, random.Random(2))
     for server in listed:
         rewards.record_success(server, 0.08)
-    rewards.share_own_observations(listed)
+    rewards.estimates.share_own_observations(listed)
     balancer.shared_observations.merge(rewards.shared_observations.digest())
     clock.advance(OWN_FRESH_SECONDS + 0.1)
     assert chosen(balancer, listed) == {"s0", "s1"}
@@ -208,7 +209,7 @@
         for balancer in balancers:
             other = self.chance.choice(balancers)
             for one in (balancer, other):
-                one.share_own_observations(self.listed)
+                one.estimates.share_own_observations(self.listed)
             digest = balancer.shared_observations.digest()
             balancer.shared_observations.merge(other.shared_observations.digest())
             other.shared_observations.merge(digest)
--- a/tests/test_region_choice.py
+++ b/tests/test_region_choice.py
@@ -240,7 +240,7 @@
         for number in range(10):
             await world.call(f"r{number}", "/safe/")
         assert len(world.arrivals) == 10
-        stats = world.balancer.stats_by_start.values()
+        stats = world.balancer.estimates.stats_by_start.values()
         assert not any(each.failed_share for each in stats)
         assert max(each.latency for each in stats) < 0.025
 
@@ -326,8 +326,12 @@
         healthy = [s for s in candidates if self.stats(s).avoided_until <= now]
         if not healthy:
             return min(candidates, key=lambda s: self.stats(s).avoided_until)
-        usual = self.median_latency(servers)
-        cost = self.reported_cost if self.is_slowdown_reported(servers) else self.cost
+        usual = self.estimates.median_latency(servers)
+        cost = (
+            self.reported_cost
+            if self.estimates.is_slowdown_reported(servers)
+            else self.cost
+        )
         return min(healthy, key=lambda s: (cost(s, usual), self.chance.random()))
 
 
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -32,7 +32,7 @@
     now = sender.clock.monotonic()
     return {
         start.id
-        for start, stats in sender.balancer.stats_by_start.items()
+        for start, stats in sender.balancer.estimates.stats_by_start.items()
         if stats.avoided_until > now
     }
 
--- a/tests/test_server_choice.py
+++ b/tests/test_server_choice.py
@@ -104,7 +104,7 @@
     """Their choice stays the same, including the numbers taken from the source."""
     balancer, _ = make_balancer()
     listed = make_servers(4, ("here", "there"))
-    balancer.expected_load = None
+    balancer.estimates.expected_load = None
     for server in listed:
         balancer.record_load(server, ServerLoad(5, 0, 6))
         balancer.record_success(server, 0.03)
--- a/tests/test_server_restart.py
+++ b/tests/test_server_restart.py
@@ -65,7 +65,7 @@
     balancer.record_failure(born(1), [born(2)])
     assert balancer.stats(born(2)).consecutive_failures == 0
     balancer.prune({born(2).start})
-    assert list(balancer.stats_by_start) == [born(2).start]
+    assert list(balancer.estimates.stats_by_start) == [born(2).start]
 
 
 class Reporter:
