Split the connections of the HTTP server from httpserver.py

Change: serverconnection.py has ServerConnection with its limits and time-outs; httpserver.py keeps HttpServer. Code is only moved. Two tests set the time-outs in the new module.

--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -10,7 +10,8 @@
 from gypsumshift.generated.messages import Body, Frame, Heartbeat, Member, Start
 from gypsumshift.generated.settings import Settings
 from gypsumshift.httpclient import Fetcher
-from gypsumshift.httpserver import MAX_BODY_BYTES, MAX_HEADER_BYTES
+from gypsumshift.httpserver import MAX_BODY_BYTES
+from gypsumshift.serverconnection import MAX_HEADER_BYTES
 
 from . import builders
 
@@ -112,7 +113,7 @@
 
 
 def test_a_connection_with_an_unfinished_request_is_closed_when_idle(monkeypatch):
-    monkeypatch.setattr("gypsumshift.httpserver.IDLE_TIMEOUT_S", 0.05)
+    monkeypatch.setattr("gypsumshift.serverconnection.IDLE_TIMEOUT_S", 0.05)
 
     async def work(entry):
         assert await send_raw(entry.caller_address, b"GET / HT") == b""
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from gypsumshift import httpserver
+from gypsumshift import serverconnection
 from gypsumshift.bytebudget import MIB, ByteBudget
 from gypsumshift.httpclient import Fetcher
 from gypsumshift.httpserver import HttpServer, Response, ResponseAborted
@@ -101,7 +101,7 @@
 
 @pytest.fixture
 def short_timeout(monkeypatch):
-    monkeypatch.setattr(httpserver, "UNREAD_TIMEOUT_S", UNREAD_TIMEOUT_S)
+    monkeypatch.setattr(serverconnection, "UNREAD_TIMEOUT_S", UNREAD_TIMEOUT_S)
 
 
 def test_a_stream_is_produced_only_as_fast_as_the_caller_reads():
