Split the writing of crash rows from crashtable.py

Change: crashwriter.py has CrashWriter with the queues, the transactions and their limits; CrashTable has it as its attribute writer. CrashGuard, CrashGossip and two test files reach the queues through the attribute.

Conclusion: behaviour is unchanged.

--- a/gypsumshift/crashgossip.py
+++ b/gypsumshift/crashgossip.py
@@ -88,7 +88,7 @@
         period counts as delayed.
         """
         now = self.clock.monotonic()
-        waiting = self.table.pending_writes.values()
+        waiting = self.table.writer.pending_writes.values()
         crashes = [crash for crash in waiting if now - crash.seen_at > SEND_PERIOD_S]
         crashes += self.to_forward.values()
         self.to_forward.clear()
--- a/gypsumshift/serving/crashguard.py
+++ b/gypsumshift/serving/crashguard.py
@@ -255,9 +255,9 @@
             self.clock.monotonic(),
         )
         self.metrics.count("quarantine_ends")
-        self.table.queue_removals(self.quarantine.add_crash(crash))
+        self.table.writer.queue_removals(self.quarantine.add_crash(crash))
         if self.quarantine.has_crash(permit.fingerprint, crash.key):
-            self.table.queue_write(crash)
+            self.table.writer.queue_write(crash)
         crash_count = self.quarantine.crash_count(permit.fingerprint)
         if crash_count == CRASH_LIMIT:
             self.log_quarantine_start(permit.fingerprint)
@@ -318,7 +318,7 @@
 
     async def run(self) -> None:
         """Write crashes to the shared table until cancelled."""
-        await self.table.run()
+        await self.table.writer.run()
 
     def sweep(self) -> None:
         """Remove expired crashes and rows, and queue overdue writes."""
--- a/gypsumshift/serving/crashtable.py
+++ b/gypsumshift/serving/crashtable.py
@@ -16,8 +16,8 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
-from gypsumshift.outcomes import Committed, Conflict, WriteOutcome
-from gypsumshift.platforms import Row, RowStore, Write
+from gypsumshift.platforms import Row, RowStore
+from gypsumshift.serving.crashwriter import MAX_QUEUED_ROWS, CrashWriter
 from gypsumshift.serving.directory import ServerStart
 from gypsumshift.serving.quarantine import (
     CRASH_RETENTION_S,
@@ -36,7 +36,7 @@
 )
 from gypsumshift.watch import Watch
 
-__all__ = ["CrashTable"]
+__all__ = ["REPORT_WRITE_DELAYS_S", "SWEEP_PERIOD_S", "CrashTable"]
 
 # Longest time that a request for changes waits at the store. With the slack for its
 # answer, a feed that stopped answering is replaced in time for every process to receive
@@ -47,17 +47,6 @@
 STALE_AFTER_S = 4.0
 # Limit for claiming a trial; a caller waits for it.
 CLAIM_TIMEOUT_S = 0.4
-# Maximum number of writes, and of removals, in one transaction (stores accept 100 rows
-# together), and of rows in each queue.
-MAX_ROWS_PER_COMMIT = 50
-MAX_QUEUED_ROWS = 500
-# Time after which the only crash of a request is written: most requests are answered by
-# another server before that.
-SINGLE_CRASH_DELAY_S = 0.05
-# Time between two transactions, and limits of the backoff after a failed one.
-COMMIT_INTERVAL_S = 0.05
-FIRST_RETRY_DELAY_S = 0.1
-MAX_RETRY_DELAY_S = 1.0
 # A crash reported by a neighbour is written by this process after a random delay in
 # this range, so that mostly only one process writes it.
 REPORT_WRITE_DELAYS_S = (1.0, 6.0)
@@ -88,12 +77,6 @@
         Age in seconds from which this process removes a row.
     keys_issued : int
         Number of keys made for crashes that this process observed.
-    pending_writes : dict
-        `Crash` by key, of the rows still to be written.
-    possibly_written : set of str
-        Keys in `pending_writes` that a transaction may already have written.
-    pending_removals : dict
-        Keys of the rows still to be removed, in order.
     stored_keys : set of str
         Keys of the crashes in the store, as last received.
     deferred_writes : dict
@@ -103,6 +86,8 @@
         Start time of a trial that this process made without a claim in the store, by
         the trial's key.
     claims : TrialClaims
+    writer : CrashWriter
+        Writes and removes rows in the store.
     loaded : bool
         Whether the whole table was received at least once.
     """
@@ -121,16 +106,11 @@
         self.session = f"{chance.getrandbits(64):016x}"
         self.row_retention_s = CRASH_RETENTION_S + chance.uniform(0, SWEEP_SPREAD_S)
         self.keys_issued = 0
-        self.pending_writes: dict[str, Crash] = {}
-        self.possibly_written: set[str] = set()
-        self.pending_removals: dict[str, None] = {}
         self.stored_keys: set[str] = set()
         self.deferred_writes: dict[str, tuple[Crash, float]] = {}
         self.unstored_trials: dict[str, float] = {}
         self.claims = TrialClaims(store, self.session)
         self.loaded = False
-        self.work_queued = asyncio.Event()
-        self.failures = 0
         self.swept_at = clock.monotonic()
         self.watch = Watch(
             store,
@@ -141,11 +121,9 @@
             keeps_rows=True,
             max_feed_wait=MAX_FEED_WAIT,
         )
-
-    @property
-    def has_store_time(self) -> bool:
-        """Whether the store has sent the table, and with it the store's time."""
-        return self.watch.current_at > float("-inf")
+        self.writer = CrashWriter(
+            store, quarantine, self.claims, self.watch, clock, chance
+        )
 
     @property
     def is_current(self) -> bool:
@@ -186,7 +164,7 @@
                     "Ignored the unacknowledged trial claim {} of this process.",
                     row.key,
                 )
-            elif row.key not in self.pending_removals:
+            elif row.key not in self.writer.pending_removals:
                 self.quarantine.add_crash(self.parse_crash(row, fingerprint))
                 self.stored_keys.add(row.key)
         except (KeyError, TypeError, ValueError) as error:
@@ -209,7 +187,7 @@
         neighbour count as new.
         """
         age = store_time(self.store) - float(at)
-        return max(0.0, age) if self.has_store_time else 0.0
+        return max(0.0, age) if self.writer.has_store_time else 0.0
 
     def apply_removal(self, key: str) -> None:
         """Apply the removal of a row."""
@@ -224,7 +202,7 @@
     def add_reported_crash(self, crash: Crash) -> bool:
         """Record a crash reported by a neighbour; return whether it was added."""
         known = self.quarantine.has_crash(crash.fingerprint, crash.key)
-        if known or crash.key in self.pending_removals:
+        if known or crash.key in self.writer.pending_removals:
             return False
         self.quarantine.add_crash(crash)
         new = self.quarantine.has_crash(crash.fingerprint, crash.key)
@@ -245,7 +223,7 @@
                 del self.deferred_writes[key]
             elif due <= now and self.is_current:
                 del self.deferred_writes[key]
-                self.queue_write(crash)
+                self.writer.queue_write(crash)
 
     def add_reported_trial(self, key: str) -> None:
         """Record a trial reported by a neighbour."""
@@ -255,35 +233,6 @@
 
     # Changes made by this process.
 
-    def queue_write(self, crash: Crash) -> None:
-        """Queue the row of a crash for writing."""
-        self.pending_writes[crash.key] = crash
-        self.limit_queue(self.pending_writes)
-        self.work_queued.set()
-
-    def queue_removals(self, keys: list[str]) -> None:
-        """Queue rows for removal; rows that cannot have been written are dropped."""
-        for key in keys:
-            was_queued = self.pending_writes.pop(key, None) is not None
-            if not was_queued or key in self.possibly_written:
-                self.pending_removals[key] = None
-            self.possibly_written.discard(key)
-        self.limit_queue(self.pending_removals)
-        self.work_queued.set()
-
-    def limit_queue(self, queue: dict) -> None:
-        """Drop the oldest entries of a queue that exceeds its limit."""
-        while len(queue) > MAX_QUEUED_ROWS:
-            key = next(iter(queue))
-            del queue[key]
-            self.possibly_written.discard(key)
-            log.warning(
-                "Queue of crash rows exceeds {} entries; dropped row {}, so that the "
-                "store is not updated with it.",
-                MAX_QUEUED_ROWS,
-                key,
-            )
-
     def remove_request(self, fingerprint: str, keys: list[str], trials: int) -> None:
         """Queue all rows of a request for removal.
 
@@ -299,83 +248,7 @@
         prefix = f"{fingerprint}/"
         stored = [key for _, key in self.watch.rows if key.startswith(prefix)]
         trial_keys = [trial_key(fingerprint, number + 1) for number in range(trials)]
-        self.queue_removals([*stored, *keys, *trial_keys])
-
-    async def run(self) -> None:
-        """Write and remove queued rows until cancelled."""
-        while True:
-            await self.work_queued.wait()
-            self.work_queued.clear()
-            while self.pending_writes or self.pending_removals or self.claims.withdrawn:
-                await self.clock.sleep(await self.commit_batch())
-
-    async def commit_batch(self) -> float:
-        """Commit one transaction; return the seconds until the next."""
-        if not self.has_store_time:
-            # Rows contain the store's time, which is not known yet.
-            return MAX_RETRY_DELAY_S
-        if self.claims.withdrawn:
-            outcome = await self.claims.remove_withdrawn_row()
-            done = isinstance(outcome, (Committed, Conflict))
-            return COMMIT_INTERVAL_S if done else self.record_failure(outcome)
-        crashes = self.crashes_to_write()[:MAX_ROWS_PER_COMMIT]
-        removed = [
-            key for key in self.pending_removals if key not in self.pending_writes
-        ][:MAX_ROWS_PER_COMMIT]
-        writes = [
-            Write(CRASHES_TABLE, crash.key, self.row_value(crash)) for crash in crashes
-        ]
-        writes += [Write(CRASHES_TABLE, key) for key in removed]
-        if not writes:
-            return SINGLE_CRASH_DELAY_S / 2
-        self.possibly_written.update(crash.key for crash in crashes)
-        outcome = await self.store.commit(writes)
-        if not isinstance(outcome, Committed):
-            return self.record_failure(outcome)
-        self.failures = 0
-        for crash in crashes:
-            self.pending_writes.pop(crash.key, None)
-            self.possibly_written.discard(crash.key)
-        for key in removed:
-            self.pending_removals.pop(key, None)
-        return COMMIT_INTERVAL_S
-
-    def crashes_to_write(self) -> list[Crash]:
-        """Return the queued crashes that are due to be written.
-
-        The only crash of a request is held back for a short time: a sound request is
-        retried at another server at once, and once answered it needs no row.
-        """
-        horizon = self.clock.monotonic() - SINGLE_CRASH_DELAY_S
-        return [
-            crash
-            for crash in self.pending_writes.values()
-            if crash.seen_at <= horizon
-            or self.quarantine.crash_count(crash.fingerprint) > 1
-        ]
-
-    def record_failure(self, outcome: WriteOutcome) -> float:
-        """Count a transaction that may have failed; return the retry delay."""
-        self.failures += 1
-        if self.failures == 1:
-            reason = getattr(outcome, "reason", type(outcome).__name__)
-            logs.event(
-                log, "Cannot write crash rows to the store; will retry.", reason=reason
-            )
-        pause = min(
-            FIRST_RETRY_DELAY_S * 2 ** min(self.failures, 10), MAX_RETRY_DELAY_S
-        )
-        return pause * self.chance.uniform(0.5, 1.0)
-
-    def row_value(self, crash: Crash) -> dict:
-        """Return the row value of a crash, without body or data that names a caller."""
-        age = self.clock.monotonic() - crash.seen_at
-        return {
-            "server": crash.start.id,
-            "born": crash.start.born,
-            "request": crash.request,
-            "at": round(store_time(self.store) - age, 3),
-        }
+        self.writer.queue_removals([*stored, *keys, *trial_keys])
 
     # Trials.
 
@@ -397,7 +270,7 @@
     def withdraw_trial(self, fingerprint: str, number: int) -> None:
         """Queue the row of a trial that no server ran for removal."""
         self.claims.withdraw(trial_key(fingerprint, number))
-        self.work_queued.set()
+        self.writer.work_queued.set()
 
     def sweep(self) -> None:
         """Queue the writes of deferred crashes and the removal of expired rows."""
@@ -409,7 +282,7 @@
         horizon = store_time(self.store) - self.row_retention_s
         old = [row.key for row in self.watch.rows.values() if written_at(row) < horizon]
         if old:
-            self.queue_removals(old[:MAX_QUEUED_ROWS])
+            self.writer.queue_removals(old[:MAX_QUEUED_ROWS])
 
 
 def written_at(row: Row) -> float:
--- a/tests/test_crashgossip.py
+++ b/tests/test_crashgossip.py
@@ -89,7 +89,7 @@
     for _ in range(2):
         assert receive(gossip, map(crash, range(CRASH_LIMIT))).status == 200
     assert table.quarantine.is_held_back("f")
-    assert not table.pending_writes, "the process that observed them writes them"
+    assert not table.writer.pending_writes, "the process that observed them writes them"
 
 
 def test_a_reported_crash_is_written_after_a_delay_if_no_other_process_writes_it():
@@ -97,15 +97,17 @@
     gossip, table, clock = make()
     table.watch.current_at = clock.monotonic()
     receive(gossip, map(crash, range(2)))
-    table.apply_row(Row(CRASHES_TABLE, crash(0).key, 1, table.row_value(crash(0))))
+    table.apply_row(
+        Row(CRASHES_TABLE, crash(0).key, 1, table.writer.row_value(crash(0)))
+    )
     table.sweep()
-    assert not table.pending_writes
+    assert not table.writer.pending_writes
     clock.advance(REPORT_WRITE_DELAYS_S[1])
     table.sweep()
-    assert not table.pending_writes, "with an outdated copy it writes nothing"
+    assert not table.writer.pending_writes, "with an outdated copy it writes nothing"
     table.watch.current_at = clock.monotonic()
     table.sweep()
-    assert list(table.pending_writes) == [crash(1).key]
+    assert list(table.writer.pending_writes) == [crash(1).key]
 
 
 def test_a_snapshot_removes_only_crashes_that_the_store_had_before():
@@ -131,7 +133,7 @@
 
 def test_a_crash_is_not_sent_to_neighbours_before_its_write_is_delayed():
     gossip, table, clock = make()
-    table.queue_write(crash(seen_at=clock.monotonic()))
+    table.writer.queue_write(crash(seen_at=clock.monotonic()))
     assert gossip.take_unsent() == ([], [])
     clock.advance(1)
     assert len(gossip.take_unsent()[0]) == 1
@@ -140,7 +142,7 @@
 def test_a_message_contains_a_limited_number_of_the_newest_crashes():
     gossip, table, clock = make(UnavailableStore())
     for number in range(3 * MAX_PER_MESSAGE):
-        table.queue_write(crash(number, fingerprint=f"f{number}"))
+        table.writer.queue_write(crash(number, fingerprint=f"f{number}"))
     crashes, _ = gossip.take_unsent()
     assert len(crashes) == MAX_PER_MESSAGE and crashes[-1].key.startswith("f59")
 
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -8,7 +8,8 @@
 from gypsumshift.memory import MemoryTables
 from gypsumshift.outcomes import Answered, HeldBack
 from gypsumshift.platforms import Row, Write
-from gypsumshift.serving.crashtable import MAX_QUEUED_ROWS, SWEEP_PERIOD_S, CrashTable
+from gypsumshift.serving.crashtable import SWEEP_PERIOD_S, CrashTable
+from gypsumshift.serving.crashwriter import MAX_QUEUED_ROWS
 from gypsumshift.serving.quarantine import (
     CRASH_LIMIT,
     CRASH_RETENTION_S,
@@ -174,4 +175,4 @@
     table.store.now = lambda: datetime.timedelta(seconds=2 * CRASH_RETENTION_S)
     clock.advance(SWEEP_PERIOD_S)
     table.sweep()
-    assert len(table.pending_removals) == MAX_QUEUED_ROWS
+    assert len(table.writer.pending_removals) == MAX_QUEUED_ROWS
