--- a/gypsumshift/gossip.py
+++ b/gypsumshift/gossip.py
@@ -16,12 +16,13 @@
 from gypsumshift.digests import DigestSection, decode_digest
 from gypsumshift.httpclient import FetchError
 from gypsumshift.httpserver import Request, Response, json_response
-from gypsumshift.neighbours import Neighbour, StorePath
+from gypsumshift.neighbours import Neighbour
 from gypsumshift.peerchoice import choose_exchange_peer
 from gypsumshift.serving.directory import Directory
 from gypsumshift.serving.loadbalancer import LoadBalancer
 from gypsumshift.serving.loadreports import LoadSection
 from gypsumshift.serving.observations import ObservationSection
+from gypsumshift.storepath import StorePath
 
 __all__ = ["OBSERVATIONS_PATH", "Gossip"]
 
@@ -140,7 +141,9 @@
 
     def encoded_digest(self) -> dict[str, object]:
         """Return the current digest as JSON values."""
-        self.balancer.share_own_observations(list(self.directory.servers.values()))
+        self.balancer.estimates.share_own_observations(
+            list(self.directory.servers.values())
+        )
         encoded = {name: section.encode() for name, section in self.sections.items()}
         return {name: value for name, value in encoded.items() if value is not None}
 
