--- a/gypsumshift/serving/cold/senders.py
+++ b/gypsumshift/serving/cold/senders.py
@@ -14,7 +14,7 @@
 import attrs
 
 from gypsumshift.clock import Clock
-from gypsumshift.neighbours import NeighbourRegistry
+from gypsumshift.neighbourregistry import NeighbourRegistry
 from gypsumshift.rendezvous import rendezvous_weight
 from gypsumshift.serving.cold.shares import NO_SHARE, LimitShare
 from gypsumshift.serving.directory import BackendServer
