Log the cause of a server's cold time; test the transition to warm

A log line named the entry as the source also where a broken connection or missing reports made an engine count as cold.

--- a/gypsumshift/serving/cold/knowledge.py
+++ b/gypsumshift/serving/cold/knowledge.py
@@ -31,6 +31,7 @@
     ENTRY = "entry"
     ANSWER = "answer"
     REPORT = "report"
+    NO_REPORT = "no report"
     BROKEN_CONNECTION = "broken connection"
     ZONE_RETURN = "zone return"
 
@@ -48,7 +49,7 @@
     source : Source
         Source of ``warm_at``.
     noted_at : float
-        Time of the newest information.
+        When ``warm_at`` was stored.
     unproved_until : float
         Entries received before may be older than a restart: they cannot show that the
         server is warm.
@@ -100,10 +101,28 @@
         record, now = self.get(server), self.clock.monotonic()
         if record is None or now < record.warm_at:
             return True
+        return not self.is_confirmed(server, record)
+
+    def is_confirmed(self, server: BackendServer, record: ColdRecord) -> bool:
+        """Return whether the start of the own engine is known to be running.
+
+        Other servers send this process no reports.
+        """
         if server.address != self.own_engine:
-            return False
-        confirmed = record.confirmed_at > record.doubted_at
-        return not confirmed or now - record.confirmed_at > CONFIRMATION_SECONDS
+            return True
+        age = self.clock.monotonic() - record.confirmed_at
+        return record.confirmed_at > record.doubted_at and age <= CONFIRMATION_SECONDS
+
+    def source(self, server: BackendServer) -> tuple[Source, float]:
+        """Return what a server's state is known from, and since when."""
+        record, now = self.get(server), self.clock.monotonic()
+        if record is None:
+            return Source.UNKNOWN, now
+        if now < record.warm_at or self.is_confirmed(server, record):
+            return record.source, record.noted_at
+        if record.doubted_at >= record.confirmed_at:
+            return Source.BROKEN_CONNECTION, record.doubted_at
+        return Source.NO_REPORT, record.confirmed_at
 
     def note_entry(self, server: BackendServer) -> None:
         """Store the remaining cold time in an entry, which counts from its receipt."""
@@ -188,7 +207,6 @@
     def doubt(self, record: ColdRecord, now: float) -> None:
         """Record that a start may not be running any more."""
         record.doubted_at = now
-        record.noted_at = now
 
     def note_broken(self, server: BackendServer, limit: ColdLimit) -> None:
         """Record that a connection to a server broke, so it may have restarted."""
--- a/gypsumshift/serving/cold/reporter.py
+++ b/gypsumshift/serving/cold/reporter.py
@@ -3,7 +3,7 @@
 from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.metrics import Metrics
-from gypsumshift.serving.cold.knowledge import ColdRecord
+from gypsumshift.serving.cold.knowledge import ColdKnowledge
 from gypsumshift.serving.directory import BackendServer
 
 __all__ = ["ColdReporter"]
@@ -38,13 +38,13 @@
         self.delayed_logged_at = float("-inf")
 
     def record_state(
-        self, server: BackendServer, cold: bool, record: ColdRecord | None
+        self, server: BackendServer, cold: bool, knowledge: ColdKnowledge
     ) -> None:
         """Log the state of a server if it has changed, with its source and age."""
         if self.was_cold.get(server.id) is cold:
             return
         self.was_cold[server.id] = cold
-        age = self.clock.monotonic() - record.noted_at if record else 0.0
+        source, since = knowledge.source(server)
         text = (
             "A backend server is cold; requests to it are limited."
             if cold
@@ -55,8 +55,8 @@
             text,
             server=server.id,
             born=server.born,
-            source=record.source.value if record else "unknown",
-            age_s=round(age, 3),
+            source=source.value,
+            age_s=round(self.clock.monotonic() - since, 3),
         )
 
     def count_delayed(self, server: BackendServer) -> None:
--- a/gypsumshift/serving/coldrates.py
+++ b/gypsumshift/serving/coldrates.py
@@ -131,7 +131,7 @@
         """Return the seconds until a request may be sent to a server."""
         now, state = self.clock.monotonic(), self.state(server)
         limiter, cold = state.limiter, self.knowledge.is_cold(server)
-        self.reporter.record_state(server, cold, self.knowledge.get(server))
+        self.reporter.record_state(server, cold, self.knowledge)
         if cold:
             state.cold_at = now
             share = self.share(server, limit)
--- a/tests/test_cold_engine.py
+++ b/tests/test_cold_engine.py
@@ -14,6 +14,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from gypsumshift.serving import coldrates
 from gypsumshift.serving.cold import ColdBound
 from tests.cold_world import BOUND, LIMIT, EngineWorld, most_in_a_second
 from tests.virtual_time import run_in_virtual_time
@@ -115,10 +116,20 @@
     assert any(most_in_a_second(cold_arrivals(world)) > ALLOWED for world in runs)
 
 
-@pytest.mark.parametrize("bound", [BOUND, ColdBound()])
-@pytest.mark.parametrize("seed", SEEDS)
-def test_a_cold_engine_with_waiting_work_is_used_at_the_steady_rate(seed, bound):
-    """Guards against a limit that wastes the little that a cold engine can do."""
+def most_at_once(arrivals, since):
+    """Return the most sends within 10 ms, from a time on and for 0.45 s.
+
+    The rate is limited until 0.5 s after the engine was last seen cold.
+    """
+    sent = [a.sent_at for a in arrivals if since <= a.sent_at < since + 0.45]
+    return max(sum(at <= other < at + 0.01 for other in sent) for at in sent)
+
+
+def run_transition(seed, bound):
+    """Return the requests to an engine that restarts and becomes warm.
+
+    With them, the times from which the steady rate is due and at which it is warm.
+    """
     long_limit = attrs.evolve(LIMIT, duration=datetime.timedelta(seconds=10))
 
     async def scenario():
@@ -142,11 +153,25 @@
         finally:
             await world.close()
 
-    arrivals, since, warm_at = run_in_virtual_time(scenario)
+    return run_in_virtual_time(scenario)
+
+
+@pytest.mark.parametrize("bound", [BOUND, ColdBound()])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_cold_engine_with_waiting_work_is_used_at_the_steady_rate(seed, bound):
+    """Guards against a limit that wastes the little that a cold engine can do."""
+    arrivals, since, warm_at = run_transition(seed, bound)
     cold = [a for a in arrivals if a.cold]
     assert most_in_a_second(cold) <= LIMIT.per_second * bound.excess + bound.slack
     steady = sum(since <= a.sent_at < warm_at for a in arrivals) / (warm_at - since)
     assert steady >= 0.9 * LIMIT.per_second
+    assert most_at_once(arrivals, warm_at) <= 4
     # Full use is about 27 requests per second.
     warm = sum(warm_at + 1 <= a.sent_at < warm_at + 2 for a in arrivals)
     assert warm >= 2 * LIMIT.per_second
+
+
+def test_without_the_ramp_all_waiting_requests_are_sent_at_once(monkeypatch):
+    monkeypatch.setattr(coldrates, "RAMP_SECONDS", 0.0)
+    arrivals, _, warm_at = run_transition(1, BOUND)
+    assert most_at_once(arrivals, warm_at) > 4
--- a/tests/test_coldrates.py
+++ b/tests/test_coldrates.py
@@ -19,7 +19,7 @@
 from gypsumshift.outcomes import NotRun
 from gypsumshift.serving import Directory, RequestKind
 from gypsumshift.serving.calls import Call, Refused
-from gypsumshift.serving.cold import ColdBound, LimitShare, SendLimiter
+from gypsumshift.serving.cold import ColdBound, LimitShare, SendLimiter, Source
 from gypsumshift.serving.cold.limiter import WINDOW_SECONDS
 from gypsumshift.serving.cold.shares import divide_limit, target_share
 from gypsumshift.serving.coldrates import ColdRates
@@ -95,6 +95,30 @@
     assert not rates.is_cold(found)
 
 
+def test_a_change_is_logged_once_with_its_source():
+    rates, clock = make_rates()
+    found = entry()
+    told = []
+    rates.reporter.record_state = lambda *state: told.append(
+        (state[1], state[2].source(state[0])[0])
+    )
+    rates.permits(found)
+    rates.directory.set_server(found)
+    confirm(rates, clock, found)
+    rates.permits(found)
+    rates.note_broken(found)
+    rates.permits(found)
+    confirm(rates, clock, found)
+    clock.advance(1.1)
+    rates.permits(found)
+    assert told == [
+        (True, Source.UNKNOWN),
+        (False, Source.ENTRY),
+        (True, Source.BROKEN_CONNECTION),
+        (True, Source.NO_REPORT),
+    ]
+
+
 def test_the_newest_entry_tells_the_remaining_cold_time():
     rates, clock = make_rates()
     found = entry(left=3)
