Split the reading of results from jobmanager.py

Change: resultreader.py has ResultReader and ResultPage; JobManager has the reader as its attribute result_reader, and the reader uses the manager's cache of jobs. Tests reach the moved methods through the attribute. Two tests that replace the manager's store or clock replace those of the reader as well; otherwise test_step_ends_while_half_of_the_answers_are_lost read from the store whose answers get lost, without the hedging that it tests, and timed out.

Conclusion: behaviour is unchanged.

--- a/gypsumshift/jobs/homewait.py
+++ b/gypsumshift/jobs/homewait.py
@@ -63,7 +63,7 @@
             return False
         if job.region not in ("", self.rules.layout.own.region):
             return False
-        if len(self.manager.result_log(job.id)) >= job.item_count:
+        if len(self.manager.result_reader.result_log(job.id)) >= job.item_count:
             return False
         engines = self.rules.directory.ready_engines()
         return not any(self.rules.permits(residency, engine) for engine in engines)
--- a/gypsumshift/jobs/jobmanager.py
+++ b/gypsumshift/jobs/jobmanager.py
@@ -1,12 +1,8 @@
-"""Accept, read, end and remove batch jobs.
+"""Accept, find, end and remove batch jobs.
 
-A job is acknowledged only after it has been written to the store. Reads are served
-from a local copy that follows the store's changes, and from the store itself where
-the copy may be stale.
+A job is acknowledged only after it has been written to the store.
 """
 
-import asyncio
-import contextlib
 import datetime
 import random
 from collections.abc import Callable
@@ -15,24 +11,20 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
-from gypsumshift.jobs.partials import rows_of_item
 from gypsumshift.jobs.records import (
     END_KEY,
     JOB_KEY,
     JOB_TABLES,
     JOBS,
-    RESULTS,
-    TEXTS,
     UNITS,
     InvalidRowError,
     Job,
-    Result,
     Unit,
     from_row,
     parse_row,
     to_row,
 )
-from gypsumshift.jobs.resultlog import ResultLog
+from gypsumshift.jobs.resultreader import ResultReader
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import (
     Committed,
@@ -45,7 +37,7 @@
 from gypsumshift.platforms import ABSENT, Row, RowStore, Write
 from gypsumshift.watch import Watch
 
-__all__ = ["JobManager", "ResultPage"]
+__all__ = ["ENDED_JOB_RETENTION_SECONDS", "JobManager"]
 
 # Limits of one transaction, below the 100 rows and 1 MB that the store accepts.
 MAX_TRANSACTION_ROWS = 90
@@ -53,21 +45,11 @@
 # Bytes of an item's row besides its bodies: names, headers and their encoding. Bodies
 # are base64-encoded twice, each time growing by a third; twice their size is assumed.
 ITEM_OVERHEAD_BYTES = 800
-# Text in one page of results; takes 0.07 s to send on a link of 30 Mbit/s.
-MAX_PAGE_TEXT_CHARS = 250_000
-# Concurrent reads of texts from the store; enough to load a page in about 20 ms.
-MAX_CONCURRENT_TEXT_READS = 12
 # Delay between attempts of a write that failed or whose outcome is unknown.
 WRITE_RETRY_SECONDS = 0.1
-# A local copy that was last confirmed longer ago than this is checked against the
-# store: a result that one reader has seen must be visible to all within a second.
-MAX_COPY_AGE_SECONDS = 0.9
 # Delay that a refused caller is asked to wait before it submits again; the store
 # refuses writes for short periods only.
 RETRY_AFTER_SECONDS = 0.5
-# Interval at which changes of the result table are collected. Every gateway follows
-# this table; the interval is a fifth of the time between two reads of a trainer.
-RESULTS_GATHER_SECONDS = 0.1
 # Time for which ended jobs remain readable; the requirement is 120 s.
 ENDED_JOB_RETENTION_SECONDS = 150.0
 # Probability that a process removes an expired job at each check, one second apart:
@@ -77,27 +59,8 @@
 log = logs.logger("desk")
 
 
-@attrs.frozen
-class ResultPage:
-    """A page of results of a batch job.
-
-    Attributes
-    ----------
-    total : int
-        Number of items in the job.
-    results : list of Result
-        Results from the requested position on.
-    next : int
-        Position after the last result of the page.
-    """
-
-    total: int
-    results: list[Result]
-    next: int
-
-
 class JobManager:
-    """Accepts batch jobs and serves their results.
+    """Accepts, finds, ends and removes batch jobs.
 
     Parameters
     ----------
@@ -120,6 +83,8 @@
     may_read : callable
         Returns whether this process may read the bodies of a job, given the id; see
         `residency`.
+    result_reader : ResultReader
+        Reads the results of the jobs.
     watches : list of Watch
         Watches of the store's tables, to be run by the owner.
     """
@@ -133,20 +98,11 @@
         self.removal_count = 0
         self.submitting: dict[str, Job] = {}
         self.may_read: Callable[[str], bool] = lambda job_id: True
-        self.result_logs: dict[str, ResultLog] = {}
-        self.text_read_limit = asyncio.Semaphore(MAX_CONCURRENT_TEXT_READS)
         self.job_watch = Watch(
             store, JOBS, self.apply_job_rows, self.apply_job_rows, clock
         )
-        self.result_watch = Watch(
-            store,
-            RESULTS,
-            self.apply_result_rows,
-            self.apply_result_rows,
-            clock,
-            batch_interval=RESULTS_GATHER_SECONDS,
-        )
-        self.watches = [self.job_watch, self.result_watch]
+        self.result_reader = ResultReader(store, clock, self.jobs, self.find_job)
+        self.watches = [self.job_watch, self.result_reader.result_watch]
 
     def apply_job_rows(self, rows: list[Row]) -> None:
         """Update the cached jobs from rows of the job table."""
@@ -164,19 +120,6 @@
         if job is not None:
             self.jobs[row.part] = job
 
-    def apply_result_rows(self, rows: list[Row]) -> None:
-        """Update the cached results from rows of the result table."""
-        rows_by_job: dict[str, list[Row]] = {}
-        for row in rows:
-            if row.value is not None:
-                rows_by_job.setdefault(row.part, []).append(row)
-        for job_id, job_rows in rows_by_job.items():
-            self.result_log(job_id).add_rows(job_rows)
-
-    def result_log(self, job_id: str) -> ResultLog:
-        """Return the cached results of a job."""
-        return self.result_logs.setdefault(job_id, ResultLog())
-
     async def remove_expired_jobs(self, chance: random.Random) -> None:
         """Remove jobs from the store whose retention period has passed.
 
@@ -210,7 +153,7 @@
         self.removal_count += 1
         self.jobs.pop(job_id, None)
         self.ended_at.pop(job_id, None)
-        self.result_logs.pop(job_id, None)
+        self.result_reader.result_logs.pop(job_id, None)
 
     async def submit_job(
         self, job: Job, units: list[Unit], deadline: float
@@ -340,73 +283,6 @@
                 self.jobs[job_id] = job
         return self.jobs[job_id]
 
-    async def read_results(
-        self, job_id: str, after: int, wait: float
-    ) -> ResultPage | Missing | Unavailable:
-        """Return a page of a job's results.
-
-        Parameters
-        ----------
-        job_id : str
-        after : int
-            Position of the first result, counted from 0.
-        wait : float
-            Longest time to wait for the first result, in seconds.
-        """
-        was_cached = job_id in self.jobs
-        job = await self.find_job(job_id)
-        if not isinstance(job, Job):
-            return job
-        results = self.result_log(job_id)
-        if was_cached and after == len(results) < job.item_count and wait > 0:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(wait):
-                    await results.changed.wait()
-        if after >= len(results) and len(results) < job.item_count:
-            outcome = await self.refresh_results(job_id, after, was_cached)
-            if isinstance(outcome, Unavailable):
-                return outcome
-        page = results.page(after, MAX_PAGE_TEXT_CHARS)
-        texts = await asyncio.gather(*(self.read_text(job_id, r) for r in page))
-        failed = [text for text in texts if not isinstance(text, str)]
-        if failed:
-            return failed[0]
-        results_with_texts = zip(page, texts, strict=True)
-        found = [attrs.evolve(result, text=text) for result, text in results_with_texts]
-        return ResultPage(job.item_count, found, after + len(found))
-
-    async def read_text(self, job_id: str, result: Result) -> str | Unavailable:
-        """Return the text of a result, read from its rows in the text table."""
-        if not result.pieces:
-            return result.text
-        async with self.text_read_limit:
-            rows = await self.store.scan(TEXTS, f"{result.item}/", job_id)
-        if isinstance(rows, Unavailable):
-            return rows
-        text_rows = rows_of_item(rows, result.item)
-        if len(text_rows) != result.pieces:
-            return Unavailable(
-                f"the text of item {result.item!r} is incomplete: "
-                f"read {len(text_rows)} of {result.pieces} rows"
-            )
-        return "".join(str(row.value.get("text", "")) for row in text_rows)
-
-    async def refresh_results(
-        self, job_id: str, after: int, was_cached: bool
-    ) -> Unavailable | None:
-        """Read a job's results from the store if the local copy may be stale."""
-        results = self.result_log(job_id)
-        stale = (
-            self.clock.monotonic() - self.result_watch.current_at > MAX_COPY_AGE_SECONDS
-        )
-        if was_cached and after == len(results) and not stale:
-            return None
-        rows = await self.store.scan(RESULTS, "", job_id)
-        if isinstance(rows, Unavailable):
-            return rows
-        results.add_rows(rows)
-        return None
-
     async def read_item_body(
         self, job_id: str, item_id: str
     ) -> bytes | Missing | Unavailable:
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -328,7 +328,9 @@
         """
         found = []
         while True:
-            page = await self.job_manager.read_results(job_id, len(found), 0)
+            page = await self.job_manager.result_reader.read_results(
+                job_id, len(found), 0
+            )
             found += page.results
             if len(found) >= (count or page.total):
                 return found
--- a/tests/test_fatal_items.py
+++ b/tests/test_fatal_items.py
@@ -103,6 +103,7 @@
         super().__init__(store=Tables())
         self.clock = virtual_time.LoopClock()
         self.job_manager.clock = self.clock
+        self.job_manager.result_reader.clock = self.clock
         self.fatal = set()
         self.crashes = []
         self.engines = {}
@@ -124,7 +125,7 @@
 
     async def listed(self, job="job"):
         """Return the results that are available for a job."""
-        return (await self.job_manager.read_results(job, 0, 0)).results
+        return (await self.job_manager.result_reader.read_results(job, 0, 0)).results
 
 
 def play(scenario, **options):
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -125,6 +125,7 @@
         for name in "ab":
             world.agent(name, engine, store)
         world.job_manager.store = store
+        world.job_manager.result_reader.store = store
         await world.submit(groups=6, size=2)
         store.inner.share = 0.5
         results = await world.results()
--- a/tests/test_jobmanager.py
+++ b/tests/test_jobmanager.py
@@ -8,7 +8,7 @@
 import pytest
 
 from gypsumshift.jobs import JobManager, Result, ResultState, split_into_units
-from gypsumshift.jobs.jobmanager import ENDED_JOB_RETENTION_SECONDS, ResultPage
+from gypsumshift.jobs.jobmanager import ENDED_JOB_RETENTION_SECONDS
 from gypsumshift.jobs.partials import PartialStore
 from gypsumshift.jobs.records import (
     END_KEY,
@@ -23,6 +23,7 @@
     parse_rows,
     to_row,
 )
+from gypsumshift.jobs.resultreader import ResultPage
 from gypsumshift.jobs.resultwriter import (
     MAX_ROW_TEXT_CHARS,
     PendingResult,
@@ -61,7 +62,7 @@
         assert isinstance(await submit(other, clock), Committed)
         rows = await one.store.scan("jobs", "", "job")
         assert len(rows) == 1
-        assert (await other.read_results("job", 0, 0)).total == 4
+        assert (await other.result_reader.read_results("job", 0, 0)).total == 4
 
     asyncio.run(scenario())
 
@@ -158,8 +159,12 @@
         manager, clock = make_manager(store)
         await submit(manager, clock)
         store.down = True
-        assert isinstance(await manager.read_results("job", 0, 0), Unavailable)
-        assert isinstance(await manager.read_results("other", 0, 0), Unavailable)
+        assert isinstance(
+            await manager.result_reader.read_results("job", 0, 0), Unavailable
+        )
+        assert isinstance(
+            await manager.result_reader.read_results("other", 0, 0), Unavailable
+        )
 
     asyncio.run(scenario())
 
@@ -175,7 +180,7 @@
             last = Claim("a", "s", done=True) if number else None
             writer.enqueue(PendingResult("job", "00000", result, last))
         await writer.drain()
-        page = await manager.read_results("job", 0, 0)
+        page = await manager.result_reader.read_results("job", 0, 0)
         assert [r.text for r in page.results] == [text, text]
         sizes = [len(str(row.value)) for row in manager.store.rows.values()]
         assert max(sizes) < 2 * MAX_ROW_TEXT_CHARS
@@ -205,7 +210,7 @@
             result = Result(name, ResultState.WHOLE, text, (1,), "x")
             writer.enqueue(PendingResult("job", "00000", result))
         await writer.drain()
-        page = await manager.read_results("job", 0, 0)
+        page = await manager.result_reader.read_results("job", 0, 0)
         assert isinstance(page, ResultPage), page
         assert [r.item for r in page.results] == names
         for result in page.results:
@@ -318,8 +323,10 @@
 
     async def scenario():
         removal = RemovalDuringRead()
-        await removal.run(removal.manager.read_results("job", 0, 0))
-        assert not removal.manager.jobs and not removal.manager.result_logs
+        await removal.run(removal.manager.result_reader.read_results("job", 0, 0))
+        assert (
+            not removal.manager.jobs and not removal.manager.result_reader.result_logs
+        )
         assert isinstance(await submit(removal.manager, removal.clock), Committed)
         assert (JOBS, "job", JOB_KEY) in removal.store.rows
 
@@ -349,7 +356,9 @@
 
     async def scenario():
         removal = RemovalDuringRead()
-        page = await removal.run(removal.manager.read_results("kept", 0, 0))
+        page = await removal.run(
+            removal.manager.result_reader.read_results("kept", 0, 0)
+        )
         assert page.total == 4 and set(removal.manager.jobs) == {"kept"}
 
     asyncio.run(scenario())
@@ -358,8 +367,8 @@
 def test_removed_result_rows_do_not_create_a_result_log():
     manager, _ = make_manager()
     result = to_row(Result("i", ResultState.WHOLE))
-    manager.apply_result_rows([Row(RESULTS, "i", 1, result, "job")])
+    manager.result_reader.apply_result_rows([Row(RESULTS, "i", 1, result, "job")])
     manager.apply_job_rows([Row(JOBS, JOB_KEY, 2, None, "job")])
     # The watch of the result table reports the removal later.
-    manager.apply_result_rows([Row(RESULTS, "i", 2, None, "job")])
-    assert not manager.result_logs
+    manager.result_reader.apply_result_rows([Row(RESULTS, "i", 2, None, "job")])
+    assert not manager.result_reader.result_logs
--- a/tests/test_jobmanager_machine.py
+++ b/tests/test_jobmanager_machine.py
@@ -82,7 +82,9 @@
 
     @rule(manager=MANAGERS, name=st.sampled_from(JOBS), after=st.integers(0, 4))
     def read(self, manager, name, after):
-        page = self.do(self.managers[manager].read_results(name, after, 0))
+        page = self.do(
+            self.managers[manager].result_reader.read_results(name, after, 0)
+        )
         if isinstance(page, Unavailable):
             assert self.store.down
             return
--- a/tests/test_late_machine.py
+++ b/tests/test_late_machine.py
@@ -128,7 +128,9 @@
         """Read results as trainers do; check that all desks agree on each position."""
         chance, after = self.chances(), 0
         while True:
-            page = await desk.read_results(name, chance.choice((0, after)), 0.2)
+            page = await desk.result_reader.read_results(
+                name, chance.choice((0, after)), 0.2
+            )
             after = max(after, page.next)
             for place, result in enumerate(page.results, page.next - len(page.results)):
                 known = self.results[name].setdefault(place, result)
