Split the state of relayed streams from streams.py

Change: streamstate.py has Stream and RelayState. Code is only moved.

Conclusion: behaviour is unchanged.

--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -11,8 +11,6 @@
 import datetime
 from collections.abc import AsyncIterator, Coroutine
 
-import attrs
-
 from gypsumshift import logs
 from gypsumshift.bytebudget import ByteKind, Holding
 from gypsumshift.eventstream import StreamBroken, event_field, iter_events
@@ -23,7 +21,7 @@
 from gypsumshift.serving.authorization import KEY_NOT_CONFIRMED
 from gypsumshift.serving.calls import Call
 from gypsumshift.serving.crashguard import HELD_BACK_REASON, Permit
-from gypsumshift.serving.directory import BackendServer, ServerStart
+from gypsumshift.serving.directory import BackendServer
 from gypsumshift.serving.forwarder import (
     ALL_EVACUATED,
     EVACUATED_RETRY_SECONDS,
@@ -31,8 +29,9 @@
     Forwarder,
 )
 from gypsumshift.serving.responses import end_to_end_headers, parse_refusal
+from gypsumshift.serving.streamstate import RelayState, Stream
 
-__all__ = ["STREAM_WINDOW_BYTES", "Stream", "StreamRelay"]
+__all__ = ["STREAM_WINDOW_BYTES", "StreamRelay"]
 
 # Time without an event after which a resumable stream continues at another server.
 # Callers give up after 2 s.
@@ -45,63 +44,6 @@
 log = logs.logger("streams")
 
 
-@attrs.frozen
-class Stream:
-    """A streamed answer whose head has arrived.
-
-    Attributes
-    ----------
-    status : int
-    headers : list of (str, str)
-    body : async iterator of bytes
-    """
-
-    status: int
-    headers: list[tuple[str, str]]
-    body: AsyncIterator[bytes]
-
-
-@attrs.define
-class RelayState:
-    """State of a stream that is being relayed.
-
-    Attributes
-    ----------
-    call : Call
-    permit : Permit
-    tried : set of ServerStart
-        Servers not to be tried again.
-    runs : int
-        Number of servers at which the stream may have run.
-    server : BackendServer or None
-        Server at which the stream runs now.
-    status : int
-        HTTP status of the answer that was sent to the caller.
-    last_event : str
-        Number of the last event that was sent to the caller; empty before the first.
-    from_start : bool
-        Whether the current server began with the first event.
-    counted_at : BackendServer or None
-        Server at which the bytes of the call count as outstanding.
-    """
-
-    call: Call
-    permit: Permit
-    tried: set[ServerStart] = attrs.field(factory=set)
-    runs: int = 0
-    server: BackendServer | None = None
-    status: int = 200
-    last_event: str = ""
-    from_start: bool = True
-    counted_at: BackendServer | None = None
-
-    @property
-    def exhausted(self) -> bool:
-        """Whether no further server may run the stream."""
-        route = self.call.route
-        return self.runs >= (route.attempts if route.resumable else 1)
-
-
 class StreamRelay:
     """Relays the streams of one forwarder.
 
--- /dev/null
+++ b/gypsumshift/serving/streamstate.py
@@ -0,0 +1,68 @@
+"""Streamed answers, and the state of one while it is relayed."""
+
+from collections.abc import AsyncIterator
+
+import attrs
+
+from gypsumshift.serving.calls import Call
+from gypsumshift.serving.crashguard import Permit
+from gypsumshift.serving.directory import BackendServer, ServerStart
+
+__all__ = ["RelayState", "Stream"]
+
+
+@attrs.frozen
+class Stream:
+    """A streamed answer whose head has arrived.
+
+    Attributes
+    ----------
+    status : int
+    headers : list of (str, str)
+    body : async iterator of bytes
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: AsyncIterator[bytes]
+
+
+@attrs.define
+class RelayState:
+    """State of a stream that is being relayed.
+
+    Attributes
+    ----------
+    call : Call
+    permit : Permit
+    tried : set of ServerStart
+        Servers not to be tried again.
+    runs : int
+        Number of servers at which the stream may have run.
+    server : BackendServer or None
+        Server at which the stream runs now.
+    status : int
+        HTTP status of the answer that was sent to the caller.
+    last_event : str
+        Number of the last event that was sent to the caller; empty before the first.
+    from_start : bool
+        Whether the current server began with the first event.
+    counted_at : BackendServer or None
+        Server at which the bytes of the call count as outstanding.
+    """
+
+    call: Call
+    permit: Permit
+    tried: set[ServerStart] = attrs.field(factory=set)
+    runs: int = 0
+    server: BackendServer | None = None
+    status: int = 200
+    last_event: str = ""
+    from_start: bool = True
+    counted_at: BackendServer | None = None
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether no further server may run the stream."""
+        route = self.call.route
+        return self.runs >= (route.attempts if route.resumable else 1)
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -25,7 +25,7 @@
 )
 from gypsumshift.serving.authorization import Authorizer, Grant
 from gypsumshift.serving.quarantine import CRASH_LIMIT
-from gypsumshift.serving.streams import Stream
+from gypsumshift.serving.streamstate import Stream
 from tests import virtual_time
 from tests.crash_fakes import (
     EVENT_TIME_S,
--- a/tests/region_world.py
+++ b/tests/region_world.py
@@ -31,7 +31,8 @@
 from gypsumshift.serving.crashguard import CrashGuard
 from gypsumshift.serving.loadbalancer import LoadBalancer
 from gypsumshift.serving.sender import Sender
-from gypsumshift.serving.streams import Stream, StreamRelay
+from gypsumshift.serving.streams import StreamRelay
+from gypsumshift.serving.streamstate import Stream
 from gypsumshift.workspaces import Workspace, Workspaces
 from tests.crash_fakes import FakeExchange
 from tests.job_builders import HOST, METRICS, MODEL, NAMES, items, job
