Split the conversion of rows from jobs/records.py

Change: jobs/rowcodec.py has the conversion with InvalidRowError; records.py keeps the records, the tables and the ids. Code is only moved; in claimtracker.py and other users only import lines change.

Conclusion: behaviour is unchanged.

--- a/bench/decisionworld.py
+++ b/bench/decisionworld.py
@@ -20,8 +20,8 @@
     Heartbeat,
     Job,
     UnitSummary,
-    to_row,
 )
+from gypsumshift.jobs.rowcodec import to_row
 from gypsumshift.jobs.stepneeds import EngineDivider
 from gypsumshift.jobs.weights import WeightManager
 from gypsumshift.metrics import Metrics
--- a/gypsumshift/jobs/claimer.py
+++ b/gypsumshift/jobs/claimer.py
@@ -5,7 +5,8 @@
 from gypsumshift.jobs.claimtracker import ClaimTracker
 from gypsumshift.jobs.liveness import LivenessProbe
 from gypsumshift.jobs.openjob import Candidate
-from gypsumshift.jobs.records import CLAIMS, Claim, UnitSummary, to_row
+from gypsumshift.jobs.records import CLAIMS, Claim, UnitSummary
+from gypsumshift.jobs.rowcodec import to_row
 from gypsumshift.jobs.unitrunner import UnitRunner
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Committed, Conflict, Unavailable
--- a/gypsumshift/jobs/claimtracker.py
+++ b/gypsumshift/jobs/claimtracker.py
@@ -16,15 +16,8 @@
 from gypsumshift.jobs.jobregions import JobRegions
 from gypsumshift.jobs.openjob import Candidate, OpenJob, StoredClaim
 from gypsumshift.jobs.peers import HolderState, Peers
-from gypsumshift.jobs.records import (
-    END_KEY,
-    JOB_KEY,
-    Claim,
-    Job,
-    UnitSummary,
-    parse_row,
-    parse_rows,
-)
+from gypsumshift.jobs.records import END_KEY, JOB_KEY, Claim, Job, UnitSummary
+from gypsumshift.jobs.rowcodec import parse_row, parse_rows
 from gypsumshift.jobs.schedule import LONG_FACTOR, long_units, order_units
 from gypsumshift.platforms import ABSENT, Row
 
--- a/gypsumshift/jobs/heartbeatwriter.py
+++ b/gypsumshift/jobs/heartbeatwriter.py
@@ -15,7 +15,8 @@
 from gypsumshift.jobs.eventsize import EventSize
 from gypsumshift.jobs.localengine import LocalEngine
 from gypsumshift.jobs.pace import Pace
-from gypsumshift.jobs.records import AGENTS, Heartbeat, to_row
+from gypsumshift.jobs.records import AGENTS, Heartbeat
+from gypsumshift.jobs.rowcodec import to_row
 from gypsumshift.jobs.weights import WeightManager
 from gypsumshift.outcomes import Committed, Conflict, WriteOutcome
 from gypsumshift.platforms import ABSENT, Row, RowStore, Write
--- a/gypsumshift/jobs/jobmanager.py
+++ b/gypsumshift/jobs/jobmanager.py
@@ -17,14 +17,11 @@
     JOB_TABLES,
     JOBS,
     UNITS,
-    InvalidRowError,
     Job,
     Unit,
-    from_row,
-    parse_row,
-    to_row,
 )
 from gypsumshift.jobs.resultreader import ResultReader
+from gypsumshift.jobs.rowcodec import InvalidRowError, from_row, parse_row, to_row
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import (
     Committed,
--- a/gypsumshift/jobs/partials.py
+++ b/gypsumshift/jobs/partials.py
@@ -7,7 +7,8 @@
 
 from gypsumshift.clock import Clock
 from gypsumshift.jobs.itemrun import RETRY_PAUSE, ItemRun
-from gypsumshift.jobs.records import PARTIALS, Partial, parse_rows, to_row
+from gypsumshift.jobs.records import PARTIALS, Partial
+from gypsumshift.jobs.rowcodec import parse_rows, to_row
 from gypsumshift.outcomes import Committed, Unavailable
 from gypsumshift.platforms import Row, RowStore, Write
 
--- a/gypsumshift/jobs/peers.py
+++ b/gypsumshift/jobs/peers.py
@@ -17,7 +17,8 @@
 from gypsumshift.jobs.enginestate import EngineState, PeerPace
 from gypsumshift.jobs.pace import is_slower
 from gypsumshift.jobs.placement import EngineView
-from gypsumshift.jobs.records import Claim, Heartbeat, parse_row
+from gypsumshift.jobs.records import Claim, Heartbeat
+from gypsumshift.jobs.rowcodec import parse_row
 from gypsumshift.platforms import ABSENT, Row
 from gypsumshift.serving.directory import ServerStart
 
--- a/gypsumshift/jobs/records.py
+++ b/gypsumshift/jobs/records.py
@@ -1,19 +1,14 @@
-"""Records of batch jobs and their mapping to rows of the store.
+"""Records of batch jobs, and the store tables that hold them.
 
 All rows of a job are in one partition of the store, named by the job's id, so that
 they can be written in one transaction.
 """
 
-import base64
 import enum
 import urllib.parse
-from collections.abc import Iterable, Iterator
 
 import attrs
-import cattrs
 
-from gypsumshift import logs
-from gypsumshift.platforms import Row
 from gypsumshift.serving.directory import ServerStart
 
 __all__ = [
@@ -29,7 +24,6 @@
     "UNITS",
     "Claim",
     "Heartbeat",
-    "InvalidRowError",
     "Item",
     "Job",
     "Partial",
@@ -38,12 +32,8 @@
     "RewardCall",
     "Unit",
     "UnitSummary",
-    "from_row",
-    "parse_row",
-    "parse_rows",
     "qualified_job_id",
     "summarize_unit",
-    "to_row",
 ]
 
 # Table names.
@@ -60,12 +50,6 @@
 JOB_KEY = "job"
 END_KEY = "end"
 
-log = logs.logger("model")
-
-
-class InvalidRowError(ValueError):
-    """A row does not hold the record type of its table; another writer stored it."""
-
 
 class ResultState(enum.Enum):
     """Final state of an item."""
@@ -336,39 +320,6 @@
         return ServerStart(self.engine, self.born)
 
 
-# Errors that `cattrs` raises for a value that does not match the requested type.
-CONVERSION_ERRORS = (
-    cattrs.BaseValidationError,
-    AttributeError,
-    KeyError,
-    TypeError,
-    ValueError,
-)
-converter = cattrs.Converter(omit_if_default=True)
-converter.register_unstructure_hook(bytes, lambda b: base64.b64encode(b).decode())
-converter.register_structure_hook(bytes, lambda text, _: base64.b64decode(text))
-
-
-def to_row(value: object) -> dict:
-    """Convert a record to the value of a store row."""
-    return converter.unstructure(value)
-
-
-def from_row(row: dict, kind: type):
-    """Convert the value of a store row to a record of type ``kind``.
-
-    Raises
-    ------
-    InvalidRowError
-    """
-    try:
-        return converter.structure(row, kind)
-    except CONVERSION_ERRORS as error:
-        raise InvalidRowError(
-            f"row value is not a valid {kind.__name__}: {error!r}"
-        ) from error
-
-
 def qualified_job_id(workspace: str, submitted: str) -> str:
     """Return the id under which a batch job is stored, qualified by its workspace.
 
@@ -386,23 +337,6 @@
     return "/".join(urllib.parse.quote(part, safe="") for part in parts)
 
 
-def parse_rows(rows: Iterable[Row], kind: type) -> Iterator[tuple[Row, object]]:
-    """Yield rows with their records; rows of another type are logged and skipped."""
-    for row in rows:
-        value = parse_row(row, kind)
-        if value is not None:
-            yield row, value
-
-
-def parse_row(row: Row, kind: type):
-    """Return the record of a row; log an error and return None for another type."""
-    try:
-        return from_row(row.value, kind)
-    except InvalidRowError as error:
-        log.error("Skipping row {}/{}/{}: {}", row.table, row.part, row.key, error)
-        return None
-
-
 def summarize_unit(unit: Unit) -> UnitSummary:
     """Return the summary of a unit."""
     ids = tuple(item.id for item in unit.items)
--- a/gypsumshift/jobs/resultlog.py
+++ b/gypsumshift/jobs/resultlog.py
@@ -11,7 +11,8 @@
 import attrs
 
 from gypsumshift import logs
-from gypsumshift.jobs.records import Result, parse_row
+from gypsumshift.jobs.records import Result
+from gypsumshift.jobs.rowcodec import parse_row
 from gypsumshift.platforms import Row
 
 __all__ = ["Entry", "ResultLog"]
--- a/gypsumshift/jobs/resultwriter.py
+++ b/gypsumshift/jobs/resultwriter.py
@@ -7,15 +7,8 @@
 
 from gypsumshift import logs
 from gypsumshift.clock import Clock
-from gypsumshift.jobs.records import (
-    CLAIMS,
-    PARTIALS,
-    RESULTS,
-    TEXTS,
-    Claim,
-    Result,
-    to_row,
-)
+from gypsumshift.jobs.records import CLAIMS, PARTIALS, RESULTS, TEXTS, Claim, Result
+from gypsumshift.jobs.rowcodec import to_row
 from gypsumshift.outcomes import Committed, Conflict
 from gypsumshift.platforms import ABSENT, RowStore, Write
 
--- a/gypsumshift/jobs/unitreleaser.py
+++ b/gypsumshift/jobs/unitreleaser.py
@@ -7,7 +7,8 @@
 from gypsumshift.jobs.claimtracker import ClaimTracker
 from gypsumshift.jobs.itemrun import RETRY_PAUSE
 from gypsumshift.jobs.partials import PartialStore
-from gypsumshift.jobs.records import CLAIMS, Claim, to_row
+from gypsumshift.jobs.records import CLAIMS, Claim
+from gypsumshift.jobs.rowcodec import to_row
 from gypsumshift.jobs.unitrun import UnitRun
 from gypsumshift.outcomes import Committed, Conflict, Missing, Unavailable
 from gypsumshift.platforms import Row, RowStore, Write
--- a/gypsumshift/jobs/unitrunner.py
+++ b/gypsumshift/jobs/unitrunner.py
@@ -27,11 +27,9 @@
     Partial,
     Result,
     Unit,
-    from_row,
-    parse_row,
-    to_row,
 )
 from gypsumshift.jobs.resultwriter import PendingResult, ResultWriter
+from gypsumshift.jobs.rowcodec import from_row, parse_row, to_row
 from gypsumshift.jobs.unitreleaser import UnitReleaser
 from gypsumshift.jobs.unitrun import UnitRun
 from gypsumshift.jobs.weights import WeightManager
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -23,14 +23,8 @@
 from gypsumshift.jobs.liveness import NO_PROBE, LivenessProbe
 from gypsumshift.jobs.localengine import AgentIdentity
 from gypsumshift.jobs.peers import Peers
-from gypsumshift.jobs.records import (
-    CLAIMS,
-    JOB_KEY,
-    JOBS,
-    Claim,
-    summarize_unit,
-    to_row,
-)
+from gypsumshift.jobs.records import CLAIMS, JOB_KEY, JOBS, Claim, summarize_unit
+from gypsumshift.jobs.rowcodec import to_row
 from gypsumshift.metrics import Metrics
 from gypsumshift.outcomes import Answered
 from gypsumshift.platforms import Row
--- a/tests/shares_world.py
+++ b/tests/shares_world.py
@@ -23,8 +23,8 @@
     Claim,
     Heartbeat,
     summarize_unit,
-    to_row,
 )
+from gypsumshift.jobs.rowcodec import to_row
 from gypsumshift.jobs.schedule import MAX_UNIT_ITEMS
 from gypsumshift.jobs.stepneeds import EngineDivider
 from gypsumshift.jobs.weights import WeightManager
--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -17,7 +17,8 @@
 )
 from gypsumshift.jobs.itemrun import ItemRun
 from gypsumshift.jobs.lengthestimates import MIN_ITEMS, LengthEstimates
-from gypsumshift.jobs.records import UnitSummary, from_row, summarize_unit, to_row
+from gypsumshift.jobs.records import UnitSummary, summarize_unit
+from gypsumshift.jobs.rowcodec import from_row, to_row
 from gypsumshift.jobs.schedule import split_into_units
 from gypsumshift.jobs.unitmigrator import ExpectedEnds, expected_ends
 from tests.assignment_builders import (
--- a/tests/test_eventsize.py
+++ b/tests/test_eventsize.py
@@ -1,7 +1,8 @@
 """Estimated tokens per event, which relate lengths of items to the engines' paces."""
 
 from gypsumshift.jobs.eventsize import MAX_ITEMS, EventSize
-from gypsumshift.jobs.records import Heartbeat, from_row
+from gypsumshift.jobs.records import Heartbeat
+from gypsumshift.jobs.rowcodec import from_row
 from tests.agent_heartbeats import agent_with_results
 from tests.virtual_time import run_in_virtual_time
 
--- a/tests/test_jobmanager.py
+++ b/tests/test_jobmanager.py
@@ -20,8 +20,6 @@
     Claim,
     Partial,
     Unit,
-    parse_rows,
-    to_row,
 )
 from gypsumshift.jobs.resultreader import ResultPage
 from gypsumshift.jobs.resultwriter import (
@@ -29,6 +27,7 @@
     PendingResult,
     ResultWriter,
 )
+from gypsumshift.jobs.rowcodec import parse_rows, to_row
 from gypsumshift.jobs.schedule import DuplicateItemIdError
 from gypsumshift.memory import MemoryTables
 from gypsumshift.outcomes import (
--- a/tests/test_jobmanager_machine.py
+++ b/tests/test_jobmanager_machine.py
@@ -16,8 +16,9 @@
     jobmanager,
     split_into_units,
 )
-from gypsumshift.jobs.records import UNITS, parse_rows
+from gypsumshift.jobs.records import UNITS
 from gypsumshift.jobs.resultwriter import PendingResult, result_writes
+from gypsumshift.jobs.rowcodec import parse_rows
 from gypsumshift.outcomes import Committed, NotRun, Unavailable
 from tests.builders import FaultyTables, ManualClock
 from tests.job_builders import METRICS, items, job
--- a/tests/test_jobregions.py
+++ b/tests/test_jobregions.py
@@ -10,7 +10,8 @@
 from gypsumshift.jobs.claimtracker import ClaimTracker
 from gypsumshift.jobs.jobregions import LEAVE_TO_REGION, JobRegions
 from gypsumshift.jobs.peers import Peers
-from gypsumshift.jobs.records import AGENTS, Heartbeat, to_row
+from gypsumshift.jobs.records import AGENTS, Heartbeat
+from gypsumshift.jobs.rowcodec import to_row
 from gypsumshift.platforms import Row
 from gypsumshift.residency import ResidencyRules
 from gypsumshift.serving import BackendServer, Directory
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -25,9 +25,10 @@
 import pytest
 
 from gypsumshift.jobs import Result, ResultState
-from gypsumshift.jobs.records import CLAIMS, RESULTS, Claim, to_row
+from gypsumshift.jobs.records import CLAIMS, RESULTS, Claim
 from gypsumshift.jobs.resultlog import ResultLog
 from gypsumshift.jobs.resultwriter import PendingResult, ResultWriter
+from gypsumshift.jobs.rowcodec import to_row
 from gypsumshift.memory import MemoryTables
 from gypsumshift.platforms import ABSENT, Row, Write
 from tests.job_builders import FakeEngine, HeldAnswerTables, JobCluster
--- a/tests/test_late_claims.py
+++ b/tests/test_late_claims.py
@@ -9,7 +9,8 @@
 
 from gypsumshift.jobs.agent import CONCURRENT_CLAIMS
 from gypsumshift.jobs.liveness import LivenessProbe
-from gypsumshift.jobs.records import AGENTS, CLAIMS, Claim, Heartbeat, to_row
+from gypsumshift.jobs.records import AGENTS, CLAIMS, Claim, Heartbeat
+from gypsumshift.jobs.rowcodec import to_row
 from gypsumshift.platforms import Write
 from tests.job_builders import FakeEngine, HeldAnswerTables, JobCluster
 from tests.late_answer_builders import (
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -15,7 +15,8 @@
 )
 from gypsumshift.jobs.liveness import LIVENESS_PATH, HttpLivenessProbe
 from gypsumshift.jobs.peers import HEARTBEAT_TIMEOUT, Peers
-from gypsumshift.jobs.records import AGENTS, CLAIMS, Claim, to_row
+from gypsumshift.jobs.records import AGENTS, CLAIMS, Claim
+from gypsumshift.jobs.rowcodec import to_row
 from gypsumshift.neighbours import Neighbour
 from gypsumshift.platforms import Row, Write
 from gypsumshift.relay import Relay
--- a/tests/test_relay_residency.py
+++ b/tests/test_relay_residency.py
@@ -8,7 +8,8 @@
 
 from gypsumshift.httpclient import FetchedResponse
 from gypsumshift.jobs import split_into_units
-from gypsumshift.jobs.records import CLAIMS, PARTIALS, RESULTS, UNITS, to_row
+from gypsumshift.jobs.records import CLAIMS, PARTIALS, RESULTS, UNITS
+from gypsumshift.jobs.rowcodec import to_row
 from gypsumshift.jobs.storeresidency import StoreResidency
 from gypsumshift.neighbours import Neighbour
 from gypsumshift.platforms import Write
--- a/tests/test_resultlog.py
+++ b/tests/test_resultlog.py
@@ -4,8 +4,9 @@
 from hypothesis import strategies as st
 
 from gypsumshift.jobs import Result, ResultState
-from gypsumshift.jobs.records import RESULTS, to_row
+from gypsumshift.jobs.records import RESULTS
 from gypsumshift.jobs.resultlog import ResultLog
+from gypsumshift.jobs.rowcodec import to_row
 from gypsumshift.platforms import Row
 
 
--- a/tests/test_stepneeds.py
+++ b/tests/test_stepneeds.py
@@ -9,7 +9,8 @@
 from gypsumshift.jobs import split_into_units
 from gypsumshift.jobs.engineshares import NO_DIVISION, StepRank
 from gypsumshift.jobs.heartbeatwriter import HEARTBEAT_PERIOD
-from gypsumshift.jobs.records import AGENTS, Heartbeat, from_row, to_row
+from gypsumshift.jobs.records import AGENTS, Heartbeat
+from gypsumshift.jobs.rowcodec import from_row, to_row
 from gypsumshift.jobs.stepneeds import STEP_TIME_S, EngineCapacity
 from gypsumshift.platforms import Row
 from gypsumshift.serving import RequestKind, Route, RouteTable
