--- a/tests/test_jobmanager_machine.py
+++ b/tests/test_jobmanager_machine.py
@@ -16,8 +16,9 @@
     jobmanager,
     split_into_units,
 )
-from gypsumshift.jobs.records import UNITS, parse_rows
+from gypsumshift.jobs.records import UNITS
 from gypsumshift.jobs.resultwriter import PendingResult, result_writes
+from gypsumshift.jobs.rowcodec import parse_rows
 from gypsumshift.outcomes import Committed, NotRun, Unavailable
 from tests.builders import FaultyTables, ManualClock
 from tests.job_builders import METRICS, items, job
@@ -82,7 +83,9 @@
 
     @rule(manager=MANAGERS, name=st.sampled_from(JOBS), after=st.integers(0, 4))
     def read(self, manager, name, after):
-        page = self.do(self.managers[manager].read_results(name, after, 0))
+        page = self.do(
+            self.managers[manager].result_reader.read_results(name, after, 0)
+        )
         if isinstance(page, Unavailable):
             assert self.store.down
             return
