Let a load source answer without the places of a service

Change: LoadSource has state_without_places, by default the whole state. Conclusion: one definition of the utilization.

--- a/gypsumshift/serving/admissionrule.py
+++ b/gypsumshift/serving/admissionrule.py
@@ -126,7 +126,14 @@
     def state(self, service: str) -> ServiceState | None:
         """Return the present state; None if no server has reported its load lately."""
 
+    def state_without_places(self, service: str) -> ServiceState | None:
+        """Return the present state, whose places may not be computed yet.
+
+        Each call and each answer asks for it, and few services are contended.
+        """
+        return self.state(service)
+
     def utilization(self, service: str) -> float | None:
         """Return the utilization in the present state; None if there is no state."""
-        state = self.state(service)
+        state = self.state_without_places(service)
         return state.utilization if state is not None else None
--- a/gypsumshift/serving/serviceloads.py
+++ b/gypsumshift/serving/serviceloads.py
@@ -47,16 +47,8 @@
             self.complete.add(service)
         return state
 
-    def utilization(self, service: str) -> float | None:
-        """Return the utilization in the present state; None if there is no state.
-
-        Each call and each answer asks for it, and few services are contended.
-        """
-        state = self.state_without_places(service)
-        return state.utilization if state is not None else None
-
     def state_without_places(self, service: str) -> ServiceState | None:
-        """Return the present state, whose places may not be computed yet."""
+        """Return the present state; see `LoadSource.state_without_places`."""
         now = self.balancer.clock.monotonic()
         computed_at, state = self.states.get(service, (float("-inf"), None))
         if now - computed_at > STATE_MAX_AGE_SECONDS:
