Send an order to load weights to a cold engine before waiting items

While items wait for a cold engine, they take each place as it becomes due, so an order, which does not wait, could be withheld until the engine was warm. It now needs only room in the limit of a second.

--- a/gypsumshift/serving/coldrates.py
+++ b/gypsumshift/serving/coldrates.py
@@ -241,7 +241,10 @@
         """
         state, now = self.state(server), self.clock.monotonic()
         record = state.reserved.pop(request_id, None)
-        if record is None:
+        if record is None and state.turns and self.has_room(server, limit):
+            # An order to load weights would otherwise wait until no item waits.
+            record = state.limiter.reserve(now, self.share(server, limit).rate)
+        elif record is None:
             record = self.reserve(server, limit)
         elif self.knowledge.is_cold(server):
             capacity = self.share(server, limit).capacity
@@ -253,6 +256,13 @@
             state.limiter.begin(record, now)
         return record
 
+    def has_room(self, server: BackendServer, limit: ColdLimit) -> bool:
+        """Return whether the limit of a second has room, whatever is due next."""
+        now, limiter = self.clock.monotonic(), self.state(server).limiter
+        share = self.share(server, limit)
+        used = limiter.used(now)
+        return now >= limiter.blocked_until and used < share.capacity and share.rate > 0
+
     # News about servers.
 
     def note_entry(self, server: BackendServer) -> None:
--- a/tests/test_coldrates.py
+++ b/tests/test_coldrates.py
@@ -225,6 +225,40 @@
     assert run_in_virtual_time(scenario) == [1, 3, 5, 9]
 
 
+def test_an_order_is_sent_while_items_wait():
+    """Guards against an engine that gets no weights until it is warm."""
+
+    async def scenario():
+        rates, clock = make_rates(clock=LoopClock())
+        found, sent = entry(left=30), []
+        rates.directory.set_server(found)
+
+        async def send_items(slot):
+            while True:
+                await rates.wait_turn(found, str(slot), 0)
+                check = rates.check(found, str(slot))
+                sent.append(clock.monotonic() if check() else None)
+                check.settle()
+
+        tasks = [asyncio.create_task(send_items(slot)) for slot in range(8)]
+        await asyncio.sleep(3)
+        orders = []
+        for _ in range(10):
+            check = rates.check(found, "order")
+            orders.append(check())
+            check.settle()
+            sent += [clock.monotonic()] * orders[-1]
+            await asyncio.sleep(0.2)
+        for task in tasks:
+            task.cancel()
+        return orders, [at for at in sent if at is not None]
+
+    orders, sent = run_in_virtual_time(scenario)
+    assert orders[0] and sum(orders) >= 5
+    worst = max(sum(at <= other <= at + 1 for other in sent) for at in sent)
+    assert worst <= target_share(BOUND, LIMIT).capacity
+
+
 def test_no_limit_without_a_cold_rate():
     rates, _ = make_rates(routes=cold_routes(limit=None))
     found = entry(left=3)
