--- a/tests/test_kept_results.py
+++ b/tests/test_kept_results.py
@@ -8,7 +8,8 @@
 from bench.decisionworld import AgentWorld, GatewayWorld
 from gypsumshift.jobs.assignment import smallest
 from gypsumshift.jobs.pace import MIN_GAPS, MIN_SPAN, Pace
-from gypsumshift.jobs.records import CLAIMS, END_KEY, JOBS, Claim, to_row
+from gypsumshift.jobs.records import CLAIMS, END_KEY, JOBS, Claim
+from gypsumshift.jobs.rowcodec import to_row
 from gypsumshift.platforms import Row
 from gypsumshift.serving.demand import MAX_AGE_SECONDS
 from tests.builders import ManualClock
