Test a restart that many senders learn late, a fault that is not mended

Cause: a process that saw no refused connection learns of a server's restart from its entry, up to 2 s late, and takes the server for warm until then. Services with a cold rate that are not model engines are concerned.

--- a/tests/cold_senders.py
+++ b/tests/cold_senders.py
@@ -96,6 +96,10 @@
             cold_left=datetime.timedelta(seconds=1000),
         )
 
+    def warm_entry(self):
+        """Return the entry of the server's present start once it is warm."""
+        return attrs.evolve(self.server, cold_left=datetime.timedelta())
+
     def add_sender(self, name=""):
         """Start a process, under a new name or one that was used before."""
         self.started += 1
@@ -230,4 +234,4 @@
     "tables": lose_tables,
 }
 
-__all__ = ["FAULTS", "LIMIT", "SenderWorld"]
+__all__ = ["FAULTS", "LIMIT", "STEP", "SenderWorld"]
--- a/tests/test_cold_senders.py
+++ b/tests/test_cold_senders.py
@@ -12,11 +12,13 @@
 
 from gypsumshift.serving.cold import ColdBound
 from gypsumshift.serving.cold.senders import ChosenSenders, EqualParts, sender_count
-from tests.cold_senders import FAULTS, LIMIT, SenderWorld
+from tests.cold_senders import FAULTS, LIMIT, STEP, SenderWorld
 from tests.cold_world import BOUND, most_in_a_second
 
 SEEDS = range(1, 21)
 PROCESSES = 60
+# Requests per second to a warm server.
+USUAL_RATE = 30.0
 
 
 def allowed(bound):
@@ -102,3 +104,28 @@
     count = sender_count(capacity)
     assert 1 <= count <= 4
     assert count * (capacity // count) >= 0.9 * capacity - 1
+
+
+def warm_world(seed):
+    """Return a world whose processes all know that the server is warm."""
+    world = SenderWorld(seed, PROCESSES, ChosenSenders)
+    world.run(3, chance_to_send=0.0)
+    for sender in world.senders:
+        sender.rates.directory.set_server(world.warm_entry())
+    return world
+
+
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_a_warm_server_that_restarts_unnoticed_gets_no_more_than_a_cold_one(seed):
+    """Guards against sends at the usual rate by processes that learn of a start late.
+
+    No process has tried a connection while the server was down, and each learns of the
+    new start from the server's entry, up to 2 s late.
+    """
+    world = warm_world(seed)
+    chance = USUAL_RATE * STEP / PROCESSES
+    world.run(1, chance)
+    world.restart_server()
+    world.arrivals.clear()
+    world.run(2, chance)
+    assert most_in_a_second(world.arrivals) <= allowed(BOUND)
