--- a/gypsumshift/serving/coldrates.py
+++ b/gypsumshift/serving/coldrates.py
@@ -91,7 +91,7 @@
         directory.on_entry.append(self.note_entry)
         directory.on_zone_return.append(self.note_zone_return)
 
-    # What is limited, and by how much.
+    # Limits of servers.
 
     def limit(self, server: BackendServer) -> ColdLimit | None:
         """Return the limit of a server's service; None for most services."""
@@ -162,7 +162,7 @@
         cold = limit is not None and self.knowledge.is_cold(server)
         return limit.per_second if cold else None
 
-    # What senders ask.
+    # Permission to send.
 
     def permits(self, server: BackendServer) -> bool:
         """Return whether a request could be sent to a server now."""
@@ -267,7 +267,7 @@
         used = limiter.used(now)
         return now >= limiter.blocked_until and used < share.capacity and share.rate > 0
 
-    # News about servers.
+    # Updates of the knowledge of servers.
 
     def note_entry(self, server: BackendServer) -> None:
         """Store what an entry says about the cold time of its server."""
