Send to a server only on connections that lead to the start that is known

Callers: a server of a service with a cold rate that restarts under its id gets the usual requests of all processes until its new entry is known, up to 2 s; it crashes, and what it ran is lost. Cause: what a process knows belongs to a start, but a request went to whoever listens at the address. Answers tell the cold time only after a first request each, and in the users' deployments only answers to health checks do (84 processes, none). Ruled out: requests under way to the old start (TCP ends them with it), and the sum of the senders' parts (they were not asked). Fix: TCP binds a connection to the process that accepted it. A connection counts as leading to the known start if it was opened before that start was last seen to run, which entries, reports and other open connections show (cold/proofs.py). Other requests count like those to a cold server. A process without a part asks a sender, which answers that the start runs, or lends one request of its part (cold/permits.py, lending.py); cold servers are used in the same way before a call is refused. Requests on proved connections to warm servers are not limited. A server that nobody has used for 4 s gives no proof for 2 to 4 s. Two checks of other tests took in the new parts: a fake check has the new method, and the list of sends without a residency names the question, which carries a server's id and start only.

--- a/gypsumshift/agentnode.py
+++ b/gypsumshift/agentnode.py
@@ -132,6 +132,7 @@
         self.cold_rates = self.sender.cold_rates = cold_rates
         self.balancer.permitted = cold_rates.permitted
         self.balancer.cold_rate = cold_rates.cold_rate
+        cold_rates.proofs.links = self.sender.fetcher.open_connections
         local_engine = self.agent.local_engine
         local_engine.cold_rates = local_engine.client.cold_rates = cold_rates
 
--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -120,6 +120,7 @@
         self.cold_rates = self.sender.cold_rates = cold_rates
         self.balancer.permitted = cold_rates.permitted
         self.balancer.cold_rate = cold_rates.cold_rate
+        cold_rates.proofs.links = self.sender.fetcher.open_connections
 
     @property
     def ready(self) -> bool:
--- a/gypsumshift/httpclient.py
+++ b/gypsumshift/httpclient.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 import h11
@@ -147,6 +147,10 @@
             for connection in connections
         )
 
+    def open_connections(self, address: tuple[str, int]) -> list[ClientConnection]:
+        """Return the idle connections to an address, and those in use."""
+        return [*self.idle.get(address, ()), *self.in_use.get(address, ())]
+
     async def open(
         self,
         address: tuple[str, int],
@@ -158,6 +162,7 @@
         host: str = "",
         connect_timeout: float = CONNECT_TIMEOUT_S,
         allowed: Callable[[], bool] | None = None,
+        on_connection: Callable[[ClientConnection], Awaitable[None]] | None = None,
     ) -> Exchange:
         """Send a request and read the head of its response.
 
@@ -179,6 +184,8 @@
         allowed : callable or None
             Called right before the first byte is sent; if it returns False, the
             request is not sent.
+        on_connection : callable or None
+            Called with the connection before ``allowed``, and waited for.
 
         Returns
         -------
@@ -198,6 +205,8 @@
             reused = False
         else:
             reused = True
+        if on_connection is not None:
+            await self.announce_connection(address, connection, on_connection)
         if allowed is not None and not allowed():
             self.keep_idle(address, connection, IDLE_TIMEOUT_S)
             raise RequestWithheld
@@ -233,6 +242,19 @@
             raise
         return exchange
 
+    async def announce_connection(
+        self,
+        address: tuple[str, int],
+        connection: ClientConnection,
+        on_connection: Callable[[ClientConnection], Awaitable[None]],
+    ) -> None:
+        """Call ``on_connection``; keep the connection if that is cancelled or fails."""
+        try:
+            await on_connection(connection)
+        except BaseException:
+            self.keep_idle(address, connection, IDLE_TIMEOUT_S)
+            raise
+
     async def fetch(
         self,
         address,
@@ -242,6 +264,7 @@
         body=b"",
         timeout=10.0,
         allowed: Callable[[], bool] | None = None,
+        on_connection: Callable[[ClientConnection], Awaitable[None]] | None = None,
     ) -> FetchedResponse:
         """Send a request and return its complete response, within ``timeout`` seconds.
 
@@ -250,7 +273,13 @@
         try:
             async with asyncio.timeout(timeout):
                 exchange = await self.open(
-                    address, method, target, list(headers), body, allowed=allowed
+                    address,
+                    method,
+                    target,
+                    list(headers),
+                    body,
+                    allowed=allowed,
+                    on_connection=on_connection,
                 )
                 with contextlib.closing(exchange):
                     content = await exchange.read()
--- a/gypsumshift/httpconnection.py
+++ b/gypsumshift/httpconnection.py
@@ -1,5 +1,8 @@
 """HTTP connections of the client, and exchanges on them, based on h11."""
 
+import asyncio
+import select
+
 import h11
 
 from gypsumshift.bytebudget import NO_BUDGET, ByteKind, Holding
@@ -15,6 +18,8 @@
 
 READ_SIZE_BYTES = 64 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# Events by which the kernel reports that the other side has closed a connection.
+CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class FetchError(Exception):
@@ -91,6 +96,8 @@
         Time until which an idle connection may be reused, by the clock of the loop.
     repeatable : bool
         Whether the request on it may be repeated.
+    opened_at, heard_at : float
+        When it was opened and when data last arrived, by the clock of the loop.
     """
 
     def __init__(
@@ -108,6 +115,26 @@
         self.state = h11.Connection(h11.CLIENT)
         self.idle_until = 0.0
         self.repeatable = True
+        self.opened_at = self.heard_at = asyncio.get_running_loop().time()
+
+    async def read(self) -> bytes:
+        """Return the next data that arrives; nothing at the end of the stream."""
+        data = await self.reader.read(self.read_size)
+        if data:
+            self.heard_at = asyncio.get_running_loop().time()
+        return data
+
+    def is_open(self) -> bool:
+        """Return whether neither side has closed the connection.
+
+        The kernel is asked, since the reader does not see the end of the stream while
+        it is paused or data before the end is unread.
+        """
+        if self.reader.at_eof() or self.writer.is_closing():
+            return False
+        poller = select.poll()
+        poller.register(self.writer.get_extra_info("socket").fileno(), CLOSED_EVENTS)
+        return not poller.poll(0)
 
     def is_reusable(self) -> bool:
         """Return whether another exchange may follow on this connection."""
@@ -168,7 +195,7 @@
                 event = self.connection.state.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                data = await self.connection.reader.read(self.connection.read_size)
+                data = await self.connection.read()
                 self.connection.state.receive_data(data)
         except h11.RemoteProtocolError as error:
             reason = f"invalid response: {error}"
--- a/gypsumshift/jobs/engine.py
+++ b/gypsumshift/jobs/engine.py
@@ -232,6 +232,7 @@
                     allowed=lambda: (
                         self.may_run(job, server) and self.permits(server, check)
                     ),
+                    **connection_option(check),
                 )
         except RequestWithheld as error:
             raise StreamWithheld(self.withheld_reason(server, job, check)) from error
@@ -359,6 +360,7 @@
                 self.protocol.order_body(order),
                 ORDER_TIMEOUT,
                 allowed=lambda: self.permits(server, check),
+                **connection_option(check),
             )
         except FetchError as error:
             return Unknown(str(error)) if error.sent else NotRun(str(error))
@@ -373,6 +375,11 @@
     return f"{job.id}/{item.id}"
 
 
+def connection_option(check: SendCheck | None) -> dict[str, Callable]:
+    """Return the option of the fetcher by which a check gets the connection."""
+    return {} if check is None else {"on_connection": check.prepare}
+
+
 def ignore_load(text: str) -> None:
     """Ignore the load header of an answer."""
 
--- a/gypsumshift/serving/cold/limiter.py
+++ b/gypsumshift/serving/cold/limiter.py
@@ -21,11 +21,15 @@
         Time by which it has arrived or never will; None while that is unknown.
     spacing : float
         Seconds by which it delays the next request at the steady rate.
+    proved : bool
+        Whether it was sent to a start that was known as warm. It counts only if that
+        turns out to be cold.
     """
 
     sent_at: float | None = None
     arrived_by: float | None = None
     spacing: float = 0.0
+    proved: bool = False
 
 
 class SendLimiter:
@@ -64,12 +68,25 @@
         arrived_by = record.arrived_by
         return arrived_by is not None and now - arrived_by > WINDOW_SECONDS
 
-    def used(self, now: float) -> int:
+    def used(self, now: float, with_proved: bool = True) -> int:
         """Return the number of requests that count now, reserved ones included."""
-        self.prune(now)
-        return len(self.records)
+        return len(self.counted(now, with_proved))
 
-    def delay(self, now: float, capacity: int, rate: float, burst: float) -> float:
+    def counted(self, now: float, with_proved: bool) -> list[SendRecord]:
+        """Return the requests that count now, those on proved connections included."""
+        self.prune(now)
+        if with_proved:
+            return self.records
+        return [record for record in self.records if not record.proved]
+
+    def delay(
+        self,
+        now: float,
+        capacity: int,
+        rate: float,
+        burst: float,
+        with_proved: bool = True,
+    ) -> float:
         """Return the seconds until a request may be reserved; 0 if it may now.
 
         Parameters
@@ -82,21 +99,23 @@
             Requests per second.
         burst : float
             Number of requests that may be sent at once after a pause.
+        with_proved : bool
+            Whether requests on proved connections count as well.
         """
-        used = self.used(now)
+        counted = self.counted(now, with_proved)
         waits = [
             self.blocked_until - now,
             self.due_at - now - max(burst - 1.0, 0.0) / rate,
         ]
-        if used >= capacity:
-            waits.append(self.seconds_to_expiry(now))
+        if len(counted) >= capacity:
+            waits.append(self.seconds_to_expiry(now, counted))
         return max(0.0, *waits)
 
-    def seconds_to_expiry(self, now: float) -> float:
+    def seconds_to_expiry(self, now: float, counted: list[SendRecord]) -> float:
         """Return the seconds until the next record is over, as far as known."""
         ends = [
             r.arrived_by + WINDOW_SECONDS - now
-            for r in self.records
+            for r in counted
             if r.arrived_by is not None
         ]
         # A record counts up to the very end of its window.
@@ -112,14 +131,25 @@
         self.records.append(record)
         return record
 
+    def add_proved(self, now: float) -> SendRecord:
+        """Count a request on a proved connection as sent now; nothing waits for it."""
+        self.prune(now)
+        record = SendRecord(sent_at=now, proved=True)
+        self.records.append(record)
+        return record
+
+    def drop_proved(self) -> None:
+        """Stop counting requests on proved connections: they went to an ended start."""
+        self.records = [record for record in self.records if not record.proved]
+
     def begin(self, record: SendRecord, now: float) -> None:
         """Mark a reserved request as sent now."""
         record.sent_at = now
 
-    def sent_count(self, now: float) -> int:
+    def sent_count(self, now: float, with_proved: bool = True) -> int:
         """Return the number of requests that were sent and count now."""
-        self.prune(now)
-        return sum(record.sent_at is not None for record in self.records)
+        counted = self.counted(now, with_proved)
+        return sum(record.sent_at is not None for record in counted)
 
     def settle(self, record: SendRecord, now: float) -> None:
         """Mark a request as arrived by now; one that was not sent stops counting."""
--- a/gypsumshift/serving/cold/reporter.py
+++ b/gypsumshift/serving/cold/reporter.py
@@ -4,6 +4,7 @@
 from gypsumshift.clock import Clock
 from gypsumshift.metrics import Metrics
 from gypsumshift.serving.cold.knowledge import ColdKnowledge
+from gypsumshift.serving.cold.permits import Grant
 from gypsumshift.serving.directory import BackendServer
 
 __all__ = ["ColdReporter"]
@@ -79,6 +80,10 @@
         """Count a request that the check right before the send did not allow."""
         self.metrics.count("cold_withheld", service=server.service)
 
+    def count_permit(self, server: BackendServer, grant: Grant) -> None:
+        """Count the answer of another process that was asked for a permit."""
+        self.metrics.count("cold_permits", service=server.service, grant=grant.value)
+
     def prune(self, known: set[str]) -> None:
         """Remove the state of servers that are not listed any more."""
         self.was_cold = {s: cold for s, cold in self.was_cold.items() if s in known}
--- a/gypsumshift/serving/cold/senders.py
+++ b/gypsumshift/serving/cold/senders.py
@@ -197,6 +197,12 @@
         self.ranks[server_id] = found
         return found
 
+    def senders(self, server_id: str, capacity: int) -> list[str]:
+        """Return the processes that share a limit, as this process sees them."""
+        names = [*self.table.names(), self.table.own_name]
+        names.sort(key=lambda name: (cached_weight(server_id, name), name))
+        return names[-sender_count(capacity) :] if capacity else []
+
 
 def sender_count(capacity: int) -> int:
     """Return the largest number of senders whose equal parts use most of a capacity."""
--- a/gypsumshift/serving/cold/turns.py
+++ b/gypsumshift/serving/cold/turns.py
@@ -47,13 +47,21 @@
         Reserved `SendRecord` by request id.
     cold_at : float
         When the server at the address last counted as cold, by the monotonic clock.
+    refused_until : float
+        Time until which other processes are not asked for permits, as they refused.
+    refused_seconds : float
+        Length of the last such time; 0 after an answer that was no refusal.
+    asking : Lock
+        Held by the request that asks for a permit.
     """
 
     def __init__(self, blocked_until: float):
         self.limiter = SendLimiter(blocked_until)
         self.turns: list[Turn] = []
         self.reserved: dict[str, SendRecord] = {}
-        self.cold_at = float("-inf")
+        self.cold_at = self.refused_until = float("-inf")
+        self.refused_seconds = 0.0
+        self.asking = asyncio.Lock()
 
     @contextlib.contextmanager
     def waiting(self, rank: float) -> Iterator[Turn]:
--- a/gypsumshift/serving/coldrates.py
+++ b/gypsumshift/serving/coldrates.py
@@ -4,6 +4,9 @@
 requests than it tolerates then. The limit of an engine belongs to the agent beside it,
 which waits before it sends; gateways share a small part of it. The limit of other
 servers is shared by a few processes. Only services with a cold rate are limited.
+
+A server may have restarted unnoticed. Requests to a warm server therefore count in the
+same way, unless their connection is proved to lead to the start that is known as warm.
 """
 
 import datetime
@@ -11,8 +14,12 @@
 
 from gypsumshift.clock import Clock
 from gypsumshift.metrics import Metrics
+from gypsumshift.serving.cold.checks import SendCheck
 from gypsumshift.serving.cold.knowledge import ColdKnowledge
+from gypsumshift.serving.cold.lending import Lending
 from gypsumshift.serving.cold.limiter import WINDOW_SECONDS, SendRecord
+from gypsumshift.serving.cold.permits import Permit
+from gypsumshift.serving.cold.proofs import Link, StartProofs
 from gypsumshift.serving.cold.reporter import ColdReporter
 from gypsumshift.serving.cold.shares import (
     BURST,
@@ -65,6 +72,9 @@
     Attributes
     ----------
     knowledge : ColdKnowledge
+    proofs : StartProofs
+    lending : Lending
+        Asks other processes for permits, and gives them some.
     addresses : dict
         `AddressState` by address. A restarted server has the address of the old start,
         and requests to the old start may reach the new one.
@@ -86,6 +96,8 @@
         self.bound = bound
         self.own_engine = own_engine
         self.knowledge = ColdKnowledge(clock, own_engine)
+        self.proofs = StartProofs(clock)
+        self.lending = Lending(self)
         self.addresses: dict[tuple[str, int], AddressState] = {}
         self.own_part: Callable[[BackendServer, LimitShare], LimitShare] = no_part
         directory.on_entry.append(self.note_entry)
@@ -104,14 +116,17 @@
 
     def share(self, server: BackendServer, limit: ColdLimit) -> LimitShare:
         """Return what this process may send to a server while it is cold."""
-        service = self.directory.routes.services[server.service]
-        if service.engine is None:
-            return self.own_part(server, target_share(self.bound, limit))
-        has_callers = self.has_callers(server.service)
-        agent, gateways = divide_limit(self.bound, limit, has_callers)
-        if server.address == self.own_engine:
-            return agent
-        return self.own_part(server, gateways)
+        is_engine = self.directory.routes.services[server.service].engine is not None
+        if is_engine and server.address == self.own_engine:
+            has_callers = self.has_callers(server.service)
+            return divide_limit(self.bound, limit, has_callers)[0]
+        return self.own_part(server, self.shared_limit(server, limit))
+
+    def shared_limit(self, server: BackendServer, limit: ColdLimit) -> LimitShare:
+        """Return what the chosen senders of a server may send together."""
+        if self.directory.routes.services[server.service].engine is None:
+            return target_share(self.bound, limit)
+        return divide_limit(self.bound, limit, self.has_callers(server.service))[1]
 
     def has_callers(self, service: str) -> bool:
         """Return whether a route leads callers' requests to a service."""
@@ -131,30 +146,43 @@
             found = self.addresses[server.address] = AddressState(blocked_until)
         return found
 
-    def delay(self, server: BackendServer, limit: ColdLimit) -> float:
-        """Return the seconds until a request may be sent to a server."""
+    def delay(
+        self, server: BackendServer, limit: ColdLimit, proved: bool = False
+    ) -> float:
+        """Return the seconds until a request may be sent to a server.
+
+        Parameters
+        ----------
+        server : BackendServer
+        limit : ColdLimit
+        proved : bool
+            Whether its connection is proved to lead to the known start.
+        """
         now, state = self.clock.monotonic(), self.state(server)
         limiter, cold = state.limiter, self.knowledge.is_cold(server)
         self.reporter.record_state(server, cold, self.knowledge)
         if cold:
             state.cold_at = now
+        if cold or not proved:
             share = self.share(server, limit)
             if share.capacity < 1 or share.rate <= 0:
                 return float("inf")
-            return limiter.delay(now, share.capacity, share.rate, BURST)
+            return limiter.delay(now, share.capacity, share.rate, BURST, cold)
         if now - state.cold_at < RAMP_SECONDS:
             rate = RAMP_FACTOR * limit.per_second
             return max(0.0, limiter.due_at - now - (BURST - 1.0) / rate)
         return 0.0
 
-    def reserve(self, server: BackendServer, limit: ColdLimit) -> SendRecord | None:
+    def reserve(
+        self, server: BackendServer, limit: ColdLimit, proved: bool = False
+    ) -> SendRecord | None:
         """Count a request against the limit; return None if it must wait."""
-        if self.delay(server, limit) > 0:
+        if self.delay(server, limit, proved) > 0:
             return None
         now, limiter = self.clock.monotonic(), self.state(server).limiter
-        if self.knowledge.is_cold(server):
-            return limiter.reserve(now, self.share(server, limit).rate)
-        return limiter.reserve(now, RAMP_FACTOR * limit.per_second)
+        if proved and not self.knowledge.is_cold(server):
+            return limiter.reserve(now, RAMP_FACTOR * limit.per_second)
+        return limiter.reserve(now, self.share(server, limit).rate)
 
     def cold_rate(self, server: BackendServer) -> float | None:
         """Return the requests per second that a cold server takes; None if warm."""
@@ -165,15 +193,45 @@
     # Permission to send.
 
     def permits(self, server: BackendServer) -> bool:
-        """Return whether a request could be sent to a server now."""
+        """Return whether this process could send a request to a server by itself."""
         limit = self.limit(server)
-        return limit is None or self.delay(server, limit) <= 0
+        if limit is None:
+            return True
+        return self.delay(server, limit, self.expects_proof(server)) <= 0
+
+    def expects_proof(self, server: BackendServer) -> bool:
+        """Return whether a connection to a server would be proved.
+
+        That of the own engine is checked with its reports.
+        """
+        return server.address == self.own_engine or self.proofs.is_running(server)
 
     def permitted(self, servers: list[BackendServer]) -> list[BackendServer]:
-        """Return the servers to which a request could be sent now."""
+        """Return the servers to which a request could be sent now.
+
+        A connection to a warm server may prove its start, or another process may. Cold
+        servers at which another process has to permit a request are a last resort.
+        """
         if not self.directory.routes.limits_cold_servers:
             return servers
-        return [server for server in servers if self.permits(server)]
+        found, last = [], []
+        for server in servers:
+            if self.permits(server):
+                found.append(server)
+            elif not self.is_cold(server) and not self.lending.was_refused(server):
+                found.append(server)
+            elif self.lending.may_ask(server):
+                last.append(server)
+        return found or last
+
+    def leads_to_known_start(self, server: BackendServer, link: Link | None) -> bool:
+        """Return whether a connection leads to the start that this process knows.
+
+        Without a connection, the reports of the own engine have to do.
+        """
+        if link is None:
+            return server.address == self.own_engine
+        return self.proofs.is_proved(server, link)
 
     def check(self, server: BackendServer, request_id: str) -> "SendCheck | None":
         """Return the check to make right before a send; None without a limit."""
@@ -215,15 +273,16 @@
             limit = self.limit(server)
             if limit is None:
                 return None
+            proved = self.expects_proof(server)
             if state.is_first(turn):
-                record = self.reserve(server, limit)
+                record = self.reserve(server, limit, proved)
                 if record is not None:
                     return record
             if not waited:
                 self.reporter.count_delayed(server)
                 waited = True
             if state.is_first(turn):
-                pause = min(self.delay(server, limit), MAX_WAIT_SECONDS)
+                pause = min(self.delay(server, limit, proved), MAX_WAIT_SECONDS)
                 await self.clock.sleep(max(pause, MIN_WAIT_SECONDS))
             else:
                 turn.wake.clear()
@@ -236,43 +295,72 @@
             state.release(request_id)
 
     def begin_send(
-        self, server: BackendServer, request_id: str, limit: ColdLimit
+        self,
+        server: BackendServer,
+        request_id: str,
+        limit: ColdLimit,
+        link: Link | None = None,
+        permit: Permit | None = None,
     ) -> SendRecord | None:
         """Count a request as sent now; return None if it must not be sent now.
 
         The state is looked at again, since a reserved request may have waited long: the
-        server may have become cold meanwhile.
+        server may have become cold meanwhile, or the connection leads to a new start.
         """
         state, now = self.state(server), self.clock.monotonic()
         record = state.reserved.pop(request_id, None)
+        cold = self.knowledge.is_cold(server)
+        if not cold and self.leads_to_known_start(server, link):
+            return self.begin_proved(server, limit, record)
         if record is None and state.turns and self.has_room(server, limit):
             # An order to load weights would otherwise wait until no item waits.
             record = state.limiter.reserve(now, self.share(server, limit).rate)
         elif record is None:
             record = self.reserve(server, limit)
-        elif self.knowledge.is_cold(server):
-            capacity = self.share(server, limit).capacity
-            blocked = now < state.limiter.blocked_until
-            if blocked or state.limiter.sent_count(now) >= capacity:
-                state.limiter.cancel(record)
-                record = None
+        elif not self.may_use(server, limit, cold):
+            state.limiter.cancel(record)
+            record = None
         if record is not None:
             state.limiter.begin(record, now)
+            return record
+        return self.lending.use(permit)
+
+    def begin_proved(
+        self, server: BackendServer, limit: ColdLimit, record: SendRecord | None
+    ) -> SendRecord | None:
+        """Count a request to a warm server; return None if it must wait."""
+        now, limiter = self.clock.monotonic(), self.state(server).limiter
+        if record is None and self.delay(server, limit, proved=True) > 0:
+            return None
+        if record is None:
+            return limiter.add_proved(now)
+        record.proved = True
+        limiter.begin(record, now)
         return record
 
+    def may_use(self, server: BackendServer, limit: ColdLimit, cold: bool) -> bool:
+        """Return whether a reserved request may be sent to a doubtful start."""
+        now, limiter = self.clock.monotonic(), self.state(server).limiter
+        capacity = self.share(server, limit).capacity
+        return now >= limiter.blocked_until and limiter.sent_count(now, cold) < capacity
+
     def has_room(self, server: BackendServer, limit: ColdLimit) -> bool:
         """Return whether the limit of a second has room, whatever is due next."""
         now, limiter = self.clock.monotonic(), self.state(server).limiter
         share = self.share(server, limit)
-        used = limiter.used(now)
+        used = limiter.used(now, self.knowledge.is_cold(server))
         return now >= limiter.blocked_until and used < share.capacity and share.rate > 0
 
     # Updates of the knowledge of servers.
 
     def note_entry(self, server: BackendServer) -> None:
         """Store what an entry says about the cold time of its server."""
-        if self.limit(server) is not None:
-            self.knowledge.note_entry(server)
+        if self.limit(server) is None:
+            return
+        if self.knowledge.get(server) is None:
+            self.state(server).limiter.drop_proved()
+        self.knowledge.note_entry(server)
+        self.proofs.note_entry(server)
 
     def note_answer(self, server: BackendServer, text: str, asked_at: float) -> None:
         """Store the remaining cold time in the header of an answer, if there is one."""
@@ -280,12 +368,16 @@
             return
         left_time = datetime.timedelta(milliseconds=min(int(text), MAX_LEFT_MS))
         self.knowledge.note_answer(server, left_time, asked_at)
+        self.proofs.note_running(server, asked_at)
 
     def note_report(self, server: BackendServer, born: int, asked_at: float) -> None:
         """Record from which start of the own engine a report came."""
         limit = self.limit(server)
-        if limit is not None:
-            self.knowledge.note_report(server, born, asked_at, limit)
+        if limit is None:
+            return
+        self.knowledge.note_report(server, born, asked_at, limit)
+        if born and born == server.born:
+            self.proofs.note_running(server, asked_at)
 
     def note_broken(self, server: BackendServer) -> None:
         """Record that a connection to a server broke, so it may have restarted."""
@@ -304,6 +396,7 @@
         """Remove the state of servers that are not listed any more."""
         servers = self.directory.servers
         self.knowledge.prune(set(servers))
+        self.proofs.prune(set(servers))
         self.reporter.prune(set(servers))
         listed = {server.address for server in servers.values()}
         now = self.clock.monotonic()
@@ -322,53 +415,3 @@
             if (limit := self.limit(server)) and self.knowledge.is_cold(server)
         ]
         return {"cold_rate_used": max(used, default=0.0)}
-
-
-class SendCheck:
-    """Check of one request right before it is sent, and account of its arrival.
-
-    Parameters
-    ----------
-    rates : ColdRates
-    server : BackendServer
-    request_id : str
-
-    Attributes
-    ----------
-    record : SendRecord or None
-        None until the request is sent.
-    asked_at : float
-        When it was sent, by the monotonic clock.
-    """
-
-    def __init__(self, rates: ColdRates, server: BackendServer, request_id: str):
-        self.rates = rates
-        self.server = server
-        self.request_id = request_id
-        self.record: SendRecord | None = None
-        self.asked_at = 0.0
-
-    def __call__(self) -> bool:
-        """Count the request as sent; return False if it must not be sent now."""
-        rates = self.rates
-        limit = rates.limit(self.server)
-        if limit is None:
-            return True
-        self.asked_at = rates.clock.monotonic()
-        self.record = rates.begin_send(self.server, self.request_id, limit)
-        if self.record is None:
-            rates.reporter.count_withheld(self.server)
-        return self.record is not None
-
-    def settle(self) -> None:
-        """Record that the request has arrived, or was given up."""
-        if self.record is not None:
-            now = self.rates.clock.monotonic()
-            self.rates.state(self.server).limiter.settle(self.record, now)
-
-    def note_answer(self, status_not_here: bool, cold_left: str) -> None:
-        """Record an answer: the request does not count if another server answered."""
-        if status_not_here and self.record is not None:
-            self.rates.state(self.server).limiter.cancel(self.record)
-        if not status_not_here:
-            self.rates.note_answer(self.server, cold_left, self.asked_at)
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -26,6 +26,7 @@
     Failed,
     Refused,
 )
+from gypsumshift.serving.cold import Link
 from gypsumshift.serving.coldrates import SERVER_COLD, ColdRates, SendCheck
 from gypsumshift.serving.directory import BackendServer, Directory
 from gypsumshift.serving.evacuations import ZONE_EVACUATED
@@ -315,12 +316,19 @@
             )
         check = self.send_check(server, call)
 
+        def note_connected() -> None:
+            if progress is not None and not progress.connected:
+                progress.connected = True
+                progress.connected_after_s = self.clock.monotonic() - started
+
+        async def prepare(link: Link) -> None:
+            note_connected()
+            await check.prepare(link)
+
         def may_send() -> bool:
             if not self.residency.may_send(call, server):
                 return False
-            if progress is not None:
-                progress.connected = True
-                progress.connected_after_s = self.clock.monotonic() - started
+            note_connected()
             if not call.grant.is_valid or not (check is None or check()):
                 return False
             return self.directory.begin_send(server)
@@ -340,6 +348,7 @@
                 connect_timeout=CONNECT_TIMEOUT_SECONDS
                 + self.round_trips.extra_s(server.zone, EXCHANGE_ROUND_TRIPS),
                 allowed=may_send,
+                **({} if check is None else {"on_connection": prepare}),
             )
         finally:
             if check is not None:
--- a/tests/test_evacuated_engine.py
+++ b/tests/test_evacuated_engine.py
@@ -462,6 +462,9 @@
 
     record = None
 
+    async def prepare(self, link):
+        pass
+
     def __call__(self):
         return False
 
--- a/tests/test_residency_architecture.py
+++ b/tests/test_residency_architecture.py
@@ -6,6 +6,7 @@
 EXEMPT = {
     ("gypsumshift/gossip.py", "exchange"): "digests hold no bodies of requests",
     ("gypsumshift/crashgossip.py", "send_to"): "crashes hold fingerprints only",
+    ("gypsumshift/serving/cold/permits.py", "ask_neighbour"): "names a server start",
     ("gypsumshift/jobs/engine.py", "send_order"): "weight loads belong to no request",
     ("platform/cloud_api.py", "send_report"): "usage reports hold counts",
     ("gypsumshift/relay.py", "serve"): "a relay calls the store itself",
