Prove the starts of warm servers without waiting for their entries

Cause: servers there write their entries every 21 to 24 s and their answers tell no cold time, so no connection was proved before the second entry. Fix: a start is also proved by a feed that is current and names no later start, less the 2 s in which a new start writes its entry. And two of a server's senders keep a connection to it without requests, so that a connection is always proved by an older one; they are asked first.

--- a/gypsumshift/serving/cold/lending.py
+++ b/gypsumshift/serving/cold/lending.py
@@ -71,7 +71,8 @@
             if not self.is_needed(server, limit, link):
                 return None
             capacity = self.rates.shared_limit(server, limit).capacity
-            permit = await self.client.ask(server, capacity)
+            cold = self.rates.knowledge.is_cold(server)
+            permit = await self.client.ask(server, capacity, cold)
             self.note_answer(server, permit)
         return permit
 
--- a/gypsumshift/serving/cold/permits.py
+++ b/gypsumshift/serving/cold/permits.py
@@ -95,7 +95,7 @@
         self.clock = clock
         self.chance = chance
 
-    async def ask(self, server: BackendServer, capacity: int) -> Permit:
+    async def ask(self, server: BackendServer, capacity: int, cold: bool) -> Permit:
         """Ask some senders of a server until one does not refuse.
 
         Parameters
@@ -103,25 +103,36 @@
         server : BackendServer
         capacity : int
             Requests in a second that its senders share.
+        cold : bool
+            Whether the server counts as cold, so that no proof can be expected.
         """
         permit = Permit(Grant.REFUSED, self.clock.monotonic(), 0.0)
-        for neighbour in self.choose(server, capacity):
+        for neighbour in self.choose(server, capacity, cold):
             permit = await self.ask_neighbour(neighbour, server.start)
             if permit.grant is not Grant.REFUSED:
                 break
         return permit
 
-    def choose(self, server: BackendServer, capacity: int) -> list[Neighbour]:
-        """Return the processes to ask: one on the server's host, then its senders."""
+    def choose(
+        self, server: BackendServer, capacity: int, cold: bool
+    ) -> list[Neighbour]:
+        """Return the processes to ask: one on the server's host, then its senders.
+
+        One that keeps a connection to a warm server comes first.
+        """
         known = self.path.neighbours
+        beside = [n for n in known.values() if n.address[0] == server.address[0]]
         senders = self.division.senders(server.id, capacity)
+        self.chance.shuffle(senders)
+        if not cold:
+            keepers = self.division.keepers(server.id, capacity)
+            keeper = next((name for name in senders if name in keepers), "")
+            senders.sort(key=lambda name: name != keeper)
         chosen = [known[name] for name in senders if name in known]
-        self.chance.shuffle(chosen)
-        beside = [n for n in known.values() if n.address[0] == server.address[0]]
-        others = [n for n in chosen if n not in beside]
-        # Processes of one host in a test deployment all have the server's address.
-        first = beside if len(beside) == 1 else []
-        return [*first, *(others if first else chosen)][:MAX_ASKED]
+        # In a deployment on one host, all processes have the server's address.
+        if len(beside) == 1:
+            chosen = beside + [n for n in chosen if n not in beside]
+        return chosen[:MAX_ASKED]
 
     async def ask_neighbour(self, neighbour: Neighbour, start: ServerStart) -> Permit:
         """Ask one process; without an answer in time, the request is refused."""
--- a/gypsumshift/serving/cold/proofs.py
+++ b/gypsumshift/serving/cold/proofs.py
@@ -77,12 +77,16 @@
         `ProofRecord` by server id.
     links : callable
         Returns the `Link` objects to an address; by default none.
+    entries_current_at : callable
+        Returns the time, by the monotonic clock, up to which the process has received
+        all entries; by default it never has.
     """
 
     def __init__(self, clock: Clock):
         self.clock = clock
         self.records: dict[str, ProofRecord] = {}
         self.links: Callable[[tuple[str, int]], Iterable[Link]] = lambda address: ()
+        self.entries_current_at: Callable[[], float] = lambda: NEVER
 
     def record(self, server: BackendServer) -> ProofRecord:
         """Return the record of a server's start, created in place of an older one."""
@@ -103,6 +107,17 @@
         self.note_running(server, received_at - ENTRY_DELAY_SECONDS)
         record.entry_at = now
 
+    def running_at(self, server: BackendServer) -> float:
+        """Return the last time at which a start is known to have run.
+
+        A new start writes its entry within `ENTRY_DELAY_SECONDS`. If that has not come
+        by now, the listed start was still running then.
+        """
+        record = self.record(server)
+        if record.entry_at == NEVER:
+            return record.running_at
+        return max(record.running_at, self.entries_current_at() - ENTRY_DELAY_SECONDS)
+
     def note_running(self, server: BackendServer, at: float) -> None:
         """Record that a start ran at a time."""
         record = self.record(server)
@@ -110,7 +125,7 @@
 
     def is_proved(self, server: BackendServer, link: Link) -> bool:
         """Return whether a connection leads to a server's start, or to no process."""
-        if link.opened_at <= self.record(server).running_at:
+        if link.opened_at <= self.running_at(server):
             return True
         if not self.is_running(server):
             return False
@@ -119,9 +134,9 @@
 
     def is_running(self, server: BackendServer) -> bool:
         """Return whether an open connection shows that a server's start still runs."""
-        record, now = self.record(server), self.clock.monotonic()
+        running_at, now = self.running_at(server), self.clock.monotonic()
         return any(
-            link.opened_at <= record.running_at
+            link.opened_at <= running_at
             and now - link.heard_at <= LIVE_SECONDS
             and link.is_open()
             for link in self.links(server.address)
--- a/gypsumshift/serving/cold/senders.py
+++ b/gypsumshift/serving/cold/senders.py
@@ -203,6 +203,10 @@
         names.sort(key=lambda name: (cached_weight(server_id, name), name))
         return names[-sender_count(capacity) :] if capacity else []
 
+    def keepers(self, server_id: str, capacity: int) -> list[str]:
+        """Return the senders that keep a connection to a server; see `keeper`."""
+        return self.senders(server_id, capacity)[-MIN_SENDERS:]
+
 
 def sender_count(capacity: int) -> int:
     """Return the largest number of senders whose equal parts use most of a capacity."""
--- a/tests/linked_world.py
+++ b/tests/linked_world.py
@@ -38,7 +38,7 @@
         self.world = world
         self.sender = sender
 
-    async def ask(self, server, capacity):
+    async def ask(self, server, capacity, cold):
         world, now = self.world, self.world.clock.monotonic()
         division = self.sender.rates.own_part.__self__
         names = division.senders(server.id, capacity)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -30,6 +30,9 @@
     def senders(self, server_id, capacity):
         return ["a", "b", "c"]
 
+    def keepers(self, server_id, capacity):
+        return ["b", "c"]
+
 
 class Path:
     """Neighbours that answer questions with given grants, or not at all."""
@@ -60,9 +63,9 @@
     return entry(address=OTHER, service="app")
 
 
-def ask(path, server=None):
+def ask(path, server=None, cold=True):
     client = PermitClient(path, Senders(), ManualClock(), random.Random(1))
-    return asyncio.run(client.ask(server or application(), 13))
+    return asyncio.run(client.ask(server or application(), 13, cold))
 
 
 def test_two_senders_are_asked_until_one_does_not_refuse():
@@ -73,6 +76,13 @@
     assert ask(Path()).grant is Grant.REFUSED
 
 
+def test_a_process_that_keeps_a_connection_is_asked_first():
+    for _ in range(10):
+        path = Path(a="permit", b="running", c="running")
+        assert ask(path, cold=False).grant is Grant.RUNNING
+        assert len(path.asked) == 1
+
+
 def test_the_process_beside_an_engine_is_asked_first():
     path = Path(d="running")
     found = entry(address=("10.0.0.3", 9))
