--- a/gypsumshift/serving/cold/keeper.py
+++ b/gypsumshift/serving/cold/keeper.py
@@ -25,6 +25,9 @@
 # open before.
 RENEW_SECONDS = 1.5
 CONNECT_TIMEOUT_SECONDS = 0.3
+# Time for which a process relies on being chosen for a server or not: to find out takes
+# a hash for each process.
+CHOICE_SECONDS = 5.0
 
 
 class ConnectionKeeper:
@@ -36,6 +39,12 @@
     division : ChosenSenders
     fetcher : Fetcher
     clock : Clock
+
+    Attributes
+    ----------
+    choices : dict
+        By server id, whether this process is chosen, and until when that is not looked
+        at again.
     """
 
     def __init__(
@@ -49,6 +58,7 @@
         self.division = division
         self.fetcher = fetcher
         self.clock = clock
+        self.choices: dict[str, tuple[bool, float]] = {}
 
     async def run(self) -> None:
         """Renew the connections periodically until cancelled."""
@@ -58,22 +68,31 @@
 
     def servers(self) -> list[BackendServer]:
         """Return the servers to which this process keeps a connection."""
-        if not self.rates.directory.routes.limits_cold_servers:
+        directory = self.rates.directory
+        if not directory.routes.limits_cold_servers:
             return []
+        self.choices = {s: c for s, c in self.choices.items() if s in directory.servers}
         return [
             server
-            for server in self.rates.directory.servers.values()
-            if server.ready and self.is_kept(server)
+            for server in directory.servers.values()
+            if server.ready
+            and directory.accepts_requests(server)
+            and self.is_chosen(server)
         ]
 
-    def is_kept(self, server: BackendServer) -> bool:
-        """Return whether this process is chosen for a server."""
-        limit = self.rates.limit(server)
-        if limit is None or not self.rates.directory.accepts_requests(server):
+    def is_chosen(self, server: BackendServer) -> bool:
+        """Return whether this process is one of a server's keepers."""
+        limit, now = self.rates.limit(server), self.clock.monotonic()
+        if limit is None:
             return False
+        chosen, until = self.choices.get(server.id, (False, now))
+        if now < until:
+            return chosen
         capacity = self.rates.shared_limit(server, limit).capacity
         keepers = self.division.keepers(server.id, capacity)
-        return self.division.table.own_name in keepers
+        chosen = self.division.table.own_name in keepers
+        self.choices[server.id] = chosen, now + CHOICE_SECONDS
+        return chosen
 
     async def renew(self, server: BackendServer) -> None:
         """Open a connection to a server if the newest one will soon be too old."""
--- a/gypsumshift/serving/cold/senders.py
+++ b/gypsumshift/serving/cold/senders.py
@@ -199,9 +199,11 @@
 
     def senders(self, server_id: str, capacity: int) -> list[str]:
         """Return the processes that share a limit, as this process sees them."""
+        if not capacity:
+            return []
         names = [*self.table.names(), self.table.own_name]
         names.sort(key=lambda name: (cached_weight(server_id, name), name))
-        return names[-sender_count(capacity) :] if capacity else []
+        return names[-sender_count(capacity) :]
 
     def keepers(self, server_id: str, capacity: int) -> list[str]:
         """Return the senders that keep a connection to a server; see `keeper`."""
