Serve the gauges of evacuated zones again

Operators saw no `evacuated_running_items` on any metrics page. Cause: the limiter of cold servers, created last, replaced the function that reads the gauges by one without them. Parts now add their gauges to those that are there. The new test failed before with 1 of 2 gauges missing.

--- a/gypsumshift/metrics.py
+++ b/gypsumshift/metrics.py
@@ -66,6 +66,11 @@
         key = tuple(labels.items())
         counts[key] = counts.get(key, 0) + amount
 
+    def add_gauges(self, read_gauges: Callable[[], dict[str, float]]) -> None:
+        """Add the gauges that a callable returns to those of the process."""
+        earlier = self.read_gauges
+        self.read_gauges = lambda: earlier() | read_gauges()
+
     @property
     def totals(self) -> dict[str, float]:
         """Values of all counters, by name and label values joined with dots."""
--- a/tests/test_memory_settings.py
+++ b/tests/test_memory_settings.py
@@ -10,6 +10,7 @@
 from gypsumshift.bytebudget import MIB, ByteKind
 from gypsumshift.httpserver import Request
 from gypsumshift.metrics import scrape
+from gypsumshift.serving.evacuations import Evacuations
 from standins.users_documents import HOST, settings_text
 
 
@@ -57,3 +58,14 @@
     assert 'gypsumshift_figure{figure="bytes_held.job",' in page
     assert 'gypsumshift_byte_refusals_total{kind="stream",' in page
     components.metrics.close()
+
+
+def test_all_parts_of_a_process_have_their_gauges(tmp_path, monkeypatch):
+    """A part that replaces the gauges hides those of the parts before it."""
+    evacuated = {"evacuated_running_items": 1.0}
+    monkeypatch.setattr(Evacuations, "gauges", lambda self: evacuated)
+    gateway = main.new_gateway(load(tmp_path, **{"limits.memory_mb": "200"}))
+    gauges = gateway.sender.metrics.read_gauges()
+    expected = {"bytes_held.request", "evacuated_running_items"}
+    assert expected <= set(gauges)
+    gateway.sender.metrics.close()
