Send large bodies to servers in parts

A body that a server did not read was held three times: by the request, by the message that was put together for the connection, and by its send buffer. The memory budget counts it once. Bodies are now written in parts of 64 KiB.

--- a/gypsumshift/httpclient.py
+++ b/gypsumshift/httpclient.py
@@ -232,12 +232,8 @@
             raise FetchError(
                 f"request not sent, it is malformed: {error}", False
             ) from error
-        if body:
-            data += connection.state.send(h11.Data(body))
-        data += connection.state.send(h11.EndOfMessage())
         try:
-            connection.writer.write(data)
-            await connection.writer.drain()
+            await connection.send_body(data, body)
             await exchange.read_head()
         except BaseException as error:
             self.close_failed(address, connection)
--- a/gypsumshift/httpconnection.py
+++ b/gypsumshift/httpconnection.py
@@ -21,6 +21,8 @@
 
 READ_SIZE_BYTES = 64 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# Part of a request's body that is sent at once.
+PART_BYTES = 64 * 1024
 # Maximum number of interim responses (status 1xx) before a response.
 MAX_INTERIM_RESPONSES = 16
 # Events by which the kernel reports that the other side has closed a connection.
@@ -122,6 +124,22 @@
         self.repeatable = True
         self.opened_at = self.heard_at = asyncio.get_running_loop().time()
 
+    async def send_body(self, head: bytes, body: bytes) -> None:
+        """Send the head of a request, and a body of the length that it declares.
+
+        A large body is sent in parts, so that the connection does not hold a copy.
+        """
+        parts = [memoryview(body)[i : i + PART_BYTES] for i in offsets(body)]
+        data = head
+        for part in parts:
+            data += self.state.send(h11.Data(part))
+            self.writer.write(data)
+            await self.writer.drain()
+            data = b""
+        data += self.state.send(h11.EndOfMessage())
+        self.writer.write(data)
+        await self.writer.drain()
+
     async def read(self) -> bytes:
         """Return the next data that arrives; nothing at the end of the stream."""
         data = await self.reader.read(self.read_size)
@@ -271,6 +289,11 @@
         self.fetcher.release(self)
 
 
+def offsets(body: bytes) -> range:
+    """Return where the parts of a body begin that are sent one after another."""
+    return range(0, len(body), PART_BYTES)
+
+
 def encode_fields(fields: Iterable[tuple]) -> list[tuple]:
     """Return header fields with their values as bytes.
 
