Bound what batch jobs take once decoded, and what pages of results hold

A batch job of 1 MB of empty arrays is legal by its size, and takes 21.6 MB once it is decoded (tracemalloc), twice what the memory budget reserves for it. Such a text is now refused (400) before it is decoded: one array or object for each 8 bytes, above 1,000. An item of a real job has 50 bytes and more for each. A page of results (up to 1 MB) was not counted while its caller read it; it is, and is refused (503) where it does not fit.

--- a/gypsumshift/jsondata.py
+++ b/gypsumshift/jsondata.py
@@ -8,13 +8,24 @@
 import json
 import math
 
-__all__ = ["MAX_ROW_DEPTH", "JsonDataError", "parse_json", "parse_json_object"]
+__all__ = [
+    "MAX_ROW_DEPTH",
+    "JsonDataError",
+    "check_density",
+    "parse_json",
+    "parse_json_object",
+]
 
 # Maximum depth of arrays and objects in a row of the store; the deepest own value has
 # eight levels. Messages are deeper, since processes pass whole tables on to each other.
 MAX_ROW_DEPTH = 32
 MAX_DEPTH = 64
 MAX_INTEGER = 2**63 - 1
+# An empty array or object takes 64 bytes and more once it is decoded, and two in the
+# text. Messages of requests have 50 bytes and more for each.
+MIN_BYTES_PER_CONTAINER = 8
+# Arrays and objects that a text may have whatever its size.
+FREE_CONTAINERS = 1_000
 
 
 class JsonDataError(ValueError):
@@ -45,6 +56,13 @@
     return value
 
 
+def check_density(data: bytes) -> None:
+    """Raise `JsonDataError` for a text that takes many times its size once decoded."""
+    containers = data.count(b"[") + data.count(b"{") - FREE_CONTAINERS
+    if containers * MIN_BYTES_PER_CONTAINER > len(data):
+        raise JsonDataError("too many arrays and objects for its size")
+
+
 def check_bounds(value: object, max_depth: int) -> None:
     """Raise `JsonDataError` if a value is nested too deeply or has such a number."""
     level = [value]
--- a/tests/test_memory_settings.py
+++ b/tests/test_memory_settings.py
@@ -6,12 +6,14 @@
 
 import main  # isort: skip
 import node_settings  # isort: skip
+from http_frontend import hold_answer  # isort: skip
 
 from gypsumshift.bytebudget import MIB, ByteKind
-from gypsumshift.httpserver import Request
+from gypsumshift.httpserver import Request, Response
 from gypsumshift.metrics import scrape
 from gypsumshift.serving.evacuations import Evacuations
 from standins.users_documents import HOST, settings_text
+from tests.budget_builders import new_budget
 
 
 def load(tmp_path, **extra):
@@ -69,3 +71,14 @@
     expected = {"bytes_held.request", "evacuated_running_items"}
     assert expected <= set(gauges)
     gateway.sender.metrics.close()
+
+
+def test_a_page_of_results_is_counted_until_it_was_read():
+    budget = new_budget(12 * MIB)
+    request = Request("GET", "/gypsumshift/lots/j", holding=budget.hold())
+    page = Response(200, [], b"x" * MIB)
+    assert hold_answer(request, page) is page
+    assert budget.held[ByteKind.ANSWER] == MIB
+    budget.add(ByteKind.ANSWER, 12 * MIB)
+    refused = hold_answer(request, page)
+    assert refused.status == 503 and dict(refused.headers)["retry-after"]
