Bound what clients of all ports hold: connections, buffers, unfinished requests

Callers saw processes end: out of memory, or out of descriptors. Cause: only the callers' port had a memory budget, and only bodies counted in it. asyncio receives up to 256 kB at once for each connection, whatever the limit of its reader; heads, decoded fields, pipelined bytes and the kernel's buffers counted nowhere; 20,000 connections were accepted whatever the host grants; a body that had stopped kept its memory as long as its connection was open.

Now each process divides its descriptors and a part of its memory among its ports. A port that is full closes the connection that has made no progress for longest; one that is being served is never closed for others. Connections receive 16 KiB at once with small buffers in the kernel. Large heads and many fields count in the memory budget. A reservation that does not fit closes unfinished requests that stall, with a true 503. Each port of a gateway and an agent has a budget and a body limit of its own kind.

--- a/gypsumshift/bytebudget.py
+++ b/gypsumshift/bytebudget.py
@@ -18,7 +18,14 @@
 from gypsumshift.clock import Clock
 from gypsumshift.metrics import Metrics
 
-__all__ = ["NO_BUDGET", "ByteBudget", "ByteKind", "Holding", "budget_bytes"]
+__all__ = [
+    "NO_BUDGET",
+    "ByteBudget",
+    "ByteKind",
+    "Holding",
+    "budget_bytes",
+    "peer_budget_bytes",
+]
 
 MIB = 1024 * 1024
 # Memory of an idle gateway: 37 MiB after the imports, and its copies of the tables.
@@ -31,6 +38,8 @@
 # A request or an answer up to this size is small. It covers the usual calls and keeps
 # them going while large bodies take the rest.
 SMALL_BYTES = 8 * 1024
+# Budget of what other processes of the system send, relative to that of callers.
+PEER_BUDGET_SHARE = 1 / 4
 # Share of the budget that only small requests and answers may take.
 SMALL_SHARE = 1 / 12
 # A refused caller waits a third of its time limit of 1.5 s at most. The range keeps
@@ -73,6 +82,11 @@
     return max(MIN_BUDGET_BYTES, free)
 
 
+def peer_budget_bytes(memory_bytes: float) -> float:
+    """Return the budget of the ports that are not for callers."""
+    return max(MIN_BUDGET_BYTES, PEER_BUDGET_SHARE * budget_bytes(memory_bytes))
+
+
 @attrs.define(eq=False)
 class Waiter:
     """A reservation that waits.
@@ -221,7 +235,8 @@
 
     def retry_after(self) -> float:
         """Return the seconds after which a refused caller may retry."""
-        return round(self.chance.uniform(*RETRY_AFTER_RANGE_S), 3)
+        chance = self.chance or random
+        return round(chance.uniform(*RETRY_AFTER_RANGE_S), 3)
 
     def figures(self) -> dict[str, int]:
         """Return the limit and the bytes held by kind, for log lines."""
@@ -306,11 +321,19 @@
         self.waiting = 0
         self.sizes: dict[ByteKind, float] = {}
 
+    def size(self, kind: ByteKind) -> float:
+        """Return the bytes of a kind that are held."""
+        return self.sizes.get(kind, 0)
+
+    def size_of(self, kind: ByteKind, received: int) -> float:
+        """Return the memory that received bytes take."""
+        return received * HELD_PER_BYTE.get(kind, 1)
+
     def add(self, kind: ByteKind, received: int) -> bool:
         """Reserve the memory for received bytes; return False if it does not fit."""
         if self.ended:
             return True
-        size = received * HELD_PER_BYTE.get(kind, 1)
+        size = self.size_of(kind, received)
         held = self.sizes.get(kind, 0)
         if not self.budget.reserve(kind, size, held + size <= SMALL_BYTES):
             return False
@@ -321,7 +344,7 @@
         """Reserve memory as soon as it fits; return False if it never can."""
         if self.ended:
             return True
-        size = received * HELD_PER_BYTE.get(kind, 1)
+        size = self.size_of(kind, received)
         if size > self.budget.capacity(kind):
             return False
         small = self.sizes.get(kind, 0) + size <= SMALL_BYTES
--- a/gypsumshift/flowcontrol.py
+++ b/gypsumshift/flowcontrol.py
@@ -5,14 +5,19 @@
 import socket
 import struct
 import termios
+from collections.abc import Callable
 
 __all__ = [
     "BUFFER_BYTES",
+    "LimitedProtocol",
     "discard_on_close",
+    "limit_receiving",
     "limit_sending",
+    "listening_socket",
     "open_limited_connection",
     "reset_connection",
     "unread_bytes",
+    "widen_receiving",
 ]
 
 # With a memory budget, a connection buffers about this much in each direction before
@@ -25,6 +30,9 @@
 # Limits of the kernel's buffers in each direction. The fastest link of a host,
 # 300 Mbit/s, carries 112 kB in a round trip of 3 ms.
 SOCKET_BUFFER_BYTES = 128 * 1024
+# Limit of the kernel's receive buffer of a client that sends no large body: what it
+# keeps of clients that are not read must fit for all of them together.
+SMALL_SOCKET_BUFFER_BYTES = 16 * 1024
 
 
 class LimitedProtocol(asyncio.StreamReaderProtocol, asyncio.BufferedProtocol):
@@ -37,12 +45,31 @@
     reader : asyncio.StreamReader
     size : int
         Maximum number of bytes.
+    on_connection : callable or None
+        Called with the reader and the writer of an accepted connection.
+
+    Attributes
+    ----------
+    on_lost : callable or None
+        Called when the socket was closed.
     """
 
-    def __init__(self, reader: asyncio.StreamReader, size: int):
-        super().__init__(reader, loop=asyncio.get_running_loop())
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        size: int,
+        on_connection: Callable | None = None,
+    ):
+        super().__init__(reader, on_connection, loop=asyncio.get_running_loop())
         self.size = size
         self.buffer = b""
+        self.on_lost: Callable[[], None] | None = None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report the end of the connection."""
+        super().connection_lost(exc)
+        if self.on_lost is not None:
+            self.on_lost()
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the buffer for the next bytes."""
@@ -71,6 +98,31 @@
     return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
 
 
+def listening_socket(host: str, port: int) -> socket.socket:
+    """Return a listening socket whose connections have small receive buffers."""
+    sock = socket.create_server((host, port))
+    size = SMALL_SOCKET_BUFFER_BYTES
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+    return sock
+
+
+def widen_receiving(writer: asyncio.StreamWriter) -> None:
+    """Let the kernel buffer as much of a large body as a fast link carries."""
+    set_receive_buffer(writer, SOCKET_BUFFER_BYTES)
+
+
+def limit_receiving(writer: asyncio.StreamWriter) -> None:
+    """Let the kernel buffer little of what a client sends."""
+    set_receive_buffer(writer, SMALL_SOCKET_BUFFER_BYTES)
+
+
+def set_receive_buffer(writer: asyncio.StreamWriter, size: int) -> None:
+    """Set the size of the kernel's receive buffer, unless the socket is closed."""
+    sock = writer.get_extra_info("socket")
+    if sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
 def limit_sending(writer: asyncio.StreamWriter, limit: int) -> None:
     """Let a writer buffer no more than ``limit`` bytes before `drain` waits."""
     writer.transport.set_write_buffer_limits(high=limit)
--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -5,9 +5,10 @@
 import random
 
 from gypsumshift.accounting import Accounting
+from gypsumshift.inbound import PortKind
 from gypsumshift.jobs.homewait import HomeWaitLog
 from gypsumshift.jobs.jobmanager import JobManager
-from gypsumshift.lifecycle import Node
+from gypsumshift.lifecycle import MAX_BODY_BYTES_BY_KIND, Node
 from gypsumshift.places import ONE_REGION, Layout
 from gypsumshift.platforms import RowStore
 from gypsumshift.policy import DEFAULT_POLICY, Policy
@@ -26,7 +27,6 @@
 
 # Maximum size of a request body unless the configuration sets another one. A batch
 # job of 100 items has about 200 kB.
-DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
 # Time at the end of a drain for writing the last usage counts. The store can answer
 # twice within it.
 FINAL_FLUSH_TIMEOUT_S = 0.5
@@ -60,8 +60,6 @@
         Regions of the zones.
     """
 
-    max_body_bytes = DEFAULT_MAX_BODY_BYTES
-
     def __init__(
         self,
         store,
@@ -133,12 +131,13 @@
         return self.clock.monotonic() - newest < STORE_STALE_AFTER_S
 
     async def sweep(self) -> None:
-        """Apply the configured body limit, and remove outdated data."""
+        """Apply the configured limits on callers, and remove outdated data."""
         await super().sweep()
+        routes = self.directory.routes
         for port in self.ports:
-            port.server.max_body_bytes = (
-                self.directory.routes.body_limit or DEFAULT_MAX_BODY_BYTES
-            )
+            if port.server.kind is PortKind.CALLERS:
+                limit = routes.body_limit or MAX_BODY_BYTES_BY_KIND[PortKind.CALLERS]
+                port.server.max_body_bytes = limit
         self.guard.sweep()
         self.home_wait_log.update()
         self.demand.prune()
--- a/gypsumshift/httpmessages.py
+++ b/gypsumshift/httpmessages.py
@@ -15,6 +15,7 @@
     "Response",
     "ResponseAborted",
     "declared_length",
+    "head_size",
     "json_response",
     "may_have_body",
     "parse_head",
@@ -22,6 +23,10 @@
 ]
 
 
+# Colon and line end of a header field.
+FIELD_SEPARATOR_BYTES = 3
+
+
 class ResponseAborted(Exception):
     """Raised by the iterator of a streamed body that cannot be completed."""
 
@@ -124,6 +129,13 @@
     return Request(head.method.decode(), path, query, headers, holding=holding)
 
 
+def head_size(head: h11.Request) -> int:
+    """Return the bytes of a request's head without optional white space."""
+    fields = sum(len(name) + len(value) for name, value in head.headers)
+    separators = FIELD_SEPARATOR_BYTES * len(head.headers)
+    return len(head.method) + len(head.target) + fields + separators
+
+
 def declared_length(request: Request) -> int:
     """Return the length of the body that a request declares; 0 if it is unknown."""
     return parse_whole_number(request.header("content-length")) or 0
--- a/gypsumshift/httpserver.py
+++ b/gypsumshift/httpserver.py
@@ -6,9 +6,9 @@
 import h11
 
 from gypsumshift.bytebudget import NO_BUDGET, ByteBudget, ByteKind
-from gypsumshift.flowcontrol import (
-    BUFFER_BYTES,
-)
+from gypsumshift.clientlimits import DEFAULT_CLIENT_LIMITS, ClientLimits
+from gypsumshift.connectiontable import CloseReason
+from gypsumshift.flowcontrol import LimitedProtocol, listening_socket
 from gypsumshift.httpmessages import (
     Request,
     Response,
@@ -16,6 +16,7 @@
     json_response,
     problem_response,
 )
+from gypsumshift.inbound import Inbound, PortKind
 from gypsumshift.listeners import close_listener
 from gypsumshift.serverconnection import ServerConnection
 
@@ -32,7 +33,14 @@
 ]
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
-MAX_CONNECTIONS = 20_000
+# Bytes that are received of a connection at once, and above twice which receiving waits
+# until they were read.
+RECEIVE_BYTES = 16 * 1024
+READER_LIMIT_BYTES = 8 * 1024
+# Connections accepted in one turn of the event loop. They exceed the limit of the port
+# for as long as that takes.
+ACCEPTS_PER_TURN = 16
+BACKLOG = 4096
 
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -53,9 +61,16 @@
         Limits the bytes of requests and responses.
     classify_body : callable
         Returns the `ByteKind` of a request's body.
+    inbound : Inbound or None
+        Connections of all ports of the process; None for this port alone.
+    kind : PortKind
+        Who connects to the port.
 
     Attributes
     ----------
+    table : ConnectionTable
+        Open connections.
+    client_limits : ClientLimits
     draining : bool
         Whether responses ask callers to use another connection, by a header field
         ``connection: close``.
@@ -67,11 +82,17 @@
         max_body_bytes: int = MAX_BODY_BYTES,
         budget: ByteBudget = NO_BUDGET,
         classify_body: BodyClassifier = lambda request: ByteKind.REQUEST,
+        inbound: Inbound | None = None,
+        kind: PortKind = PortKind.CALLERS,
     ):
         self.handler = handler
         self.max_body_bytes = max_body_bytes
         self.budget = budget
         self.classify_body = classify_body
+        self.inbound = inbound or Inbound()
+        self.kind = kind
+        self.table = self.inbound.add_port(kind)
+        self.client_limits: ClientLimits = DEFAULT_CLIENT_LIMITS
         self.draining = False
         self.connections: dict[asyncio.Task, ServerConnection] = {}
         self.listener: asyncio.Server | None = None
@@ -79,19 +100,33 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Listen on an address; return the port (chosen by the system for 0)."""
-        limits = {"limit": BUFFER_BYTES} if self.budget.is_limited else {}
-        self.listener = await asyncio.start_server(
-            self.accept, host, port, backlog=4096, **limits
+        loop = asyncio.get_running_loop()
+        sock = listening_socket(host, port)
+        self.listener = await loop.create_server(
+            self.new_protocol, sock=sock, backlog=ACCEPTS_PER_TURN
         )
-        return self.listener.sockets[0].getsockname()[1]
+        # asyncio uses the backlog for the connections accepted in a turn, too.
+        sock.listen(BACKLOG)
+        return sock.getsockname()[1]
+
+    def new_protocol(self) -> LimitedProtocol:
+        """Return the protocol of a connection that is being accepted."""
+        reader = asyncio.StreamReader(READER_LIMIT_BYTES, asyncio.get_running_loop())
+        return LimitedProtocol(reader, RECEIVE_BYTES, self.accept)
 
     def accept(self, reader, writer) -> None:
         """Start a task that serves a connection; close it if there are too many."""
-        if self.closing or len(self.connections) >= MAX_CONNECTIONS:
+        if self.closing:
             writer.close()
             return
         connection = ServerConnection(self, reader, writer)
+        if not self.table.admit(connection):
+            connection.record_close(CloseReason.FULL)
+            writer.transport.abort()
+            return
+        writer.transport.get_protocol().on_lost = connection.lost
         task = asyncio.create_task(self.serve_connection(connection))
+        connection.task = task
         self.connections[task] = connection
         task.add_done_callback(self.connections.pop)
         # A task that is cancelled before it starts does not run its finally clause.
--- a/gypsumshift/lifecycle.py
+++ b/gypsumshift/lifecycle.py
@@ -14,13 +14,14 @@
 from gypsumshift.bytebudget import NO_BUDGET, ByteBudget, ByteKind
 from gypsumshift.clock import Clock
 from gypsumshift.httpserver import MAX_BODY_BYTES, BodyClassifier, Handler, HttpServer
+from gypsumshift.inbound import Inbound, PortKind
 from gypsumshift.neighbourregistry import NeighbourRegistry
 from gypsumshift.serving.coldrates import ColdRates
 from gypsumshift.serving.directory import Directory
 from gypsumshift.serving.loadbalancer import LoadBalancer
 from gypsumshift.watch import Watch, run_watches
 
-__all__ = ["Node", "Port", "serve"]
+__all__ = ["MAX_BODY_BYTES_BY_KIND", "Node", "Port", "serve"]
 
 # Fraction of the grace period between the stop signal and the kill that draining may
 # use. The rest is a reserve for a slow host.
@@ -28,6 +29,14 @@
 # Time between two removals of data about backend servers that no longer exist.
 SWEEP_PERIOD_S = 1.0
 
+# Maximum size of a body by port. Readiness checks and scrapes have none.
+MAX_BODY_BYTES_BY_KIND = {
+    PortKind.CALLERS: 64 * 1024 * 1024,
+    PortKind.PEERS: MAX_BODY_BYTES,
+    PortKind.READINESS: 4 * 1024,
+    PortKind.METRICS: 4 * 1024,
+}
+
 log = logs.logger("process")
 
 
@@ -61,16 +70,14 @@
 
     Attributes
     ----------
-    max_body_bytes : int
-        Maximum size of a request body at its ports.
+    inbound : Inbound
+        Connections of all its ports.
     peer_tasks : list of callable
         Return the coroutines that exchange data with other processes.
     cold_rates : ColdRates or None
         Limits the requests to servers that have just started.
     """
 
-    max_body_bytes = MAX_BODY_BYTES
-
     def __init__(
         self,
         directory: Directory,
@@ -83,6 +90,7 @@
         self.balancer = balancer
         self.clock = clock
         self.ports: list[Port] = []
+        self.inbound = Inbound(clock=clock)
         self.peer_tasks: list[Callable[[], Coroutine]] = []
         self.cold_rates: ColdRates | None = None
 
@@ -99,12 +107,20 @@
         self,
         address: tuple[str, int],
         handler: Handler,
+        kind: PortKind,
         open_while_draining: bool = False,
         budget: ByteBudget = NO_BUDGET,
         classify_body: BodyClassifier = lambda request: ByteKind.REQUEST,
     ) -> None:
         """Add a port at which a handler answers requests; see `Port`."""
-        server = HttpServer(handler, self.max_body_bytes, budget, classify_body)
+        server = HttpServer(
+            handler,
+            MAX_BODY_BYTES_BY_KIND[kind],
+            budget,
+            classify_body,
+            self.inbound,
+            kind,
+        )
         self.ports.append(Port(address, server, open_while_draining))
 
     async def run(self) -> None:
--- a/gypsumshift/serverconnection.py
+++ b/gypsumshift/serverconnection.py
@@ -2,16 +2,21 @@
 
 import asyncio
 import contextlib
+import datetime
 
 import h11
 
 from gypsumshift import logs
-from gypsumshift.bytebudget import ByteKind
+from gypsumshift.bytebudget import ByteKind, Holding
+from gypsumshift.clientlimits import DEFAULT_CLIENT_LIMITS
+from gypsumshift.connectiontable import ClosableConnection, CloseReason, Phase
 from gypsumshift.flowcontrol import (
     BUFFER_BYTES,
+    limit_receiving,
     limit_sending,
     reset_connection,
     unread_bytes,
+    widen_receiving,
 )
 from gypsumshift.httpconnection import encode_fields
 from gypsumshift.httpmessages import (
@@ -19,18 +24,30 @@
     Response,
     ResponseAborted,
     declared_length,
+    head_size,
     may_have_body,
     parse_head,
     problem_response,
 )
+from gypsumshift.requestreader import (
+    BodyStalled,
+    HeadStalled,
+    IdleTimeout,
+    RequestReader,
+)
 
 __all__ = ["MAX_HEADER_BYTES", "ServerConnection"]
 
-MAX_HEADER_BYTES = 32 * 1024
-READ_SIZE_BYTES = 64 * 1024
-MAX_PIPELINED_BYTES = 256 * 1024
-READ_TIMEOUT_S = 15.0
+MAX_HEADER_BYTES = DEFAULT_CLIENT_LIMITS.header_bytes
 IDLE_TIMEOUT_S = 75.0
+# Bytes of an unfinished head that are not counted in the memory budget.
+FREE_HEAD_BYTES = 4 * 1024
+# Header fields of a request that are not counted, and the memory of each further one:
+# its name and value as they were received and as they were decoded.
+FREE_FIELDS = 64
+BYTES_PER_FIELD = 512
+# Smallest reservation for a body of unknown length.
+BODY_STEP_BYTES = 1024
 # Time without any progress after which a caller that does not read is cut off. Servers
 # cut off a response that stays unread for some seconds; a caller gets longer, so that
 # the gateway never cuts it off earlier than a server would.
@@ -50,7 +67,7 @@
     """Raised if a caller read nothing of its response within the time limit."""
 
 
-class ServerConnection:
+class ServerConnection(ClosableConnection):
     """One connection of a server; serves its requests one after another.
 
     Parameters
@@ -61,40 +78,70 @@
 
     Attributes
     ----------
-    pending_read : asyncio.Task or None
-        Read of the caller's next bytes that was started and not used yet.
+    task : asyncio.Task or None
+        Serves the connection.
     busy : bool
         Whether a request is being served.
-    max_pipelined_bytes : int
-        What is read of further requests while one is being served.
+    widened : bool
+        Whether the kernel buffers more than usual of what the caller sends.
+    holding : Holding
+        What the request that is being read or served holds in the memory budget.
     """
 
     def __init__(self, server, reader, writer):
         self.server = server
-        self.reader = reader
+        self.inbound = server.inbound
+        self.table = server.table
         self.writer = writer
         self.state = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
+            h11.SERVER, max_incomplete_event_size=server.client_limits.header_bytes
         )
-        self.pending_read: asyncio.Task | None = None
+        self.input = RequestReader(reader, writer, self.state)
+        self.task: asyncio.Task | None = None
         self.busy = False
-        self.max_pipelined_bytes = MAX_PIPELINED_BYTES
-        if server.budget.is_limited:
-            self.limit_buffers()
-
-    def limit_buffers(self) -> None:
-        """Limit what is buffered for the caller and from it."""
-        self.max_pipelined_bytes = BUFFER_BYTES
-        limit_sending(self.writer, BUFFER_BYTES)
+        self.widened = False
+        self.holding: Holding = server.budget.hold()
+        limit_sending(writer, BUFFER_BYTES)
 
     def close(self) -> None:
         """Close the connection; data that stays unread is discarded after a time."""
         self.writer.close()
         transport = self.writer.transport
         if self.server.budget.is_limited and transport.get_write_buffer_size():
+            self.table.change(self, Phase.BLOCKED)
             loop = asyncio.get_running_loop()
             loop.call_later(UNREAD_TIMEOUT_S, reset_connection, self.writer)
 
+    def evict(self, reason: CloseReason) -> None:
+        """Close the connection at once for others; its request is not run.
+
+        A request whose head was read is told so, if the caller can still be reached.
+        """
+        self.record_close(reason)
+        self.holding.release()
+        self.inbound.end_receiving(self)
+        if reason is CloseReason.MEMORY and self.state.our_state is h11.SEND_RESPONSE:
+            detail = "the request made no progress while others waited for its memory"
+            self.write_error(503, detail, [self.retry_after()])
+            self.writer.close()
+        elif reason is CloseReason.IDLE:
+            self.writer.transport.abort()
+        else:
+            reset_connection(self.writer)
+        if self.task is not None:
+            self.task.cancel()
+
+    def lost(self) -> None:
+        """Note that the socket was closed."""
+        self.table.remove(self)
+        self.inbound.end_receiving(self)
+
+    def record_close(self, reason: CloseReason) -> None:
+        """Count and log that the connection is closed before the caller ends it."""
+        self.inbound.record_close(
+            self.server.kind, reason, received_bytes=self.input.received
+        )
+
     async def drain(self) -> None:
         """Wait until the caller has read enough; raise `CallerStalled` if it does not.
 
@@ -113,6 +160,7 @@
                     return
             before, unread = unread, unread_bytes(self.writer)
             quiet_periods = 0 if unread < before else quiet_periods + 1
+            self.table.change(self, Phase.BLOCKED if quiet_periods else Phase.SERVING)
         self.cut_off(unread)
 
     def cut_off(self, unread: int) -> None:
@@ -128,29 +176,90 @@
                 if self.state.our_state is h11.MUST_CLOSE or self.server.closing:
                     break
                 self.state.start_next_cycle()
+                self.table.change(self, Phase.IDLE)
         except h11.RemoteProtocolError as error:
             await self.send_error(error.error_status_hint or 400, str(error))
+        except HeadStalled:
+            self.record_close(CloseReason.HEADER_TIMEOUT)
+        except BodyStalled:
+            self.record_close(CloseReason.BODY_TIMEOUT)
+            await self.send_error(408, "the body made no progress")
         finally:
-            if self.pending_read:
-                self.pending_read.cancel()
+            self.holding.release()
+            self.inbound.end_receiving(self)
+            self.input.close()
 
     async def serve_request(self) -> bool:
         """Serve one request; return whether another may follow."""
         self.busy = False
-        head = await self.next_event(IDLE_TIMEOUT_S)
-        if not isinstance(head, h11.Request):
-            return False
-        self.busy = True
-        request = parse_head(head, self.server.budget.hold())
+        self.holding = self.server.budget.hold()
+        self.input.begin_request()
         try:
+            request = await self.read_head()
+            if request is None:
+                return False
             return await self.serve_read_request(request)
         finally:
-            request.holding.release()
+            self.holding.release()
+
+    async def read_head(self) -> Request | None:
+        """Return the next request without its body; None if none follows."""
+        limits = self.server.client_limits
+        idle_timeout = seconds(limits.idle_timeout, IDLE_TIMEOUT_S)
+        header_timeout = seconds(limits.header_timeout, idle_timeout)
+        with contextlib.suppress(IdleTimeout):
+            if not await self.input.wait_for_request(idle_timeout):
+                return None
+            self.table.begin_request(self)
+            head = self.state.next_event()
+            while head is h11.NEED_DATA:
+                if not await self.reserve_head(self.input.unparsed - FREE_HEAD_BYTES):
+                    return None
+                self.note_bytes(await self.input.receive_head(header_timeout))
+                head = self.state.next_event()
+            return await self.accept_head(head)
+        return None
+
+    async def accept_head(self, head) -> Request | None:
+        """Return the request of a head; None if it ends or is refused."""
+        if not isinstance(head, h11.Request):
+            return None
+        self.busy = True
+        limit = self.server.client_limits.header_bytes
+        if head_size(head) > limit:
+            await self.send_error(431, f"the head exceeds {limit} bytes")
+            await self.discard_unread()
+            return None
+        fields = max(0, len(head.headers) - FREE_FIELDS)
+        if not await self.reserve_head(fields * BYTES_PER_FIELD):
+            return None
+        return parse_head(head, self.holding)
+
+    async def reserve_head(self, size: int) -> bool:
+        """Reserve what a large head holds in sum; refuse it if that does not fit."""
+        missing = size - self.holding.size(ByteKind.REQUEST)
+        if missing <= 0 or self.reserve(ByteKind.REQUEST, missing):
+            return True
+        return await self.refuse(ByteKind.REQUEST, size, "")
+
+    def reserve(self, kind: ByteKind, size: int) -> bool:
+        """Reserve memory for the request that is being read."""
+        return self.inbound.reserve(self, self.holding, kind, size)
+
+    def note_bytes(self, count: int) -> None:
+        """Note that bytes of the request have arrived."""
+        if self.table.record_bytes(self, count):
+            self.input.progress_at = self.input.loop.time()
+            self.inbound.record_progress(self)
 
     async def serve_read_request(self, request: Request) -> bool:
         """Serve a request whose head was read; return whether another may follow."""
-        if not await self.read_body(request):
+        if may_have_body(request) and not await self.read_body(request):
             return False
+        if not may_have_body(request):
+            self.state.next_event()
+        self.inbound.end_receiving(self)
+        self.table.change(self, Phase.SERVING)
         response = await self.run_handler(request)
         if response is None:
             return False
@@ -165,99 +274,111 @@
         length is reserved as it arrives.
         """
         declared = declared_length(request)
-        if self.server.budget.is_limited and declared > self.server.max_body_bytes:
+        if declared > self.server.max_body_bytes:
             await self.send_too_large()
-            await self.discard_unread()
             return False
-        kind = self.server.classify_body(request) if may_have_body(request) else None
-        if declared and not request.holding.add(kind, declared):
-            return await self.refuse_body(request, kind, declared)
+        kind = self.server.classify_body(request)
+        if declared and not self.reserve(kind, declared):
+            return await self.refuse(kind, declared, request.target)
+        self.input.progress_at = self.input.loop.time()
+        try:
+            body = await self.receive_body(request, kind, declared)
+        finally:
+            self.narrow()
+        if body is None:
+            return False
+        request.body = bytes(body)
+        return True
+
+    def widen(self, size: int) -> None:
+        """Let the kernel buffer more of a body of a large size that was accepted."""
+        if size > BUFFER_BYTES and not self.widened:
+            self.widened = True
+            widen_receiving(self.writer)
+
+    def narrow(self) -> None:
+        """Let the kernel buffer little again."""
+        if self.widened:
+            self.widened = False
+            limit_receiving(self.writer)
+
+    async def receive_body(
+        self, request: Request, kind: ByteKind, declared: int
+    ) -> bytearray | None:
+        """Return the body of a request; None if it is incomplete or refused."""
         body = bytearray()
+        reserved, noted = declared, 0
+        self.widen(declared)
         while True:
-            event = await self.next_event(READ_TIMEOUT_S)
+            event = self.state.next_event()
+            if event is h11.NEED_DATA:
+                self.note_bytes(len(body) - noted)
+                noted = len(body)
+                await self.input.receive_body()
+                continue
             if isinstance(event, h11.EndOfMessage):
-                break
+                return body
             if not isinstance(event, h11.Data):
-                return False
+                return None
             body += event.data
             if len(body) > self.server.max_body_bytes:
                 await self.send_too_large()
-                return False
-            if not declared and not request.holding.add(kind, len(event.data)):
-                return await self.refuse_body(request, kind, len(body))
-        request.body = bytes(body)
-        return True
+                return None
+            if len(body) > reserved:
+                missing = max(BODY_STEP_BYTES, len(body) - reserved)
+                if not self.reserve(kind, missing):
+                    await self.refuse(kind, len(body), request.target)
+                    return None
+                reserved += missing
+                self.widen(reserved)
 
     async def send_too_large(self) -> None:
         """Answer a request whose body exceeds the maximum size."""
         limit = self.server.max_body_bytes
         await self.send_error(413, f"the body exceeds {limit} bytes")
-
-    async def refuse_body(self, request: Request, kind: ByteKind, size: int) -> bool:
-        """Refuse a request whose body does not fit into the memory budget."""
-        budget = self.server.budget
-        budget.record_refusal(kind, size, target=request.target)
-        request.holding.release()
-        detail = "the body does not fit into this process's memory budget"
-        retry_after = ("retry-after", f"{budget.retry_after():g}")
-        await self.send_error(503, detail, [retry_after])
         await self.discard_unread()
+
+    async def refuse(self, kind: ByteKind, size: int, target: str) -> bool:
+        """Refuse a request that does not fit into the memory budget."""
+        self.server.budget.record_refusal(kind, size, target=target)
+        await self.send_refusal("the request does not fit into the memory budget")
         return False
 
+    async def send_refusal(self, detail: str) -> None:
+        """Answer a request that is not run, and when it may be sent again."""
+        self.holding.release()
+        self.inbound.end_receiving(self)
+        await self.send_error(503, detail, [self.retry_after()])
+        await self.discard_unread()
+
+    def retry_after(self) -> tuple[str, str]:
+        """Return the header field that tells when a refused caller may retry."""
+        return "retry-after", f"{self.server.budget.retry_after():g}"
+
     async def discard_unread(self) -> None:
         """Discard what the caller still sends, so that it can read the response."""
         if self.writer.can_write_eof():
             self.writer.write_eof()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(DISCARD_TIMEOUT_S):
-                while await self.read():
+                while await self.input.read():
                     pass
 
-    async def next_event(self, timeout: float):
-        """Return the next h11 event of the peer, reading as needed."""
-        event = self.state.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        async with asyncio.timeout(timeout):
-            while event is h11.NEED_DATA:
-                if self.state.they_are_waiting_for_100_continue:
-                    interim = h11.InformationalResponse(status_code=100, headers=[])
-                    self.writer.write(self.state.send(interim))
-                self.state.receive_data(await self.read())
-                event = self.state.next_event()
-        return event
-
-    async def read(self) -> bytes:
-        """Read some bytes; use the pending read if there is one."""
-        if self.pending_read is None:
-            self.pending_read = asyncio.ensure_future(self.reader.read(READ_SIZE_BYTES))
-        data = await asyncio.shield(self.pending_read)
-        self.pending_read = None
-        return data
-
     async def run_handler(self, request: Request) -> Response | None:
         """Run the handler; return None if the caller closed the connection."""
         handling = asyncio.ensure_future(self.server.handler(request))
         buffered = 0
         try:
             while not handling.done():
-                if self.pending_read is None and buffered < self.max_pipelined_bytes:
-                    self.pending_read = asyncio.ensure_future(
-                        self.reader.read(READ_SIZE_BYTES)
-                    )
-                waiting = {handling} | (
-                    {self.pending_read} if self.pending_read else set()
-                )
+                if buffered < BUFFER_BYTES:
+                    self.input.start_reading()
+                read = self.input.pending_read
+                waiting = {handling, read} if read else {handling}
                 await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-                if (
-                    self.pending_read
-                    and self.pending_read.done()
-                    and not handling.done()
-                ):
-                    data = self.pending_read.result()
-                    self.pending_read = None
-                    if not data:
-                        return None
+                data = None if handling.done() else self.input.take_read()
+                if data == b"":
+                    return None
+                if data:
                     buffered += len(data)
                     self.state.receive_data(data)
             return self.handler_result(handling)
@@ -336,6 +457,11 @@
         """Answer a request that cannot be read with an error, and close."""
         if self.state.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
+        self.write_error(status, detail, extra_headers)
+        await self.drain()
+
+    def write_error(self, status: int, detail: str, extra_headers=()) -> None:
+        """Write an error without waiting until the caller has read it."""
         response = problem_response(status, "not run", detail)
         headers = [*response.headers, *extra_headers, ("connection", "close")]
         headers.append(("content-length", str(len(response.body))))
@@ -343,4 +469,8 @@
         self.writer.write(self.state.send(head))
         self.writer.write(self.state.send(h11.Data(response.body)))
         self.writer.write(self.state.send(h11.EndOfMessage()))
-        await self.drain()
+
+
+def seconds(time: datetime.timedelta | None, default: float) -> float:
+    """Return a time limit in seconds; the default if there is none."""
+    return default if time is None else time.total_seconds()
