Parse small pieces of requests in turns of the event loop

Ordinary callers got no answer in 60 s beside 300 bodies of 160 kB in chunks of one byte. Each such body is legal, and takes h11 3 s to parse; a stream reader that has bytes returns them without a turn of the event loop, so that one connection parsed all chunks of a read in a row, and 300 of them took turns before anybody else.

Small pieces, long trailers and heads above 4 KiB now pass a gate: one request at a time, the earliest first, 32 pieces in a turn of the event loop, and between two turns all else that is ready runs. The earliest request completes while later ones wait; who waits for 3 s gets 503, and was not run. A single such body is served as before. Progress of a body is counted by its payload, so that long chunk headers are none.

--- a/gypsumshift/connectiontable.py
+++ b/gypsumshift/connectiontable.py
@@ -55,6 +55,7 @@
     FULL = "full"
     HEADER_TIMEOUT = "header_timeout"
     BODY_TIMEOUT = "body_timeout"
+    TURNS = "turns"
 
 
 class ClosableConnection(abc.ABC):
--- a/gypsumshift/inbound.py
+++ b/gypsumshift/inbound.py
@@ -27,6 +27,7 @@
     ConnectionTable,
 )
 from gypsumshift.metrics import Metrics
+from gypsumshift.turngate import TurnGate
 
 __all__ = [
     "Inbound",
@@ -122,6 +123,8 @@
     limit : int
         Maximum number of connections at all ports.
     tables : dict of PortKind to ConnectionTable
+    gate : TurnGate
+        For parsing that holds the event loop.
     receiving : OrderedDict
         Connections whose unfinished request holds memory, with the time of their last
         progress, oldest first.
@@ -137,6 +140,7 @@
         self.clock = clock or SystemClock()
         self.metrics = metrics
         self.tables: dict[PortKind, ConnectionTable] = {}
+        self.gate = TurnGate()
         self.receiving: collections.OrderedDict = collections.OrderedDict()
         self.events = {
             reason: logs.RateLimitedEvents(log, LOG_INTERVAL_S)
--- a/gypsumshift/requestreader.py
+++ b/gypsumshift/requestreader.py
@@ -1,12 +1,23 @@
-"""Request reader: reads requests from a connection, in bounded time."""
+"""Request reader: reads requests from a connection, in bounded time and turns."""
 
 import asyncio
 
 import h11
 
+from gypsumshift.turngate import TurnGate
+
 __all__ = ["BodyStalled", "HeadStalled", "IdleTimeout", "RequestReader"]
 
 READ_SIZE_BYTES = 64 * 1024
+# A head above this size may have thousands of fields, which take the event loop
+# milliseconds to parse.
+LARGE_HEAD_BYTES = 4 * 1024
+# Pieces of a body below this size cost more to parse than to receive.
+SMALL_PIECE_BYTES = 512
+# Small pieces that are parsed in one turn of the event loop.
+PIECES_PER_TURN = 32
+# Bytes of a body passed to the parser at once. A longer trailer waits for a turn.
+SLICE_BYTES = 4 * 1024
 # Time limits of a body: without any byte, and until it has made progress.
 READ_TIMEOUT_S = 15.0
 BODY_PROGRESS_TIMEOUT_S = 30.0
@@ -32,35 +43,49 @@
     reader : asyncio.StreamReader
     writer : asyncio.StreamWriter
     state : h11.Connection
+    gate : TurnGate
+        Passed by parsing that holds the event loop.
 
     Attributes
     ----------
     pending_read : asyncio.Task or None
         Read of the next bytes that was started and not used yet.
+    unfed : bytes
+        Bytes received that were not passed to the parser yet.
     unparsed : int
         Bytes of the next head that the parser holds.
+    silent : int
+        Bytes of a body passed to the parser since its last piece.
     received : int
         Bytes received of the request that is being read.
+    small_pieces : int
+        Small pieces of its body that were parsed.
     started : float
         When its first byte arrived, by the clock of the event loop.
     progress_at : float
         When its body last made progress, by the same clock.
     """
 
-    def __init__(self, reader, writer, state: h11.Connection):
+    def __init__(self, reader, writer, state: h11.Connection, gate: TurnGate):
         self.reader = reader
         self.writer = writer
         self.state = state
+        self.gate = gate
         self.loop = asyncio.get_running_loop()
         self.pending_read: asyncio.Task | None = None
-        self.unparsed = 0
+        self.unfed = b""
+        self.unparsed = self.silent = 0
         self.received = 0
+        self.small_pieces = 0
+        self.holds_gate = False
         self.started = self.progress_at = self.loop.time()
 
     def begin_request(self) -> None:
         """Start counting for the next request."""
         self.unparsed = len(self.state.trailing_data[0])
+        self.silent = 0
         self.received = 0
+        self.small_pieces = 0
 
     async def wait_for_request(self, timeout: float) -> bool:
         """Wait for the first bytes of a request; return False if there are none."""
@@ -75,6 +100,13 @@
         self.started = self.loop.time()
         return count > 0
 
+    async def parse_head(self):
+        """Return the request's head if it is complete, else `h11.NEED_DATA`."""
+        if self.unparsed <= LARGE_HEAD_BYTES:
+            return self.state.next_event()
+        async with self.gate.turn(self.started):
+            return self.state.next_event()
+
     async def receive_head(self, timeout: float) -> int:
         """Receive more bytes of a head; return their number.
 
@@ -89,8 +121,49 @@
         except TimeoutError as error:
             raise HeadStalled from error
 
+    async def next_body_event(self):
+        """Return the next event of a body, or `h11.NEED_DATA` if there is none yet.
+
+        Small pieces are parsed in turns, as long as the request holds the gate.
+        """
+        if self.silent > SLICE_BYTES:
+            await self.take_turn()
+        event = self.state.next_event()
+        if not isinstance(event, h11.Data):
+            return event
+        self.silent = 0
+        if len(event.data) < SMALL_PIECE_BYTES:
+            self.small_pieces += 1
+            if self.small_pieces % PIECES_PER_TURN == 0:
+                await self.take_turn()
+        return event
+
+    async def take_turn(self) -> None:
+        """Wait for a turn of the event loop in which to parse small pieces."""
+        if self.holds_gate:
+            await asyncio.sleep(0)
+            return
+        await self.gate.enter(self.started)
+        self.holds_gate = True
+
+    def end_body(self) -> None:
+        """Pass what follows a body to the parser, and let others pass the gate."""
+        self.leave_gate()
+        rest, self.unfed = self.unfed, b""
+        if rest:
+            self.state.receive_data(rest)
+
+    def leave_gate(self) -> None:
+        """Let other requests pass the gate."""
+        if self.holds_gate:
+            self.holds_gate = False
+            self.gate.leave()
+
     async def receive_body(self) -> int:
         """Receive more bytes of a body; return their number."""
+        if self.unfed:
+            return self.feed_slice()
+        self.leave_gate()
         if self.state.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self.writer.write(self.state.send(interim))
@@ -100,9 +173,18 @@
         )
         try:
             async with asyncio.timeout_at(limit):
-                return await self.receive()
+                self.unfed = await self.read()
         except TimeoutError as error:
             raise BodyStalled from error
+        self.received += len(self.unfed)
+        return self.feed_slice()
+
+    def feed_slice(self) -> int:
+        """Pass the next slice of a body to the parser; return its size."""
+        data, self.unfed = self.unfed[:SLICE_BYTES], self.unfed[SLICE_BYTES:]
+        self.state.receive_data(data)
+        self.silent += len(data)
+        return len(data)
 
     async def receive(self) -> int:
         """Pass the next bytes to the parser; return their number, 0 at the end."""
@@ -133,5 +215,6 @@
 
     def close(self) -> None:
         """Stop reading."""
+        self.leave_gate()
         if self.pending_read:
             self.pending_read.cancel()
--- a/gypsumshift/serverconnection.py
+++ b/gypsumshift/serverconnection.py
@@ -35,6 +35,7 @@
     IdleTimeout,
     RequestReader,
 )
+from gypsumshift.turngate import TurnsExhausted
 
 __all__ = ["MAX_HEADER_BYTES", "ServerConnection"]
 
@@ -96,7 +97,7 @@
         self.state = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.client_limits.header_bytes
         )
-        self.input = RequestReader(reader, writer, self.state)
+        self.input = RequestReader(reader, writer, self.state, self.inbound.gate)
         self.task: asyncio.Task | None = None
         self.busy = False
         self.widened = False
@@ -184,6 +185,10 @@
         except BodyStalled:
             self.record_close(CloseReason.BODY_TIMEOUT)
             await self.send_error(408, "the body made no progress")
+        except TurnsExhausted:
+            self.record_close(CloseReason.TURNS)
+            detail = "this process is busy with other requests in many small pieces"
+            await self.send_refusal(detail)
         finally:
             self.holding.release()
             self.inbound.end_receiving(self)
@@ -211,12 +216,12 @@
             if not await self.input.wait_for_request(idle_timeout):
                 return None
             self.table.begin_request(self)
-            head = self.state.next_event()
+            head = await self.input.parse_head()
             while head is h11.NEED_DATA:
                 if not await self.reserve_head(self.input.unparsed - FREE_HEAD_BYTES):
                     return None
                 self.note_bytes(await self.input.receive_head(header_timeout))
-                head = self.state.next_event()
+                head = await self.input.parse_head()
             return await self.accept_head(head)
         return None
 
@@ -284,6 +289,7 @@
         try:
             body = await self.receive_body(request, kind, declared)
         finally:
+            self.input.end_body()
             self.narrow()
         if body is None:
             return False
@@ -310,7 +316,7 @@
         reserved, noted = declared, 0
         self.widen(declared)
         while True:
-            event = self.state.next_event()
+            event = await self.input.next_body_event()
             if event is h11.NEED_DATA:
                 self.note_bytes(len(body) - noted)
                 noted = len(body)
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -243,3 +243,34 @@
 def test_the_retry_delay_of_a_refusal_needs_no_limited_budget():
     assert ByteBudget().retry_after() > 0
     assert ByteBudget(chance=random.Random(1)).retry_after() > 0
+
+
+def test_requests_behind_a_body_are_served_in_order():
+    """Bytes behind a body that arrive with it come before those that arrive later."""
+
+    async def scenario(port, address):
+        port.release.clear()
+        reader, writer = await asyncio.open_connection(*address)
+        chunked = b"POST /0 HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+        writer.write(chunked + b"1\r\nx\r\n" * 1500 + b"0\r\n\r\n" + GET[:20])
+        while not port.served:
+            await asyncio.sleep(0.01)
+        writer.write(GET[20:] + b"connection: close\r\n\r\n")
+        await asyncio.sleep(0.1)
+        port.release.set()
+        assert (await reader.read()).count(b"done") == 2
+        assert port.served == [("/0", 1500), ("/", 0)]
+
+    run_port(scenario)
+
+
+def test_a_long_trailer_is_read_to_its_end():
+    async def scenario(port, address):
+        chunked = b"POST /0 HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+        trailer = b"a:\r\n" * 6000 + b"\r\n"
+        data = (
+            chunked + b"1\r\nx\r\n0\r\n" + trailer + GET + b"connection: close\r\n\r\n"
+        )
+        assert (await exchange_raw(address, data)).count(b"done") == 2
+
+    run_port(scenario, limits=ClientLimits())
--- /dev/null
+++ b/tests/test_turngate.py
@@ -0,0 +1,81 @@
+"""The gate for parsing that holds the event loop."""
+
+import asyncio
+
+import pytest
+
+from gypsumshift import turngate
+from gypsumshift.turngate import TurnGate, TurnsExhausted
+
+
+def test_one_request_passes_in_each_turn_and_others_run_between():
+    async def run():
+        gate, order = TurnGate(), []
+
+        async def pass_gate(name):
+            async with gate.turn(0.0):
+                order.append(name)
+
+        async def ordinary():
+            for _ in range(6):
+                order.append("ordinary")
+                await asyncio.sleep(0)
+
+        tasks = [pass_gate(n) for n in range(3)]
+        await asyncio.gather(*tasks, ordinary())
+        gaps = [order[i : i + 2] for i in range(len(order) - 1)]
+        assert all("ordinary" in gap for gap in gaps[:3])
+        assert [name for name in order if name != "ordinary"] == [0, 1, 2]
+
+    asyncio.run(run())
+
+
+def test_the_earliest_request_passes_first():
+    async def run():
+        gate, order = TurnGate(), []
+        await gate.enter(0.0)
+
+        async def pass_gate(started):
+            await gate.enter(started)
+            order.append(started)
+            gate.leave()
+
+        tasks = [asyncio.create_task(pass_gate(s)) for s in (3.0, 1.0, 2.0)]
+        await asyncio.sleep(0)
+        gate.leave()
+        await asyncio.gather(*tasks)
+        assert order == [1.0, 2.0, 3.0]
+
+    asyncio.run(run())
+
+
+def test_a_request_that_waits_too_long_gives_up_and_the_gate_goes_on(monkeypatch):
+    monkeypatch.setattr(turngate, "WAIT_TIMEOUT_S", 0.01)
+
+    async def run():
+        gate = TurnGate()
+        await gate.enter(0.0)
+        with pytest.raises(TurnsExhausted):
+            await gate.enter(1.0)
+        gate.leave()
+        async with asyncio.timeout(5):
+            await asyncio.sleep(0)
+            await gate.enter(2.0)
+
+    asyncio.run(run())
+
+
+def test_a_request_cancelled_as_it_gets_the_gate_passes_it_on():
+    async def run():
+        gate = TurnGate()
+        await gate.enter(0.0)
+        task = asyncio.create_task(gate.enter(1.0))
+        await asyncio.sleep(0)
+        gate.pass_on()
+        task.cancel()
+        await asyncio.wait({task})
+        async with asyncio.timeout(5):
+            await asyncio.sleep(0)
+            await gate.enter(2.0)
+
+    asyncio.run(run())
