Apply the operator's limits on heads, their time and idle connections

Nothing read `max_header_bytes`, `header_timeout_ms` and `idle_timeout_ms` of the configuration: a head could have 32 KiB and take 75 s, begun anew with each byte received, and an idle connection stayed for 75 s. Where they are missing the defaults are as before. A value that is no number in range is an error of the configuration, and the one before stays in force.

--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -138,6 +138,7 @@
             if port.server.kind is PortKind.CALLERS:
                 limit = routes.body_limit or MAX_BODY_BYTES_BY_KIND[PortKind.CALLERS]
                 port.server.max_body_bytes = limit
+                port.server.client_limits = routes.client_limits
         self.guard.sweep()
         self.home_wait_log.update()
         self.demand.prune()
--- a/gypsumshift/serving/routes.py
+++ b/gypsumshift/serving/routes.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from gypsumshift.clientlimits import DEFAULT_CLIENT_LIMITS, ClientLimits
 from gypsumshift.workspaces import NO_WORKSPACES, Workspaces
 
 __all__ = [
@@ -175,6 +176,7 @@
     body_limit : int
         Maximum size of a request's body in bytes.
     workspaces : Workspaces
+    client_limits : ClientLimits
 
     Attributes
     ----------
@@ -191,8 +193,10 @@
         services=(),
         body_limit=0,
         workspaces: Workspaces = NO_WORKSPACES,
+        client_limits: ClientLimits = DEFAULT_CLIENT_LIMITS,
     ):
         self.workspaces = workspaces
+        self.client_limits = client_limits
         self.version = version
         self.body_limit = body_limit
         self.services = {service.name: service for service in services}
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -15,6 +15,9 @@
 from gypsumshift.inbound import Inbound, PortKind, ProcessLimits, connection_limit
 from gypsumshift.metrics import Metrics
 from tests.budget_builders import HOST, exchange_raw, new_budget, post, status_of
+from tests.platform_cluster import ADAPTER_FOLDER  # noqa: F401
+
+import directory_feed  # isort: skip
 
 HEADER_BYTES = 1000
 HEADER_TIMEOUT_S = 0.3
@@ -240,6 +243,33 @@
     assert 16 <= connection_limit(limits) <= most
 
 
+def test_the_configuration_sets_the_limits_of_callers():
+    limits = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 5,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    }
+    value = {"version": 1, "routes": [], "services": [], "limits": limits}
+    routes = directory_feed.decode_config(value)
+    assert routes.body_limit == 5
+    assert routes.client_limits == ClientLimits(
+        16384, datetime.timedelta(seconds=3), datetime.timedelta(seconds=15)
+    )
+    del value["limits"]
+    assert directory_feed.decode_config(value).client_limits == ClientLimits()
+
+
+@pytest.mark.parametrize("number", ["1", None, -1, float("inf"), True, [1]])
+@pytest.mark.parametrize(
+    "name", ["max_header_bytes", "header_timeout_ms", "idle_timeout_ms"]
+)
+def test_a_limit_that_is_no_number_in_range_is_an_error(name, number):
+    value = {"version": 1, "routes": [], "services": [], "limits": {name: number}}
+    with pytest.raises((TypeError, ValueError)):
+        directory_feed.decode_config(value)
+
+
 def test_the_retry_delay_of_a_refusal_needs_no_limited_budget():
     assert ByteBudget().retry_after() > 0
     assert ByteBudget(chance=random.Random(1)).retry_after() > 0
