Bound what clients of entries and sidecars hold, and frames between processes

60 peers that each declared a frame of 15 MB and stopped before its last byte took an entry to 886 MB and a sidecar to 858; 300 bodies at the operators' port took 346 to 381 MB. Entries and sidecars had no limit of memory or connections, and a frame was buffered before anything was asked. They now have the same tables and budgets as a gateway, from `memory_mb` and `max_descriptors` of the settings, or from the host. The length of a frame is reserved before it is read, its rest has 15 s, and one list in it may declare 100,000 elements.

--- a/gypsumshift/entry.py
+++ b/gypsumshift/entry.py
@@ -5,7 +5,8 @@
 from gypsumshift.callerapi import CallerApi
 from gypsumshift.dispatch import Dispatcher
 from gypsumshift.generated.messages import Role
-from gypsumshift.httpserver import HttpServer, Request, Response, problem_response
+from gypsumshift.httpserver import Request, Response, problem_response
+from gypsumshift.inbound import PortKind
 from gypsumshift.membership import rendezvous_weight
 from gypsumshift.operatorapi import OperatorApi
 from gypsumshift.process import Process
@@ -18,6 +19,8 @@
 SIDECARS_PER_POOL = 16
 # Other entries, drawn at random, that each round of heartbeats goes to.
 HEARTBEAT_ENTRIES = 2
+# Share of the memory for buffered bytes that callers' bodies may take.
+CALLER_MEMORY_SHARE = 0.5
 # Time for the load balancer to notice that a draining entry accepts no new requests.
 BALANCER_PAUSE_S = 1.0
 
@@ -41,7 +44,9 @@
         self.driver_manager = DriverManager(self, self.dispatcher)
         self.trainer_api = TrainerApi(self, self.driver_manager)
         self.operator_api = OperatorApi(self)
-        self.caller_server = HttpServer(self.serve_caller)
+        self.caller_server = self.new_http_server(
+            self.serve_caller, PortKind.CALLERS, CALLER_MEMORY_SHARE
+        )
         self.caller_address = ("", 0)
 
     async def start(self) -> None:
--- a/gypsumshift/frames.py
+++ b/gypsumshift/frames.py
@@ -19,7 +19,11 @@
 DRAIN_THRESHOLD_BYTES = 256 * 1024
 # Fields that a sender may leave out, in any message.
 OPTIONAL_FIELDS = {"head", "load"}
-PROTOCOL_FACTORY = TCompactProtocolAcceleratedFactory()
+# Elements of one list or map of a message; a frame may declare any number otherwise.
+MAX_ELEMENTS = 100_000
+PROTOCOL_FACTORY = TCompactProtocolAcceleratedFactory(
+    string_length_limit=MAX_FRAME_BYTES, container_length_limit=MAX_ELEMENTS
+)
 
 
 class FrameError(Exception):
@@ -100,16 +104,26 @@
         self.writer = writer
         self.recorder = recorder
 
+    async def receive_length(self) -> int:
+        """Receive the length of the next frame."""
+        try:
+            prefix = await self.reader.readexactly(LENGTH_PREFIX.size)
+        except (asyncio.IncompleteReadError, ConnectionError) as error:
+            raise FrameError("the peer closed the connection") from error
+        (length,) = LENGTH_PREFIX.unpack(prefix)
+        if length > MAX_FRAME_BYTES:
+            raise FrameError(
+                f"frame of {length} bytes exceeds the limit of {MAX_FRAME_BYTES}"
+            )
+        return length
+
     async def receive(self) -> tuple[int, Body]:
         """Receive a frame; return the number of its exchange and its body."""
+        return await self.receive_body(await self.receive_length())
+
+    async def receive_body(self, length: int) -> tuple[int, Body]:
+        """Receive the rest of a frame whose length was received."""
         try:
-            (length,) = LENGTH_PREFIX.unpack(
-                await self.reader.readexactly(LENGTH_PREFIX.size)
-            )
-            if length > MAX_FRAME_BYTES:
-                raise FrameError(
-                    f"frame of {length} bytes exceeds the limit of {MAX_FRAME_BYTES}"
-                )
             data = await self.reader.readexactly(length)
         except (asyncio.IncompleteReadError, ConnectionError) as error:
             raise FrameError("the peer closed the connection") from error
--- a/gypsumshift/peerconnection.py
+++ b/gypsumshift/peerconnection.py
@@ -4,9 +4,13 @@
 import itertools
 
 from gypsumshift import logs
+from gypsumshift.bytebudget import NO_BUDGET, ByteBudget, ByteKind
+from gypsumshift.connectiontable import ClosableConnection, CloseReason, Phase
 from gypsumshift.events import EventRecorder
+from gypsumshift.flowcontrol import LimitedProtocol, listening_socket
 from gypsumshift.frames import FrameError, FrameStream
 from gypsumshift.generated.messages import Body
+from gypsumshift.inbound import Inbound, PortKind
 from gypsumshift.listeners import close_listener
 
 __all__ = [
@@ -20,6 +24,13 @@
 CONNECT_TIMEOUT_S = 1.0
 # A connection whose first frame takes longer is closed by the server.
 FIRST_FRAME_TIMEOUT_S = 5.0
+# Longest time for the rest of a frame whose length has arrived.
+FRAME_TIMEOUT_S = 15.0
+# Bytes that are received of a connection at once.
+RECEIVE_BYTES = 64 * 1024
+# Connections accepted in one turn of the event loop, and those that wait for it.
+ACCEPTS_PER_TURN = 16
+BACKLOG = 1024
 # A connection is closed if this many answers to one call wait to be read.
 MAX_INBOX_MESSAGES = 4096
 
@@ -187,7 +198,7 @@
             self.drop_stream(self.stream)
 
 
-class PeerSession:
+class PeerSession(ClosableConnection):
     """Server side of one accepted connection.
 
     Parameters
@@ -195,13 +206,60 @@
     number : int
         Unique in this process.
     stream : FrameStream
+    inbound : Inbound
+        Connections of all ports of the process.
+    budget : ByteBudget
+        For the frame that is being received.
     """
 
-    def __init__(self, number: int, stream: FrameStream):
+    def __init__(
+        self,
+        number: int,
+        stream: FrameStream,
+        inbound: Inbound,
+        budget: ByteBudget = NO_BUDGET,
+    ):
         self.number = number
         self.stream = stream
+        self.inbound = inbound
+        self.table = inbound.tables[PortKind.PEERS]
+        self.budget = budget
+        self.holding = budget.hold()
         self.open = True
 
+    def evict(self, reason: CloseReason) -> None:
+        """Close the connection at once for others."""
+        self.inbound.record_close(PortKind.PEERS, reason)
+        self.holding.release()
+        self.stream.abort()
+
+    def lost(self) -> None:
+        """Note that the socket was closed."""
+        self.table.remove(self)
+        self.inbound.end_receiving(self)
+
+    async def receive(self) -> tuple[int, Body]:
+        """Receive a frame; raise `FrameError` if it does not fit or makes no progress.
+
+        Its length is reserved in the memory budget before it is read.
+        """
+        length = await self.stream.receive_length()
+        self.table.begin_request(self)
+        self.holding = self.budget.hold()
+        try:
+            if not self.inbound.reserve(self, self.holding, ByteKind.REQUEST, length):
+                self.budget.record_refusal(ByteKind.REQUEST, length)
+                raise FrameError("the frame does not fit into the memory budget")
+            async with asyncio.timeout(FRAME_TIMEOUT_S):
+                return await self.stream.receive_body(length)
+        except TimeoutError as error:
+            self.inbound.record_close(PortKind.PEERS, CloseReason.BODY_TIMEOUT)
+            raise FrameError("the rest of a frame did not arrive in time") from error
+        finally:
+            self.holding.release()
+            self.inbound.end_receiving(self)
+            self.table.change(self, Phase.IDLE)
+
     async def reply(self, exchange: int, body: Body) -> None:
         """Send an answer; drop it if the connection has closed."""
         if not self.open:
@@ -223,12 +281,26 @@
     on_session_end : callable
         ``on_session_end(session)``, called when a connection has closed.
     recorder : EventRecorder
+    inbound : Inbound or None
+        Connections of all ports of the process; None for this port alone.
+    budget : ByteBudget
+        For frames that are being received.
     """
 
-    def __init__(self, handler, on_session_end, recorder: EventRecorder):
+    def __init__(
+        self,
+        handler,
+        on_session_end,
+        recorder: EventRecorder,
+        inbound: Inbound | None = None,
+        budget: ByteBudget = NO_BUDGET,
+    ):
         self.handler = handler
         self.on_session_end = on_session_end
         self.recorder = recorder
+        self.inbound = inbound or Inbound()
+        self.table = self.inbound.add_port(PortKind.PEERS)
+        self.budget = budget
         self.session_numbers = itertools.count(1)
         self.tasks: set[asyncio.Task] = set()
         self.listener: asyncio.Server | None = None
@@ -236,8 +308,20 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Listen on an address; return the port, chosen by the system if it is 0."""
-        self.listener = await asyncio.start_server(self.accept, host, port)
-        return self.listener.sockets[0].getsockname()[1]
+        loop = asyncio.get_running_loop()
+        sock = listening_socket(host, port)
+        self.listener = await loop.create_server(
+            self.new_protocol, sock=sock, backlog=ACCEPTS_PER_TURN
+        )
+        # asyncio uses the backlog for the connections accepted in a turn, too.
+        sock.listen(BACKLOG)
+        return sock.getsockname()[1]
+
+    def new_protocol(self) -> LimitedProtocol:
+        """Return the protocol of a connection that is being accepted."""
+        loop = asyncio.get_running_loop()
+        reader = asyncio.StreamReader(RECEIVE_BYTES, loop)
+        return LimitedProtocol(reader, RECEIVE_BYTES, self.accept)
 
     def accept(self, reader, writer) -> None:
         """Serve an accepted connection in its own task."""
@@ -246,23 +330,28 @@
             # would ever close it.
             writer.transport.abort()
             return
-        task = asyncio.create_task(self.serve_connection(reader, writer))
+        stream = FrameStream(reader, writer, self.recorder)
+        number = next(self.session_numbers)
+        session = PeerSession(number, stream, self.inbound, self.budget)
+        if not self.table.admit(session):
+            self.inbound.record_close(PortKind.PEERS, CloseReason.FULL)
+            writer.transport.abort()
+            return
+        writer.transport.get_protocol().on_lost = session.lost
+        task = asyncio.create_task(self.serve_session(session))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         # A task that is cancelled before its first step never runs its ``finally``.
         task.add_done_callback(lambda _: writer.transport.abort())
 
-    async def serve_connection(self, reader, writer) -> None:
+    async def serve_session(self, session: PeerSession) -> None:
         """Pass the messages of one connection to the handler until it closes."""
-        session = PeerSession(
-            next(self.session_numbers), FrameStream(reader, writer, self.recorder)
-        )
         try:
             async with asyncio.timeout(FIRST_FRAME_TIMEOUT_S):
-                first = await session.stream.receive()
+                first = await session.receive()
             await self.handler(session, *first)
             while True:
-                await self.handler(session, *await session.stream.receive())
+                await self.handler(session, *await session.receive())
         except (FrameError, TimeoutError) as error:
             log.debug("A peer's connection closed: {}.", error)
         finally:
--- a/gypsumshift/process.py
+++ b/gypsumshift/process.py
@@ -10,6 +10,7 @@
 
 from gypsumshift import logs, platforms
 from gypsumshift.addresses import parse_address
+from gypsumshift.bytebudget import MIB, ByteBudget, budget_bytes
 from gypsumshift.clock import Clock, SystemClock
 from gypsumshift.events import EventRecorder
 from gypsumshift.generated import messages
@@ -17,12 +18,19 @@
 from gypsumshift.generated.settings import Settings
 from gypsumshift.heartbeats import HeartbeatExchanger
 from gypsumshift.httpserver import (
+    Handler,
     HttpServer,
     Request,
     Response,
     json_response,
     problem_response,
 )
+from gypsumshift.inbound import (
+    Inbound,
+    PortKind,
+    ProcessLimits,
+    host_memory_bytes,
+)
 from gypsumshift.membership import Membership, Peer, rendezvous_weight
 from gypsumshift.metrics import Metrics, scrape
 from gypsumshift.peerconnection import PeerConnection, PeerServer, PeerSession
@@ -35,9 +43,20 @@
 # Entries of an availability zone that poll the platform.
 POLLERS_PER_ZONE = 2
 
+# Shares of the memory for buffered bytes that frames of peers, and bodies of operators'
+# requests, may take.
+PEER_MEMORY_SHARE = 0.25
+OPERATOR_MEMORY_SHARE = 0.25
+
 log = logs.logger("process")
 
 
+def process_limits(settings: Settings) -> ProcessLimits:
+    """Return what the host grants a process, by its settings."""
+    memory = settings.memory_mb * MIB or host_memory_bytes()
+    return ProcessLimits(memory, settings.max_descriptors)
+
+
 class Process:
     """Process of the system; as a context manager it runs inside the block.
 
@@ -93,12 +112,33 @@
         self.poller = Poller(self)
         self.stopped = asyncio.Event()
         self.tasks: set[asyncio.Task] = set()
+        self.inbound = Inbound(process_limits(settings), self.clock, self.metrics)
+        self.metrics.add_gauges(self.inbound.gauges)
         self.peer_server = PeerServer(
-            self.serve_peer, self.session_ended, self.recorder
+            self.serve_peer,
+            self.session_ended,
+            self.recorder,
+            self.inbound,
+            self.new_budget(PEER_MEMORY_SHARE),
+        )
+        self.operator_server = self.new_http_server(
+            self.serve_operator, PortKind.OPERATORS, OPERATOR_MEMORY_SHARE
         )
-        self.operator_server = HttpServer(self.serve_operator)
         self.operator_address = ("", 0)
 
+    def new_budget(self, share: float) -> ByteBudget:
+        """Create a memory budget of a share of what this process may buffer."""
+        memory = process_limits(self.settings).memory_bytes
+        limit = share * budget_bytes(memory)
+        return ByteBudget(limit, self.clock, self.random, self.metrics)
+
+    def new_http_server(
+        self, handler: Handler, kind: PortKind, memory_share: float
+    ) -> HttpServer:
+        """Create the server of a port, with a share of the memory."""
+        budget = self.new_budget(memory_share)
+        return HttpServer(handler, budget=budget, inbound=self.inbound, kind=kind)
+
     def make_member(self) -> Member:
         """Return the description of this process for its peers."""
         settings = self.settings
