--- a/gypsumshift/flowcontrol.py
+++ b/gypsumshift/flowcontrol.py
@@ -99,10 +99,18 @@
 
 
 def listening_socket(host: str, port: int) -> socket.socket:
-    """Return a listening socket whose connections have small receive buffers."""
-    sock = socket.create_server((host, port))
-    size = SMALL_SOCKET_BUFFER_BYTES
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+    """Return a bound socket whose connections will have small receive buffers."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    # Without the protocol, asyncio does not switch off Nagle's algorithm.
+    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        size = SMALL_SOCKET_BUFFER_BYTES
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        sock.bind((host, port))
+    except OSError:
+        sock.close()
+        raise
     return sock
 
 
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -41,3 +41,21 @@
         client.close()
 
     asyncio.run(check())
+
+
+def test_accepted_connections_send_small_messages_at_once():
+    """With Nagle's algorithm an answer in two writes waits 40 ms for its second."""
+
+    async def check():
+        server = HttpServer(None)
+        port = await server.listen("127.0.0.1", 0)
+        client = socket.create_connection(("127.0.0.1", port))
+        while not server.connections:
+            await asyncio.sleep(0.001)
+        (connection,) = server.connections.values()
+        accepted = connection.writer.get_extra_info("socket")
+        assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        client.close()
+        await server.stop(0)
+
+    asyncio.run(check())
