Count a caller that reads again as one that is served

A caller that read nothing of its answer for a second and then read on stayed among those that do not read, so that a port that is full could close it: an answer under way was lost. Found by reading the code. Its connection is moved back as soon as its buffer is free.

--- a/gypsumshift/serverconnection.py
+++ b/gypsumshift/serverconnection.py
@@ -155,15 +155,22 @@
         unread = unread_bytes(self.writer)
         quiet_periods = 0
         while quiet_periods < PROGRESS_CHECKS:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(UNREAD_TIMEOUT_S / PROGRESS_CHECKS):
-                    await self.writer.drain()
-                    return
+            if await self.drain_for(UNREAD_TIMEOUT_S / PROGRESS_CHECKS):
+                self.table.change(self, Phase.SERVING)
+                return
             before, unread = unread, unread_bytes(self.writer)
             quiet_periods = 0 if unread < before else quiet_periods + 1
             self.table.change(self, Phase.BLOCKED if quiet_periods else Phase.SERVING)
         self.cut_off(unread)
 
+    async def drain_for(self, seconds: float) -> bool:
+        """Wait some seconds until the caller has read enough; return whether it has."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self.writer.drain()
+                return True
+        return False
+
     def cut_off(self, unread: int) -> None:
         """Reset the connection of a stalled caller; raise `CallerStalled`."""
         reset_connection(self.writer)
