Let stalled requests yield only for requests of their own memory budget

A frame or body of another process that did not fit into its budget closed every stalled request of callers, whose memory is another budget: that freed nothing for it. The order of unfinished requests is now kept by budget. The new test failed before: the caller was closed.

--- a/gypsumshift/inbound.py
+++ b/gypsumshift/inbound.py
@@ -16,6 +16,7 @@
 from gypsumshift import logs
 from gypsumshift.bytebudget import (
     IDLE_MEMORY_BYTES,
+    ByteBudget,
     ByteKind,
     Holding,
 )
@@ -125,9 +126,9 @@
     tables : dict of PortKind to ConnectionTable
     gate : TurnGate
         For parsing that holds the event loop.
-    receiving : OrderedDict
-        Connections whose unfinished request holds memory, with the time of their last
-        progress, oldest first.
+    receiving : dict of ByteBudget to OrderedDict
+        Connections whose unfinished request holds memory of a budget, with the time of
+        their last progress, oldest first.
     """
 
     def __init__(
@@ -141,7 +142,9 @@
         self.metrics = metrics
         self.tables: dict[PortKind, ConnectionTable] = {}
         self.gate = TurnGate()
-        self.receiving: collections.OrderedDict = collections.OrderedDict()
+        self.receiving: dict[ByteBudget, collections.OrderedDict] = (
+            collections.defaultdict(collections.OrderedDict)
+        )
         self.events = {
             reason: logs.RateLimitedEvents(log, LOG_INTERVAL_S)
             for reason in CloseReason
@@ -169,32 +172,36 @@
         while not holding.add(kind, size):
             if holding.size_of(kind, size) > holding.budget.capacity(kind):
                 return False
-            if not self.reclaim(connection):
+            if not self.reclaim(holding.budget, connection):
                 return False
-        self.receiving.setdefault(connection, self.clock.monotonic())
+        receiving = self.receiving[holding.budget]
+        receiving.setdefault(connection, self.clock.monotonic())
         return True
 
-    def reclaim(self, requester: ClosableConnection) -> bool:
+    def reclaim(self, budget: ByteBudget, requester: ClosableConnection) -> bool:
         """Close the connection whose request holds memory and stalls for longest."""
-        for connection, progress_at in self.receiving.items():
+        for connection, progress_at in self.receiving[budget].items():
             if connection is requester:
                 continue
             if self.clock.monotonic() - progress_at < STALL_S:
                 return False
-            del self.receiving[connection]
+            del self.receiving[budget][connection]
             connection.evict(CloseReason.MEMORY)
             return True
         return False
 
-    def record_progress(self, connection: ClosableConnection) -> None:
+    def record_progress(
+        self, budget: ByteBudget, connection: ClosableConnection
+    ) -> None:
         """Note that an unfinished request that holds memory has made progress."""
-        if connection in self.receiving:
-            self.receiving[connection] = self.clock.monotonic()
-            self.receiving.move_to_end(connection)
+        receiving = self.receiving[budget]
+        if connection in receiving:
+            receiving[connection] = self.clock.monotonic()
+            receiving.move_to_end(connection)
 
-    def end_receiving(self, connection: ClosableConnection) -> None:
+    def end_receiving(self, budget: ByteBudget, connection: ClosableConnection) -> None:
         """Note that a request is complete or was given up."""
-        self.receiving.pop(connection, None)
+        self.receiving[budget].pop(connection, None)
 
     def record_close(self, port: PortKind, reason: CloseReason, **figures) -> None:
         """Count a connection that is closed early, and log it with its figures."""
--- a/gypsumshift/peerconnection.py
+++ b/gypsumshift/peerconnection.py
@@ -236,7 +236,7 @@
     def lost(self) -> None:
         """Note that the socket was closed."""
         self.table.remove(self)
-        self.inbound.end_receiving(self)
+        self.inbound.end_receiving(self.budget, self)
 
     async def receive(self) -> tuple[int, Body]:
         """Receive a frame; raise `FrameError` if it does not fit or makes no progress.
@@ -257,7 +257,7 @@
             raise FrameError("the rest of a frame did not arrive in time") from error
         finally:
             self.holding.release()
-            self.inbound.end_receiving(self)
+            self.inbound.end_receiving(self.budget, self)
             self.table.change(self, Phase.IDLE)
 
     async def reply(self, exchange: int, body: Body) -> None:
--- a/gypsumshift/serverconnection.py
+++ b/gypsumshift/serverconnection.py
@@ -120,7 +120,7 @@
         """
         self.record_close(reason)
         self.holding.release()
-        self.inbound.end_receiving(self)
+        self.inbound.end_receiving(self.server.budget, self)
         if reason is CloseReason.MEMORY and self.state.our_state is h11.SEND_RESPONSE:
             detail = "the request made no progress while others waited for its memory"
             self.write_error(503, detail, [self.retry_after()])
@@ -135,7 +135,7 @@
     def lost(self) -> None:
         """Note that the socket was closed."""
         self.table.remove(self)
-        self.inbound.end_receiving(self)
+        self.inbound.end_receiving(self.server.budget, self)
 
     def record_close(self, reason: CloseReason) -> None:
         """Count and log that the connection is closed before the caller ends it."""
@@ -198,7 +198,7 @@
             await self.send_refusal(detail)
         finally:
             self.holding.release()
-            self.inbound.end_receiving(self)
+            self.inbound.end_receiving(self.server.budget, self)
             self.input.close()
 
     async def serve_request(self) -> bool:
@@ -262,7 +262,7 @@
         """Note that bytes of the request have arrived."""
         if self.table.record_bytes(self, count):
             self.input.progress_at = self.input.loop.time()
-            self.inbound.record_progress(self)
+            self.inbound.record_progress(self.server.budget, self)
 
     async def serve_read_request(self, request: Request) -> bool:
         """Serve a request whose head was read; return whether another may follow."""
@@ -270,7 +270,7 @@
             return False
         if not may_have_body(request):
             self.state.next_event()
-        self.inbound.end_receiving(self)
+        self.inbound.end_receiving(self.server.budget, self)
         self.table.change(self, Phase.SERVING)
         response = await self.run_handler(request)
         if response is None:
@@ -360,7 +360,7 @@
     async def send_refusal(self, detail: str) -> None:
         """Answer a request that is not run, and when it may be sent again."""
         self.holding.release()
-        self.inbound.end_receiving(self)
+        self.inbound.end_receiving(self.server.budget, self)
         await self.send_error(503, detail, [self.retry_after()])
         await self.discard_unread()
 
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -8,13 +8,15 @@
 import pytest
 
 from gypsumshift import requestreader
-from gypsumshift.bytebudget import MIB, ByteBudget
+from gypsumshift.bytebudget import MIB, ByteBudget, ByteKind
 from gypsumshift.clientlimits import ClientLimits
 from gypsumshift.clock import SystemClock
+from gypsumshift.connectiontable import STALL_S, ClosableConnection, CloseReason
 from gypsumshift.httpserver import HttpServer, Response
 from gypsumshift.inbound import Inbound, PortKind, ProcessLimits, connection_limit
 from gypsumshift.metrics import Metrics
 from tests.budget_builders import HOST, exchange_raw, new_budget, post, status_of
+from tests.builders import ManualClock
 from tests.platform_cluster import ADAPTER_FOLDER  # noqa: F401
 
 import directory_feed  # isort: skip
@@ -304,3 +306,32 @@
         assert (await exchange_raw(address, data)).count(b"done") == 2
 
     run_port(scenario, limits=ClientLimits())
+
+
+class Client(ClosableConnection):
+    """Connection whose request releases its memory when it is closed."""
+
+    def __init__(self, budget):
+        self.holding = budget.hold()
+        self.closed = None
+
+    def evict(self, reason):
+        self.closed = reason
+        self.holding.release()
+
+
+def test_stalled_requests_yield_only_for_requests_of_their_budget():
+    """Closing those of another budget would free nothing for the one that asks."""
+    clock = ManualClock()
+    inbound = Inbound(clock=clock)
+    callers, peers = new_budget(8 * MIB), new_budget(8 * MIB)
+
+    def reserve(client):
+        return inbound.reserve(client, client.holding, ByteKind.REQUEST, 3 * MIB)
+
+    caller, peer, other = Client(callers), Client(peers), Client(peers)
+    assert reserve(caller) and reserve(peer)
+    assert not reserve(other)
+    clock.advance(STALL_S)
+    assert reserve(other)
+    assert peer.closed is CloseReason.MEMORY and caller.closed is None
