--- a/gypsumshift/requestreader.py
+++ b/gypsumshift/requestreader.py
@@ -100,10 +100,13 @@
         self.started = self.loop.time()
         return count > 0
 
-    async def parse_head(self):
-        """Return the request's head if it is complete, else `h11.NEED_DATA`."""
-        if self.unparsed <= LARGE_HEAD_BYTES:
-            return self.state.next_event()
+    @property
+    def holds_large_head(self) -> bool:
+        """Whether parsing the bytes received would hold the event loop."""
+        return self.unparsed > LARGE_HEAD_BYTES
+
+    async def parse_in_turn(self):
+        """Return the head if it is complete, else `h11.NEED_DATA`."""
         async with self.gate.turn(self.started):
             return self.state.next_event()
 
--- a/gypsumshift/serverconnection.py
+++ b/gypsumshift/serverconnection.py
@@ -223,27 +223,33 @@
             if not await self.input.wait_for_request(idle_timeout):
                 return None
             self.table.begin_request(self)
-            head = await self.input.parse_head()
+            head = await self.parse_head()
             while head is h11.NEED_DATA:
                 if not await self.reserve_head(self.input.unparsed - FREE_HEAD_BYTES):
                     return None
                 self.note_bytes(await self.input.receive_head(header_timeout))
-                head = await self.input.parse_head()
+                head = await self.parse_head()
             return await self.accept_head(head)
         return None
 
+    async def parse_head(self):
+        """Return the head if it is complete, else `h11.NEED_DATA`."""
+        if self.input.holds_large_head:
+            return await self.input.parse_in_turn()
+        return self.state.next_event()
+
     async def accept_head(self, head) -> Request | None:
         """Return the request of a head; None if it ends or is refused."""
         if not isinstance(head, h11.Request):
             return None
         self.busy = True
         limit = self.server.client_limits.header_bytes
-        if head_size(head) > limit:
+        if self.input.unparsed > limit and head_size(head) > limit:
             await self.send_error(431, f"the head exceeds {limit} bytes")
             await self.discard_unread()
             return None
-        fields = max(0, len(head.headers) - FREE_FIELDS)
-        if not await self.reserve_head(fields * BYTES_PER_FIELD):
+        fields = len(head.headers) - FREE_FIELDS
+        if fields > 0 and not await self.reserve_head(fields * BYTES_PER_FIELD):
             return None
         return parse_head(head, self.holding)
 
