Move the receiving of requests out of the server's connection

The module of a connection had grown to 495 lines and three jobs. `requestreceiver.py` takes in heads and bodies and raises `RequestRefused`; the connection answers and closes (334 lines).

--- a/gypsumshift/serverconnection.py
+++ b/gypsumshift/serverconnection.py
@@ -2,53 +2,33 @@
 
 import asyncio
 import contextlib
-import datetime
 
 import h11
 
 from gypsumshift import logs
-from gypsumshift.bytebudget import ByteKind, Holding
 from gypsumshift.clientlimits import DEFAULT_CLIENT_LIMITS
 from gypsumshift.connectiontable import ClosableConnection, CloseReason, Phase
 from gypsumshift.flowcontrol import (
     BUFFER_BYTES,
-    limit_receiving,
     limit_sending,
     reset_connection,
     unread_bytes,
-    widen_receiving,
 )
 from gypsumshift.httpconnection import encode_fields
 from gypsumshift.httpmessages import (
     Request,
     Response,
     ResponseAborted,
-    declared_length,
-    head_size,
-    may_have_body,
-    parse_head,
     problem_response,
 )
-from gypsumshift.requestreader import (
-    BodyStalled,
-    HeadStalled,
-    IdleTimeout,
-    RequestReader,
-)
+from gypsumshift.requestreader import BodyStalled, HeadStalled, RequestReader
+from gypsumshift.requestreceiver import RequestReceiver, RequestRefused
 from gypsumshift.turngate import TurnsExhausted
 
 __all__ = ["MAX_HEADER_BYTES", "ServerConnection"]
 
 MAX_HEADER_BYTES = DEFAULT_CLIENT_LIMITS.header_bytes
 IDLE_TIMEOUT_S = 75.0
-# Bytes of an unfinished head that are not counted in the memory budget.
-FREE_HEAD_BYTES = 4 * 1024
-# Header fields of a request that are not counted, and the memory of each further one:
-# its name and value as they were received and as they were decoded.
-FREE_FIELDS = 64
-BYTES_PER_FIELD = 512
-# Smallest reservation for a body of unknown length.
-BODY_STEP_BYTES = 1024
 # Time without any progress after which a caller that does not read is cut off. Servers
 # cut off a response that stays unread for some seconds; a caller gets longer, so that
 # the gateway never cuts it off earlier than a server would.
@@ -83,25 +63,21 @@
         Serves the connection.
     busy : bool
         Whether a request is being served.
-    widened : bool
-        Whether the kernel buffers more than usual of what the caller sends.
-    holding : Holding
-        What the request that is being read or served holds in the memory budget.
+    input : RequestReader
+    receiver : RequestReceiver
     """
 
     def __init__(self, server, reader, writer):
         self.server = server
-        self.inbound = server.inbound
         self.table = server.table
         self.writer = writer
         self.state = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.client_limits.header_bytes
         )
-        self.input = RequestReader(reader, writer, self.state, self.inbound.gate)
+        self.input = RequestReader(reader, writer, self.state, server.inbound.gate)
         self.task: asyncio.Task | None = None
         self.busy = False
-        self.widened = False
-        self.holding: Holding = server.budget.hold()
+        self.receiver = RequestReceiver(server, self, self.input)
         limit_sending(writer, BUFFER_BYTES)
 
     def close(self) -> None:
@@ -119,8 +95,7 @@
         A request whose head was read is told so, if the caller can still be reached.
         """
         self.record_close(reason)
-        self.holding.release()
-        self.inbound.end_receiving(self.server.budget, self)
+        self.receiver.release()
         if reason is CloseReason.MEMORY and self.state.our_state is h11.SEND_RESPONSE:
             detail = "the request made no progress while others waited for its memory"
             self.write_error(503, detail, [self.retry_after()])
@@ -135,11 +110,11 @@
     def lost(self) -> None:
         """Note that the socket was closed."""
         self.table.remove(self)
-        self.inbound.end_receiving(self.server.budget, self)
+        self.receiver.end_receiving()
 
     def record_close(self, reason: CloseReason) -> None:
         """Count and log that the connection is closed before the caller ends it."""
-        self.inbound.record_close(
+        self.server.inbound.record_close(
             self.server.kind, reason, received_bytes=self.input.received
         )
 
@@ -187,6 +162,8 @@
                 self.table.change(self, Phase.IDLE)
         except h11.RemoteProtocolError as error:
             await self.send_error(error.error_status_hint or 400, str(error))
+        except RequestRefused as refusal:
+            await self.refuse(refusal.status, refusal.detail)
         except HeadStalled:
             self.record_close(CloseReason.HEADER_TIMEOUT)
         except BodyStalled:
@@ -195,88 +172,29 @@
         except TurnsExhausted:
             self.record_close(CloseReason.TURNS)
             detail = "this process is busy with other requests in many small pieces"
-            await self.send_refusal(detail)
+            await self.refuse(503, detail)
         finally:
-            self.holding.release()
-            self.inbound.end_receiving(self.server.budget, self)
+            self.receiver.release()
             self.input.close()
 
     async def serve_request(self) -> bool:
         """Serve one request; return whether another may follow."""
         self.busy = False
-        self.holding = self.server.budget.hold()
-        self.input.begin_request()
+        self.receiver.begin_request()
         try:
-            request = await self.read_head()
+            request = await self.receiver.receive_head(IDLE_TIMEOUT_S)
             if request is None:
                 return False
+            self.busy = True
             return await self.serve_read_request(request)
         finally:
-            self.holding.release()
-
-    async def read_head(self) -> Request | None:
-        """Return the next request without its body; None if none follows."""
-        limits = self.server.client_limits
-        idle_timeout = seconds(limits.idle_timeout, IDLE_TIMEOUT_S)
-        header_timeout = seconds(limits.header_timeout, idle_timeout)
-        with contextlib.suppress(IdleTimeout):
-            if not await self.input.wait_for_request(idle_timeout):
-                return None
-            self.table.begin_request(self)
-            head = await self.parse_head()
-            while head is h11.NEED_DATA:
-                if not await self.reserve_head(self.input.unparsed - FREE_HEAD_BYTES):
-                    return None
-                self.note_bytes(await self.input.receive_head(header_timeout))
-                head = await self.parse_head()
-            return await self.accept_head(head)
-        return None
-
-    async def parse_head(self):
-        """Return the head if it is complete, else `h11.NEED_DATA`."""
-        if self.input.holds_large_head:
-            return await self.input.parse_in_turn()
-        return self.state.next_event()
-
-    async def accept_head(self, head) -> Request | None:
-        """Return the request of a head; None if it ends or is refused."""
-        if not isinstance(head, h11.Request):
-            return None
-        self.busy = True
-        limit = self.server.client_limits.header_bytes
-        if self.input.unparsed > limit and head_size(head) > limit:
-            await self.send_error(431, f"the head exceeds {limit} bytes")
-            await self.discard_unread()
-            return None
-        fields = len(head.headers) - FREE_FIELDS
-        if fields > 0 and not await self.reserve_head(fields * BYTES_PER_FIELD):
-            return None
-        return parse_head(head, self.holding)
-
-    async def reserve_head(self, size: int) -> bool:
-        """Reserve what a large head holds in sum; refuse it if that does not fit."""
-        missing = size - self.holding.size(ByteKind.REQUEST)
-        if missing <= 0 or self.reserve(ByteKind.REQUEST, missing):
-            return True
-        return await self.refuse(ByteKind.REQUEST, size, "")
-
-    def reserve(self, kind: ByteKind, size: int) -> bool:
-        """Reserve memory for the request that is being read."""
-        return self.inbound.reserve(self, self.holding, kind, size)
-
-    def note_bytes(self, count: int) -> None:
-        """Note that bytes of the request have arrived."""
-        if self.table.record_bytes(self, count):
-            self.input.progress_at = self.input.loop.time()
-            self.inbound.record_progress(self.server.budget, self)
+            self.receiver.holding.release()
 
     async def serve_read_request(self, request: Request) -> bool:
         """Serve a request whose head was read; return whether another may follow."""
-        if may_have_body(request) and not await self.read_body(request):
+        if not await self.receiver.receive_body(request):
             return False
-        if not may_have_body(request):
-            self.state.next_event()
-        self.inbound.end_receiving(self.server.budget, self)
+        self.receiver.end_receiving()
         self.table.change(self, Phase.SERVING)
         response = await self.run_handler(request)
         if response is None:
@@ -285,89 +203,15 @@
             return False
         return self.state.our_state in (h11.DONE, h11.MUST_CLOSE)
 
-    async def read_body(self, request: Request) -> bool:
-        """Read the body of a request; return False if it is incomplete or refused.
+    async def refuse(self, status: int, detail: str) -> None:
+        """Answer a request that is not run, and discard the rest of it.
 
-        Its declared length is reserved in the memory budget at once. A body of unknown
-        length is reserved as it arrives.
+        One that is refused for now is told when it may be sent again.
         """
-        declared = declared_length(request)
-        if declared > self.server.max_body_bytes:
-            await self.send_too_large()
-            return False
-        kind = self.server.classify_body(request)
-        if declared and not self.reserve(kind, declared):
-            return await self.refuse(kind, declared, request.target)
-        self.input.progress_at = self.input.loop.time()
-        try:
-            body = await self.receive_body(request, kind, declared)
-        finally:
-            self.input.end_body()
-            self.narrow()
-        if body is None:
-            return False
-        request.body = bytes(body)
-        return True
-
-    def widen(self, size: int) -> None:
-        """Let the kernel buffer more of a body of a large size that was accepted."""
-        if size > BUFFER_BYTES and not self.widened:
-            self.widened = True
-            widen_receiving(self.writer)
-
-    def narrow(self) -> None:
-        """Let the kernel buffer little again."""
-        if self.widened:
-            self.widened = False
-            limit_receiving(self.writer)
-
-    async def receive_body(
-        self, request: Request, kind: ByteKind, declared: int
-    ) -> bytearray | None:
-        """Return the body of a request; None if it is incomplete or refused."""
-        body = bytearray()
-        reserved, noted = declared, 0
-        self.widen(declared)
-        while True:
-            event = await self.input.next_body_event()
-            if event is h11.NEED_DATA:
-                self.note_bytes(len(body) - noted)
-                noted = len(body)
-                await self.input.receive_body()
-                continue
-            if isinstance(event, h11.EndOfMessage):
-                return body
-            if not isinstance(event, h11.Data):
-                return None
-            body += event.data
-            if len(body) > self.server.max_body_bytes:
-                await self.send_too_large()
-                return None
-            if len(body) > reserved:
-                missing = max(BODY_STEP_BYTES, len(body) - reserved)
-                if not self.reserve(kind, missing):
-                    await self.refuse(kind, len(body), request.target)
-                    return None
-                reserved += missing
-                self.widen(reserved)
-
-    async def send_too_large(self) -> None:
-        """Answer a request whose body exceeds the maximum size."""
-        limit = self.server.max_body_bytes
-        await self.send_error(413, f"the body exceeds {limit} bytes")
-        await self.discard_unread()
-
-    async def refuse(self, kind: ByteKind, size: int, target: str) -> bool:
-        """Refuse a request that does not fit into the memory budget."""
-        self.server.budget.record_refusal(kind, size, target=target)
-        await self.send_refusal("the request does not fit into the memory budget")
-        return False
-
-    async def send_refusal(self, detail: str) -> None:
-        """Answer a request that is not run, and when it may be sent again."""
-        self.holding.release()
-        self.inbound.end_receiving(self.server.budget, self)
-        await self.send_error(503, detail, [self.retry_after()])
+        self.receiver.release()
+        await self.send_error(
+            status, detail, [self.retry_after()] if status == 503 else ()
+        )
         await self.discard_unread()
 
     def retry_after(self) -> tuple[str, str]:
@@ -488,8 +332,3 @@
         self.writer.write(self.state.send(head))
         self.writer.write(self.state.send(h11.Data(response.body)))
         self.writer.write(self.state.send(h11.EndOfMessage()))
-
-
-def seconds(time: datetime.timedelta | None, default: float) -> float:
-    """Return a time limit in seconds; the default if there is none."""
-    return default if time is None else time.total_seconds()
