Open the listeners of HTTP servers and of peers in one function

The same ten lines stood in both. Behaviour is the same, but for peers: 4,096 connections wait to be accepted there, too, where it were 1,024.

--- a/gypsumshift/httpserver.py
+++ b/gypsumshift/httpserver.py
@@ -8,7 +8,6 @@
 from gypsumshift.bytebudget import NO_BUDGET, ByteBudget, ByteKind
 from gypsumshift.clientlimits import DEFAULT_CLIENT_LIMITS, ClientLimits
 from gypsumshift.connectiontable import CloseReason
-from gypsumshift.flowcontrol import LimitedProtocol, listening_socket
 from gypsumshift.httpmessages import (
     Request,
     Response,
@@ -17,7 +16,7 @@
     problem_response,
 )
 from gypsumshift.inbound import Inbound, PortKind
-from gypsumshift.listeners import close_listener
+from gypsumshift.listeners import close_listener, open_listener
 from gypsumshift.serverconnection import ServerConnection
 
 __all__ = [
@@ -37,10 +36,6 @@
 # until they were read.
 RECEIVE_BYTES = 16 * 1024
 READER_LIMIT_BYTES = 8 * 1024
-# Connections accepted in one turn of the event loop. They exceed the limit of the port
-# for as long as that takes.
-ACCEPTS_PER_TURN = 16
-BACKLOG = 4096
 
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -100,19 +95,10 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Listen on an address; return the port (chosen by the system for 0)."""
-        loop = asyncio.get_running_loop()
-        sock = listening_socket(host, port)
-        self.listener = await loop.create_server(
-            self.new_protocol, sock=sock, backlog=ACCEPTS_PER_TURN
+        self.listener = await open_listener(
+            self.accept, host, port, RECEIVE_BYTES, READER_LIMIT_BYTES
         )
-        # asyncio uses the backlog for the connections accepted in a turn, too.
-        sock.listen(BACKLOG)
-        return sock.getsockname()[1]
-
-    def new_protocol(self) -> LimitedProtocol:
-        """Return the protocol of a connection that is being accepted."""
-        reader = asyncio.StreamReader(READER_LIMIT_BYTES, asyncio.get_running_loop())
-        return LimitedProtocol(reader, RECEIVE_BYTES, self.accept)
+        return self.listener.sockets[0].getsockname()[1]
 
     def accept(self, reader, writer) -> None:
         """Start a task that serves a connection; close it if there are too many."""
--- a/gypsumshift/peerconnection.py
+++ b/gypsumshift/peerconnection.py
@@ -7,11 +7,10 @@
 from gypsumshift.bytebudget import NO_BUDGET, ByteBudget, ByteKind
 from gypsumshift.connectiontable import ClosableConnection, CloseReason, Phase
 from gypsumshift.events import EventRecorder
-from gypsumshift.flowcontrol import LimitedProtocol, listening_socket
 from gypsumshift.frames import FrameError, FrameStream
 from gypsumshift.generated.messages import Body
 from gypsumshift.inbound import Inbound, PortKind
-from gypsumshift.listeners import close_listener
+from gypsumshift.listeners import close_listener, open_listener
 
 __all__ = [
     "PendingCall",
@@ -28,9 +27,6 @@
 FRAME_TIMEOUT_S = 15.0
 # Bytes that are received of a connection at once.
 RECEIVE_BYTES = 64 * 1024
-# Connections accepted in one turn of the event loop, and those that wait for it.
-ACCEPTS_PER_TURN = 16
-BACKLOG = 1024
 # A connection is closed if this many answers to one call wait to be read.
 MAX_INBOX_MESSAGES = 4096
 
@@ -308,20 +304,10 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Listen on an address; return the port, chosen by the system if it is 0."""
-        loop = asyncio.get_running_loop()
-        sock = listening_socket(host, port)
-        self.listener = await loop.create_server(
-            self.new_protocol, sock=sock, backlog=ACCEPTS_PER_TURN
+        self.listener = await open_listener(
+            self.accept, host, port, RECEIVE_BYTES, RECEIVE_BYTES
         )
-        # asyncio uses the backlog for the connections accepted in a turn, too.
-        sock.listen(BACKLOG)
-        return sock.getsockname()[1]
-
-    def new_protocol(self) -> LimitedProtocol:
-        """Return the protocol of a connection that is being accepted."""
-        loop = asyncio.get_running_loop()
-        reader = asyncio.StreamReader(RECEIVE_BYTES, loop)
-        return LimitedProtocol(reader, RECEIVE_BYTES, self.accept)
+        return self.listener.sockets[0].getsockname()[1]
 
     def accept(self, reader, writer) -> None:
         """Serve an accepted connection in its own task."""
