--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -89,21 +89,34 @@
 ]
 
 
-async def check_program(world, program, crowd, ask):
-    """Check a program beside a crowd and after it.
+# Crowds of one gateway at the same time.
+ALL_PORTS = [
+    Crowd("body_by_length", 300),
+    Crowd("unfinished_head", 500),
+    Crowd("held_fields", 200),
+    Crowd("body_in_chunks", 200, "control"),
+    Crowd("body_by_length", 200, "ready"),
+    Crowd("nothing", 500, "metrics"),
+]
+
+
+async def check_program(world, program, crowds, ask):
+    """Check a program beside crowds and after them.
 
     ``ask(beside)`` sends an ordinary request: repeatedly until it is answered beside
-    the crowd, and a single one, which must be answered, after it.
+    the crowds, and a single one, which must be answered, after them.
     """
     sampling = asyncio.create_task(program.sample_descriptors())
-    clients = await world.start_crowd(crowd.kind, crowd.port, crowd.count)
+    arriving = [world.start_crowd(c.kind, c.port, c.count) for c in crowds]
+    processes = await asyncio.gather(*arriving)
     await ask(True)
-    await world.end(clients)
+    for process in processes:
+        await world.end(process)
     await ask(False)
     sampling.cancel()
     assert program.alive
     measured = program.peak_memory_mb(), program.most_descriptors
-    print(crowd, "memory {:.0f} MB, descriptors {}".format(*measured))
+    print(*crowds, "memory {:.0f} MB, descriptors {}".format(*measured))
     assert measured[0] <= MEMORY_MB
     assert measured[1] <= MAX_DESCRIPTORS
 
@@ -121,22 +134,29 @@
     asyncio.run(run())
 
 
+async def check_gateway(world, crowds):
+    """Check a gateway beside crowds and after them."""
+    gateway = await world.start_gateway()
+
+    async def ask(beside):
+        if beside:
+            await world.until_answered("front", "/app/small", SMALL_BODY)
+            await world.until_answered("ready", "/gypsumshift/ready")
+            return
+        assert await world.request("front", "/app/small", SMALL_BODY) == 200
+        assert await world.request("ready", "/gypsumshift/ready") == 200
+
+    await check_program(world, gateway, crowds, ask)
+
+
 @pytest.mark.parametrize("crowd", GATEWAY_CROWDS, ids=str)
 def test_a_gateway_outlives_a_crowd_and_answers_ordinary_callers(crowd, tmp_path):
-    async def scenario(world):
-        gateway = await world.start_gateway()
-
-        async def ask(beside):
-            if beside:
-                await world.until_answered("front", "/app/small", SMALL_BODY)
-                await world.until_answered("ready", "/gypsumshift/ready")
-                return
-            assert await world.request("front", "/app/small", SMALL_BODY) == 200
-            assert await world.request("ready", "/gypsumshift/ready") == 200
+    run_world(tmp_path, lambda world: check_gateway(world, [crowd]))
 
-        await check_program(world, gateway, crowd, ask)
 
-    run_world(tmp_path, scenario)
+def test_a_gateway_outlives_crowds_at_all_its_ports_at_once(tmp_path):
+    """The bounds hold in sum, not for each port or kind of client alone."""
+    run_world(tmp_path, lambda world: check_gateway(world, ALL_PORTS))
 
 
 @pytest.mark.parametrize("crowd", AGENT_CROWDS, ids=str)
@@ -150,7 +170,7 @@
                 return
             assert await world.request("metrics", "/metrics") == 200
 
-        await check_program(world, agent, crowd, ask)
+        await check_program(world, agent, [crowd], ask)
 
     run_world(tmp_path, scenario)
 
@@ -172,7 +192,7 @@
             if role == "entry":
                 assert await world.request("caller", "/health") == 200
 
-        await check_program(world, daemon, crowd, ask)
+        await check_program(world, daemon, [crowd], ask)
 
     run_world(tmp_path, scenario, ("memory_mb", "max_descriptors"))
 
