Let callers that pause in their answer keep their connection for 5 s

A port that was full closed a caller after one second in which it read nothing, or at once if its answer was complete but not read to the end: an answer under way was lost. It now yields after 5 s without progress, half of the time after which it is cut off anyway, and an answer that is only left to be read does not yield.

--- a/gypsumshift/serverconnection.py
+++ b/gypsumshift/serverconnection.py
@@ -36,6 +36,8 @@
 # Number of checks for progress within it. What was on its way when a check was made
 # counts as progress at the next one, so the limit is exceeded by one period.
 PROGRESS_CHECKS = 10
+# Number of checks without progress after which it yields to others if the port is full.
+BLOCKED_CHECKS = 5
 # Longest time for which a refused body is discarded. A connection that is closed with
 # unread data is reset, and the caller may lose the response; a caller that sent 1 MB
 # over 30 Mbit/s needs 0.3 s.
@@ -85,7 +87,7 @@
         self.writer.close()
         transport = self.writer.transport
         if self.server.budget.is_limited and transport.get_write_buffer_size():
-            self.table.change(self, Phase.BLOCKED)
+            self.table.change(self, Phase.SERVING)
             loop = asyncio.get_running_loop()
             loop.call_later(UNREAD_TIMEOUT_S, reset_connection, self.writer)
 
@@ -135,7 +137,8 @@
                 return
             before, unread = unread, unread_bytes(self.writer)
             quiet_periods = 0 if unread < before else quiet_periods + 1
-            self.table.change(self, Phase.BLOCKED if quiet_periods else Phase.SERVING)
+            blocked = quiet_periods >= BLOCKED_CHECKS
+            self.table.change(self, Phase.BLOCKED if blocked else Phase.SERVING)
         self.cut_off(unread)
 
     async def drain_for(self, seconds: float) -> bool:
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -37,6 +37,7 @@
         self.inbound = Inbound(ProcessLimits(), clock, self.metrics)
         self.inbound.limit = connections or self.inbound.limit
         self.served = []
+        self.answer = b"done"
         self.release = asyncio.Event()
         self.release.set()
         self.server = HttpServer(
@@ -51,7 +52,7 @@
     async def serve(self, request):
         self.served.append((request.path, len(request.body)))
         await self.release.wait()
-        return Response(200, [], b"done")
+        return Response(200, [], self.answer)
 
     async def listen(self):
         return HOST, await self.server.listen(HOST, 0)
@@ -335,3 +336,20 @@
     clock.advance(STALL_S)
     assert reserve(other)
     assert peer.closed is CloseReason.MEMORY and caller.closed is None
+
+
+def test_a_full_port_closes_no_caller_that_pauses_in_its_answer():
+    """An answer under way is lost with its connection."""
+
+    async def scenario(port, address):
+        port.answer = b"x" * 8 * MIB
+        reader, writer = await asyncio.open_connection(*address, limit=1024)
+        writer.write(GET + b"connection: close\r\n\r\n")
+        await asyncio.sleep(2.5)
+        crowd = [await asyncio.open_connection(*address) for _ in range(20)]
+        await asyncio.sleep(0.2)
+        assert len(await read_to_end(reader)) > 8 * MIB
+        for _, opened in crowd:
+            opened.transport.abort()
+
+    run_port(scenario, budget=new_budget(32 * MIB), connections=4)
