Give every other turn of the parsing gate to requests that have had none

A request that needs one turn, as a head of 5 kB, waited at the gate behind all earlier bodies in small pieces, and was refused after 3 s: a crowd could take the gate for itself. Requests that have had no turn now get every other one, in the order of their arrival; the others still go to the earliest, so that it completes. The gate is passed on after each 32 pieces if others wait, where it was kept for all bytes received.

The two new tests play the order of turns; they were not run on the gate before, which knew one order only.

--- a/gypsumshift/requestreader.py
+++ b/gypsumshift/requestreader.py
@@ -9,9 +9,9 @@
 __all__ = ["BodyStalled", "HeadStalled", "IdleTimeout", "RequestReader"]
 
 READ_SIZE_BYTES = 64 * 1024
-# A head above this size may have thousands of fields, which take the event loop
+# A head above this size may have hundreds of fields, which take the event loop
 # milliseconds to parse.
-LARGE_HEAD_BYTES = 4 * 1024
+LARGE_HEAD_BYTES = 2 * 1024
 # Pieces of a body below this size cost more to parse than to receive.
 SMALL_PIECE_BYTES = 512
 # Small pieces that are parsed in one turn of the event loop.
@@ -60,6 +60,10 @@
         Bytes received of the request that is being read.
     small_pieces : int
         Small pieces of its body that were parsed.
+    turns : int
+        Turns of the event loop that it was given for them.
+    holds_gate : bool
+        Whether its next pieces may be parsed.
     started : float
         When its first byte arrived, by the clock of the event loop.
     progress_at : float
@@ -76,7 +80,7 @@
         self.unfed = b""
         self.unparsed = self.silent = 0
         self.received = 0
-        self.small_pieces = 0
+        self.small_pieces = self.turns = 0
         self.holds_gate = False
         self.started = self.progress_at = self.loop.time()
 
@@ -85,7 +89,7 @@
         self.unparsed = len(self.state.trailing_data[0])
         self.silent = 0
         self.received = 0
-        self.small_pieces = 0
+        self.small_pieces = self.turns = 0
 
     async def wait_for_request(self, timeout: float) -> bool:
         """Wait for the first bytes of a request; return False if there are none."""
@@ -143,11 +147,13 @@
 
     async def take_turn(self) -> None:
         """Wait for a turn of the event loop in which to parse small pieces."""
-        if self.holds_gate:
+        if self.holds_gate and not self.gate.is_wanted:
             await asyncio.sleep(0)
             return
-        await self.gate.enter(self.started)
+        self.leave_gate()
+        await self.gate.enter(self.started, first=not self.turns)
         self.holds_gate = True
+        self.turns += 1
 
     def end_body(self) -> None:
         """Pass what follows a body to the parser, and let others pass the gate."""
--- a/tests/test_turngate.py
+++ b/tests/test_turngate.py
@@ -36,7 +36,7 @@
         await gate.enter(0.0)
 
         async def pass_gate(started):
-            await gate.enter(started)
+            await gate.enter(started, first=False)
             order.append(started)
             gate.leave()
 
@@ -79,3 +79,46 @@
             await gate.enter(2.0)
 
     asyncio.run(run())
+
+
+def test_a_request_that_needs_one_turn_does_not_wait_for_those_that_need_many():
+    """A large head would otherwise starve behind a crowd of bodies in small pieces."""
+
+    async def run():
+        gate, turns = TurnGate(), []
+
+        async def take_turns(started, count):
+            for number in range(count):
+                await gate.enter(started, first=number == 0)
+                turns.append(started)
+                gate.leave()
+
+        crowd = [asyncio.create_task(take_turns(float(n), 100)) for n in range(20)]
+        while len(turns) < 200:
+            await asyncio.sleep(0)
+        before = len(turns)
+        await take_turns(1000.0, 1)
+        assert len(turns) - before <= 5
+        await asyncio.gather(*crowd)
+        assert len(turns) == 2001
+
+    asyncio.run(run())
+
+
+def test_the_earliest_request_completes_while_others_keep_arriving():
+    async def run():
+        gate, turns = TurnGate(), []
+
+        async def take_turns(started, count):
+            for number in range(count):
+                await gate.enter(started, first=number == 0)
+                turns.append(started)
+                gate.leave()
+
+        early = asyncio.create_task(take_turns(0.0, 50))
+        crowd = [asyncio.create_task(take_turns(1.0 + n, 50)) for n in range(100)]
+        await early
+        assert len(turns) <= 2 * 50 + 100
+        await asyncio.gather(*crowd)
+
+    asyncio.run(run())
