--- a/gypsumshift/flowcontrol.py
+++ b/gypsumshift/flowcontrol.py
@@ -5,7 +5,7 @@
 import socket
 import struct
 import termios
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 __all__ = [
     "BUFFER_BYTES",
@@ -16,6 +16,7 @@
     "limit_sending",
     "listening_socket",
     "open_limited_connection",
+    "parts",
     "reset_connection",
     "set_receive_size",
     "unread_bytes",
@@ -103,6 +104,13 @@
     return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
 
 
+def parts(data: bytes, size: int) -> Iterator[memoryview]:
+    """Yield data in parts of a size, without a copy."""
+    view = memoryview(data)
+    for start in range(0, len(data), size):
+        yield view[start : start + size]
+
+
 def listening_socket(host: str, port: int) -> socket.socket:
     """Return a bound socket whose connections will have small receive buffers."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
--- a/gypsumshift/httpconnection.py
+++ b/gypsumshift/httpconnection.py
@@ -7,7 +7,7 @@
 import h11
 
 from gypsumshift.bytebudget import NO_BUDGET, ByteKind, Holding
-from gypsumshift.flowcontrol import discard_on_close
+from gypsumshift.flowcontrol import discard_on_close, parts
 from gypsumshift.wholenumbers import parse_whole_number
 
 __all__ = [
@@ -129,9 +129,8 @@
 
         A large body is sent in parts, so that the connection does not hold a copy.
         """
-        parts = [memoryview(body)[i : i + PART_BYTES] for i in offsets(body)]
         data = head
-        for part in parts:
+        for part in parts(body, PART_BYTES):
             data += self.state.send(h11.Data(part))
             self.writer.write(data)
             await self.writer.drain()
@@ -289,11 +288,6 @@
         self.fetcher.release(self)
 
 
-def offsets(body: bytes) -> range:
-    """Return where the parts of a body begin that are sent one after another."""
-    return range(0, len(body), PART_BYTES)
-
-
 def encode_fields(fields: Iterable[tuple]) -> list[tuple]:
     """Return header fields with their values as bytes.
 
--- a/gypsumshift/peerconnection.py
+++ b/gypsumshift/peerconnection.py
@@ -7,6 +7,7 @@
 from gypsumshift.bytebudget import NO_BUDGET, ByteBudget, ByteKind
 from gypsumshift.connectiontable import ClosableConnection, CloseReason, Phase
 from gypsumshift.events import EventRecorder
+from gypsumshift.flowcontrol import LARGE_RECEIVE_BYTES
 from gypsumshift.frames import FrameError, FrameStream
 from gypsumshift.generated.messages import Body
 from gypsumshift.inbound import Inbound, PortKind
@@ -25,8 +26,6 @@
 FIRST_FRAME_TIMEOUT_S = 5.0
 # Longest time for the rest of a frame whose length has arrived.
 FRAME_TIMEOUT_S = 15.0
-# Bytes that are received of a connection at once.
-RECEIVE_BYTES = 64 * 1024
 # A connection is closed if this many answers to one call wait to be read.
 MAX_INBOX_MESSAGES = 4096
 
@@ -305,7 +304,7 @@
     async def listen(self, host: str, port: int) -> int:
         """Listen on an address; return the port, chosen by the system if it is 0."""
         self.listener = await open_listener(
-            self.accept, host, port, RECEIVE_BYTES, RECEIVE_BYTES
+            self.accept, host, port, LARGE_RECEIVE_BYTES, LARGE_RECEIVE_BYTES
         )
         return self.listener.sockets[0].getsockname()[1]
 
--- a/gypsumshift/serverconnection.py
+++ b/gypsumshift/serverconnection.py
@@ -11,6 +11,7 @@
 from gypsumshift.flowcontrol import (
     BUFFER_BYTES,
     limit_sending,
+    parts,
     reset_connection,
     unread_bytes,
 )
@@ -293,9 +294,7 @@
         if not self.server.budget.is_limited or len(data) <= BUFFER_BYTES:
             self.writer.write(self.state.send(h11.Data(data)))
             return
-        view = memoryview(data)
-        for start in range(0, len(data), BUFFER_BYTES):
-            part = view[start : start + BUFFER_BYTES]
+        for part in parts(data, BUFFER_BYTES):
             self.writer.write(self.state.send(h11.Data(part)))
             await self.drain()
 
--- a/tests/crowd_clients.py
+++ b/tests/crowd_clients.py
@@ -7,12 +7,12 @@
 
 import asyncio
 import contextlib
-import itertools
 import socket
 import struct
 import sys
 import time
-from collections.abc import Iterator
+
+from gypsumshift.flowcontrol import parts
 
 BODY_BYTES = 1_000_000
 CHUNK_BYTES = 16_384
@@ -186,7 +186,7 @@
     async def send(self, sock: socket.socket, data: bytes) -> None:
         """Send all data, as fast as the other side takes it."""
         loop = asyncio.get_running_loop()
-        for part in parts(data):
+        for part in parts(data, READ_BYTES):
             await loop.sock_sendall(sock, part)
             self.sent_at = time.monotonic()
 
@@ -203,15 +203,6 @@
         return self.done or time.monotonic() - self.sent_at > QUIET_S
 
 
-def parts(data: bytes) -> Iterator[bytes]:
-    """Yield data in parts, so that what one client sends does not delay the others."""
-    view = memoryview(data)
-    for start in itertools.count(0, READ_BYTES):
-        if start >= len(data):
-            return
-        yield view[start : start + READ_BYTES]
-
-
 async def run_crowd(kind: str, address: tuple[str, int], count: int) -> None:
     """Run the clients until the process is ended."""
     data = KINDS[kind]()
--- a/tests/test_turngate.py
+++ b/tests/test_turngate.py
@@ -8,6 +8,14 @@
 from gypsumshift.turngate import TurnGate, TurnsExhausted
 
 
+async def take_turns(gate, turns, started, count):
+    """Take turns at a gate as one request, and record them."""
+    for number in range(count):
+        await gate.enter(started, first=number == 0)
+        turns.append(started)
+        gate.leave()
+
+
 def test_one_request_passes_in_each_turn_and_others_run_between():
     async def run():
         gate, order = TurnGate(), []
@@ -87,17 +95,14 @@
     async def run():
         gate, turns = TurnGate(), []
 
-        async def take_turns(started, count):
-            for number in range(count):
-                await gate.enter(started, first=number == 0)
-                turns.append(started)
-                gate.leave()
-
-        crowd = [asyncio.create_task(take_turns(float(n), 100)) for n in range(20)]
+        crowd = [
+            asyncio.create_task(take_turns(gate, turns, float(n), 100))
+            for n in range(20)
+        ]
         while len(turns) < 200:
             await asyncio.sleep(0)
         before = len(turns)
-        await take_turns(1000.0, 1)
+        await take_turns(gate, turns, 1000.0, 1)
         assert len(turns) - before <= 5
         await asyncio.gather(*crowd)
         assert len(turns) == 2001
@@ -109,14 +114,11 @@
     async def run():
         gate, turns = TurnGate(), []
 
-        async def take_turns(started, count):
-            for number in range(count):
-                await gate.enter(started, first=number == 0)
-                turns.append(started)
-                gate.leave()
-
-        early = asyncio.create_task(take_turns(0.0, 50))
-        crowd = [asyncio.create_task(take_turns(1.0 + n, 50)) for n in range(100)]
+        early = asyncio.create_task(take_turns(gate, turns, 0.0, 50))
+        crowd = [
+            asyncio.create_task(take_turns(gate, turns, 1.0 + n, 50))
+            for n in range(100)
+        ]
         await early
         assert len(turns) <= 2 * 50 + 100
         await asyncio.gather(*crowd)
