Ask the configuration in force before each send of a call

What callers saw (shown by test, not reported): a call whose route moved while it was served was retried, hedged or resumed at the service that the route had left, and went on there after its route was gone.

Cause: a call kept the route and the list of servers with which it began. Only residency, evacuations and keys were asked right before a send.

Why this works: Call.follow takes the route of the newest configuration, Sender asks it right before the first byte (Directory.leads_to), and both forwarder and stream relay choose from the servers of that service listed now. What either of two configurations forbids stays forbidden. A reward call keeps its own limit of one server (Call.attempts) instead of a changed copy of its route.

--- a/gypsumshift/jobs/itemrun.py
+++ b/gypsumshift/jobs/itemrun.py
@@ -17,7 +17,7 @@
 from gypsumshift.serving.directory import BackendServer, Directory
 from gypsumshift.serving.forwarder import Forwarder
 from gypsumshift.serving.headers import HeaderNames
-from gypsumshift.serving.routes import RequestKind, Route
+from gypsumshift.serving.routes import Route
 
 __all__ = ["ItemRun", "WaitReason"]
 
@@ -316,8 +316,6 @@
     def build_score_call(self, route: Route, suspect: bool) -> Call:
         """Build one attempt of the reward call; see `Call` for ``suspect``."""
         reward = self.item.reward
-        # One server per attempt, so that each response counts once against the limit.
-        once = attrs.evolve(route, kind=RequestKind.SAFE, attempts=1)
         return Call(
             reward.id,
             "POST",
@@ -325,7 +323,7 @@
             reward.host,
             [(self.names.request_id, reward.id)],
             reward.body,
-            once,
+            route,
             self.clock.monotonic() + self.score_timeout(route),
             suspect,
             max_answer_bytes=MAX_SCORE_BYTES,
--- a/gypsumshift/residency.py
+++ b/gypsumshift/residency.py
@@ -165,6 +165,5 @@
         residency = self.of_call(call)
         if not residency.is_restricted:
             return False
-        service = call.route.service_for(call.id)
-        servers = self.directory.ready_servers(service)
+        servers = self.directory.ready_servers_for(call)
         return not any(self.permits(residency, server) for server in servers)
--- a/gypsumshift/serving/calls.py
+++ b/gypsumshift/serving/calls.py
@@ -10,7 +10,7 @@
 from gypsumshift.outcomes import Answered
 from gypsumshift.serving.authorization import KEYLESS_GRANT, Grant
 from gypsumshift.serving.fingerprints import fingerprint
-from gypsumshift.serving.routes import RequestKind, Route
+from gypsumshift.serving.routes import RequestKind, Route, RouteTable
 
 __all__ = ["AttemptOutcome", "AttemptProgress", "Call", "Failed", "Refused"]
 
@@ -30,6 +30,7 @@
         Names in lower case; hop-by-hop fields are not forwarded.
     body : bytes
     route : Route
+        By the last configuration that had one; see `follow`.
     deadline : float
         Monotonic time, in seconds.
     failed_before : bool
@@ -49,6 +50,10 @@
     reward_for : str or None
         Workspace whose item a reward call scores; None for callers' requests, which go
         before reward calls where a service is too small for both.
+    routed_by : RouteTable or None
+        Configuration by which the route was looked up last.
+    has_route : bool
+        Whether that configuration has a route.
     """
 
     id: str
@@ -66,6 +71,29 @@
     max_answer_bytes: int = MAX_BODY_BYTES
     answer_due: float = math.inf
     reward_for: str | None = None
+    routed_by: RouteTable | None = attrs.field(default=None, eq=False, repr=False)
+    has_route: bool = True
+
+    def follow(self, routes: RouteTable) -> None:
+        """Take the route of a configuration, which may have moved since the last one.
+
+        Before the first configuration, and where it has no route, the last one stays.
+        """
+        if routes is self.routed_by or not routes.version:
+            return
+        self.routed_by = routes
+        route = routes.find(self.host, self.target.partition("?")[0])
+        self.has_route = route is not None
+        if route is not None:
+            self.route = route.as_successor_of(self.route)
+
+    def service_by(self, routes: RouteTable) -> str:
+        """Return the service that may run the call by a configuration.
+
+        It is empty where the configuration has no route for the call.
+        """
+        self.follow(routes)
+        return self.route.service_for(self.id) if self.has_route else ""
 
     @functools.cached_property
     def fingerprint(self) -> str:
@@ -81,7 +109,17 @@
     @property
     def repeatable(self) -> bool:
         """Whether the request may run more than once."""
-        return self.route.kind in (RequestKind.SAFE, RequestKind.BATCH)
+        kinds = (RequestKind.SAFE, RequestKind.BATCH)
+        return self.deferred or self.route.kind in kinds
+
+    @property
+    def attempts(self) -> int:
+        """Maximum number of servers on which the request may run.
+
+        A reward call has one for each `Call`, so that each answer counts once against
+        the limit of its route.
+        """
+        return 1 if self.deferred else self.route.attempts
 
 
 @attrs.define
--- a/gypsumshift/serving/directory.py
+++ b/gypsumshift/serving/directory.py
@@ -7,6 +7,7 @@
 import asyncio
 import datetime
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import attrs
 
@@ -15,6 +16,9 @@
 from gypsumshift.serving.evacuations import Evacuations
 from gypsumshift.serving.routes import RouteTable
 
+if TYPE_CHECKING:
+    from gypsumshift.serving.calls import Call
+
 __all__ = ["BackendServer", "Directory", "ServerStart"]
 
 # Time after an outage of the store within which live backend servers have restored the
@@ -286,6 +290,18 @@
             self.ready_by_service[name] = found
         return found
 
+    def ready_servers_for(self, call: "Call") -> list[BackendServer]:
+        """Return the ready servers to which the configuration in force leads a call."""
+        return self.ready_servers(call.service_by(self.routes))
+
+    def leads_to(self, call: "Call", server: BackendServer) -> bool:
+        """Return whether the configuration in force leads a call to a server.
+
+        To be asked immediately before each send: the route may have moved since the
+        server was chosen.
+        """
+        return call.service_by(self.routes) == server.service
+
     def ready_engines(self) -> list[BackendServer]:
         """Return the ready model engines of all services, in a shared list."""
         if self.usable_engines is None:
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -31,7 +31,7 @@
 from gypsumshift.serving.reachprobes import new_prober
 from gypsumshift.serving.sender import Sender, connect_hedge_s
 
-__all__ = ["ALL_EVACUATED", "EVACUATED_RETRY_SECONDS", "Forwarder"]
+__all__ = ["ALL_EVACUATED", "EVACUATED_RETRY_SECONDS", "NO_ROUTE", "Forwarder"]
 
 # Share of a route's objective after which a request is also sent to a second server. A
 # usual answer takes a quarter of the objective, so half of it leaves enough time.
@@ -52,6 +52,7 @@
 # service cannot be reached.
 RECHECK_SECONDS = 0.05
 UNREACHABLE_REASON = "no server of the service can be reached"
+NO_ROUTE = "the configuration has no route for the request any more"
 # Part of the time before the deadline that is left for the outcome to reach the caller.
 OUTCOME_MARGIN_SECONDS = 0.02
 
@@ -115,8 +116,7 @@
         self, permit: Permit, call: Call
     ) -> Answered | NotRun | Unknown:
         """Forward a call that the guard permits, and return its outcome."""
-        service = call.route.service_for(call.id)
-        state = ForwardState(call, self.directory.ready_servers(service), permit)
+        state = ForwardState(call, self.directory.ready_servers_for(call), permit)
         started = self.clock.monotonic()
         outcome = None
         try:
@@ -129,6 +129,7 @@
             if not isinstance(outcome, Answered):
                 self.late_crashes.check_servers(permit, cancelled)
         took = self.clock.monotonic() - started
+        service = self.service_of(call)
         outcome_name = type(outcome).__name__
         self.metrics.record_duration(
             "request_seconds", took, service=service, outcome=outcome_name
@@ -149,11 +150,28 @@
             )
         return outcome
 
+    def service_of(self, call: Call) -> str:
+        """Return the service to which the configuration in force leads a call."""
+        return call.service_by(self.directory.routes)
+
     async def enter(self, state: ForwardState) -> NotRun | None:
-        """Return None once the first attempt may start, or the call's refusal."""
+        """Return None once the first attempt may start, or the call's refusal.
+
+        A call whose route moves while it waits enters the other service.
+        """
+        while True:
+            service = self.service_of(state.call)
+            refusal = await self.enter_service(state, service)
+            if self.service_of(state.call) == service:
+                return refusal
+
+    async def enter_service(self, state: ForwardState, service: str) -> NotRun | None:
+        """Return None once a call may be sent to a service, or its refusal."""
+        if not state.call.has_route:
+            return self.final_outcome(state, NO_ROUTE)
         if self.sender.residency.lacks_home_server(state.call):
             return self.refuse_without_home(state)
-        service = state.call.route.service_for(state.call.id)
+        state.servers = self.directory.ready_servers(service)
         if self.directory.is_service_evacuated(service):
             pause = datetime.timedelta(seconds=EVACUATED_RETRY_SECONDS)
             return NotRun(ALL_EVACUATED, pause)
@@ -164,9 +182,6 @@
             return None
         refusal = await self.gate.enter(state.call, service)
         state.refused_at_gate = refusal is not None
-        if refusal is None:
-            # Servers may have left while the call waited.
-            state.servers = self.directory.ready_servers(service)
         return refusal
 
     def refuse_without_home(self, state: ForwardState) -> NotRun:
@@ -181,6 +196,8 @@
             left = state.call.deadline - OUTCOME_MARGIN_SECONDS - self.clock.monotonic()
             if left <= 0:
                 return self.final_outcome(state, "the deadline passed")
+            # The route may have moved, and servers may have left.
+            state.servers = self.directory.ready_servers_for(state.call)
             if self.is_hopeless(state):
                 return self.refuse_unreachable(state)
             started = self.start_attempt(state)
@@ -214,12 +231,11 @@
         """Return whether nothing was sent and no server can be reached any more."""
         if state.error_answer is not None or state.may_have_run:
             return False
-        service = state.call.route.service_for(state.call.id)
-        return self.prober.is_down(service, state.servers)
+        return self.prober.is_down(self.service_of(state.call), state.servers)
 
     def refuse_unreachable(self, state: ForwardState) -> NotRun:
         """Return the refusal of a call whose service cannot be reached."""
-        service = state.call.route.service_for(state.call.id)
+        service = self.service_of(state.call)
         left = state.call.deadline - self.clock.monotonic()
         seconds = self.sender.reachability.refuse(service, left)
         self.metrics.count("refused_unreachable", service=service)
@@ -242,6 +258,8 @@
 
     def blocked_reason(self, state: ForwardState) -> str:
         """Return why no more attempts may be made; empty if they may."""
+        if not state.call.has_route:
+            return NO_ROUTE
         if not state.call.grant.is_valid:
             return KEY_NOT_CONFIRMED
         if self.sender.residency.lacks_home_server(state.call):
@@ -332,7 +350,7 @@
 
     async def next_round(self, state: ForwardState, left: float) -> bool:
         """Wait before the next round; return False if no further round is allowed."""
-        service = state.call.route.service_for(state.call.id)
+        service = self.service_of(state.call)
         if state.exhausted or state.rounds >= MAX_FULL_ROUNDS:
             return False
         if self.directory.is_service_evacuated(service):
@@ -340,7 +358,6 @@
         state.rounds += 1
         state.refused_by.clear()
         await asyncio.sleep(min(FULL_PAUSE_SECONDS * state.rounds, left))
-        state.servers = self.directory.ready_servers(service)
         return True
 
     def handle_outcome(
@@ -382,7 +399,7 @@
         """Return the seconds until a retry that the gate schedules; None if none."""
         if self.gate is None or not state.rounds:
             return None
-        service = state.call.route.service_for(state.call.id)
+        service = self.service_of(state.call)
         return self.gate.refused_by_servers(state.call, service)
 
     async def cancel_attempts(self, state: ForwardState) -> None:
--- a/gypsumshift/serving/forwardstate.py
+++ b/gypsumshift/serving/forwardstate.py
@@ -20,7 +20,7 @@
     ----------
     call : Call
     servers : list of BackendServer
-        Ready servers of the service when the call began.
+        Ready servers of the call's service before the last attempt.
     permit : Permit
     running : dict
         Server by the task of its attempt.
@@ -71,5 +71,5 @@
         """Whether no further server may run the call."""
         begun = len(self.ran_on) + len(self.running)
         # A call that may not be repeated ends at the first server that may have run it.
-        max_attempts = self.call.route.attempts if self.call.repeatable else 1
+        max_attempts = self.call.attempts if self.call.repeatable else 1
         return begun >= max_attempts
--- a/gypsumshift/serving/routes.py
+++ b/gypsumshift/serving/routes.py
@@ -96,6 +96,17 @@
     priority: int = 0
     homes: frozenset[str] = frozenset()
 
+    def as_successor_of(self, other: "Route") -> "Route":
+        """Return this route for a request that began on another one.
+
+        What either of them forbids stays forbidden.
+        """
+        kind = self.kind if self.kind is other.kind else RequestKind.UNSAFE
+        resumable = self.resumable and other.resumable
+        if (kind, resumable) == (self.kind, self.resumable):
+            return self
+        return attrs.evolve(self, kind=kind, resumable=resumable)
+
     def service_for(self, request_id: str) -> str:
         """Return the service for a request id; the same one on each retry."""
         if len(self.targets) == 1:
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -53,6 +53,9 @@
 # of the request was sent, so the second server costs no work.
 CONNECT_HEDGE_SECONDS = 0.03
 
+# Reason of a refusal of this process, which logs contain.
+OTHER_SERVICE = "the route of the request leads to another service"
+
 log = logs.logger("sender")
 
 
@@ -252,6 +255,8 @@
         if not self.directory.accepts_requests(server):
             self.metrics.count("evacuated_sends", service=server.service)
             return Refused(ZONE_EVACUATED)
+        if not self.directory.leads_to(call, server):
+            return Refused(OTHER_SERVICE)
         if not call.grant.is_valid:
             return Refused(KEY_NOT_CONFIRMED)
         in_homes = self.residency.may_send(call, server)
@@ -326,6 +331,8 @@
             await check.prepare(link)
 
         def may_send() -> bool:
+            if not self.directory.leads_to(call, server):
+                return False
             if not self.residency.may_send(call, server):
                 return False
             note_connected()
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -26,6 +26,7 @@
 from gypsumshift.serving.forwarder import (
     ALL_EVACUATED,
     EVACUATED_RETRY_SECONDS,
+    NO_ROUTE,
     RETRY_AFTER_SECONDS,
     Forwarder,
 )
@@ -197,8 +198,7 @@
         call = state.call
         while True:
             await self.wait_for_runs(state)
-            service = call.route.service_for(call.id)
-            servers = self.sender.directory.ready_servers(service)
+            servers = self.sender.directory.ready_servers_for(call)
             server = self.choose(state, servers)
             left = call.deadline - self.sender.clock.monotonic()
             if server is None or left <= 0:
@@ -241,6 +241,8 @@
 
     def blocked_reason(self, state: RelayState) -> str:
         """Return why no further server may be tried; empty if one may."""
+        if not state.call.has_route:
+            return NO_ROUTE
         if not state.call.grant.is_valid:
             return KEY_NOT_CONFIRMED
         if self.sender.residency.lacks_home_server(state.call):
@@ -255,7 +257,7 @@
             route = state.call.route.name
             self.sender.metrics.count("residency_refusals", route=route)
         reason = blocked or "no backend server accepted the stream"
-        service = state.call.route.service_for(state.call.id)
+        service = state.call.service_by(self.sender.directory.routes)
         evacuated = self.sender.directory.is_service_evacuated(service)
         if evacuated and not blocked:
             reason = ALL_EVACUATED
