End each wait of a caller by the time limit of its route in force

What callers saw (shown by tests, not reported): calls and streams ended by the limit with which they began, though the operator had cut it meanwhile; ending or submitting a batch job took 3.2 s on a route of 1.2 s while the store was silent; a stream of an entry whose sidecar went dark had no end, and a lost attempt was settled 1.8 s after its caller's limit.

Cause: limits were computed once, when a request arrived, and each wait asked for what was left of that; calls about jobs and streams between processes had none.

Why this works: CallsInProgress knows the wait of each call; a new configuration moves its end. A call keeps the shortest limit that was in force while it waited. An entry waits for a stream until its request's deadline, and 0.3 s longer for a final state.

--- a/gypsumshift/attemptresults.py
+++ b/gypsumshift/attemptresults.py
@@ -1,5 +1,6 @@
 """Results of one attempt at a sidecar, and the reader that an entry gets them from."""
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import attrs
@@ -113,6 +114,8 @@
     connection : PeerConnection
     call : PendingCall
         Call that started the attempt.
+    deadline : float
+        Monotonic time by which a stream has to be complete, in seconds.
     server_ended : bool
         Whether the backend server ended while it ran the attempt.
     """
@@ -123,6 +126,7 @@
     attempt: str
     connection: PeerConnection
     call: PendingCall
+    deadline: float
     server_ended: bool = False
 
     async def read(
@@ -216,7 +220,7 @@
         finished = False
         try:
             while True:
-                body = await self.call.receive()
+                body = await self.receive_in_time()
                 if body.chunk is not None:
                     yield body.chunk.data
                     continue
@@ -236,6 +240,17 @@
             self.call.close()
             self.router.record_ended(self.sidecar)
 
+    async def receive_in_time(self) -> Body:
+        """Return the next message of a stream, which its sidecar may never send."""
+        left = max(self.deadline - self.clock.monotonic(), 0.0)
+        try:
+            async with asyncio.timeout(left):
+                return await self.call.receive()
+        except TimeoutError as error:
+            self.router.record_failure(self.sidecar)
+            reason = "the stream is not complete in time"
+            raise PeerConnectionError(reason, True) from error
+
     def record_load(self, load: Load) -> None:
         """Record a load report in the membership and the router."""
         self.router.membership.record_load(self.sidecar, load)
--- a/gypsumshift/callerapi.py
+++ b/gypsumshift/callerapi.py
@@ -30,6 +30,9 @@
 DEFAULT_URGENCY = 3
 # From this urgency on a request counts as internal.
 INTERNAL_URGENCY = 5
+# Time after the deadline of a request with a key in which its outcome is awaited: that
+# of an attempt that has ended is still being stored.
+OUTCOME_GRACE_S = 0.4
 # Requests whose bodies share this prefix share their affinity.
 AFFINITY_PREFIX_BYTES = 256
 # Header fields that are not passed on to backend servers.
@@ -197,7 +200,7 @@
         if key and not pool_request.repeatable:
             # It continues if the caller disconnects, so that the outcome is stored.
             run = self.process.spawn(self.idempotent_runner.run_once(key, pool_request))
-            result = await asyncio.shield(run)
+            result = await self.await_outcome(run, pool_request)
         else:
             result = await self.dispatcher.send(pool_request)
         if isinstance(result, KeyMismatch):
@@ -219,6 +222,15 @@
             return self.complete_response(result, pool_request), "answered"
         return self.streamed_response(result, pool_request), "streamed"
 
+    async def await_outcome(self, run: asyncio.Task, pool_request: PoolRequest):
+        """Return the outcome of a run that goes on if it takes too long."""
+        left = max(pool_request.deadline - self.clock.monotonic(), 0.0)
+        try:
+            async with asyncio.timeout(left + OUTCOME_GRACE_S):
+                return await asyncio.shield(run)
+        except TimeoutError:
+            return Unknown("the outcome is not known before the deadline")
+
     def common_headers(
         self, head, backend: str, pool_request: PoolRequest
     ) -> list[tuple[str, str]]:
--- a/gypsumshift/dispatch.py
+++ b/gypsumshift/dispatch.py
@@ -48,6 +48,8 @@
 BAR_RETRY_PAUSE_S = 0.1
 # Pause between requests for the state of an attempt that still runs.
 STATE_POLL_PERIOD_S = 0.1
+# Time after the deadline of a request that a sidecar has to tell whether it has run.
+FINAL_STATE_GRACE_S = 0.3
 # Pause between removals of expired records from the crash guard.
 SWEEP_PERIOD_S = 10.0
 
@@ -335,7 +337,13 @@
                 start = self.start_message(request, sidecar, attempt)
                 call = await connection.start_call(Body(start=start))
                 reader = AnswerReader(
-                    router, self.clock, sidecar, attempt, connection, call
+                    router,
+                    self.clock,
+                    sidecar,
+                    attempt,
+                    connection,
+                    call,
+                    request.deadline,
                 )
                 result = await reader.read(began)
                 streaming = isinstance(result, StreamedAnswer)
@@ -402,8 +410,19 @@
     ) -> BarReply:
         """Bar an attempt from starting; if it runs, poll until its end or the deadline.
 
-        An attempt that is barred can never start.
+        An attempt that is barred can never start. The state is unknown if the sidecar
+        does not answer in time.
         """
+        left = max(deadline - self.clock.monotonic(), 0.0)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(left + FINAL_STATE_GRACE_S):
+                return await self.poll_state(address, incarnation, attempt, deadline)
+        return BarReply(AttemptState.UNKNOWN, None, b"")
+
+    async def poll_state(
+        self, address, incarnation: int, attempt: str, deadline: float
+    ) -> BarReply:
+        """Bar an attempt; if it runs, poll until its end or the deadline."""
         while True:
             reply = await self.request_bar(address, incarnation, attempt)
             if reply.state != AttemptState.RUNNING:
--- a/gypsumshift/serving/calls.py
+++ b/gypsumshift/serving/calls.py
@@ -12,7 +12,38 @@
 from gypsumshift.serving.fingerprints import fingerprint
 from gypsumshift.serving.routes import RequestKind, Route, RouteTable
 
-__all__ = ["AttemptOutcome", "AttemptProgress", "Call", "Failed", "Refused"]
+__all__ = [
+    "AttemptOutcome",
+    "AttemptProgress",
+    "Call",
+    "CallerTimes",
+    "Failed",
+    "Refused",
+]
+
+
+@attrs.frozen
+class CallerTimes:
+    """When a caller's request arrived, and how long the caller waits for its answer.
+
+    Attributes
+    ----------
+    received_at : float
+        Monotonic time, in seconds.
+    allowed_s : float
+        Seconds; infinite if the caller sets no limit.
+    """
+
+    received_at: float
+    allowed_s: float = math.inf
+
+    def due(self, route: Route) -> float:
+        """Return the monotonic time by which a route's answer is due, in seconds.
+
+        It is infinite if neither the route nor the caller sets a limit.
+        """
+        limit = route.timeout.total_seconds() if route.timeout else math.inf
+        return self.received_at + min(limit, self.allowed_s)
 
 
 @attrs.define
@@ -50,6 +81,9 @@
     reward_for : str or None
         Workspace whose item a reward call scores; None for callers' requests, which go
         before reward calls where a service is too small for both.
+    times : CallerTimes or None
+        Of a caller's request, which ends by the time limit of the route in force; None
+        for one whose deadline does not depend on its route.
     routed_by : RouteTable or None
         Configuration by which the route was looked up last.
     has_route : bool
@@ -71,6 +105,7 @@
     max_answer_bytes: int = MAX_BODY_BYTES
     answer_due: float = math.inf
     reward_for: str | None = None
+    times: CallerTimes | None = None
     routed_by: RouteTable | None = attrs.field(default=None, eq=False, repr=False)
     has_route: bool = True
 
@@ -84,8 +119,16 @@
         self.routed_by = routes
         route = routes.find(self.host, self.target.partition("?")[0])
         self.has_route = route is not None
-        if route is not None:
-            self.route = route.as_successor_of(self.route)
+        if route is None:
+            return
+        self.route = route.as_successor_of(self.route)
+        if self.times is not None:
+            self.end_by(self.times.due(self.route))
+
+    def end_by(self, at: float) -> None:
+        """Let the call end by a monotonic time, in seconds, if it would end later."""
+        self.deadline = min(self.deadline, at)
+        self.answer_due = min(self.answer_due, at)
 
     def service_by(self, routes: RouteTable) -> str:
         """Return the service that may run the call by a configuration.
--- a/gypsumshift/serving/directory.py
+++ b/gypsumshift/serving/directory.py
@@ -122,6 +122,8 @@
         Newest weight version by model.
     newest_starts : dict
         Newest reported start time (`ServerStart.born`) by server id.
+    on_routes : list of callable
+        Called after a new configuration was applied.
     on_restart : list of callable
         Called with the old start of a backend server that started again.
     on_entry : list of callable
@@ -148,6 +150,7 @@
         self.servers: dict[str, BackendServer] = {}
         self.newest_versions: dict[str, int] = {}
         self.newest_starts: dict[str, int] = {}
+        self.on_routes: list[Callable[[], None]] = []
         self.on_restart: list[Callable[[BackendServer], None]] = []
         self.on_entry: list[Callable[[BackendServer], None]] = []
         self.missing: dict[str, float] = {}
@@ -178,6 +181,8 @@
         self.routes = routes
         logs.event(log, "Configuration applied.", version=routes.version, was=previous)
         self.notify_changed()
+        for callback in self.on_routes:
+            callback()
 
     def set_weight_version(self, model: str, version: int) -> None:
         """Store a model's newest weight version; older versions are ignored."""
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -52,6 +52,7 @@
 # service cannot be reached.
 RECHECK_SECONDS = 0.05
 UNREACHABLE_REASON = "no server of the service can be reached"
+DEADLINE_PASSED = "the deadline passed"
 NO_ROUTE = "the configuration has no route for the request any more"
 # Part of the time before the deadline that is left for the outcome to reach the caller.
 OUTCOME_MARGIN_SECONDS = 0.02
@@ -120,7 +121,10 @@
         started = self.clock.monotonic()
         outcome = None
         try:
-            outcome = await self.enter(state) or await self.run_attempts(state)
+            async with self.sender.calls.limit(call):
+                outcome = await self.enter(state) or await self.run_attempts(state)
+        except TimeoutError:
+            outcome = self.final_outcome(state, DEADLINE_PASSED)
         finally:
             ran = bool(state.ran_on or state.running)
             cancelled = list(state.running.values())
@@ -195,7 +199,7 @@
         while True:
             left = state.call.deadline - OUTCOME_MARGIN_SECONDS - self.clock.monotonic()
             if left <= 0:
-                return self.final_outcome(state, "the deadline passed")
+                return self.final_outcome(state, DEADLINE_PASSED)
             # The route may have moved, and servers may have left.
             state.servers = self.directory.ready_servers_for(state.call)
             if self.is_hopeless(state):
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -26,6 +26,7 @@
     Failed,
     Refused,
 )
+from gypsumshift.serving.callsinprogress import CallsInProgress
 from gypsumshift.serving.cold import Link
 from gypsumshift.serving.coldrates import SERVER_COLD, ColdRates, SendCheck
 from gypsumshift.serving.directory import BackendServer, Directory
@@ -79,6 +80,8 @@
         Decides to which servers a call may be sent.
     cold_rates : ColdRates or None
         Limits the requests to servers that have just started.
+    calls : CallsInProgress
+        Limits the waits of the calls.
     """
 
     def __init__(self, directory, balancer, fetcher, names, clock, metrics, usage=None):
@@ -92,6 +95,7 @@
         self.residency = ResidencyRules(directory, balancer.layout)
         self.round_trips = balancer.round_trips
         self.cold_rates: ColdRates | None = None
+        self.calls = CallsInProgress(directory, clock)
         self.reachability = Reachability(
             clock, balancer.chance, balancer.shared_observations
         )
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import datetime
-import math
 from collections.abc import AsyncIterator, Coroutine
 
 from gypsumshift import logs
@@ -155,10 +154,9 @@
         Once a part does not fit into the memory budget, or the caller disconnected, the
         rest is discarded.
         """
-        left = max(0.0, call.deadline - self.sender.clock.monotonic())
         end = ResponseAborted("an error inside this process; see its log")
         try:
-            async with asyncio.timeout(left), contextlib.aclosing(body):
+            async with self.sender.calls.limit(call), contextlib.aclosing(body):
                 fits = True
                 async for data in body:
                     fits = fits and call.holding.add(ByteKind.STREAM, len(data))
@@ -209,7 +207,7 @@
             self.count_at(state, server)
             sent_at = self.sender.clock.now().timestamp()
             try:
-                async with asyncio.timeout(left):
+                async with self.sender.calls.limit(call):
                     exchange = await self.open_at(call, server, after)
             except RequestWithheld:
                 self.end_run(state)
@@ -364,9 +362,8 @@
         """
         call = state.call
         while True:
-            left = call.answer_due - self.sender.clock.monotonic()
             try:
-                async with asyncio.timeout(max(left, 0.0) if left < math.inf else None):
+                async with self.sender.calls.limit(call, streamed=True):
                     part = await anext(parts, None)
             except TimeoutError as error:
                 self.log_unfinished_stream(state)
--- a/tests/test_moved_routes.py
+++ b/tests/test_moved_routes.py
@@ -170,6 +170,16 @@
     assert isinstance(play(scenario), Refused)
 
 
+def test_a_call_whose_route_was_unsafe_for_a_moment_is_not_sent_again():
+    async def scenario(world):
+        moved = table(2, NEW, kind=RequestKind.UNSAFE)
+        back = table(3, NEW, kind=RequestKind.SAFE)
+        outcome = await world.forward(move(moved), move(back))
+        return type(outcome), world.sender.sends
+
+    assert play(scenario) == (Unknown, [OLD])
+
+
 def test_what_one_of_two_routes_forbids_stays_forbidden():
     old = table(1, OLD, kind=RequestKind.STREAM, resumable=False)
     new = table(2, NEW, kind=RequestKind.STREAM, resumable=True)
