Take only requests that can end while a gateway or an entry stops

Cause: draining had four fifths of the grace, took any request for half of that, and closed the connections of the rest at its end. Neither a request's limit nor what its route usually takes decided whether it was taken.

Fix: a drain ends half a second before the kill (at most a tenth of the grace). While it lasts, a call is taken if its own limit ends before, or if the longest recent call of its route, and a quarter more, would; else it is refused at once with Retry-After 0, since other processes can take it. All calls end by that time at the latest, with 503 if they have not run, 504 if they may have; a body that is not complete by then gets 503. Entries do the same with their own deadline.

Sidecars refuse at once while they stop, and agents take no requests; both were read and not changed.

--- a/gypsumshift/callerapi.py
+++ b/gypsumshift/callerapi.py
@@ -100,6 +100,9 @@
         pool_request = self.make_request(request, workspace, rest, parameters)
         if isinstance(pool_request, Response):
             return pool_request
+        if pool_request.deadline > self.process.stops_at:
+            detail = "this process stops before the request could end"
+            return problem_response(503, "not run", detail, retry_after=0.0)
         if self.waiting_by_workspace.get(workspace, 0) >= parameters.waiting:
             detail = (
                 f"{workspace} is at its limit of {parameters.waiting} requests here"
--- a/gypsumshift/entry.py
+++ b/gypsumshift/entry.py
@@ -66,11 +66,12 @@
         """Leave the load balancer, finish the requests that run, then stop.
 
         Requests that still run ``deadline`` seconds after the load balancer's pause
-        are cut.
+        are answered that their outcome is unknown; their streams are cut.
         """
         if self.member.leaving:
             return
         self.member.leaving = True
+        self.stops_at = self.clock.monotonic() + BALANCER_PAUSE_S + deadline
         self.recorder.record("leaving", self.member.name)
         log.info(
             "Draining: accepts no new requests, finishes those that run within {} s.",
@@ -79,7 +80,7 @@
         self.heartbeats.wake.set()
         await self.driver_manager.release_leases()
         await self.clock.sleep(BALANCER_PAUSE_S)
-        await self.caller_server.stop(deadline)
+        await self.caller_server.stop(deadline, answers_rest=True)
         self.stopped.set()
 
     def revision_changed(self) -> None:
--- a/gypsumshift/gateway.py
+++ b/gypsumshift/gateway.py
@@ -27,9 +27,14 @@
 
 # Maximum size of a request body unless the configuration sets another one. A batch
 # job of 100 items has about 200 kB.
-# Time at the end of a drain for writing the last usage counts. The store can answer
-# twice within it.
-FINAL_FLUSH_TIMEOUT_S = 0.5
+# Time at the end of a drain for writing the last usage counts. A slow store answers
+# once within it.
+FINAL_FLUSH_TIMEOUT_S = 0.3
+# Share of a drain in which new connections are accepted. The external load balancer
+# probes readiness every second and sends new connections elsewhere after two probes.
+LISTEN_SHARE = 0.4
+# Time between the end of the last calls and that of a drain, to send their answers.
+ANSWER_MARGIN_S = 0.1
 # Time without current data from the store after which the gateway is not ready, so that
 # callers are sent to another one.
 STORE_STALE_AFTER_S = 2.5
@@ -150,20 +155,24 @@
         return [self.guard.run(), *accounting]
 
     async def drain(self, grace: float) -> None:
-        """Report not ready, finish the requests in progress, then close the ports."""
+        """Report not ready, finish the requests in progress, then close the ports.
+
+        Requests that arrive meanwhile are served if they can end before.
+        """
         self.draining = True
+        end_at = self.clock.monotonic() + grace
+        self.sender.calls.end_all_by(end_at - ANSWER_MARGIN_S)
         # Runs concurrently: the store may be slow, and the requests in progress need
         # the whole grace period.
         accounting = asyncio.create_task(self.stop_usage_duty())
         servers = [port.server for port in self.ports if not port.open_while_draining]
         for server in servers:
             server.draining = True
-        # Idle connections are closed after their next response. The external load
-        # balancer probes readiness every second and sends new connections elsewhere
-        # after two probes.
-        await self.clock.sleep(grace / 2)
+        # Idle connections are closed after their next response.
+        await self.clock.sleep(LISTEN_SHARE * grace)
         for server in servers:
-            await server.stop(grace / 2)
+            left = max(end_at - self.clock.monotonic(), 0.0)
+            await server.stop(left, answers_rest=True)
         accounting.cancel()
         await asyncio.wait({accounting})
         with contextlib.suppress(TimeoutError):
--- a/gypsumshift/httpserver.py
+++ b/gypsumshift/httpserver.py
@@ -126,8 +126,16 @@
         finally:
             connection.close()
 
-    async def stop(self, grace: float) -> None:
-        """Stop listening; wait up to ``grace`` seconds for requests in progress."""
+    async def stop(self, grace: float, answers_rest: bool = False) -> None:
+        """Stop listening; wait up to ``grace`` seconds for requests in progress.
+
+        Parameters
+        ----------
+        grace : float
+        answers_rest : bool
+            Whether those that still run then get an error response; otherwise their
+            connections are closed.
+        """
         self.closing = True
         if self.listener:
             await close_listener(self.listener)
@@ -136,5 +144,7 @@
                 task.cancel()
         if self.connections:
             await asyncio.wait(set(self.connections), timeout=grace)
-        for task in list(self.connections):
+        for task, connection in list(self.connections.items()):
+            if answers_rest:
+                connection.answer_unfinished()
             task.cancel()
--- a/gypsumshift/lifecycle.py
+++ b/gypsumshift/lifecycle.py
@@ -23,9 +23,10 @@
 
 __all__ = ["MAX_BODY_BYTES_BY_KIND", "Node", "Port", "serve"]
 
-# Fraction of the grace period between the stop signal and the kill that draining may
-# use. The rest is a reserve for a slow host.
-GRACE_SHARE = 0.8
+# Time at the end of the grace period, which lasts from the stop signal to the kill, that
+# is left for the last answers and writes; and its maximum share of a short period.
+STOP_RESERVE_S = 0.5
+MAX_RESERVE_SHARE = 0.1
 # Time between two removals of data about backend servers that no longer exist.
 SWEEP_PERIOD_S = 1.0
 
@@ -165,6 +166,11 @@
         )
 
 
+def usable_grace(grace: float) -> float:
+    """Return the seconds of a grace period in which requests may end."""
+    return grace - min(STOP_RESERVE_S, MAX_RESERVE_SHARE * grace)
+
+
 async def serve(node: Node, grace: float) -> int:
     """Run a node until a signal stops it; return the exit status."""
     loop = asyncio.get_running_loop()
@@ -187,7 +193,7 @@
         )
         return os.EX_SOFTWARE
     logs.event(log, "Received a stop signal; draining.", grace_s=grace)
-    await node.drain(grace * GRACE_SHARE)
+    await node.drain(usable_grace(grace))
     running.cancel()
     await asyncio.wait({running})
     logs.event(log, "Stopped.")
--- a/gypsumshift/process.py
+++ b/gypsumshift/process.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import random
 import secrets
 
@@ -84,6 +85,8 @@
         Client connections by address.
     stopped : asyncio.Event
         Set when the process is to end or has ended.
+    stops_at : float
+        Monotonic time at which it stops, in seconds; infinite while it does not.
     """
 
     role = Role.ENTRY
@@ -111,6 +114,7 @@
         self.heartbeats = HeartbeatExchanger(self)
         self.poller = Poller(self)
         self.stopped = asyncio.Event()
+        self.stops_at = math.inf
         self.tasks: set[asyncio.Task] = set()
         self.inbound = Inbound(process_limits(settings), self.clock, self.metrics)
         self.metrics.add_gauges(self.inbound.gauges)
--- a/gypsumshift/serverconnection.py
+++ b/gypsumshift/serverconnection.py
@@ -66,6 +66,8 @@
         Serves the connection.
     busy : bool
         Whether a request is being served.
+    is_handled : bool
+        Whether the handler has got it.
     input : RequestReader
     receiver : RequestReceiver
     """
@@ -80,6 +82,7 @@
         self.input = RequestReader(reader, writer, self.state, server.inbound.gate)
         self.task: asyncio.Task | None = None
         self.busy = False
+        self.is_handled = False
         self.receiver = RequestReceiver(server, self, self.input)
         limit_sending(writer, BUFFER_BYTES)
 
@@ -110,6 +113,15 @@
         if self.task is not None:
             self.task.cancel()
 
+    def answer_unfinished(self) -> None:
+        """Answer a request that this process leaves unfinished as it stops."""
+        if not self.busy or self.state.our_state is not h11.SEND_RESPONSE:
+            return
+        if self.is_handled:
+            self.write_error(504, "this process has stopped", outcome="unknown")
+        else:
+            self.write_error(503, "this process stops", [("retry-after", "0")])
+
     def lost(self) -> None:
         """Note that the socket was closed."""
         self.table.remove(self)
@@ -183,7 +195,7 @@
 
     async def serve_request(self) -> bool:
         """Serve one request; return whether another may follow."""
-        self.busy = False
+        self.busy = self.is_handled = False
         self.receiver.begin_request()
         try:
             request = await self.receiver.receive_head(IDLE_TIMEOUT_S)
@@ -233,6 +245,7 @@
 
     async def run_handler(self, request: Request) -> Response | None:
         """Run the handler; return None if the caller closed the connection."""
+        self.is_handled = True
         handling = asyncio.ensure_future(self.server.handler(request))
         buffered = 0
         try:
@@ -325,9 +338,11 @@
         self.write_error(status, detail, extra_headers)
         await self.drain()
 
-    def write_error(self, status: int, detail: str, extra_headers=()) -> None:
+    def write_error(
+        self, status: int, detail: str, extra_headers=(), outcome: str = "not run"
+    ) -> None:
         """Write an error without waiting until the caller has read it."""
-        response = problem_response(status, "not run", detail)
+        response = problem_response(status, outcome, detail)
         headers = [*response.headers, *extra_headers, ("connection", "close")]
         headers.append(("content-length", str(len(response.body))))
         head = h11.Response(status_code=status, headers=headers)
--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -132,6 +132,8 @@
             self.guard.release_permit(permit, ran)
             if not isinstance(outcome, Answered):
                 self.late_crashes.check_servers(permit, cancelled)
+        if isinstance(outcome, Answered):
+            self.sender.calls.record_answer(call)
         took = self.clock.monotonic() - started
         service = self.service_of(call)
         outcome_name = type(outcome).__name__
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -137,6 +137,7 @@
             async with contextlib.aclosing(body):
                 async for data in body:
                     yield data
+            self.sender.calls.record_answer(state.call)
             self.guard.record_answer(state.permit, state.status, state.from_start)
             self.end_run(state)
         finally:
