Let answers in many small pieces take turns of the event loop

Cause: bytes of callers pass a gate (TurnGate), those of servers, engines, applications that score, backends of sidecars and the store passed none: 64 KiB of such chunks are ten thousand events of the parser, handled in one turn of the event loop. Besides, the readers of events and of weight versions copied all that they held for each piece, so that an event of 256 kB took its square.

Fix, at the one place that all these paths pass (httpconnection.Exchange): small pieces that have arrived together are joined, 32 at a time, and a response with more of them passes the gate of its Fetcher before the next 32; so does a head above 2 KiB. EventSplitter searches new bytes only. A stream with a few events in one read passes no gate.

--- a/gypsumshift/backendrequest.py
+++ b/gypsumshift/backendrequest.py
@@ -50,17 +50,21 @@
     ----------
     dialect : Dialect
     labeller : Labeller
-    incomplete : bytes
+    incomplete : bytearray
         Start of a line that is not complete yet.
     """
 
     dialect: Dialect
     labeller: Labeller
-    incomplete: bytes = b""
+    incomplete: bytearray = attrs.field(factory=bytearray)
 
     def feed(self, data: bytes) -> None:
         """Process some bytes of the stream."""
-        *lines, self.incomplete = (self.incomplete + data).split(b"\n")
+        self.incomplete += data
+        lines = []
+        if b"\n" in data:
+            *lines, last = bytes(self.incomplete).split(b"\n")
+            self.incomplete = bytearray(last)
         if len(self.incomplete) > MAX_EVENT_BYTES:
             raise FetchError(f"event of a stream exceeds {MAX_EVENT_BYTES} bytes", True)
         for line in lines:
@@ -97,12 +101,12 @@
     dialect : Dialect
     before : int or None
         Version that the engine reported last before the response.
-    body : bytes
+    body : bytearray
     """
 
     dialect: Dialect
     before: int | None
-    body: bytes = b""
+    body: bytearray = attrs.field(factory=bytearray)
     needs_final_version = False
 
     def feed(self, data: bytes) -> None:
--- a/gypsumshift/dispatch.py
+++ b/gypsumshift/dispatch.py
@@ -416,20 +416,14 @@
         left = max(deadline - self.clock.monotonic(), 0.0)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(left + FINAL_STATE_GRACE_S):
-                return await self.poll_state(address, incarnation, attempt, deadline)
-        return BarReply(AttemptState.UNKNOWN, None, b"")
-
-    async def poll_state(
-        self, address, incarnation: int, attempt: str, deadline: float
-    ) -> BarReply:
-        """Bar an attempt; if it runs, poll until its end or the deadline."""
-        while True:
-            reply = await self.request_bar(address, incarnation, attempt)
-            if reply.state != AttemptState.RUNNING:
-                return reply
-            if self.clock.monotonic() + STATE_POLL_PERIOD_S >= deadline:
+                reply = await self.request_bar(address, incarnation, attempt)
+                while reply.state == AttemptState.RUNNING:
+                    if self.clock.monotonic() + STATE_POLL_PERIOD_S >= deadline:
+                        break
+                    await self.clock.sleep(STATE_POLL_PERIOD_S)
+                    reply = await self.request_bar(address, incarnation, attempt)
                 return reply
-            await self.clock.sleep(STATE_POLL_PERIOD_S)
+        return BarReply(AttemptState.UNKNOWN, None, b"")
 
     async def request_bar(self, address, incarnation: int, attempt: str) -> BarReply:
         """Request that a sidecar bar an attempt; return the attempt's state.
--- a/gypsumshift/eventstream.py
+++ b/gypsumshift/eventstream.py
@@ -9,7 +9,13 @@
 # some hundred tokens.
 MAX_EVENT_BYTES = 256 * 1024
 
-__all__ = ["StreamBroken", "StreamWithheld", "event_field", "iter_events"]
+__all__ = [
+    "EventSplitter",
+    "StreamBroken",
+    "StreamWithheld",
+    "event_field",
+    "iter_events",
+]
 
 
 class StreamBroken(Exception):
@@ -52,6 +58,41 @@
         super().__init__(reason, sent=False)
 
 
+class EventSplitter:
+    """Splits the bytes of a stream into its events, whatever pieces they come in.
+
+    Attributes
+    ----------
+    rest : bytearray
+        Bytes of the event that is not complete, with line feeds as line ends.
+    held_return : bool
+        Whether the last byte was a carriage return, which may begin a line end.
+    """
+
+    def __init__(self):
+        self.rest = bytearray()
+        self.held_return = False
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the events that are complete now, without the empty lines.
+
+        Only the new bytes are searched, so that the cost of an event doesn't depend on
+        the number of its pieces.
+        """
+        if self.held_return:
+            data = b"\r" + data
+        self.held_return = data.endswith(b"\r")
+        if self.held_return:
+            data = data[:-1]
+        start = max(len(self.rest) - 1, 0)
+        self.rest += data.replace(b"\r\n", b"\n")
+        if self.rest.find(b"\n\n", start) < 0:
+            return []
+        *complete, last = bytes(self.rest).split(b"\n\n")
+        self.rest = bytearray(last)
+        return [block for block in complete if block.strip()]
+
+
 async def iter_events(exchange: Exchange, idle_timeout: float) -> AsyncIterator[bytes]:
     """Yield the bytes of each complete event, without the empty line after it.
 
@@ -68,7 +109,7 @@
         is too large.
     """
     loop = asyncio.get_running_loop()
-    rest = b""
+    splitter = EventSplitter()
     since_event = 0
     idle_until = loop.time() + idle_timeout
     chunks = exchange.chunks()
@@ -84,16 +125,14 @@
             ) from error
         if data is None:
             break
-        *complete, rest = (rest + data).replace(b"\r\n", b"\n").split(b"\n\n")
         since_event += len(data)
-        for block in complete:
-            if block.strip():
-                since_event = len(rest)
-                yield block
-                idle_until = loop.time() + idle_timeout
+        for block in splitter.feed(data):
+            since_event = len(splitter.rest)
+            yield block
+            idle_until = loop.time() + idle_timeout
         if since_event > MAX_EVENT_BYTES:
             raise StreamBroken(f"an event exceeds {MAX_EVENT_BYTES} bytes")
-    if rest.strip():
+    if splitter.rest.strip():
         raise StreamBroken("the stream ended inside an event", closed=True)
 
 
--- a/gypsumshift/httpclient.py
+++ b/gypsumshift/httpclient.py
@@ -20,6 +20,7 @@
     RequestWithheld,
     encode_fields,
 )
+from gypsumshift.turngate import TurnGate
 from gypsumshift.wholenumbers import parse_whole_number
 
 __all__ = [
@@ -78,6 +79,8 @@
         Connections without an exchange, by address.
     in_use : dict
         Connections with an exchange in progress, by address.
+    gate : TurnGate
+        Passed by responses in many small pieces, whose parsing holds the event loop.
     on_connect : callable or None
         Called with the address and the seconds that a new connection took to open.
     """
@@ -87,6 +90,7 @@
     ):
         self.reset_on_close = reset_on_close
         self.receive_window_bytes = receive_window_bytes
+        self.gate = TurnGate()
         self.idle: dict[tuple[str, int], list[ClientConnection]] = {}
         self.in_use: dict[tuple[str, int], set[ClientConnection]] = {}
         self.on_connect: Callable[[tuple[str, int], float], None] | None = None
--- a/gypsumshift/httpconnection.py
+++ b/gypsumshift/httpconnection.py
@@ -8,6 +8,12 @@
 
 from gypsumshift.bytebudget import NO_BUDGET, ByteKind, Holding
 from gypsumshift.flowcontrol import discard_on_close, parts
+from gypsumshift.turngate import (
+    LARGE_HEAD_BYTES,
+    PIECES_PER_TURN,
+    SMALL_PIECE_BYTES,
+    TurnsExhausted,
+)
 from gypsumshift.wholenumbers import parse_whole_number
 
 __all__ = [
@@ -192,6 +198,13 @@
         Whether the connection had served an exchange before.
     has_body : bool
         Whether the response may have a body; False for the method HEAD.
+    unparsed : int
+        Bytes received since the parser's last event.
+    ahead : h11 event, FetchError or None
+        What follows the pieces that were joined; None if that has not arrived.
+    owes_turn : bool
+        Whether more small pieces have arrived than are parsed in one turn of the event
+        loop.
     """
 
     def __init__(self, fetcher, address, connection):
@@ -203,6 +216,9 @@
         self.complete = False
         self.reused = False
         self.has_body = True
+        self.unparsed = 0
+        self.ahead = None
+        self.owes_turn = False
 
     def header(self, name: bytes) -> str:
         """Return a header field of the response by its lower-case name, or ``""``."""
@@ -211,13 +227,22 @@
 
     async def next_event(self):
         """Return the next h11 event of the response."""
+        if self.ahead is not None:
+            event, self.ahead = self.ahead, None
+            if isinstance(event, FetchError):
+                raise event
+            return event
         data = None
         try:
             while True:
+                if not self.status and self.unparsed > LARGE_HEAD_BYTES:
+                    await self.take_turn()
                 event = self.connection.state.next_event()
                 if event is not h11.NEED_DATA:
+                    self.unparsed = 0
                     return event
                 data = await self.connection.read()
+                self.unparsed += len(data)
                 self.connection.state.receive_data(data)
         except h11.RemoteProtocolError as error:
             reason = f"invalid response: {error}"
@@ -241,9 +266,29 @@
         self.status = event.status_code
         self.headers = list(event.headers)
 
+    async def take_turn(self) -> None:
+        """Wait for a turn of the event loop in which to parse what has arrived.
+
+        A server may send a head with thousands of fields, or a body in chunks of one
+        byte, which take the event loop far longer than their size suggests.
+        """
+        started = asyncio.get_running_loop().time()
+        try:
+            async with self.fetcher.gate.turn(started):
+                pass
+        except TurnsExhausted as error:
+            reason = "the response consists of too many small pieces"
+            raise FetchError(reason, True) from error
+
     async def chunks(self):
-        """Yield the body as it arrives; raise `FetchError` if it is incomplete."""
+        """Yield the body as it arrives; raise `FetchError` if it is incomplete.
+
+        Small pieces that have arrived together are joined.
+        """
         while True:
+            if self.owes_turn:
+                self.owes_turn = False
+                await self.take_turn()
             event = await self.next_event()
             if isinstance(event, h11.EndOfMessage):
                 self.complete = True
@@ -251,7 +296,26 @@
             if not isinstance(event, h11.Data):
                 reason = "connection closed before the end of the response"
                 raise FetchError(reason, True, closed=True)
-            yield bytes(event.data)
+            if len(event.data) < SMALL_PIECE_BYTES:
+                yield self.join_pieces(event.data)
+            else:
+                yield bytes(event.data)
+
+    def join_pieces(self, first: bytes) -> bytes:
+        """Return a small piece of the body, joined with those that have arrived."""
+        joined = bytearray(first)
+        for _ in range(PIECES_PER_TURN):
+            try:
+                event = self.connection.state.next_event()
+            except h11.RemoteProtocolError as error:
+                self.ahead = FetchError(f"invalid response: {error}", True)
+                return bytes(joined)
+            if not isinstance(event, h11.Data):
+                self.ahead = None if event is h11.NEED_DATA else event
+                return bytes(joined)
+            joined += event.data
+        self.owes_turn = True
+        return bytes(joined)
 
     async def read(
         self, holding: Holding | None = None, max_bytes: int = MAX_BODY_BYTES
--- a/gypsumshift/lifecycle.py
+++ b/gypsumshift/lifecycle.py
@@ -23,8 +23,8 @@
 
 __all__ = ["MAX_BODY_BYTES_BY_KIND", "Node", "Port", "serve"]
 
-# Time at the end of the grace period, which lasts from the stop signal to the kill, that
-# is left for the last answers and writes; and its maximum share of a short period.
+# Time at the end of the grace period, which lasts from the stop signal to the kill. It
+# is left for the last answers and writes; of a short period it is a tenth at most.
 STOP_RESERVE_S = 0.5
 MAX_RESERVE_SHARE = 0.1
 # Time between two removals of data about backend servers that no longer exist.
--- a/gypsumshift/requestreader.py
+++ b/gypsumshift/requestreader.py
@@ -4,18 +4,16 @@
 
 import h11
 
-from gypsumshift.turngate import TurnGate
+from gypsumshift.turngate import (
+    LARGE_HEAD_BYTES,
+    PIECES_PER_TURN,
+    SMALL_PIECE_BYTES,
+    TurnGate,
+)
 
 __all__ = ["BodyStalled", "HeadStalled", "IdleTimeout", "RequestReader"]
 
 READ_SIZE_BYTES = 64 * 1024
-# A head above this size may have hundreds of fields, which take the event loop
-# milliseconds to parse.
-LARGE_HEAD_BYTES = 2 * 1024
-# Pieces of a body below this size cost more to parse than to receive.
-SMALL_PIECE_BYTES = 512
-# Small pieces that are parsed in one turn of the event loop.
-PIECES_PER_TURN = 32
 # Bytes of a body in chunks passed to the parser at once. A longer trailer waits for a
 # turn.
 SLICE_BYTES = 8 * 1024
--- a/gypsumshift/turngate.py
+++ b/gypsumshift/turngate.py
@@ -11,8 +11,21 @@
 import heapq
 import itertools
 
-__all__ = ["TurnGate", "TurnsExhausted"]
-
+__all__ = [
+    "LARGE_HEAD_BYTES",
+    "PIECES_PER_TURN",
+    "SMALL_PIECE_BYTES",
+    "TurnGate",
+    "TurnsExhausted",
+]
+
+# A head above this size may have hundreds of fields, which take the event loop
+# milliseconds to parse.
+LARGE_HEAD_BYTES = 2 * 1024
+# Pieces of a body below this size cost more to parse than to receive.
+SMALL_PIECE_BYTES = 512
+# Small pieces that are parsed in one turn of the event loop.
+PIECES_PER_TURN = 32
 # Longest time that one request waits for the gate. Few such requests fit into it beside
 # each other, so that the others are refused while their callers can still retry.
 WAIT_TIMEOUT_S = 3.0
