Relay only streams that are their server's own answers to the request

What callers saw (shown by test, not reported): a stream whose server answered 200 without its signature, or with the id of another request, was relayed as a success (MIXED). Found while looking for answers that are cut in the middle.

Cause: Sender.exchange_once asked for the id and classify for the signature of whole answers; StreamRelay.open_at asked for neither.

Fix: both paths ask Sender.check_origin before anything of an answer is relayed.

--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -294,11 +294,7 @@
             call, server, self.request_headers(call, server), fresh, progress
         )
         with contextlib.closing(exchange):
-            other_id = mismatched_request_id(exchange, self.names, call.id)
-            if other_id:
-                raise FetchError(
-                    f"answer belongs to request {other_id}, not to {call.id}", True
-                )
+            self.check_origin(exchange, call)
             self.record_load(server, exchange)
             body = await exchange.read(call.holding, call.max_answer_bytes)
             outcome = self.classify(exchange, body)
@@ -414,14 +410,21 @@
             return
         self.balancer.record_load(server, load)
 
+    def check_origin(self, exchange: Exchange, call: Call) -> None:
+        """Raise `FetchError` unless an answer is a server's own, and that to a call."""
+        other_id = mismatched_request_id(exchange, self.names, call.id)
+        if other_id:
+            reason = f"answer belongs to request {other_id}, not to {call.id}"
+            raise FetchError(reason, True)
+        signed = exchange.header(self.names.signature.encode())
+        if not signed and exchange.status < 300:
+            raise FetchError("answer has no signature", True)
+
     def classify(self, exchange: Exchange, body: bytes) -> AttemptOutcome:
         """Return the outcome of an attempt, given its complete answer."""
         refused = parse_refusal(exchange, self.names)
         if refused is not None:
             return refused
-        signed = exchange.header(self.names.signature.encode())
-        if not signed and exchange.status < 300:
-            return Failed("answer has no signature", True)
         if exchange.header(b"content-encoding"):
             return Failed("answer has a content encoding", True)
         return Answered(exchange.status, end_to_end_headers(exchange), body)
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -282,6 +282,11 @@
             fields = [field for field in fields if field[0] != names.last_event]
             fields.append((names.last_event, after))
         exchange = await self.sender.open(call, server, fields, fresh=True)
+        try:
+            self.sender.check_origin(exchange, call)
+        except FetchError:
+            exchange.close()
+            raise
         accepted = exchange.status == 200 or parse_refusal(exchange, names) is not None
         if after is not None and not accepted:
             exchange.close()
