Ask servers that were full again while another one does not answer

Cause: servers that refused were asked again only in the next round, and no round begins while an attempt runs (Forwarder.run_attempts).

Fix: while an attempt runs and no other may start, the servers that refused are asked again after 0.25 s, then after twice as long each time, so that a full service gets few repeats. A call that may not be sent to another server waits as before.

--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -40,6 +40,9 @@
 DEFAULT_HEDGE_DELAY_SECONDS = 0.5
 # Pause after every server refused a request; multiplied by the number of the round.
 FULL_PAUSE_SECONDS = 0.05
+# Pause after which servers that refused are asked again while another one does not
+# answer; doubled each time.
+ASK_AGAIN_SECONDS = 0.25
 # Rounds in which all servers may refuse before the caller is asked to retry later.
 MAX_FULL_ROUNDS = 3
 # Delay after which a caller may retry: a few service times.
@@ -219,9 +222,7 @@
                     return self.final_outcome(state, self.not_accepted_reason(state))
                 continue
             if started is None:
-                done = await self.wait_for_attempts(
-                    state, self.longest_wait(state, left)
-                )
+                done = await self.wait_for_running(state, left)
             else:
                 delay = hedge + EXCHANGE_ROUND_TRIPS * started.round_trip_s
                 done = await self.wait_for_hedge(state, started, min(left, delay))
@@ -247,6 +248,27 @@
         self.metrics.count("refused_unreachable", service=service)
         return NotRun(UNREACHABLE_REASON, datetime.timedelta(seconds=seconds))
 
+    async def wait_for_running(
+        self, state: ForwardState, left: float
+    ) -> set[asyncio.Task]:
+        """Wait until an attempt has ended while no other may start; return the ended.
+
+        Servers that refused the call may have room before those that run it answer, so
+        they are asked again after a pause.
+        """
+        longest = self.longest_wait(state, left)
+        if not state.refused_by or state.exhausted:
+            return await self.wait_for_attempts(state, longest)
+        now = self.clock.monotonic()
+        if state.ask_again_at <= now:
+            state.ask_again_at = now + ASK_AGAIN_SECONDS * 2**state.asked_again
+            state.asked_again += 1
+        pause = state.ask_again_at - now
+        done = await self.wait_for_attempts(state, min(longest, pause))
+        if not done and self.clock.monotonic() >= state.ask_again_at:
+            state.refused_by.clear()
+        return done
+
     def longest_wait(self, state: ForwardState, left: float) -> float:
         """Return the seconds for which a call may wait for its attempts."""
         if state.may_have_run or not self.sender.reachability.unreached:
--- a/gypsumshift/serving/forwardstate.py
+++ b/gypsumshift/serving/forwardstate.py
@@ -32,6 +32,11 @@
         Servers that refused the call in this round.
     rounds : int
         Number of rounds in which every server refused.
+    asked_again : int
+        Number of times that servers which refused were asked again while another one
+        ran the call.
+    ask_again_at : float
+        When the next such time is, by the monotonic clock, in seconds.
     error_answer : Answered or None
         Error response of a server, returned if no attempt succeeds.
     refused_at_gate : bool
@@ -47,6 +52,8 @@
     ran_on: set[ServerStart] = attrs.field(factory=set)
     refused_by: set[ServerStart] = attrs.field(factory=set)
     rounds: int = 0
+    asked_again: int = 0
+    ask_again_at: float = 0.0
     error_answer: Answered | None = None
     refused_at_gate: bool = False
 
