Let the crash of a stand-in end connections that are being accepted

Cause: crash_worker closed the listener at once. asyncio then leaves a connection open whose protocol is created afterwards, and its caller waits without end; the crash of a process would reset it (gypsumshift.listeners.close_listener says so).

--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -9,6 +9,7 @@
 import attrs
 
 from gypsumshift.httpclient import Fetcher
+from gypsumshift.listeners import close_listener
 from standins.deployment import free_port
 from standins.users_documents import HOST, config, results_target, settings_text
 from standins.users_store import FakeMetadataStore
@@ -20,8 +21,15 @@
 
 
 def crash_worker(worker):
-    """Close a worker's listener and connections, as the crash of its process would."""
-    worker.server.listener.close()
+    """Close a worker's listener and connections, as the crash of its process would.
+
+    A connection that is being accepted ends as well; asyncio leaves it open if its
+    listener is closed at once.
+    """
+    worker.server.closing = True
+    worker.closing_listener = asyncio.ensure_future(
+        close_listener(worker.server.listener)
+    )
     for task in worker.server.connections:
         task.cancel()
 
