Ask the revision in force for the pool before each attempt of an entry

What callers saw (shown by test): a request to a service whose revision had led it to another pool, or had dropped it, was sent again to the old pool after its first attempt broke.

Cause: the pool was looked up once, when the request arrived.

Fix: PoolRequest.follow takes the pool of the revision in force before each attempt, with and without a key.

--- a/gypsumshift/callerapi.py
+++ b/gypsumshift/callerapi.py
@@ -17,6 +17,7 @@
 
 __all__ = ["CallerApi"]
 
+SERVICES_PATH = "/services/"
 MODEL_PATHS = ("/v1/completions", "/v1/chat/completions")
 # Methods that are not idempotent (RFC 9110).
 UNREPEATABLE_METHODS = ("POST", "PATCH")
@@ -138,8 +139,8 @@
         self, request: Request, workspace: str, rest: str, parameters: Parameters
     ) -> PoolRequest | Response:
         """Convert an HTTP request to a pool request; if invalid, return an error."""
-        if rest.startswith("/services/"):
-            service, _, path = rest.removeprefix("/services/").partition("/")
+        if rest.startswith(SERVICES_PATH):
+            service, _, path = rest.removeprefix(SERVICES_PATH).partition("/")
             pool, path = parameters.services.get(service), f"/{path}"
             if pool is None:
                 known = ", ".join(parameters.services) or "none"
@@ -177,8 +178,19 @@
             share=parameters.share,
             affinity=request_affinity(request) if rest in MODEL_PATHS else "",
             fresh_key=request.header(FRESH_KEY_HEADER) == "?1",
+            find_pool=lambda: self.pool_of(workspace, rest),
         )
 
+    def pool_of(self, workspace: str, rest: str) -> str:
+        """Return the pool of a path by the revision in force; empty if it has none."""
+        parameters = self.process.active_revision.catalog.workspaces.get(workspace)
+        if parameters is None:
+            return ""
+        if rest.startswith(SERVICES_PATH):
+            service = rest.removeprefix(SERVICES_PATH).partition("/")[0]
+            return parameters.services.get(service, "")
+        return parameters.model_pool
+
     def is_repeatable(
         self, request: Request, path: str, parameters: Parameters
     ) -> bool:
--- a/gypsumshift/dispatch.py
+++ b/gypsumshift/dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import datetime
+from collections.abc import Callable
 
 import attrs
 
@@ -88,6 +89,9 @@
     identity : str
         Text that stays the same when the request is sent again, for requests whose
         body does not; empty for the others.
+    find_pool : callable or None
+        Returns the pool by the revision in force, empty for none; None for a request
+        whose pool is fixed.
     """
 
     workspace: str
@@ -109,6 +113,12 @@
     no_wait: bool = False
     fresh_key: bool = False
     identity: str = ""
+    find_pool: Callable[[], str] | None = None
+
+    def follow(self) -> None:
+        """Take the pool of the revision in force, which may have changed."""
+        if self.find_pool is not None:
+            self.pool = self.find_pool()
 
     @property
     def deferred(self) -> bool:
@@ -203,7 +213,7 @@
         self, request: PoolRequest, permit: Permit
     ) -> CompleteAnswer | StreamedAnswer | NotRun | Unknown:
         """Try sidecars until one answers or the limits of tries or time are reached."""
-        router, budget = self.router(request.pool), self.budget(request.workspace)
+        budget = self.budget(request.workspace)
         budget.record_request()
         refusal = Refusal(f"no backend server of {request.pool} is known here", 1.0)
         lost = None
@@ -216,7 +226,8 @@
                     HELD_BACK_REASON, self.guard.retry_after_s(request.fingerprint)
                 )
                 break
-            sidecar = self.next_sidecar(request, router)
+            request.follow()
+            sidecar = self.next_sidecar(request, self.router(request.pool))
             if sidecar is None or request.deadline <= self.clock.monotonic():
                 break
             result = await self.run_guarded_attempt(request, sidecar, permit)
--- a/gypsumshift/idempotency.py
+++ b/gypsumshift/idempotency.py
@@ -126,6 +126,7 @@
         row: Row | None = None
         refusal = Refusal(f"no backend server of {request.pool} is known here", 1.0)
         for _ in range(MAX_ATTEMPTS):
+            request.follow()
             sidecar = self.dispatcher.router(request.pool).choose_sidecar(
                 request.avoid, request_class=request.request_class
             )
