--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import datetime
-import math
 
 from gypsumshift import logs
 from gypsumshift.outcomes import Answered, HeldBack, NotRun, Unknown
@@ -27,22 +26,21 @@
 from gypsumshift.serving.crashguard import HELD_BACK_REASON, CrashGuard, Permit
 from gypsumshift.serving.directory import BackendServer
 from gypsumshift.serving.forwardstate import ForwardState
+from gypsumshift.serving.forwardwaits import HEDGE_SHARE, AttemptWaits
 from gypsumshift.serving.latecrashes import LateCrashDetector
 from gypsumshift.serving.reachprobes import new_prober
-from gypsumshift.serving.sender import Sender, connect_hedge_s
+from gypsumshift.serving.sender import Sender
 
-__all__ = ["ALL_EVACUATED", "EVACUATED_RETRY_SECONDS", "NO_ROUTE", "Forwarder"]
+__all__ = [
+    "ALL_EVACUATED",
+    "EVACUATED_RETRY_SECONDS",
+    "HEDGE_SHARE",
+    "NO_ROUTE",
+    "Forwarder",
+]
 
-# Share of a route's objective after which a request is also sent to a second server. A
-# usual answer takes a quarter of the objective, so half of it leaves enough time.
-HEDGE_SHARE = 0.5
-# Hedge delay for routes without an objective.
-DEFAULT_HEDGE_DELAY_SECONDS = 0.5
 # Pause after every server refused a request; multiplied by the number of the round.
 FULL_PAUSE_SECONDS = 0.05
-# Pause after which servers that refused are asked again while another one does not
-# answer; doubled each time.
-ASK_AGAIN_SECONDS = 0.25
 # Rounds in which all servers may refuse before the caller is asked to retry later.
 MAX_FULL_ROUNDS = 3
 # Delay after which a caller may retry: a few service times.
@@ -51,9 +49,6 @@
 # evacuation after seconds to minutes.
 EVACUATED_RETRY_SECONDS = 1.0
 ALL_EVACUATED = "all servers of the service are in evacuated availability zones"
-# Time after which a call without a connection is checked again, while a server of its
-# service cannot be reached.
-RECHECK_SECONDS = 0.05
 UNREACHABLE_REASON = "no server of the service can be reached"
 DEADLINE_PASSED = "the deadline passed"
 NO_ROUTE = "the configuration has no route for the request any more"
@@ -91,6 +86,7 @@
         self.balancer = sender.balancer
         self.clock = sender.clock
         self.metrics = sender.metrics
+        self.waits = AttemptWaits(sender, policy)
         self.trial_tasks: set[asyncio.Task] = set()
         self.prober = new_prober(
             sender.fetcher,
@@ -200,7 +196,7 @@
 
     async def run_attempts(self, state: ForwardState) -> Answered | NotRun | Unknown:
         """Start attempts until one settles the call or no more may be made."""
-        hedge = self.hedge_delay(state.call)
+        hedge = self.waits.hedge_delay(state.call)
         while True:
             left = state.call.deadline - OUTCOME_MARGIN_SECONDS - self.clock.monotonic()
             if left <= 0:
@@ -222,10 +218,11 @@
                     return self.final_outcome(state, self.not_accepted_reason(state))
                 continue
             if started is None:
-                done = await self.wait_for_running(state, left)
+                done = await self.waits.wait_for_running(state, left)
             else:
                 delay = hedge + EXCHANGE_ROUND_TRIPS * started.round_trip_s
-                done = await self.wait_for_hedge(state, started, min(left, delay))
+                due = min(left, delay)
+                done = await self.waits.wait_for_hedge(state, started, due)
             for task in done:
                 server = state.running.pop(task)
                 state.progress.pop(task)
@@ -248,42 +245,6 @@
         self.metrics.count("refused_unreachable", service=service)
         return NotRun(UNREACHABLE_REASON, datetime.timedelta(seconds=seconds))
 
-    async def wait_for_running(
-        self, state: ForwardState, left: float
-    ) -> set[asyncio.Task]:
-        """Wait until an attempt has ended while no other may start; return the ended.
-
-        Servers that refused the call may have room before those that run it answer, so
-        they are asked again after a pause.
-        """
-        longest = self.longest_wait(state, left)
-        if not state.refused_by or state.exhausted:
-            return await self.wait_for_attempts(state, longest)
-        now = self.clock.monotonic()
-        if state.ask_again_at <= now:
-            state.ask_again_at = now + ASK_AGAIN_SECONDS * 2**state.asked_again
-            state.asked_again += 1
-        pause = state.ask_again_at - now
-        done = await self.wait_for_attempts(state, min(longest, pause))
-        if not done and self.clock.monotonic() >= state.ask_again_at:
-            state.refused_by.clear()
-        return done
-
-    def longest_wait(self, state: ForwardState, left: float) -> float:
-        """Return the seconds for which a call may wait for its attempts."""
-        if state.may_have_run or not self.sender.reachability.unreached:
-            return left
-        return min(left, RECHECK_SECONDS)
-
-    def hedge_delay(self, call: Call) -> float:
-        """Return the seconds after which a call is also sent to a second server."""
-        if not self.policy.second_server:
-            return math.inf
-        objective = call.route.objective
-        if objective is None:
-            return DEFAULT_HEDGE_DELAY_SECONDS
-        return HEDGE_SHARE * objective.total_seconds()
-
     def blocked_reason(self, state: ForwardState) -> str:
         """Return why no more attempts may be made; empty if they may."""
         if not state.call.has_route:
@@ -331,39 +292,6 @@
         state.progress[task] = progress
         return progress
 
-    async def wait_for_hedge(
-        self, state: ForwardState, newest: AttemptProgress, delay: float
-    ) -> set[asyncio.Task]:
-        """Wait until an attempt has ended or the next one is due; return the ended.
-
-        Parameters
-        ----------
-        state : ForwardState
-        newest : AttemptProgress
-            Of the attempt that was started last. If it has no connection, the next one
-            is due after `connect_hedge_s`.
-        delay : float
-            Seconds after which the next attempt is due in any case.
-        """
-        first = min(delay, connect_hedge_s(newest))
-        done = await self.wait_for_attempts(state, first)
-        unconnected = self.policy.second_server and not newest.connected
-        if unconnected and not done:
-            *_, server = state.running.values()
-            self.balancer.record_unconnected(server)
-        if done or unconnected:
-            return done
-        return await self.wait_for_attempts(state, delay - first)
-
-    async def wait_for_attempts(
-        self, state: ForwardState, timeout: float
-    ) -> set[asyncio.Task]:
-        """Wait until an attempt has ended, at most for ``timeout`` seconds."""
-        done, _ = await asyncio.wait(
-            state.running, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
-        )
-        return done
-
     async def attempt(
         self, call: Call, server: BackendServer, progress: AttemptProgress
     ) -> AttemptOutcome:
--- a/gypsumshift/serving/responses.py
+++ b/gypsumshift/serving/responses.py
@@ -1,10 +1,17 @@
 """Interpretation of the status and header fields of backend server responses."""
 
-from gypsumshift.httpclient import Exchange
-from gypsumshift.serving.calls import Refused
+from gypsumshift.httpclient import Exchange, FetchError
+from gypsumshift.outcomes import Answered
+from gypsumshift.serving.calls import AttemptOutcome, Failed, Refused
 from gypsumshift.serving.headers import HOP_BY_HOP, HeaderNames
 
-__all__ = ["mismatched_request_id", "end_to_end_headers", "parse_refusal"]
+__all__ = [
+    "check_origin",
+    "end_to_end_headers",
+    "mismatched_request_id",
+    "parse_refusal",
+    "read_outcome",
+]
 
 # HTTP status of a server other than the one expected at the address.
 MISDIRECTED = 421
@@ -33,6 +40,27 @@
     return "" if echoed == request_id else echoed
 
 
+def check_origin(exchange: Exchange, names: HeaderNames, request_id: str) -> None:
+    """Raise `FetchError` unless a response is a server's own, and to the request."""
+    other_id = mismatched_request_id(exchange, names, request_id)
+    if other_id:
+        reason = f"answer belongs to request {other_id}, not to {request_id}"
+        raise FetchError(reason, True)
+    signed = exchange.header(names.signature.encode())
+    if not signed and exchange.status < 300:
+        raise FetchError("answer has no signature", True)
+
+
+def read_outcome(exchange: Exchange, names: HeaderNames, body: bytes) -> AttemptOutcome:
+    """Return the outcome of an attempt, given its complete answer."""
+    refused = parse_refusal(exchange, names)
+    if refused is not None:
+        return refused
+    if exchange.header(b"content-encoding"):
+        return Failed("answer has a content encoding", True)
+    return Answered(exchange.status, end_to_end_headers(exchange), body)
+
+
 def end_to_end_headers(exchange: Exchange) -> tuple[tuple[str, str], ...]:
     """Return the header fields for the caller, without the hop-by-hop ones."""
     return tuple(
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -35,12 +35,7 @@
 from gypsumshift.serving.liveness import is_gone
 from gypsumshift.serving.loadbalancer import LoadBalancer
 from gypsumshift.serving.reachability import Reachability
-from gypsumshift.serving.responses import (
-    MISDIRECTED,
-    end_to_end_headers,
-    mismatched_request_id,
-    parse_refusal,
-)
+from gypsumshift.serving.responses import MISDIRECTED, check_origin, read_outcome
 from gypsumshift.usage import UsageCounter
 
 __all__ = ["Sender", "connect_hedge_s"]
@@ -294,10 +289,10 @@
             call, server, self.request_headers(call, server), fresh, progress
         )
         with contextlib.closing(exchange):
-            self.check_origin(exchange, call)
+            check_origin(exchange, self.names, call.id)
             self.record_load(server, exchange)
             body = await exchange.read(call.holding, call.max_answer_bytes)
-            outcome = self.classify(exchange, body)
+            outcome = read_outcome(exchange, self.names, body)
             if not isinstance(outcome, Answered):
                 call.holding.remove(ByteKind.ANSWER, len(body))
             return outcome
@@ -410,25 +405,6 @@
             return
         self.balancer.record_load(server, load)
 
-    def check_origin(self, exchange: Exchange, call: Call) -> None:
-        """Raise `FetchError` unless an answer is a server's own, and that to a call."""
-        other_id = mismatched_request_id(exchange, self.names, call.id)
-        if other_id:
-            reason = f"answer belongs to request {other_id}, not to {call.id}"
-            raise FetchError(reason, True)
-        signed = exchange.header(self.names.signature.encode())
-        if not signed and exchange.status < 300:
-            raise FetchError("answer has no signature", True)
-
-    def classify(self, exchange: Exchange, body: bytes) -> AttemptOutcome:
-        """Return the outcome of an attempt, given its complete answer."""
-        refused = parse_refusal(exchange, self.names)
-        if refused is not None:
-            return refused
-        if exchange.header(b"content-encoding"):
-            return Failed("answer has a content encoding", True)
-        return Answered(exchange.status, end_to_end_headers(exchange), body)
-
 
 def connect_hedge_s(progress: AttemptProgress) -> float:
     """Return the seconds without a connection after which a second server is tried."""
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -29,7 +29,11 @@
     RETRY_AFTER_SECONDS,
     Forwarder,
 )
-from gypsumshift.serving.responses import end_to_end_headers, parse_refusal
+from gypsumshift.serving.responses import (
+    check_origin,
+    end_to_end_headers,
+    parse_refusal,
+)
 from gypsumshift.serving.streamstate import RelayState, Stream
 
 __all__ = ["STREAM_WINDOW_BYTES", "StreamRelay"]
@@ -283,7 +287,7 @@
             fields.append((names.last_event, after))
         exchange = await self.sender.open(call, server, fields, fresh=True)
         try:
-            self.sender.check_origin(exchange, call)
+            check_origin(exchange, names, call.id)
         except FetchError:
             exchange.close()
             raise
