--- a/gypsumshift/serving/forwarder.py
+++ b/gypsumshift/serving/forwarder.py
@@ -86,7 +86,7 @@
         self.balancer = sender.balancer
         self.clock = sender.clock
         self.metrics = sender.metrics
-        self.waits = AttemptWaits(sender, policy)
+        self.waits = AttemptWaits(sender, lambda: self.policy)
         self.trial_tasks: set[asyncio.Task] = set()
         self.prober = new_prober(
             sender.fetcher,
--- a/gypsumshift/serving/forwardwaits.py
+++ b/gypsumshift/serving/forwardwaits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 
 from gypsumshift.policy import Policy
 from gypsumshift.serving.calls import AttemptProgress, Call
@@ -29,18 +30,19 @@
     Parameters
     ----------
     sender : Sender
-    policy : Policy
+    get_policy : callable
+        Returns the policy in force.
     """
 
-    def __init__(self, sender: Sender, policy: Policy):
+    def __init__(self, sender: Sender, get_policy: Callable[[], Policy]):
         self.reachability = sender.reachability
         self.balancer = sender.balancer
         self.clock = sender.clock
-        self.policy = policy
+        self.get_policy = get_policy
 
     def hedge_delay(self, call: Call) -> float:
         """Return the seconds after which a call is also sent to a second server."""
-        if not self.policy.second_server:
+        if not self.get_policy().second_server:
             return math.inf
         objective = call.route.objective
         if objective is None:
@@ -90,7 +92,7 @@
         """
         first = min(delay, connect_hedge_s(newest))
         done = await self.wait_for_attempts(state, first)
-        unconnected = self.policy.second_server and not newest.connected
+        unconnected = self.get_policy().second_server and not newest.connected
         if unconnected and not done:
             *_, server = state.running.values()
             self.balancer.record_unconnected(server)
