--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -26,10 +26,15 @@
     A connection that is being accepted ends as well; asyncio leaves it open if its
     listener is closed at once.
     """
-    worker.server.closing = True
-    worker.closing_listener = asyncio.ensure_future(
-        close_listener(worker.server.listener)
-    )
+    server = worker.server
+    server.closing = True
+
+    async def close():
+        await close_listener(server.listener)
+        server.closing = False
+
+    # The server keeps the task, which would be discarded otherwise.
+    server.crash = asyncio.ensure_future(close())
     for task in worker.server.connections:
         task.cancel()
 
