--- a/review/4/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x .venv/bin/python ] || exit 2
 [ -d target/deps ] || exit 2
-PYTHONPATH=. exec .venv/bin/python review/4/case.py
+PYTHONPATH=. exec .venv/bin/python review/8/case.py
