--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A change of the settings file, told by SIGHUP, ends gateways that are starting."""
+"""A gateway that is stopped cuts a stream whose engine is silent for 1.6 s."""
 
 import asyncio
 import pathlib
@@ -8,74 +8,100 @@
 import time
 
 from gypsumshift.httpclient import FetchError
-from review.rolling_stop import Record, StoppedDeployment, is_troubled
-from soak.deployment import Process
+from review.rolling_stop import (
+    GRACE_S,
+    Record,
+    StoppedDeployment,
+    is_troubled,
+    read_answer,
+    request_bytes,
+)
+from soak.deployment import FRONT_PORT, WORKER_PORT, Process
+from soak.runs import read_runs
 from standins.users_documents import config
 
-GATEWAYS, TOLD = 4, 2
-# Changes of the settings, and time from a start of the process to the next change.
-CHANGES, CHANGE_AFTER_S = 3, 0.25
-# Time after which the platform restarts a process that has ended.
-RESTART_AFTER_S = 0.5
-# Time within which a process that is not told of a change becomes ready.
-READY_WITHIN_S = 10.0
+ENGINES, SLOTS = 3, 4
+EVENTS, EVENT_MS = 30, 120
+PAUSE_S = 1.6
+DEADLINE_MS = 10_000
 FOLDER = pathlib.Path(__file__).resolve().parent
 
 
-def change_settings(process: Process) -> None:
-    """Add a field that the process doesn't know to its settings file."""
-    settings = pathlib.Path(process.environment["GYPSUMSHIFT_NODE_FILE"])
-    settings.write_text(settings.read_text() + "\na.further=field")
+class PausingDeployment(StoppedDeployment):
+    """Deployment of gateways and of engines whose streams can be preempted."""
 
+    async def add_engine(self, number: int) -> Process:
+        """Add and start an engine."""
+        name = f"engine-{number}"
+        store = "{}:{}".format(*self.store_address)
+        fields = ["--port", str(WORKER_PORT), "--service", "pool", "--store", store]
+        fields += ["--slots", str(SLOTS), "--events", str(EVENTS)]
+        fields += ["--work-ms", str(EVENT_MS), "--name", f"i-{name}"]
+        fields += ["--runs", str(self.folder / f"{name}.runs")]
+        process = self.add(name, "review.pausing_worker", *fields)
+        await process.start()
+        return process
 
-async def restart_and_tell(process: Process, record: Record) -> int:
-    """Stop a gateway as planned and start it again; return how often it ended itself.
 
-    The platform tells the process of each change of its settings by a SIGHUP, and
-    starts it again when it has ended.
-    """
-    ends = 0
-    process.signal(signal.SIGTERM)
-    await process.child.wait()
-    await process.start()
-    record.note(f"{process.name} was stopped as planned, and is started again")
-    for _ in range(CHANGES):
-        await asyncio.sleep(CHANGE_AFTER_S)
-        if is_troubled():
-            change_settings(process)
-            process.signal(signal.SIGHUP)
-            record.note(f"{process.name}: settings changed, SIGHUP")
-        await asyncio.sleep(RESTART_AFTER_S)
-        if process.child.returncode is not None:
-            ends += 1
-            record.note(
-                f"{process.name} ended by itself, status {process.child.returncode}"
-            )
-            await process.start()
-    return ends
+async def run_stream(gateway, number: int, record: Record) -> tuple[float, float, bool]:
+    """Request a stream; return when it was sent and ended, and whether it is whole."""
+    name = f"s{number:02d}"
+    reader, writer = await asyncio.open_connection(gateway.ip, FRONT_PORT)
+    writer.write(request_bytes("/resumed/1", name, DEADLINE_MS, b"prompt"))
+    sent = time.monotonic()
+    status, body, whole = await read_answer(reader)
+    ended = time.monotonic()
+    writer.close()
+    events = body.count(b"\n\n")
+    whole = whole and status == 200 and events == EVENTS
+    state = "complete" if whole else "ended without its end"
+    record.note(
+        f"stream {name}: status {status}, {events} of {EVENTS} events, {state},"
+        f" {ended - sent:.2f} s after it was sent"
+    )
+    return sent, ended, whole
 
 
-async def play(deployment: StoppedDeployment, record: Record) -> bool:
-    """Run the case; return whether the rule is broken."""
-    await deployment.start(config(1))
-    for number in range(deployment.nodes, GATEWAYS):
-        fields = {"listen.front": 8100, "listen.ready": 8101}
-        await deployment.add_node(f"gateway-{number}", fields)
-    gateways = deployment.of_kind("gateway")
-    for gateway in gateways:
-        await deployment.until_ready(gateway)
-    own = len(gateways) + len(deployment.of_kind("agent"))
-    record.note(f"{own} processes of the system are in use")
-    ends = await asyncio.gather(
-        *(restart_and_tell(gateway, record) for gateway in gateways[:TOLD])
-    )
-    async with asyncio.timeout(READY_WITHIN_S):
-        for gateway in gateways:
-            await deployment.until_ready(gateway)
-    record.note("all gateways are ready, once no more changes are told")
-    fallen = sum(count >= 3 for count in ends)
-    record.note(f"{fallen} machines whose processes ended three times by themselves")
-    return fallen >= max(2, own / 10)
+async def play(deployment: PausingDeployment, record: Record) -> int:
+    """Run the case; return the number of streams that break the rule."""
+    routes = config(1, slots=SLOTS)
+    for route in routes["routes"]:
+        route["timeout_ms"] = DEADLINE_MS
+    await deployment.start(routes)
+    await asyncio.sleep(4.5)
+    gateway = deployment.of_kind("gateway")[0]
+    streams = []
+    for number in range(ENGINES * SLOTS):
+        streams.append(asyncio.create_task(run_stream(gateway, number, record)))
+        await asyncio.sleep(0.02)
+    record.note(f"{len(streams)} streams requested; all engines are full")
+    await asyncio.sleep(0.8)
+    stopped_at = time.monotonic()
+    gateway.signal(signal.SIGTERM)
+    record.note(f"SIGTERM to {gateway.name}, grace_s {GRACE_S:g}")
+    await asyncio.sleep(0.4)
+    if is_troubled():
+        engine = deployment.of_kind("engine")[0]
+        pause = str(PAUSE_S).encode()
+        address = (engine.ip, WORKER_PORT)
+        answer = await deployment.fetcher.fetch(address, "PUT", "/preempt", [], pause)
+        record.note(
+            f"{engine.name} preempts {answer.body.decode()}: no event for {PAUSE_S} s,"
+            " then it goes on"
+        )
+    ends = await asyncio.gather(*streams)
+    last_sixth = stopped_at + GRACE_S * 5 / 6
+    cut = [ended for _, ended, whole in ends if not whole]
+    # Excuses of the rule: none of these streams was due, none sent after the signal.
+    broken = [ended for ended in cut if ended < last_sixth]
+    record.note(f"{len(cut)} of {len(ends)} streams have no complete answer")
+    for run in read_runs(deployment.folder, "engine"):
+        if run.get("left") and run["end"] != "whole":
+            record.note(
+                f"{run['file']}: {run['left']} was still at work when the gateway left"
+                f" it after {run['after_s']} s"
+            )
+    return len(broken)
 
 
 async def main() -> int:
@@ -86,7 +112,7 @@
     try:
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder)
-            deployment = StoppedDeployment(path, int(time.time()) % 1000, 2)
+            deployment = PausingDeployment(path, int(time.time()) % 1000, ENGINES)
             try:
                 async with asyncio.timeout(100):
                     broken = await play(deployment, record)
