--- a/review/garbling_engine.py
+++ b/review/garbling_engine.py
@@ -18,6 +18,10 @@
 
 __all__ = ["GarblingEngine"]
 
+# The disruptions come again and again, each for its length (site files: srv_grey 6.5 s
+# and more, garble "extra late" 5 s).
+PERIOD_S, FAILING_S, GARBLE_S = 7.0, 6.5, 5.0
+
 
 class GarblingEngine:
     """Model engine with one connection handler.
@@ -40,11 +44,12 @@
 
     Attributes
     ----------
-    answers, copies : int
-        Answers to items, and second copies, sent so far.
+    answers, window_answers, copies : int
+        Answers to items, those in the time of late copies, and second copies, so far.
     """
 
     def __init__(self, name, slots, events, pause, failing, repeated, log):
+        self.began = time.monotonic()
         self.name = name
         self.slots = slots
         self.events = events
@@ -55,7 +60,11 @@
         self.rng = random.Random(name)
         self.born = int(time.time() * 1000)
         self.running = 0
-        self.answers = self.copies = 0
+        self.answers = self.window_answers = self.copies = 0
+
+    def in_window(self, seconds: float) -> bool:
+        """Return whether a disruption of some seconds lasts that comes each period."""
+        return (time.monotonic() - self.began) % PERIOD_S < seconds
 
     def note(self, **line) -> None:
         """Write a line to the log."""
@@ -117,10 +126,13 @@
             await send(writer, 503, stamp | {"not-run": "1"}, b"")
             return b""
         self.answers += 1
-        if self.rng.random() < self.failing:
+        self.window_answers += self.in_window(GARBLE_S)
+        if self.in_window(FAILING_S) and self.rng.random() < self.failing:
             self.note(failed=item)
             sent = await send(writer, 500, stamp, b"error")
-            within = self.copies + 1 <= self.repeated * self.answers
+            if not self.in_window(GARBLE_S):
+                return b""
+            within = self.copies + 1 <= self.repeated * self.window_answers
             return sent if within else b""
         await self.stream(item, int(fields.get("last-event-id", "0")), stamp, writer)
         return b""
