End a streamed answer whose caller leaves while its server is silent

What callers' servers saw (shown by test, not reported): a stream whose caller had closed its connection went on at its server until that sent the next event, which a silent server doesn't.

Cause: a connection is watched for its end while the handler runs, but not while a streamed body is sent; only a failing write showed that the caller had left.

Fix: the protocol reports the end of what a caller sends and of the connection; a streamed answer then ends at once, as a request does whose handler still runs. It costs nothing while a stream flows.

--- a/gypsumshift/flowcontrol.py
+++ b/gypsumshift/flowcontrol.py
@@ -58,6 +58,8 @@
     ----------
     on_lost : callable or None
         Called when the socket was closed.
+    on_eof : callable or None
+        Called when the other side has closed the connection or its sending side.
     """
 
     def __init__(
@@ -70,6 +72,13 @@
         self.size = size
         self.buffer = b""
         self.on_lost: Callable[[], None] | None = None
+        self.on_eof: Callable[[], None] | None = None
+
+    def eof_received(self) -> bool | None:
+        """Report that nothing more will be received."""
+        if self.on_eof is not None:
+            self.on_eof()
+        return super().eof_received()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the connection."""
--- a/gypsumshift/httpserver.py
+++ b/gypsumshift/httpserver.py
@@ -109,7 +109,9 @@
             connection.record_close(CloseReason.FULL)
             writer.transport.abort()
             return
-        writer.transport.get_protocol().on_lost = connection.lost
+        protocol = writer.transport.get_protocol()
+        protocol.on_lost = connection.lost
+        protocol.on_eof = connection.end_stream
         task = asyncio.create_task(self.serve_connection(connection))
         connection.task = task
         self.connections[task] = connection
--- a/gypsumshift/serverconnection.py
+++ b/gypsumshift/serverconnection.py
@@ -68,6 +68,8 @@
         Whether a request is being served.
     is_handled : bool
         Whether the handler has got it.
+    is_streaming : bool
+        Whether a streamed response is being sent.
     input : RequestReader
     receiver : RequestReceiver
     """
@@ -83,6 +85,7 @@
         self.task: asyncio.Task | None = None
         self.busy = False
         self.is_handled = False
+        self.is_streaming = False
         self.receiver = RequestReceiver(server, self, self.input)
         limit_sending(writer, BUFFER_BYTES)
 
@@ -126,6 +129,16 @@
         """Note that the socket was closed."""
         self.table.remove(self)
         self.receiver.end_receiving()
+        self.end_stream()
+
+    def end_stream(self) -> None:
+        """End a streamed response whose caller has left.
+
+        Nothing is written while its source is silent, so that a write does not fail.
+        """
+        if self.is_streaming and self.task is not None:
+            self.is_streaming = False
+            self.task.cancel()
 
     def record_close(self, reason: CloseReason) -> None:
         """Count and log that the connection is closed before the caller ends it."""
@@ -313,6 +326,10 @@
 
     async def send_stream(self, response: Response) -> bool:
         """Send a streamed body with its trailers; return whether it was completed."""
+        if self.input.reader.at_eof():
+            await response.body.aclose()
+            return False
+        self.is_streaming = True
         try:
             async for data in response.body:
                 if data:
@@ -325,6 +342,7 @@
                 reset_connection(self.writer)
             return False
         finally:
+            self.is_streaming = False
             await response.body.aclose()
         end = h11.EndOfMessage(headers=encode_fields(response.trailers()))
         self.writer.write(self.state.send(end))
