Keep a silent stream open until another server has its next event

After 1.2 s of silence another server is asked, as many as the route's attempts allow, and all runs stay open; the first to have the next event goes on and the others are closed. What two runs send is never joined: the other runs are asked after the last event that the caller has, and dropped whole.

--- a/gypsumshift/eventstream.py
+++ b/gypsumshift/eventstream.py
@@ -1,6 +1,7 @@
 """Event stream: split a ``text/event-stream`` response into its events."""
 
 import asyncio
+import math
 from collections.abc import AsyncIterator
 
 from gypsumshift.httpclient import Exchange, FetchError
@@ -93,7 +94,9 @@
         return [block for block in complete if block.strip()]
 
 
-async def iter_events(exchange: Exchange, idle_timeout: float) -> AsyncIterator[bytes]:
+async def iter_events(
+    exchange: Exchange, idle_timeout: float = math.inf, ends_silence: bool = True
+) -> AsyncIterator[bytes]:
     """Yield the bytes of each complete event, without the empty line after it.
 
     Parameters
@@ -101,6 +104,9 @@
     exchange : Exchange
     idle_timeout : float
         Seconds without a complete event after which the stream counts as broken.
+    ends_silence : bool
+        Whether this holds for a server that sends nothing; otherwise only for one that
+        sends bytes which complete no event.
 
     Raises
     ------
@@ -109,20 +115,19 @@
         is too large.
     """
     loop = asyncio.get_running_loop()
+    has_timer = ends_silence and idle_timeout < math.inf
     splitter = EventSplitter()
     since_event = 0
     idle_until = loop.time() + idle_timeout
     chunks = exchange.chunks()
     while True:
         try:
-            async with asyncio.timeout_at(idle_until):
+            async with asyncio.timeout_at(idle_until if has_timer else None):
                 data = await anext(chunks, None)
         except FetchError as error:
             raise StreamBroken.from_fetch_error(error) from error
         except TimeoutError as error:
-            raise StreamBroken(
-                f"no event of the stream within {idle_timeout} s"
-            ) from error
+            raise idle_error(idle_timeout) from error
         if data is None:
             break
         since_event += len(data)
@@ -132,10 +137,17 @@
             idle_until = loop.time() + idle_timeout
         if since_event > MAX_EVENT_BYTES:
             raise StreamBroken(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+        if loop.time() > idle_until:
+            raise idle_error(idle_timeout)
     if splitter.rest.strip():
         raise StreamBroken("the stream ended inside an event", closed=True)
 
 
+def idle_error(idle_timeout: float) -> StreamBroken:
+    """Return the error of a stream without an event for too long."""
+    return StreamBroken(f"no event of the stream within {idle_timeout} s")
+
+
 def event_field(block: bytes, name: str) -> str:
     """Return the first field of a name in an event, or ``""`` if there is none."""
     for line in block.decode("utf-8", "replace").split("\n"):
--- a/gypsumshift/serving/streams.py
+++ b/gypsumshift/serving/streams.py
@@ -13,34 +13,19 @@
 
 from gypsumshift import logs
 from gypsumshift.bytebudget import ByteKind, Holding
-from gypsumshift.eventstream import StreamBroken, event_field, iter_events
-from gypsumshift.httpclient import Exchange, FetchError, RequestWithheld
+from gypsumshift.httpclient import Exchange, FetchError
 from gypsumshift.httpserver import ResponseAborted
 from gypsumshift.outcomes import HeldBack, NotRun, Unknown
-from gypsumshift.residency import NO_HOME_SERVER
-from gypsumshift.serving.authorization import KEY_NOT_CONFIRMED
 from gypsumshift.serving.calls import Call
-from gypsumshift.serving.crashguard import HELD_BACK_REASON, Permit
-from gypsumshift.serving.directory import BackendServer
-from gypsumshift.serving.forwarder import (
-    ALL_EVACUATED,
-    EVACUATED_RETRY_SECONDS,
-    NO_ROUTE,
-    RETRY_AFTER_SECONDS,
-    Forwarder,
-)
-from gypsumshift.serving.responses import (
-    check_origin,
-    end_to_end_headers,
-    parse_refusal,
-)
+from gypsumshift.serving.crashguard import Permit
+from gypsumshift.serving.forwarder import Forwarder
+from gypsumshift.serving.responses import end_to_end_headers
+from gypsumshift.serving.resumablerelay import ResumableRelay
+from gypsumshift.serving.streamopener import StreamOpener
 from gypsumshift.serving.streamstate import RelayState, Stream
 
 __all__ = ["STREAM_WINDOW_BYTES", "StreamRelay"]
 
-# Time without an event after which a resumable stream continues at another server.
-# Callers give up after 2 s.
-SILENCE_TIMEOUT_SECONDS = 1.2
 # What a process buffers for a stream whose caller does not read: 48 kB received and not
 # read yet, 32 kB that are being decoded and relayed, 32 kB not sent yet, and the states
 # of both connections.
@@ -59,9 +44,8 @@
 
     def __init__(self, forwarder: Forwarder):
         self.sender = forwarder.sender
-        self.balancer = forwarder.balancer
         self.guard = forwarder.guard
-        self.late_crashes = forwarder.late_crashes
+        self.opener = StreamOpener(forwarder)
         self.trial_tasks: set[asyncio.Task] = set()
 
     async def start(self, call: Call) -> Stream | NotRun | Unknown:
@@ -92,7 +76,7 @@
         state = RelayState(call, permit)
         opened = None
         try:
-            opened = await self.open(state)
+            opened = await self.opener.open(state)
         finally:
             if not isinstance(opened, tuple):
                 self.finish(state)
@@ -109,31 +93,10 @@
         return Stream(exchange.status, headers, body)
 
     def finish(self, state: RelayState) -> None:
-        """Close a stream's permit, and watch the server if the stream was cut off."""
-        self.count_at(state, None)
-        ran = state.runs > 0 or state.server is not None
-        self.guard.release_permit(state.permit, ran)
-        if state.server is not None:
-            self.late_crashes.check_servers(state.permit, [state.server])
-            self.end_run(state)
-
-    def end_run(self, state: RelayState) -> None:
-        """Record that a stream no longer runs at its server."""
-        self.guard.end_run(state.permit, state.server.start)
-        self.count_at(state, None)
-        state.server = None
-
-    def count_at(self, state: RelayState, server: BackendServer | None) -> None:
-        """Count the bytes of a call as outstanding at a server instead of the last one.
-
-        With None, they are not counted any more.
-        """
-        limits, size = self.balancer.byte_limits, len(state.call.body)
-        if state.counted_at is not None:
-            limits.end(state.counted_at, size)
-        if server is not None:
-            limits.begin(server, size)
-        state.counted_at = server
+        """Close a stream's permit, and watch its servers if the stream was cut off."""
+        self.guard.release_permit(state.permit, state.runs > 0)
+        for server in list(state.servers):
+            self.opener.abandon_run(state, server)
 
     async def report_end(self, state: RelayState, body: AsyncIterator[bytes]):
         """Yield a body, and report its end to the guard."""
@@ -143,7 +106,8 @@
                     yield data
             self.sender.calls.record_answer(state.call)
             self.guard.record_answer(state.permit, state.status, state.from_start)
-            self.end_run(state)
+            for server in list(state.servers):
+                self.opener.end_run(state, server)
         finally:
             self.finish(state)
 
@@ -186,166 +150,6 @@
             yield data
             holding.remove(ByteKind.STREAM, len(data))
 
-    async def open(
-        self, state: RelayState, after: str | None = None
-    ) -> tuple[Exchange, BackendServer] | NotRun | Unknown:
-        """Open a stream at a server that was not tried yet.
-
-        Parameters
-        ----------
-        state : RelayState
-        after : str or None
-            Number of the event after which a stream is resumed; empty to resume from
-            the first event, None for a new stream.
-        """
-        call = state.call
-        while True:
-            await self.wait_for_runs(state)
-            servers = self.sender.directory.ready_servers_for(call)
-            server = self.choose(state, servers)
-            left = call.deadline - self.sender.clock.monotonic()
-            if server is None or left <= 0:
-                return self.not_opened_outcome(state)
-            state.tried.add(server.start)
-            state.server = server
-            self.guard.begin_run(state.permit, server.start)
-            self.count_at(state, server)
-            sent_at = self.sender.clock.now().timestamp()
-            try:
-                async with self.sender.calls.limit(call):
-                    exchange = await self.open_at(call, server, after)
-            except RequestWithheld:
-                self.end_run(state)
-                continue
-            except (FetchError, TimeoutError) as error:
-                if getattr(error, "sent", True):
-                    self.sender.count_run(call, sent_at)
-                await self.handle_open_failure(state, server, error)
-                continue
-            if parse_refusal(exchange, self.sender.names) is None:
-                self.sender.count_run(call, sent_at)
-                state.runs += 1
-                return exchange, server
-            self.end_run(state)
-            exchange.close()
-
-    async def wait_for_runs(self, state: RelayState) -> None:
-        """Wait for other runs of the request that prevent one more, if any."""
-        left = state.call.deadline - self.sender.clock.monotonic()
-        if not state.exhausted:
-            await self.guard.wait_until_sendable(state.permit, state.runs > 0, left)
-
-    def choose(self, state: RelayState, servers: list) -> BackendServer | None:
-        """Return the server to try next; None if none is left or allowed."""
-        if state.exhausted or self.blocked_reason(state):
-            return None
-        servers = self.sender.residency.permitted(state.call, servers)
-        return self.balancer.choose(servers, state.tried, len(state.call.body))
-
-    def blocked_reason(self, state: RelayState) -> str:
-        """Return why no further server may be tried; empty if one may."""
-        if not state.call.has_route:
-            return NO_ROUTE
-        if not state.call.grant.is_valid:
-            return KEY_NOT_CONFIRMED
-        if self.sender.residency.lacks_home_server(state.call):
-            return NO_HOME_SERVER
-        allowed = self.guard.may_send(state.permit, state.runs > 0)
-        return "" if allowed else HELD_BACK_REASON
-
-    def not_opened_outcome(self, state: RelayState) -> NotRun | Unknown:
-        """Return the outcome of a stream that is not opened at another server."""
-        blocked = self.blocked_reason(state)
-        if blocked == NO_HOME_SERVER:
-            route = state.call.route.name
-            self.sender.metrics.count("residency_refusals", route=route)
-        reason = blocked or "no backend server accepted the stream"
-        service = state.call.service_by(self.sender.directory.routes)
-        evacuated = self.sender.directory.is_service_evacuated(service)
-        if evacuated and not blocked:
-            reason = ALL_EVACUATED
-        if state.runs:
-            return Unknown(reason)
-        if blocked == HELD_BACK_REASON:
-            return self.guard.held_back_outcome(state.permit.fingerprint)
-        pause = EVACUATED_RETRY_SECONDS if evacuated else RETRY_AFTER_SECONDS
-        return NotRun(reason, datetime.timedelta(seconds=pause))
-
-    async def open_at(
-        self, call: Call, server: BackendServer, after: str | None
-    ) -> Exchange:
-        """Open a stream at one server, or resume it there after an event.
-
-        When a stream is resumed, the caller already has its head. A server's error
-        response is therefore raised as `FetchError`, since relaying its body would look
-        like the end of the stream.
-        """
-        names = self.sender.names
-        fields = self.sender.request_headers(call, server)
-        if after:
-            fields = [field for field in fields if field[0] != names.last_event]
-            fields.append((names.last_event, after))
-        exchange = await self.sender.open(call, server, fields, fresh=True)
-        try:
-            check_origin(exchange, names, call.id)
-        except FetchError:
-            exchange.close()
-            raise
-        accepted = exchange.status == 200 or parse_refusal(exchange, names) is not None
-        if after is not None and not accepted:
-            exchange.close()
-            raise FetchError(
-                f"backend server answered with status {exchange.status} instead of"
-                " resuming the stream",
-                True,
-            )
-        return exchange
-
-    async def handle_open_failure(
-        self,
-        state: RelayState,
-        server: BackendServer,
-        error: FetchError | TimeoutError,
-    ) -> None:
-        """Record that a stream could not be opened at a server."""
-        connection_failed = isinstance(error, FetchError)
-        sent = not connection_failed or error.sent
-        state.runs += sent
-        if not connection_failed:
-            self.late_crashes.check_servers(state.permit, [server])
-        if not sent:
-            self.balancer.record_unconnected(server)
-        gone = connection_failed and await self.sender.is_gone(error, server)
-        if not gone:
-            self.balancer.record_failure(
-                server, self.sender.directory.ready_servers(server.service)
-            )
-        self.handle_broken_stream(
-            state, server, str(error) or "no answer in time", sent, gone
-        )
-
-    def handle_broken_stream(
-        self, state: RelayState, server: BackendServer, reason: str, sent: bool, gone
-    ) -> None:
-        """Record that a stream broke, and whether its server ended while running it."""
-        if gone:
-            self.sender.record_gone(server)
-        if gone and sent:
-            self.guard.record_crash(state.permit, server.start)
-            self.balancer.byte_limits.record_crash(server)
-        self.count_at(state, None)
-        self.end_run(state)
-        logs.event(
-            log,
-            "Stream from a backend server could not be opened or broke off.",
-            request=state.call.id,
-            fingerprint=state.call.fingerprint,
-            server=server.id,
-            after=state.last_event,
-            reason=reason,
-            ended=gone and sent,
-        )
-
     async def relay_unmodified(self, state: RelayState, exchange: Exchange, server):
         """Yield the bytes of one server's answer as they arrive."""
         with contextlib.closing(exchange):
@@ -354,7 +158,7 @@
                     yield data
             except FetchError as error:
                 gone = await self.sender.is_gone(error, server)
-                self.handle_broken_stream(state, server, str(error), True, gone)
+                self.opener.handle_broken_stream(state, server, str(error), True, gone)
                 raise ResponseAborted(str(error)) from error
 
     async def until_answer_due(
@@ -370,10 +174,9 @@
         ResponseAborted
             The answer is due and not complete.
         """
-        call = state.call
         while True:
             try:
-                async with self.sender.calls.limit(call, streamed=True):
+                async with self.sender.calls.limit(state.call, streamed=True):
                     part = await anext(parts, None)
             except TimeoutError as error:
                 self.log_unfinished_stream(state)
@@ -391,41 +194,17 @@
             request=state.call.id,
             fingerprint=state.call.fingerprint,
             route=state.call.route.name,
-            server=state.server.id if state.server else "",
+            servers=[server.id for server in state.servers],
             after=state.last_event,
         )
 
     async def relay_resumable(self, state: RelayState, exchange: Exchange, server):
-        """Yield complete events, continuing at another server after a break."""
-        call = state.call
-        state.last_event = call_header(call, self.sender.names.last_event)
-        state.from_start = not state.last_event
-        while True:
-            try:
-                with contextlib.closing(exchange):
-                    blocks = iter_events(exchange, SILENCE_TIMEOUT_SECONDS)
-                    async for block in self.until_answer_due(state, blocks):
-                        yield block + b"\n\n"
-                        state.last_event = event_field(block, "id") or state.last_event
-                return
-            except StreamBroken as error:
-                reason = str(error)
-                gone = await self.sender.is_gone(error, server)
-            self.handle_broken_stream(state, server, reason, True, gone)
-            state.from_start = not state.last_event
-            opened = await self.open(state, state.last_event)
-            if not isinstance(opened, tuple):
-                details = f"{reason}; {opened.reason}"
-                raise ResponseAborted(
-                    f"stream cannot be resumed after event {state.last_event}: "
-                    f"{details}"
-                )
-            exchange, server = opened
-
-
-def call_header(call: Call, name: str) -> str:
-    """Return the value of a header field of a call; empty if missing."""
-    return next((value for key, value in call.headers if key == name), "")
+        """Yield complete events, of the first server and of those that go on."""
+        relay = ResumableRelay(self.opener, state, exchange, server)
+        async with contextlib.aclosing(relay):
+            async for block in self.until_answer_due(state, relay):
+                yield block + b"\n\n"
+                relay.record_sent(block)
 
 
 def budget_refusal(call: Call) -> NotRun:
--- a/gypsumshift/serving/streamstate.py
+++ b/gypsumshift/serving/streamstate.py
@@ -36,30 +36,31 @@
     call : Call
     permit : Permit
     tried : set of ServerStart
-        Servers not to be tried again.
+        Servers at which the stream may have run, or which failed.
+    refused_by : set of ServerStart
+        Servers that did not take the stream in this round.
     runs : int
-        Number of servers at which the stream may have run.
-    server : BackendServer or None
-        Server at which the stream runs now.
+        Number of servers at which the stream may have run or may run.
+    servers : list of BackendServer
+        Servers at which the stream runs now: one, and beside a silent one those that
+        were asked to go on.
     status : int
         HTTP status of the answer that was sent to the caller.
     last_event : str
         Number of the last event that was sent to the caller; empty before the first.
     from_start : bool
         Whether the current server began with the first event.
-    counted_at : BackendServer or None
-        Server at which the bytes of the call count as outstanding.
     """
 
     call: Call
     permit: Permit
     tried: set[ServerStart] = attrs.field(factory=set)
+    refused_by: set[ServerStart] = attrs.field(factory=set)
     runs: int = 0
-    server: BackendServer | None = None
+    servers: list[BackendServer] = attrs.field(factory=list)
     status: int = 200
     last_event: str = ""
     from_start: bool = True
-    counted_at: BackendServer | None = None
 
     @property
     def exhausted(self) -> bool:
