Keep an item's silent run open until another run has its next event

Work is done twice, and at an engine that always needs longer to begin, for its queue, the item is cut again and again and never done.

Cause: EngineClient gave up the head and each event after 3 s, before anything else had taken over.

Fix: ItemStream races the runs of an item at its engine: after 3 s of silence it asks again and keeps the silent run; the first to have the next event goes on. A refusal for now (503, 429) is no end of the silent one; the pause to the next request doubles (3, 6, 12 s), and of more than three open runs the oldest is closed, so that an item whose answers are lost again and again is done. An engine that sends bytes which complete no event is still given up after 3 s. Silences don't count as pace, as before. Logged with the age of the silence.

--- a/gypsumshift/jobs/engine.py
+++ b/gypsumshift/jobs/engine.py
@@ -13,6 +13,12 @@
 
 from gypsumshift.eventstream import StreamBroken, StreamWithheld, iter_events
 from gypsumshift.httpclient import Exchange, Fetcher, FetchError, RequestWithheld
+from gypsumshift.jobs.itemstream import (
+    SILENCE_TIMEOUT,
+    Event,
+    ItemStream,
+    StreamRefused,
+)
 from gypsumshift.jobs.records import Item, Job
 from gypsumshift.outcomes import Answered, NotRun, Unknown
 from gypsumshift.serving.coldrates import SERVER_COLD, ColdRates, SendCheck
@@ -27,15 +33,12 @@
     "EngineProtocol",
     "EngineReport",
     "Event",
+    "SILENCE_TIMEOUT",
     "StreamRefused",
     "WeightLoadOrder",
     "send_id",
 ]
 
-# Seconds without an event after which a stream counts as broken. Loading weights
-# stalls an engine for up to 2.3 s, and a host may be frozen for some seconds: a
-# longer wait loses more than processing the prompt again, which takes 10 ms.
-SILENCE_TIMEOUT = 3.0
 CONNECT_TIMEOUT = 0.5
 REPORT_TIMEOUT = 0.5
 # Maximum sizes of a report, and of other answers that are not streams, in bytes.
@@ -45,24 +48,6 @@
 ORDER_TIMEOUT = 1.0
 
 
-@attrs.frozen
-class Event:
-    """One event of an item's output stream.
-
-    Attributes
-    ----------
-    number : int
-        Position in the whole output, counted from 1.
-    data : str
-    version : int
-        Weight version that generated it; 0 where the engine did not send one.
-    """
-
-    number: int
-    data: str
-    version: int
-
-
 @attrs.frozen
 class EngineReport:
     """Status report of a model engine.
@@ -113,28 +98,6 @@
     orders: int
 
 
-class StreamRefused(Exception):
-    """The engine answered an item's request with an error status.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status code.
-    counts_as_failure : bool
-        Whether this counts as a failed run of the item.
-    """
-
-    def __init__(self, status: int, counts_as_failure: bool):
-        super().__init__(f"engine refused the item with status {status}")
-        self.status = status
-        self.counts_as_failure = counts_as_failure
-
-    @property
-    def replaced(self) -> bool:
-        """Whether another server has the address now."""
-        return self.status == MISDIRECTED
-
-
 class EngineProtocol(abc.ABC):
     """Wire format of an engine's reports and orders."""
 
@@ -188,6 +151,8 @@
     ) -> AsyncIterator[Event]:
         """Request an item's output and yield its events, from a position on.
 
+        A silent engine is asked again; see `ItemStream`.
+
         Parameters
         ----------
         server : BackendServer
@@ -206,13 +171,26 @@
         StreamBroken
             The stream ended early.
         """
+
+        def begin_run(after: int) -> AsyncIterator[Event]:
+            return self.run_events(server, item, job, after, urgency)
+
+        stream = ItemStream(server, send_id(job, item), after, begin_run)
+        async with contextlib.aclosing(stream):
+            async for event in stream:
+                yield event
+
+    async def run_events(
+        self, server: BackendServer, item: Item, job: Job, after: int, urgency: int
+    ) -> AsyncIterator[Event]:
+        """Request an item's output once, and yield its events."""
         headers = self.request_headers(server, item, job.workspace, after, urgency)
         exchange = await self.open_stream(server, item, job, headers)
         with contextlib.closing(exchange):
             self.on_load(exchange.header(self.names.load.encode()))
             await self.check_response(exchange, item)
             version = parse_number(exchange.header(self.names.versions.encode()))
-            stream = iter_events(exchange, SILENCE_TIMEOUT)
+            stream = iter_events(exchange, SILENCE_TIMEOUT, ends_silence=False)
             async with contextlib.aclosing(stream):
                 async for block in stream:
                     event = self.parse_event(block, version)
@@ -225,28 +203,23 @@
         """Send the request of an item; return once the head of its answer arrived."""
         check = self.send_check(server, send_id(job, item))
         try:
-            async with asyncio.timeout(SILENCE_TIMEOUT):
-                exchange = await self.fetcher.open(
-                    server.address,
-                    "POST",
-                    item.path,
-                    headers,
-                    item.body,
-                    host=job.host,
-                    connect_timeout=CONNECT_TIMEOUT,
-                    allowed=lambda: (
-                        self.may_run(job, server) and self.permits(server, check)
-                    ),
-                    **connection_option(check),
-                )
+            exchange = await self.fetcher.open(
+                server.address,
+                "POST",
+                item.path,
+                headers,
+                item.body,
+                host=job.host,
+                connect_timeout=CONNECT_TIMEOUT,
+                allowed=lambda: (
+                    self.may_run(job, server) and self.permits(server, check)
+                ),
+                **connection_option(check),
+            )
         except RequestWithheld as error:
             raise StreamWithheld(self.withheld_reason(server, job, check)) from error
         except FetchError as error:
             raise StreamBroken.from_fetch_error(error) from error
-        except TimeoutError as error:
-            raise StreamBroken(
-                f"no response from server {server.id} within {SILENCE_TIMEOUT} s"
-            ) from error
         finally:
             if check is not None:
                 check.settle()
--- a/gypsumshift/jobs/itemrun.py
+++ b/gypsumshift/jobs/itemrun.py
@@ -1,5 +1,6 @@
 """Run of one batch-job item: generation on an engine, then the reward call."""
 
+import contextlib
 import enum
 import json
 
@@ -8,7 +9,7 @@
 from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.eventstream import StreamBroken
-from gypsumshift.jobs.engine import EngineClient, Event, StreamRefused
+from gypsumshift.jobs.engine import SILENCE_TIMEOUT, EngineClient, Event, StreamRefused
 from gypsumshift.jobs.pace import Pace
 from gypsumshift.jobs.records import Item, Job, Partial, Result, ResultState
 from gypsumshift.jobs.schedule import item_urgency
@@ -190,8 +191,9 @@
                 server, self.item, self.job, len(self.events), rank
             )
             self.last_event_at = 0.0
-            async for event in stream:
-                self.append_event(event)
+            async with contextlib.aclosing(stream):
+                async for event in stream:
+                    self.append_event(event)
         except StreamRefused as refusal:
             return self.handle_refusal(refusal)
         finally:
@@ -266,7 +268,8 @@
         # processing of the prompt, so it is no gap between events.
         if self.last_event_at:
             gap = now - self.last_event_at
-            self.pace.record_gap(gap)
+            if gap < SILENCE_TIMEOUT:
+                self.pace.record_gap(gap)
             self.longest_gap = max(self.longest_gap, gap)
         self.last_event_at = now
         self.is_streaming = True
