Take an answer whose status is none for no answer, on every path

Fix: Exchange.read_head, through which all of these read, raises unless the status is final (200 to 599; RFC 9110, 15) and the version is HTTP/1; an entry takes a sidecar's message with another status for a lost attempt.

--- a/gypsumshift/attemptresults.py
+++ b/gypsumshift/attemptresults.py
@@ -7,6 +7,7 @@
 
 from gypsumshift.clock import Clock
 from gypsumshift.generated.messages import Body, Cancel, End, Head, Load, Span
+from gypsumshift.httpconnection import is_final_status
 from gypsumshift.membership import Peer
 from gypsumshift.outcomes import Unknown
 from gypsumshift.peerconnection import PeerConnection, PeerConnectionError, PendingCall
@@ -142,6 +143,9 @@
         streaming = False
         try:
             body = await self.call.receive()
+            head = body.whole.head if body.whole is not None else body.head
+            if head is not None and not is_final_status(head.status):
+                return self.reject_head(head)
             if body.whole is not None:
                 self.record_answer(began)
                 return self.complete_answer(
@@ -158,6 +162,12 @@
             if not streaming:
                 self.call.close()
 
+    def reject_head(self, head: Head) -> LostAttempt:
+        """Return the failure of an answer whose status is none."""
+        self.router.record_failure(self.sidecar)
+        reason = f"the sidecar sent {head.status}, which is no HTTP status"
+        return LostAttempt(reason, self.attempt)
+
     def record_answer(self, began: float) -> None:
         """Report to the router that the sidecar answered, and how soon."""
         self.router.record_answer(self.sidecar, self.clock.monotonic() - began)
--- a/gypsumshift/httpconnection.py
+++ b/gypsumshift/httpconnection.py
@@ -23,12 +23,17 @@
     "FetchError",
     "RequestWithheld",
     "encode_fields",
+    "is_final_status",
 ]
 
 READ_SIZE_BYTES = 64 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
 # Part of a request's body that is sent at once.
 PART_BYTES = 64 * 1024
+# Statuses of final responses (RFC 9110, 15); any other is no status.
+FINAL_STATUSES = range(200, 600)
+# Major version of HTTP whose messages are read here, as it begins a version.
+HTTP_MAJOR_VERSION = b"1."
 # Maximum number of interim responses (status 1xx) before a response.
 MAX_INTERIM_RESPONSES = 16
 # Events by which the kernel reports that the other side has closed a connection.
@@ -263,6 +268,7 @@
         if not isinstance(event, h11.Response):
             reason = "connection closed before the response"
             raise FetchError(reason, True, closed=True)
+        check_status_line(event)
         self.status = event.status_code
         self.headers = list(event.headers)
 
@@ -352,6 +358,25 @@
         self.fetcher.release(self)
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a number is the status of a final response."""
+    return status in FINAL_STATUSES
+
+
+def check_status_line(response: h11.Response) -> None:
+    """Raise `FetchError` unless a status line is one of HTTP/1 with a final status.
+
+    Whoever answers otherwise is in trouble: what it sends is no response.
+    """
+    if not is_final_status(response.status_code):
+        raise FetchError(
+            f"invalid response: {response.status_code} is no HTTP status", True
+        )
+    if not response.http_version.startswith(HTTP_MAJOR_VERSION):
+        version = response.http_version.decode("latin-1")
+        raise FetchError(f"invalid response: it is of HTTP/{version}", True)
+
+
 def encode_fields(fields: Iterable[tuple]) -> list[tuple]:
     """Return header fields with their values as bytes.
 
