Read what has arrived before a stop closes its connections

Cause, shown by tests/test_stop_reads.py: a stop closes the connections that are not busy, and one counts as busy only once its head was parsed. A request above 2 KiB waits for a turn of the event loop before that (3 s at most), and any request is unread for some turns after its bytes have arrived: with 20 requests that had just arrived, some were closed at each of six moments, whatever their size. So the turn gate makes it frequent, and is not the cause alone.

Fix: a stop closes at once the connections on which nothing has arrived, then waits until the heads of the others were read, as long as a request may wait for its turn, then closes those whose heads never came, and goes on as before.

--- a/gypsumshift/httpserver.py
+++ b/gypsumshift/httpserver.py
@@ -19,6 +19,7 @@
 from gypsumshift.inbound import Inbound, PortKind
 from gypsumshift.listeners import close_listener, open_listener
 from gypsumshift.serverconnection import ServerConnection
+from gypsumshift.turngate import WAIT_TIMEOUT_S
 
 __all__ = [
     "MAX_BODY_BYTES",
@@ -35,8 +36,11 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 # Bytes above twice which receiving waits until they were read.
 READER_LIMIT_BYTES = 8 * 1024
-
-
+# Longest time for which a stop waits for a request that has begun to arrive and whose
+# head has not been read. It may wait for its turn of the event loop as long.
+READ_GRACE_S = WAIT_TIMEOUT_S
+# Period at which a stop looks whether all such requests have been read.
+READ_CHECK_S = 0.02
 Handler = Callable[[Request], Awaitable[Response]]
 # Returns what the body of a request is part of, given the request without its body.
 BodyClassifier = Callable[[Request], ByteKind]
@@ -128,6 +132,21 @@
         finally:
             connection.close()
 
+    def cancel(self, is_due: Callable[[ServerConnection], bool]) -> None:
+        """Close the connections that are due."""
+        for task, connection in list(self.connections.items()):
+            if is_due(connection):
+                task.cancel()
+
+    async def wait_until_read(self, seconds: float) -> None:
+        """Wait until the requests that have begun to arrive were read, or some time."""
+        loop = asyncio.get_running_loop()
+        end_at = loop.time() + seconds
+        while loop.time() < end_at:
+            if all(connection.busy for connection in self.connections.values()):
+                return
+            await asyncio.sleep(READ_CHECK_S)
+
     async def stop(self, grace: float, answers_rest: bool = False) -> None:
         """Stop listening; wait up to ``grace`` seconds for requests in progress.
 
@@ -138,14 +157,17 @@
             Whether those that still run then get an error response; otherwise their
             connections are closed.
         """
+        loop = asyncio.get_running_loop()
+        end_at = loop.time() + grace
         self.closing = True
         if self.listener:
             await close_listener(self.listener)
-        for task, connection in list(self.connections.items()):
-            if not connection.busy:
-                task.cancel()
+        self.cancel(lambda connection: not connection.input.has_begun)
+        await self.wait_until_read(min(grace, READ_GRACE_S))
+        self.cancel(lambda connection: not connection.busy)
         if self.connections:
-            await asyncio.wait(set(self.connections), timeout=grace)
+            left = max(end_at - loop.time(), 0.0)
+            await asyncio.wait(set(self.connections), timeout=left)
         for task, connection in list(self.connections.items()):
             if answers_rest:
                 connection.answer_unfinished()
--- a/gypsumshift/requestreader.py
+++ b/gypsumshift/requestreader.py
@@ -106,6 +106,13 @@
         self.started = self.loop.time()
         return count > 0
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether bytes of a request have arrived that is not answered yet."""
+        was_read = self.pending_read is not None and self.pending_read.done()
+        buffered = getattr(self.reader, "_buffer", b"")
+        return self.unparsed > 0 or was_read or bool(buffered)
+
     @property
     def holds_large_head(self) -> bool:
         """Whether parsing the bytes received would hold the event loop."""
