Don't read a late copy of a failure as the answer to the next run

Cause: a server may repeat an answer late, where the next one on the connection is expected. An item that failed is sent again under its id, mostly on the connection that brought the failure, so that the copy has the right id and counts as another failure.

Fix: the connection that brought a failure of an item or of a reward call is closed, so that nothing can come on it for the next run. It costs a connection a failure; other answers keep theirs.

--- a/gypsumshift/httpclient.py
+++ b/gypsumshift/httpclient.py
@@ -302,7 +302,7 @@
         """Keep the connection of an exchange if it can be reused, else close it."""
         connection = exchange.connection
         self.remove_in_use(exchange.address, connection)
-        if not connection.is_reusable():
+        if not exchange.keeps_connection or not connection.is_reusable():
             connection.close()
             return
         connection.state.start_next_cycle()
--- a/gypsumshift/httpconnection.py
+++ b/gypsumshift/httpconnection.py
@@ -203,6 +203,8 @@
         Whether the connection had served an exchange before.
     has_body : bool
         Whether the response may have a body; False for the method HEAD.
+    keeps_connection : bool
+        Whether other exchanges may follow on the connection.
     unparsed : int
         Bytes received since the parser's last event.
     ahead : h11 event, FetchError or None
@@ -221,6 +223,7 @@
         self.complete = False
         self.reused = False
         self.has_body = True
+        self.keeps_connection = True
         self.unparsed = 0
         self.ahead = None
         self.owes_turn = False
--- a/gypsumshift/jobs/engine.py
+++ b/gypsumshift/jobs/engine.py
@@ -46,6 +46,8 @@
 MAX_ANSWER_BYTES = 64 * 1024
 NOT_PERMITTED = "the homes or the route of the job do not permit the engine"
 ORDER_TIMEOUT = 1.0
+# Status with which a server answers a run that it has failed.
+HTTP_FAILED = 500
 
 
 @attrs.frozen
@@ -276,11 +278,15 @@
             )
         if exchange.status != 200:
             not_run = exchange.header(self.names.not_run.encode())
+            failed = exchange.status == HTTP_FAILED and not not_run
+            # A second copy of a failure, which may come late, has the id of the item's
+            # next run.
+            exchange.keeps_connection = not failed
             # A response that was read to its end leaves the connection reusable.
             with contextlib.suppress(FetchError, TimeoutError):
                 async with asyncio.timeout(REPORT_TIMEOUT):
                     await exchange.read(max_bytes=MAX_ANSWER_BYTES)
-            raise StreamRefused(exchange.status, exchange.status == 500 and not not_run)
+            raise StreamRefused(exchange.status, failed)
         if not exchange.header(self.names.signature.encode()):
             raise StreamBroken(f"response to item {item.id} has no signature header")
 
--- a/gypsumshift/jobs/itemrun.py
+++ b/gypsumshift/jobs/itemrun.py
@@ -9,7 +9,13 @@
 from gypsumshift import logs
 from gypsumshift.clock import Clock
 from gypsumshift.eventstream import StreamBroken
-from gypsumshift.jobs.engine import SILENCE_TIMEOUT, EngineClient, Event, StreamRefused
+from gypsumshift.jobs.engine import (
+    HTTP_FAILED,
+    SILENCE_TIMEOUT,
+    EngineClient,
+    Event,
+    StreamRefused,
+)
 from gypsumshift.jobs.pace import Pace
 from gypsumshift.jobs.records import Item, Job, Partial, Result, ResultState
 from gypsumshift.jobs.schedule import item_urgency
@@ -40,7 +46,6 @@
 # Maximum size of the answer to a reward call, of which only the signature is used.
 MAX_SCORE_BYTES = 1024 * 1024
 HTTP_UNPROCESSABLE = 422
-HTTP_FAILED = 500
 # New events after which a run's output is saved: one second's worth. Most items are
 # shorter.
 SAVE_INTERVAL_EVENTS = 20
--- a/gypsumshift/serving/sender.py
+++ b/gypsumshift/serving/sender.py
@@ -291,6 +291,8 @@
         with contextlib.closing(exchange):
             check_origin(exchange, self.names, call.id)
             self.record_load(server, exchange)
+            # A reward call is repeated under its id; see `EngineClient.check_response`.
+            exchange.keeps_connection = not call.deferred or exchange.status < 500
             body = await exchange.read(call.holding, call.max_answer_bytes)
             outcome = read_outcome(exchange, self.names, body)
             if not isinstance(outcome, Answered):
