Keep a sample's stalled stream open until another has its next event

Cause: the sampler closes the stream at the time-out and sends the rest afterwards.

Evidence: tests/test_sampling.py, both engines stalled, the time-out shortened to 0.1 s, the first goes on: failed on (tokens generated twice, sample migrated).

Fix: SampleStream, the same race as for the streams of gateways and for items: the remaining tokens are requested elsewhere and the stalled stream stays open; the first to have the next event goes on. Moved out of sampling.py with the parsing of events. The constant STALL_TIMEOUT_S moved with it, which one test names.

--- a/gypsumshift/sampling.py
+++ b/gypsumshift/sampling.py
@@ -1,27 +1,30 @@
 """Generation of single samples, migrated to another engine if one is too slow.
 
-A stream that breaks, stalls or is too slow is resumed on another engine from the
-tokens received so far, so that no token is generated twice. Each token keeps the
-weight version that was reported in the event that contained it.
+A stream that breaks or is too slow is resumed on another engine from the tokens
+received so far, so that no token is generated twice; see `SampleStream` for one that
+stalls. Each token keeps the weight version that was reported in the event that
+contained it.
 """
 
-import asyncio
 import collections
+import contextlib
 import json
+from collections.abc import Awaitable
 
 import attrs
 
 from gypsumshift import logs
 from gypsumshift.attemptresults import CompleteAnswer, StreamedAnswer
-from gypsumshift.dialects import DIALECTS, Dialect
+from gypsumshift.dialects import DIALECTS
 from gypsumshift.dispatch import Dispatcher, PoolRequest
+from gypsumshift.eventstream import StreamBroken
 from gypsumshift.generated.declarations import Trainer
 from gypsumshift.generated.messages import RequestClass, Span
 from gypsumshift.groups import Group, Sample
 from gypsumshift.labels import Labeller
 from gypsumshift.outcomes import NotRun
-from gypsumshift.peerconnection import PeerConnectionError
 from gypsumshift.process import Process
+from gypsumshift.samplestream import CompletionEvent, SampleStream
 
 __all__ = ["Sampler"]
 
@@ -29,10 +32,8 @@
 MIN_RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 2.0
 MAX_REJECTIONS = 3
-# Once a sample has been resumed this often, a slow stream of it is not interrupted; a
-# stalled one still is.
+# Once a sample has been resumed this often, a slow stream of it is not interrupted.
 MAX_MIGRATIONS = 2
-STALL_TIMEOUT_S = 2.0
 # A stream is too slow if its time per token exceeds the median of the last
 # PACE_WINDOW streams by this factor. Streams of fewer than MIN_PACE_TOKENS tokens are
 # neither judged nor recorded, and at least MIN_PACES streams must be recorded.
@@ -45,35 +46,8 @@
 log = logs.logger("sampling")
 
 
-class UnreadableEvent(Exception):
-    """The engine sent data that is not an event of a completion stream."""
-
-
 class StreamTooSlow(Exception):
-    """The stream stalls, or is much slower than recent streams."""
-
-
-@attrs.frozen
-class CompletionEvent:
-    """One event of a completion stream.
-
-    Attributes
-    ----------
-    text : str
-    token_ids : list of int
-    prompt_ids : list of int
-        Token ids of the prompt; empty unless the event reports them.
-    finish_reason : str
-        Empty unless this is the last event.
-    version : int or None
-        Weight version that generated the tokens; None if not reported.
-    """
-
-    text: str = ""
-    token_ids: list[int] = attrs.field(factory=list)
-    prompt_ids: list[int] = attrs.field(factory=list)
-    finish_reason: str = ""
-    version: int | None = None
+    """The stream is much slower than recent streams."""
 
 
 @attrs.define
@@ -101,6 +75,14 @@
     finish_reason: str = ""
     streams: int = 0
 
+    def clear(self) -> None:
+        """Discard what has been received."""
+        self.prompt_ids = []
+        self.text = []
+        self.token_ids = []
+        self.labeller = Labeller()
+        self.finish_reason = ""
+
     def add_event(self, event: CompletionEvent) -> None:
         """Append the text and tokens of one event."""
         self.prompt_ids = self.prompt_ids or event.prompt_ids
@@ -165,8 +147,9 @@
             result = await self.dispatcher.send(request)
             avoid, wait = set(), MIN_RETRY_DELAY_S
             if isinstance(result, StreamedAnswer):
-                partial = await self.read_stream(result, partial, avoid)
-                sample = self.make_sample(group, number, partial, result)
+                stream = self.open_stream(result, group, partial, urgency)
+                partial = await self.read_stream(stream, partial, avoid)
+                sample = self.make_sample(group, number, partial, stream.spans)
                 if sample is not None:
                     return sample
                 if partial.finish_reason:
@@ -185,6 +168,8 @@
         self, group: Group, partial: PartialSample, urgency: int, avoid: set
     ) -> PoolRequest:
         """Return the request for a sample, or for its remaining tokens."""
+        if not partial.is_resumable:
+            partial = PartialSample()
         prefix_ids = partial.prompt_ids + partial.token_ids
         body = {
             "prompt": prefix_ids if partial.token_ids else group.prompt,
@@ -212,8 +197,29 @@
             identity=group.prompt,
         )
 
+    def open_stream(
+        self,
+        streamed: StreamedAnswer,
+        group: Group,
+        partial: PartialSample,
+        urgency: int,
+    ) -> SampleStream:
+        """Return a stream that goes on elsewhere if it stalls."""
+        pool = self.process.active_revision.catalog.pools.get(self.trainer.pool)
+
+        def send_successor(sidecar: str) -> Awaitable:
+            request = self.make_request(group, partial, urgency, {sidecar})
+            return self.dispatcher.send(request)
+
+        return SampleStream(
+            streamed,
+            self.name,
+            DIALECTS[pool.dialect if pool else "plain"],
+            send_successor if self.may_migrate() else None,
+        )
+
     async def read_stream(
-        self, streamed: StreamedAnswer, partial: PartialSample, avoid: set
+        self, stream: SampleStream, partial: PartialSample, avoid: set
     ) -> PartialSample:
         """Read a stream to its end, or until it breaks, is too slow or is stale.
 
@@ -227,15 +233,21 @@
         """
         partial.streams += 1
         before, began = len(partial.token_ids), self.clock.monotonic()
-        reason = ""
+        moved, reason = 0, ""
         try:
-            async for event in self.iter_events(streamed):
-                partial.add_event(event)
-                if self.is_stale(partial):
-                    reason = "stale"
-                    break
-                self.check_speed(partial, before, began)
-        except (PeerConnectionError, UnreadableEvent) as error:
+            async with contextlib.aclosing(stream):
+                async for event in stream:
+                    if stream.moved > moved:
+                        moved = stream.moved
+                        self.migrated += 1
+                        self.begin_again(partial)
+                        before, began = len(partial.token_ids), self.clock.monotonic()
+                    partial.add_event(event)
+                    if self.is_stale(partial):
+                        reason = "stale"
+                        break
+                    self.check_speed(partial, before, began)
+        except StreamBroken as error:
             reason = "broken"
             log.info(
                 "Stream of a sample of trainer {} broke after {} tokens: {}.",
@@ -246,9 +258,7 @@
         except StreamTooSlow:
             reason = "slow"
             self.migrated += 1
-            avoid.add(streamed.sidecar)
-        finally:
-            await streamed.chunks.aclose()
+            avoid.add(stream.sidecar)
         if not reason:
             self.record_pace(len(partial.token_ids) - before, began)
         elif reason == "stale" or not partial.is_resumable:
@@ -256,25 +266,16 @@
             return PartialSample()
         return partial
 
-    async def iter_events(self, streamed: StreamedAnswer):
-        """Yield the events of a stream; raises `StreamTooSlow` if it stalls."""
-        pool = self.process.active_revision.catalog.pools.get(self.trainer.pool)
-        dialect = DIALECTS[pool.dialect if pool else "plain"]
-        incomplete = b""
-        chunks = aiter(streamed.chunks)
-        while True:
-            try:
-                async with asyncio.timeout(
-                    STALL_TIMEOUT_S if self.may_migrate() else None
-                ):
-                    data = await anext(chunks)
-            except StopAsyncIteration:
-                return
-            except TimeoutError as error:
-                raise StreamTooSlow from error
-            *lines, incomplete = (incomplete + data).split(b"\n")
-            for event in parse_events(lines, dialect):
-                yield event
+    def begin_again(self, partial: PartialSample) -> None:
+        """Prepare a partial sample for the stream that goes on after a stall.
+
+        One that can't be resumed was requested anew from its first token.
+        """
+        partial.streams += 1
+        if not partial.is_resumable and partial.token_ids:
+            self.count_wasted(len(partial.token_ids), "slow")
+            partial.clear()
+            partial.streams = 1
 
     def may_migrate(self) -> bool:
         """Return whether a stalled stream may be moved to another backend server."""
@@ -313,10 +314,10 @@
         group: Group,
         number: int,
         partial: PartialSample,
-        streamed: StreamedAnswer,
+        reported: list[Span],
     ) -> Sample | None:
         """Return the sample; None if it is incomplete or a token has no version."""
-        spans = partial.spans(streamed.spans)
+        spans = partial.spans(reported)
         count = len(partial.token_ids)
         if not partial.finish_reason or not spans or spans[-1].last != count:
             return None
@@ -329,31 +330,3 @@
             spans=[[span.first, span.last, span.version] for span in spans],
             finish_reason=partial.finish_reason,
         )
-
-
-def parse_events(lines: list[bytes], dialect: Dialect) -> list[CompletionEvent]:
-    """Parse the events in lines of a completion stream."""
-    events = []
-    for line in lines:
-        data = line.removeprefix(b"data:").strip()
-        if line.startswith(b"data:") and data != b"[DONE]":
-            events.append(parse_event(data, dialect))
-    return events
-
-
-def parse_event(data: bytes, dialect: Dialect) -> CompletionEvent:
-    """Parse one event of a completion stream."""
-    try:
-        value = json.loads(data)
-        choice = (value.get("choices") or [{}])[0]
-        return CompletionEvent(
-            text=choice.get("text") or "",
-            token_ids=choice.get("token_ids") or [],
-            prompt_ids=choice.get("prompt_token_ids") or [],
-            finish_reason=choice.get("finish_reason") or "",
-            version=dialect.read_event_tokens(value).version,
-        )
-    except (ValueError, TypeError, AttributeError, IndexError) as error:
-        raise UnreadableEvent(
-            f"completion event of {len(data)} bytes cannot be parsed: {error}"
-        ) from error
--- a/tests/test_sampling.py
+++ b/tests/test_sampling.py
@@ -21,6 +21,11 @@
     return {k: v for k, v in totals.items() if k.startswith("tokens_wasted")}
 
 
+def total_generated(sys):
+    """Return the number of tokens that all engines have generated."""
+    return sum(engine.generated_count for engine in sys.engines)
+
+
 def test_broken_stream_is_resumed_without_discarding_tokens():
     async def work(sys):
         for engine in sys.engines:
@@ -55,7 +60,7 @@
 
 
 def test_sample_on_a_stalled_engine_is_migrated(monkeypatch):
-    monkeypatch.setattr("gypsumshift.sampling.STALL_TIMEOUT_S", 0.1)
+    monkeypatch.setattr("gypsumshift.samplestream.STALL_TIMEOUT_S", 0.1)
 
     async def work(sys):
         stalled = sys.engines[0]
@@ -71,6 +76,36 @@
     system.run(work, engines=2, services=0)
 
 
+def test_sample_on_a_stalled_engine_goes_on_there_while_no_other_begins(monkeypatch):
+    """Guards against a sample that is cut at a silent engine, and then has none."""
+    monkeypatch.setattr("gypsumshift.samplestream.STALL_TIMEOUT_S", 0.1)
+
+    async def work(sys):
+        async with sys.trainer() as trainer:
+            await trainer.submit([Group("g1", "p 1", samples=1, max_tokens=5)])
+            pull = asyncio.create_task(trainer.step(1))
+            await wait_until(lambda: total_generated(sys) == 5)
+            await wait_until(lambda: not any(engine.running for engine in sys.engines))
+            counts = [engine.generated_count for engine in sys.engines]
+            await trainer.submit([Group("g0", "p 0", samples=1, max_tokens=60)])
+            await wait_until(lambda: total_generated(sys) > 8)
+            for engine in sys.engines:
+                await engine.swap_lock.acquire()
+            await wait_until(lambda: all(engine.running for engine in sys.engines))
+            grown = [
+                e.generated_count - n for e, n in zip(sys.engines, counts, strict=True)
+            ]
+            first = grown.index(max(grown))
+            sys.engines[first].swap_lock.release()
+            check_token_versions(await pull)
+            sys.engines[1 - first].swap_lock.release()
+        assert total_generated(sys) == 65, "no token is generated twice"
+        assert sys.engines[first].generated_count - counts[first] == 60
+        assert not sys.entries[0].driver_manager.drivers["tr"].sampler.migrated
+
+    system.run(work, engines=2, services=0)
+
+
 def test_sample_that_becomes_stale_is_discarded_and_generated_again():
     async def work(sys):
         async with sys.trainer() as trainer:
