Ask a server again for a silent stream that could not be reached before

What callers would see (by test): a silent stream stays at its server until its time is up though another server has become reachable meanwhile.

Cause: a server to which nothing could be sent counted as tried for good, as one does that may have run the stream; only refusals were asked again in the next round.

Fix: what was not sent counts as a refusal. While a stream is opened first, such a server is still left out, as before.

The path of a store in two test modules is one builder now.

--- a/gypsumshift/serving/streamopener.py
+++ b/gypsumshift/serving/streamopener.py
@@ -111,10 +111,14 @@
 
     def record_refusal(self, state: RelayState, server: BackendServer) -> None:
         """Record that a server did not take a stream and has not run it."""
+        self.count_unsent(state, server)
+        self.end_run(state, server)
+
+    def count_unsent(self, state: RelayState, server: BackendServer) -> None:
+        """Count that a stream has not run at a server, which may be tried later."""
         state.runs -= 1
         state.tried.discard(server.start)
         state.refused_by.add(server.start)
-        self.end_run(state, server)
 
     async def wait_for_runs(self, state: RelayState) -> None:
         """Wait for other runs of the request that prevent one more, if any."""
@@ -199,10 +203,10 @@
         """Record that a stream could not be opened at a server."""
         connection_failed = isinstance(error, FetchError)
         sent = not connection_failed or error.sent
-        state.runs -= not sent
         if not connection_failed:
             self.late_crashes.check_servers(state.permit, [server])
         if not sent:
+            self.count_unsent(state, server)
             self.balancer.record_unconnected(server)
         gone = connection_failed and await self.sender.is_gone(error, server)
         if not gone:
--- a/tests/cut_server.py
+++ b/tests/cut_server.py
@@ -89,3 +89,17 @@
             reset_connection(writer)
         else:
             writer.close()
+
+
+class CutPath:
+    """Path to a store whose answers a `CutServer` cuts."""
+
+    probe_target = ""
+
+    def __init__(self, server, fetcher):
+        self.server, self.fetcher = server, fetcher
+
+    async def fetch(self, method, target, headers, body, timeout, residency):
+        return await self.fetcher.fetch(
+            self.server.address, method, "/cut", headers, body, timeout
+        )
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -17,7 +17,7 @@
 from gypsumshift.serving.calls import Failed
 from tests import job_builders as jw
 from tests import system
-from tests.cut_server import CHUNK, CUTS, UNSIZED, CutServer
+from tests.cut_server import CHUNK, CUTS, UNSIZED, CutPath, CutServer
 from tests.moving_routes import MovingWorld
 from tests.platform_cluster import run_scenario
 from tests.system import wait_until
@@ -96,17 +96,6 @@
 def test_a_cut_answer_of_the_store_is_none(name, resets):
     from row_store import PlatformStore
 
-    class CutPath:
-        probe_target = ""
-
-        def __init__(self, server, fetcher):
-            self.server, self.fetcher = server, fetcher
-
-        async def fetch(self, method, target, headers, body, timeout, residency):
-            return await self.fetcher.fetch(
-                self.server.address, method, "/cut", headers, body, timeout
-            )
-
     async def scenario(server, fetcher):
         store = PlatformStore(CutPath(server, fetcher))
         assert isinstance(await store.read("op", "config"), Unavailable)
--- a/tests/test_silent_streams.py
+++ b/tests/test_silent_streams.py
@@ -12,6 +12,7 @@
 import logbook
 import pytest
 
+from gypsumshift.listeners import close_listener
 from gypsumshift.serving.quarantine import TRIAL_DELAYS_S
 from gypsumshift.serving.resumablerelay import SILENCE_SECONDS
 from standins.users_documents import config, route
@@ -126,6 +127,23 @@
     run_scenario(scenario, tmp_path)
 
 
+def test_a_silent_stream_moves_to_a_server_that_could_not_be_reached_before(tmp_path):
+    """Guards against a server that is left out since it refused a connection once."""
+
+    async def scenario(world):
+        engines = await add_engines(world, {4: FOREVER_S}, {})
+        task = await begin(world, engines)
+        port = engines[1].server.listener.sockets[0].getsockname()[1]
+        await close_listener(engines[1].server.listener)
+        await asyncio.sleep(SILENCE_S)
+        await engines[1].server.listen("127.0.0.1", port)
+        seen = await task
+        assert seen.is_right("s1", EVENTS), seen
+        assert [run["after"] for run in runs_of(engines[1])] == [3]
+
+    run_scenario(scenario, tmp_path)
+
+
 def test_a_silent_stream_whose_attempts_are_used_goes_on_at_its_server(tmp_path):
     """Guards against a stream that is cut since its route allows no other server."""
 
--- a/tests/test_statuses.py
+++ b/tests/test_statuses.py
@@ -21,7 +21,7 @@
 from standins.users_worker import FakeWorker
 from tests import job_builders as jw
 from tests import system
-from tests.cut_server import CHUNK, STAMP, TYPE, CutServer
+from tests.cut_server import CHUNK, STAMP, TYPE, CutPath, CutServer
 from tests.moving_routes import MovingWorld
 from tests.platform_cluster import PlatformCluster, run_scenario
 from tests.silent_worker import read_stream
@@ -142,19 +142,8 @@
 def test_it_is_no_answer_of_the_store(name):
     from row_store import PlatformStore
 
-    class OddPath:
-        probe_target = ""
-
-        def __init__(self, server, fetcher):
-            self.server, self.fetcher = server, fetcher
-
-        async def fetch(self, method, target, headers, body, timeout, residency):
-            return await self.fetcher.fetch(
-                self.server.address, method, "/cut", headers, body, timeout
-            )
-
     async def scenario(server, fetcher):
-        store = PlatformStore(OddPath(server, fetcher))
+        store = PlatformStore(CutPath(server, fetcher))
         assert isinstance(await store.read("op", "config"), Unavailable)
         assert isinstance(await store.commit([Write("t", "k", {})]), Unknown)
 
