End the reset timer of a connection with the connection

Fix: the timer is cancelled when the socket is closed. Beside it, a stop asks a connection whether it has a request, served or arriving, in one place.

--- a/gypsumshift/httpserver.py
+++ b/gypsumshift/httpserver.py
@@ -162,7 +162,7 @@
         self.closing = True
         if self.listener:
             await close_listener(self.listener)
-        self.cancel(lambda connection: not connection.input.has_begun)
+        self.cancel(lambda connection: not connection.has_request)
         await self.wait_until_read(min(grace, READ_GRACE_S))
         self.cancel(lambda connection: not connection.busy)
         if self.connections:
--- a/gypsumshift/serverconnection.py
+++ b/gypsumshift/serverconnection.py
@@ -70,6 +70,8 @@
         Whether the handler has got it.
     is_streaming : bool
         Whether a streamed response is being sent.
+    reset_timer : asyncio.TimerHandle or None
+        Resets the closed connection if its caller leaves data unread.
     input : RequestReader
     receiver : RequestReceiver
     """
@@ -86,9 +88,15 @@
         self.busy = False
         self.is_handled = False
         self.is_streaming = False
+        self.reset_timer: asyncio.TimerHandle | None = None
         self.receiver = RequestReceiver(server, self, self.input)
         limit_sending(writer, BUFFER_BYTES)
 
+    @property
+    def has_request(self) -> bool:
+        """Whether a request is being served, or bytes of one have arrived."""
+        return self.busy or self.input.has_begun
+
     def close(self) -> None:
         """Close the connection; data that stays unread is discarded after a time."""
         self.writer.close()
@@ -96,7 +104,9 @@
         if self.server.budget.is_limited and transport.get_write_buffer_size():
             self.table.change(self, Phase.SERVING)
             loop = asyncio.get_running_loop()
-            loop.call_later(UNREAD_TIMEOUT_S, reset_connection, self.writer)
+            self.reset_timer = loop.call_later(
+                UNREAD_TIMEOUT_S, reset_connection, self.writer
+            )
 
     def evict(self, reason: CloseReason) -> None:
         """Close the connection at once for others; its request is not run.
@@ -128,6 +138,8 @@
     def lost(self) -> None:
         """Note that the socket was closed."""
         self.table.remove(self)
+        if self.reset_timer is not None:
+            self.reset_timer.cancel()
         self.receiver.end_receiving()
         self.end_stream()
 
--- a/gypsumshift/serving/resumablerelay.py
+++ b/gypsumshift/serving/resumablerelay.py
@@ -37,8 +37,9 @@
 
 
 class ResumableRelay(RacedStream):
-    """Events of one resumable stream, as bytes; at last `ResponseAborted` is raised
-    if all runs broke off and no other server goes on.
+    """Events of one resumable stream, as bytes.
+
+    `ResponseAborted` is raised once all runs broke off and no other server goes on.
 
     Parameters
     ----------
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -229,3 +229,22 @@
     with contextlib.closing(exchange):
         async for data in exchange.chunks():
             yield data
+
+
+def test_a_closed_connection_whose_caller_reads_on_is_not_reset(short_timeout):
+    """Guards against an exception of the timer that resets connections."""
+    errors = []
+
+    async def scenario(source, caller):
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        await caller.send(b"/whole")
+        while not source.write_buffer_bytes:
+            await asyncio.sleep(0.01)
+        (connection,) = source.server.connections.values()
+        connection.close()
+        await caller.read_all()
+        await asyncio.sleep(3 * UNREAD_TIMEOUT_S)
+
+    run_scenario(scenario)
+    assert not errors, errors
